Lay down the state and coordination layers

Cause: the shape comes first: typed ids, records, ports, and decisions without I/O. Conclusion: a test can drive two procedures in any interleaving and lose any answer.

--- /dev/null
+++ b/currantstage/coordination/_note_commit.py
@@ -0,0 +1,193 @@
+"""Commit a release note: one compare-and-set of the head row."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from returns.result import Failure, Result, Success
+
+from currantstage.coordination._errors import StoreContentError
+from currantstage.coordination._note_check import NoteFault, check_note
+from currantstage.state import (
+    ABSENT,
+    HEAD_KEY,
+    Fleet,
+    Generation,
+    HeadRow,
+    NoteId,
+    NoteRow,
+    ObjectName,
+    ReleaseNote,
+    RowVersion,
+    RowWrite,
+    StoredGeneration,
+    note_key,
+)
+
+if TYPE_CHECKING:
+    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination._store_access import StoreAccess
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The note made this generation, now or when it was first submitted."""
+
+    generation: Generation
+
+
+@dataclass(frozen=True, slots=True)
+class NoteInvalid:
+    """The note has faults; nothing was changed."""
+
+    faults: tuple[NoteFault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoteOvertaken:
+    """Another note was committed first; nothing was changed.
+
+    Parameters
+    ----------
+    generation : Generation
+        The generation that won.
+    note_id : NoteId
+        The note that won.
+    """
+
+    generation: Generation
+    note_id: NoteId
+
+
+@dataclass(frozen=True, slots=True)
+class NoteIdTaken:
+    """A different note with the same identifier made this generation before."""
+
+    generation: Generation
+
+
+NoteRefusal: TypeAlias = NoteInvalid | NoteOvertaken | NoteIdTaken
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The newest committed generation.
+
+    Parameters
+    ----------
+    version : RowVersion
+        Version of the head row, ``ABSENT`` before the first note.
+    fleet : Fleet
+    note_id : NoteId or None
+    """
+
+    version: RowVersion
+    fleet: Fleet
+    note_id: NoteId | None
+
+
+def load_head(store: StoreAccess) -> Procedure[Head]:
+    """Read the head row and the snapshot that it names.
+
+    Raises
+    ------
+    StoreAwayError
+        The platform's service does not answer.
+    StoreContentError
+        The head row names an object that does not exist.
+    """
+    row = yield from store.read(HEAD_KEY)
+    if row is None:
+        return Head(ABSENT, Fleet(), None)
+    if not isinstance(row.record, HeadRow):
+        raise StoreContentError(f"{HEAD_KEY} holds another kind of record")
+    stored = yield from store.get_object(row.record.object_name)
+    if stored is None:
+        raise StoreContentError(f"object {row.record.object_name} is missing")
+    return Head(row.version, stored.fleet, row.record.note_id)
+
+
+def commit_note(
+    store: StoreAccess, note: ReleaseNote, digest: str
+) -> Procedure[Result[Committed, NoteRefusal]]:
+    """Check `note` whole against the head and commit it, or change nothing.
+
+    Parameters
+    ----------
+    store : StoreAccess
+    note : ReleaseNote
+    digest : str
+        Hash of the note's canonical encoding: tells a resubmission from another
+        note under the same identifier.
+    """
+    earlier = yield from _find_earlier(store, note.note_id, digest)
+    if earlier is not None:
+        return earlier
+    head = yield from load_head(store)
+    checked = check_note(head.fleet, note)
+    if isinstance(checked, Failure):
+        return Failure(NoteInvalid(checked.failure()))
+    fleet = checked.unwrap()
+    # Racing operators write the same generation, so the name also has the attempt.
+    name = ObjectName(f"generation/{fleet.generation:012d}/{store.new_attempt()}")
+    yield from store.put_object(name, StoredGeneration(note=note, fleet=fleet))
+    outcome = yield from store.transact(
+        _commit_writes(head.version, fleet.generation, note.note_id, name, digest)
+    )
+    if outcome.is_applied:
+        return Success(Committed(fleet.generation))
+    return (yield from _explain_conflict(store, note.note_id, digest))
+
+
+def _commit_writes(
+    head_version: RowVersion,
+    generation: Generation,
+    note_id: NoteId,
+    object_name: ObjectName,
+    digest: str,
+) -> tuple[RowWrite, ...]:
+    # The note's own row comes first: nobody overwrites it, so reading it back
+    # after a lost answer tells for certain whether the commit took effect.
+    return (
+        RowWrite(
+            key=note_key(note_id),
+            expected_version=ABSENT,
+            record=NoteRow(
+                note_id=note_id,
+                generation=generation,
+                object_name=object_name,
+                digest=digest,
+            ),
+        ),
+        RowWrite(
+            key=HEAD_KEY,
+            expected_version=head_version,
+            record=HeadRow(
+                generation=generation, note_id=note_id, object_name=object_name
+            ),
+        ),
+    )
+
+
+def _find_earlier(
+    store: StoreAccess, note_id: NoteId, digest: str
+) -> Procedure[Result[Committed, NoteRefusal] | None]:
+    row = yield from store.read(note_key(note_id))
+    if row is None or not isinstance(row.record, NoteRow):
+        return None
+    if row.record.digest != digest:
+        return Failure(NoteIdTaken(row.record.generation))
+    return Success(Committed(row.record.generation))
+
+
+def _explain_conflict(
+    store: StoreAccess, note_id: NoteId, digest: str
+) -> Procedure[Result[Committed, NoteRefusal]]:
+    earlier = yield from _find_earlier(store, note_id, digest)
+    if earlier is not None:
+        return earlier
+    row = yield from store.read(HEAD_KEY)
+    if row is None or not isinstance(row.record, HeadRow):
+        raise StoreContentError("the head row vanished")
+    return Failure(NoteOvertaken(row.record.generation, row.record.note_id))
--- /dev/null
+++ b/currantstage/coordination/_procedures.py
@@ -0,0 +1,122 @@
+"""Procedures: decisions that need the platform, written without input or output.
+
+A procedure is a plain generator. It yields one typed call after another, and
+whoever drives it sends back the typed reply: the daemon from the platform's real
+service, a test from a fake that may lose answers. So every decision, retries and
+reading back after a lost answer included, runs the same under both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass
+from typing import TypeAlias, TypeVar
+
+from currantstage.state import (
+    AttemptId,
+    ObjectName,
+    RowKey,
+    RowWrite,
+    StoredGeneration,
+    TransactionOutcome,
+    VersionedRow,
+)
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Read one row; the reply is `RowRead`."""
+
+    key: RowKey
+
+
+@dataclass(frozen=True, slots=True)
+class ScanRows:
+    """Read the rows under a prefix; the reply is `RowsScanned`."""
+
+    prefix: RowKey
+
+
+@dataclass(frozen=True, slots=True)
+class Transact:
+    """Apply conditional writes; the reply is `Transacted`."""
+
+    attempt: AttemptId
+    writes: tuple[RowWrite, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GetObject:
+    """Fetch an immutable object; the reply is `ObjectFetched`."""
+
+    name: ObjectName
+
+
+@dataclass(frozen=True, slots=True)
+class PutObject:
+    """Store an immutable object; the reply is `Done`."""
+
+    name: ObjectName
+    content: StoredGeneration
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait before the next step; the reply is `Done`."""
+
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RowRead:
+    """The row, or None when it is absent."""
+
+    row: VersionedRow | None
+
+
+@dataclass(frozen=True, slots=True)
+class RowsScanned:
+    """The rows under the prefix, ordered by key."""
+
+    rows: tuple[VersionedRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Transacted:
+    """The outcome of a transaction."""
+
+    outcome: TransactionOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectFetched:
+    """The object, or None when it is absent."""
+
+    content: StoredGeneration | None
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The call took effect and returns nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """The platform's service did not answer.
+
+    Parameters
+    ----------
+    may_have_applied : bool
+        Whether a write may have taken effect all the same.
+    """
+
+    may_have_applied: bool
+
+
+StoreCall: TypeAlias = ReadRow | ScanRows | Transact | GetObject | PutObject | Pause
+StoreReply: TypeAlias = (
+    RowRead | RowsScanned | Transacted | ObjectFetched | Done | StoreFailed
+)
+Procedure: TypeAlias = Generator[StoreCall, StoreReply, T]
--- /dev/null
+++ b/currantstage/coordination/_store_access.py
@@ -0,0 +1,163 @@
+"""Access to the platform's service with retries and reading back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+
+from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
+from currantstage.coordination._procedures import (
+    Done,
+    GetObject,
+    ObjectFetched,
+    Pause,
+    Procedure,
+    PutObject,
+    ReadRow,
+    RowRead,
+    RowsScanned,
+    ScanRows,
+    StoreCall,
+    StoreFailed,
+    StoreReply,
+    Transact,
+    Transacted,
+)
+from currantstage.state import AttemptId, RowWrite, TransactionOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from currantstage.state import (
+        ObjectName,
+        Random,
+        RowKey,
+        StoredGeneration,
+        VersionedRow,
+    )
+
+ReplyT = TypeVar("ReplyT")
+
+#: Bits of an attempt's random name; two tries never share one in practice.
+ATTEMPT_ID_BITS = 96
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """How often and how far apart calls to the platform are repeated.
+
+    Parameters
+    ----------
+    max_tries : int
+        Tries in all, the first included.
+    first_delay_s, max_delay_s : float
+        Bounds of the exponential backoff, in seconds; each delay is drawn between
+        half of its bound and the bound itself.
+    """
+
+    max_tries: int = 4
+    first_delay_s: float = 0.05
+    max_delay_s: float = 1.0
+
+    def delay_s(self, tries: int, random: Random) -> float:
+        """Return the jittered delay after `tries` failed tries, in seconds."""
+        bound_s = min(self.max_delay_s, self.first_delay_s * 2.0 ** (tries - 1))
+        return bound_s * (0.5 + random.random() / 2)
+
+
+class StoreAccess:
+    """Reads and writes of the platform's service as procedures.
+
+    Parameters
+    ----------
+    random : Random
+        Source of jitter and attempt names.
+    policy : RetryPolicy
+    """
+
+    def __init__(self, random: Random, policy: RetryPolicy) -> None:
+        self._random = random
+        self._policy = policy
+
+    def new_attempt(self) -> AttemptId:
+        """Return a name for one write that no other write shares."""
+        return AttemptId(f"{self._random.getrandbits(ATTEMPT_ID_BITS):024x}")
+
+    def read(self, key: RowKey) -> Procedure[VersionedRow | None]:
+        """Return the row under `key`; raises `StoreAwayError`."""
+        reply = yield from self._repeat(ReadRow(key), RowRead)
+        return reply.row
+
+    def scan(self, prefix: RowKey) -> Procedure[tuple[VersionedRow, ...]]:
+        """Return the rows under `prefix`; raises `StoreAwayError`."""
+        reply = yield from self._repeat(ScanRows(prefix), RowsScanned)
+        return reply.rows
+
+    def get_object(self, name: ObjectName) -> Procedure[StoredGeneration | None]:
+        """Return the object under `name`; raises `StoreAwayError`."""
+        reply = yield from self._repeat(GetObject(name), ObjectFetched)
+        return reply.content
+
+    def put_object(
+        self, name: ObjectName, content: StoredGeneration
+    ) -> Procedure[None]:
+        """Store an object; raises `StoreAwayError` when that is not certain."""
+        yield from self._repeat(PutObject(name, content), Done)
+
+    def transact(self, writes: Sequence[RowWrite]) -> Procedure[TransactionOutcome]:
+        """Apply `writes` at most once, whatever answers are lost.
+
+        After a lost answer the first written row is read back: it carries the
+        attempt's name if and only if the transaction was applied. A transaction
+        that only deletes can't be recognised that way, so its first write must
+        not be a deletion.
+
+        Raises
+        ------
+        StoreAwayError
+            Nothing was written.
+        WriteUncertainError
+            The answer was lost, and reading back failed as well.
+        """
+        attempt = self.new_attempt()
+        call = Transact(attempt, tuple(writes))
+        is_uncertain = False
+        for tries in range(1, self._policy.max_tries + 1):
+            reply = yield call
+            if isinstance(reply, Transacted):
+                if reply.outcome.is_applied or not is_uncertain:
+                    return reply.outcome
+                # An earlier try may have applied the writes and moved the versions.
+                return (yield from self._read_back(attempt, writes, reply.outcome))
+            is_uncertain = is_uncertain or _may_have_applied(reply)
+            yield Pause(self._policy.delay_s(tries, self._random))
+        if not is_uncertain:
+            raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
+        conflict = TransactionOutcome(is_applied=False, conflicting_key=writes[0].key)
+        return (yield from self._read_back(attempt, writes, conflict))
+
+    def _read_back(
+        self,
+        attempt: AttemptId,
+        writes: Sequence[RowWrite],
+        otherwise: TransactionOutcome,
+    ) -> Procedure[TransactionOutcome]:
+        try:
+            row = yield from self.read(writes[0].key)
+        except StoreAwayError as error:
+            raise WriteUncertainError(f"attempt {attempt}") from error
+        if row is not None and row.attempt == attempt:
+            return TransactionOutcome(is_applied=True)
+        return otherwise
+
+    def _repeat(self, call: StoreCall, expected: type[ReplyT]) -> Procedure[ReplyT]:
+        for tries in range(1, self._policy.max_tries + 1):
+            reply: StoreReply = yield call
+            if isinstance(reply, expected):
+                return reply
+            yield Pause(self._policy.delay_s(tries, self._random))
+        raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
+
+
+def _may_have_applied(reply: StoreReply) -> bool:
+    return isinstance(reply, StoreFailed) and reply.may_have_applied
