--- /dev/null
+++ b/currantstage/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m currantstage``."""
+
+from __future__ import annotations
+
+from currantstage.cmd import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/currantstage/application/_errors.py
@@ -0,0 +1,13 @@
+"""Errors of the composition root."""
+
+from __future__ import annotations
+
+from currantstage.errors import CurrantstageError
+
+
+class ApplicationError(CurrantstageError):
+    """Base class of the errors of the composition root."""
+
+
+class StartError(ApplicationError):
+    """The daemon can't start."""
--- /dev/null
+++ b/currantstage/application/_operator_service.py
@@ -0,0 +1,88 @@
+"""Serve operators' calls: submit notes, tell how far they have come."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from currantstage.coordination import CoordinationError, commit_note, note_progress
+from currantstage.protocol import (
+    NoteReport,
+    NoteState,
+    NoteSyntaxError,
+    note_digest,
+    parse_note,
+    report_committed,
+    report_progress,
+    report_refusal,
+)
+from currantstage.state import NoteRow, note_key
+from currantstage.transport import OperatorCallError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantstage.application._procedure_runner import ProcedureRunner
+    from currantstage.coordination import Configuration, StoreAccess
+    from currantstage.state import Fleet, NoteId
+
+
+class NoteService:
+    """Implements `OperatorService`.
+
+    Parameters
+    ----------
+    runner : ProcedureRunner
+    store : StoreAccess
+    configuration : Configuration
+    on_commit : callable
+        Called when a note was committed here, so that it is applied at once.
+    """
+
+    def __init__(
+        self,
+        runner: ProcedureRunner,
+        store: StoreAccess,
+        configuration: Configuration,
+        on_commit: Callable[[], None],
+    ) -> None:
+        self._runner = runner
+        self._store = store
+        self._configuration = configuration
+        self._on_commit = on_commit
+
+    async def submit_note(self, text: str) -> NoteReport:
+        """Commit the note in `text`, or say why nothing was changed."""
+        try:
+            note = parse_note(text)
+        except NoteSyntaxError as error:
+            return NoteReport(state=NoteState.INVALID, faults=error.faults)
+        try:
+            result = await self._runner.run(
+                commit_note(self._store, note, note_digest(note))
+            )
+        except CoordinationError as error:
+            raise OperatorCallError(f"{type(error).__name__}: {error}") from error
+        if isinstance(result, Failure):
+            return report_refusal(result.failure())
+        self._on_commit()
+        return report_committed(result.unwrap())
+
+    async def note_status(self, note_id: NoteId) -> NoteReport | None:
+        """Return how far a note has come, or None when it is not known."""
+        try:
+            row = await self._runner.run(self._store.read(note_key(note_id)))
+            if row is None or not isinstance(row.record, NoteRow):
+                return None
+            return report_progress(
+                await self._runner.run(
+                    note_progress(self._store, row.record.generation)
+                )
+            )
+        except CoordinationError as error:
+            raise OperatorCallError(f"{type(error).__name__}: {error}") from error
+
+    async def fleet_in_force(self) -> Fleet:
+        """Return the fleet in force at this entry VM."""
+        return self._configuration.fleet
--- /dev/null
+++ b/currantstage/cmd/_demo.py
@@ -0,0 +1,86 @@
+"""The ``demo`` command: the whole path on loopback in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import aiohttp
+import click
+import uvloop
+
+from currantstage.cmd._exit import ExitStatus
+from currantstage.errors import CurrantstageError
+from currantstage.protocol import KEY_HEADER, OUTCOME_HEADER, NoteState
+from currantstage.standin import OPERATOR_KEY, LoopbackCluster
+from currantstage.state import NoteId
+from currantstage.transport import OperatorClient
+
+#: Longest time for a note to be in force everywhere, in seconds.
+ACCEPT_TIMEOUT_S = 20.0
+_POLL_S = 0.05
+_WITHDRAWAL = "[note]\nid = withdraw-south\n[withdraw key south-1]\n"
+
+
+class DemoError(CurrantstageError):
+    """A step of the demo that did not show what it should."""
+
+
+@click.command()
+def demo() -> None:
+    """Show the whole path on loopback: note, requests, a withdrawn key.
+
+    Example: currantstage demo
+    """
+    try:
+        uvloop.run(_run())
+    except CurrantstageError as error:
+        click.echo(f"demo failed: {error}", err=True)
+        sys.exit(ExitStatus.REFUSED)
+
+
+async def _run() -> None:
+    async with (
+        LoopbackCluster() as cluster,
+        OperatorClient(cluster.urls[0], OPERATOR_KEY) as operator,
+        aiohttp.ClientSession() as caller,
+    ):
+        click.echo(f"{len(cluster.daemons)} entry VMs in 3 data centres are serving")
+        await _submit(operator, cluster.note, NoteId("first-note"))
+        for url in cluster.urls:
+            await _expect(caller, url, "parcels", "north-1.north-secret", 200)
+            await _expect(caller, url, "parcels", "south-1.south-secret", 200)
+            await _expect(caller, url, "enquiries", None, 200)
+        await _submit(operator, _WITHDRAWAL, NoteId("withdraw-south"))
+        for url in cluster.urls:
+            await _expect(caller, url, "parcels", "south-1.south-secret", 403)
+            await _expect(caller, url, "parcels", "north-1.north-secret", 200)
+        ran = {name: len(each.bodies) for name, each in cluster.backends.items()}
+    click.echo(f"requests run by backend servers: {ran}")
+    click.echo("the demo passed")
+
+
+async def _submit(operator: OperatorClient, text: str, note_id: NoteId) -> None:
+    report = await operator.submit_note(text)
+    async with asyncio.timeout(ACCEPT_TIMEOUT_S):
+        while report.state is NoteState.COMMITTED:
+            await asyncio.sleep(_POLL_S)
+            report = await operator.note_status(note_id)
+    if report.state is not NoteState.ACCEPTED:
+        raise DemoError(f"note {note_id}: {report.state.value} {report.faults}")
+    click.echo(f"note {note_id} accepted as generation {report.generation}")
+
+
+async def _expect(
+    caller: aiohttp.ClientSession, url: str, queue: str, key: str | None, status: int
+) -> None:
+    headers = {} if key is None else {KEY_HEADER: key}
+    body = b"change of address 42"
+    async with caller.post(
+        f"{url}/v1/queues/{queue}", data=body, headers=headers
+    ) as response:
+        answer = await response.read()
+    outcome = response.headers[OUTCOME_HEADER]
+    click.echo(f"{queue} with key {key and key.split('.')[0]}: {outcome}, {answer!r}")
+    if response.status != status or (status == 200 and not answer.endswith(body)):
+        raise DemoError(f"expected {status}, got {response.status}")
--- /dev/null
+++ b/currantstage/cmd/_note.py
@@ -0,0 +1,178 @@
+"""Commands on release notes."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import click
+import msgspec
+import uvloop
+
+from currantstage.cmd._config import PATH
+from currantstage.cmd._exit import ExitStatus
+from currantstage.protocol import NoteReport, NoteState, NoteSyntaxError, parse_note
+from currantstage.state import NoteId
+from currantstage.transport import OperatorCallError, OperatorClient
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from currantstage.state import ReleaseNote
+
+T = TypeVar("T")
+F = TypeVar("F", bound="Callable[..., Any]")
+
+#: Pause between two questions about a note's progress, in seconds.
+PROGRESS_POLL_S = 0.25
+
+
+def server_options(command: F) -> F:
+    """Add the options that name an entry VM and the operators' key."""
+    server = click.option(
+        "--server",
+        envvar="CURRANTSTAGE_SERVER",
+        default="http://127.0.0.1:8080",
+        show_default=True,
+        help="Address of an entry VM.",
+    )
+    key = click.option(
+        "--operator-key",
+        envvar="CURRANTSTAGE_OPERATOR_KEY",
+        required=True,
+        help="The operators' key.",
+    )
+    return server(key(command))
+
+
+def call_server(
+    server: str, key: str, call: Callable[[OperatorClient], Awaitable[T]]
+) -> T:
+    """Return what `call` gets from the daemon, or say why not and exit."""
+
+    async def connect_and_call() -> T:
+        async with OperatorClient(server, key) as client:
+            return await call(client)
+
+    try:
+        return uvloop.run(connect_and_call())
+    except OperatorCallError as error:
+        click.echo(f"no answer: {error}", err=True)
+        sys.exit(ExitStatus.UNAVAILABLE)
+
+
+@click.group()
+def note() -> None:
+    """Check, submit and follow release notes."""
+
+
+@note.command()
+@click.argument("path", type=PATH)
+def check(path: Path) -> None:
+    """Read the release note at PATH and name every fault of its text.
+
+    Example: currantstage note check first-note.ini
+    """
+    parsed = _parse_or_exit(_read_or_exit(path), path)
+    click.echo(f"{path}: note {parsed.note_id} can be read")
+
+
+@note.command()
+@click.argument("path", type=PATH)
+@click.option("--wait-s", default=60.0, show_default=True, help="Longest wait.")
+@click.option("--json", "as_json", is_flag=True, help="Print the last report as JSON.")
+@server_options
+def submit(
+    path: Path, wait_s: float, as_json: bool, server: str, operator_key: str
+) -> None:
+    """Submit the release note at PATH and wait until it is in force everywhere.
+
+    Exit status 0 means accepted, 1 refused or not yet accepted.
+
+    Example: currantstage note submit first-note.ini --operator-key KEY
+    """
+    text = _read_or_exit(path)
+    parsed = _parse_or_exit(text, path)
+    follow = partial(_submit_and_follow, text, parsed.note_id, wait_s, not as_json)
+    _finish(call_server(server, operator_key, follow), as_json)
+
+
+@note.command()
+@click.argument("note_id")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@server_options
+def status(note_id: str, as_json: bool, server: str, operator_key: str) -> None:
+    """Tell which entry VMs still lack the note NOTE_ID.
+
+    Example: currantstage note status first-note --operator-key KEY
+    """
+    report = call_server(
+        server, operator_key, lambda client: client.note_status(NoteId(note_id))
+    )
+    if not as_json:
+        click.echo(_describe(report))
+    _finish(report, as_json)
+
+
+@note.command()
+@server_options
+def show(server: str, operator_key: str) -> None:
+    """Print as JSON the fleet that the last note made.
+
+    Example: currantstage note show --operator-key KEY
+    """
+    fleet = call_server(server, operator_key, lambda client: client.fleet())
+    click.echo(msgspec.json.format(msgspec.json.encode(fleet)).decode())
+
+
+async def _submit_and_follow(
+    text: str, note_id: NoteId, wait_s: float, is_shown: bool, client: OperatorClient
+) -> NoteReport:
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + wait_s
+    report = await client.submit_note(text)
+    shown = ""
+    while True:
+        if is_shown and _describe(report) != shown:
+            shown = _describe(report)
+            click.echo(shown)
+        if report.state is not NoteState.COMMITTED or loop.time() > deadline_s:
+            return report
+        await asyncio.sleep(PROGRESS_POLL_S)
+        report = await client.note_status(note_id)
+
+
+def _describe(report: NoteReport) -> str:
+    text = report.state.value
+    if report.generation is not None:
+        text += f", generation {report.generation}"
+    if report.waiting_for:
+        text += f", waiting for {', '.join(report.waiting_for)}"
+    return "\n".join((text, *(f"  {fault}" for fault in report.faults)))
+
+
+def _finish(report: NoteReport, as_json: bool) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(report).decode())
+    is_accepted = report.state is NoteState.ACCEPTED
+    sys.exit(ExitStatus.OK if is_accepted else ExitStatus.REFUSED)
+
+
+def _read_or_exit(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        click.echo(f"{path}: {error}", err=True)
+        sys.exit(ExitStatus.USAGE)
+
+
+def _parse_or_exit(text: str, path: Path) -> ReleaseNote:
+    try:
+        return parse_note(text)
+    except NoteSyntaxError as error:
+        for fault in error.faults:
+            click.echo(f"{path}: {fault}", err=True)
+        sys.exit(ExitStatus.USAGE)
--- /dev/null
+++ b/currantstage/config.py
@@ -0,0 +1,168 @@
+"""Settings of a daemon, read from an INI file and checked whole."""
+
+from __future__ import annotations
+
+import configparser
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from msgspec import Struct, field
+
+from currantstage.errors import CurrantstageError
+from currantstage.state import DataCentreId, EntryVmId
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = [
+    "ConfigError",
+    "ConfigurationSettings",
+    "EntryVmSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ServingSettings",
+    "Settings",
+    "load_settings",
+    "parse_settings",
+]
+
+
+class ConfigError(CurrantstageError):
+    """A settings file with faults.
+
+    Parameters
+    ----------
+    faults : tuple of str
+        Every fault, with its section and key.
+    """
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class EntryVmSettings(Struct, frozen=True, kw_only=True):
+    """Section ``entry-vm``: who this daemon is and where it listens."""
+
+    id: EntryVmId
+    data_centre: DataCentreId
+    http_address: str
+    peer_address: str
+
+
+class PlatformSettings(Struct, frozen=True, kw_only=True):
+    """Section ``platform``: where the platform's service is."""
+
+    url: str
+    timeout_ms: int = 1000
+
+
+class PeerSettings(Struct, frozen=True, kw_only=True):
+    """Section ``peers``: the shared secret and the pace of heartbeats."""
+
+    secret: str
+    heartbeat_ms: int = 500
+
+
+class OperatorSettings(Struct, frozen=True, kw_only=True):
+    """Section ``operators``: the key that operators present."""
+
+    key: str
+
+
+class ConfigurationSettings(Struct, frozen=True, kw_only=True):
+    """Section ``configuration``: how often the head is read."""
+
+    poll_ms: int = 1000
+
+
+class ServingSettings(Struct, frozen=True, kw_only=True):
+    """Section ``serving``: bounds on requests and on the planned stop."""
+
+    max_body_bytes: int = 16 * 1024 * 1024
+    max_drain_ms: int = 60_000
+
+
+class Settings(Struct, frozen=True, kw_only=True, rename={"entry_vm": "entry-vm"}):
+    """All settings of one daemon."""
+
+    entry_vm: EntryVmSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    operators: OperatorSettings
+    configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
+    serving: ServingSettings = field(default_factory=ServingSettings)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read the settings file at `path`; raises `ConfigError` with all faults."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError((f"{path}: {error}",)) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in `text`; raises `ConfigError` with all faults."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        raise ConfigError((" ".join(str(error).split()),)) from error
+    sections = {info.encode_name: info for info in msgspec.structs.fields(Settings)}
+    faults = [
+        f"[{name}]: unknown section"
+        for name in parser.sections()
+        if name not in sections
+    ]
+    values: dict[str, dict[str, str]] = {}
+    for name, info in sections.items():
+        values[name] = dict(parser[name]) if parser.has_section(name) else {}
+        faults.extend(_check_section(name, info.type, values[name]))
+    if faults:
+        raise ConfigError(tuple(faults))
+    return msgspec.convert(values, Settings, strict=False)
+
+
+def _check_section(name: str, section_type: Any, values: dict[str, str]) -> list[str]:
+    fields = {info.name: info for info in msgspec.structs.fields(section_type)}
+    faults = [f"[{name}] {key}: unknown key" for key in values if key not in fields]
+    for key, info in fields.items():
+        if key not in values:
+            if info.required:
+                faults.append(f"[{name}] {key}: a value is missing")
+            continue
+        fault = _check_value(key, info.type, values[key])
+        if fault:
+            faults.append(f"[{name}] {key}: {fault}")
+    return faults
+
+
+def _check_value(key: str, expected: Any, text: str) -> str | None:
+    if not text:
+        return "a value is missing"
+    try:
+        value = msgspec.convert(text, expected, strict=False)
+    except msgspec.ValidationError:
+        return f"{text!r} is not a number in the unit that the key's name ends with"
+    if isinstance(value, (int, float)) and not 0 < value < float("inf"):
+        return f"{text!r} must be above zero"
+    if key.endswith("_address") and not _is_address(text):
+        return f"{text!r} is not IP:port"
+    if key == "url" and not text.startswith("http://"):
+        return f"{text!r} is not an http:// address"
+    return None
+
+
+def _is_address(text: str) -> bool:
+    """Return whether `text` is an IPv4 address and a port.
+
+    >>> _is_address("127.0.0.1:80"), _is_address("localhost:80")
+    (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    octets = host.split(".")
+    is_host = len(octets) == 4 and all(o.isdigit() and int(o) < 256 for o in octets)
+    return is_host and port.isdigit() and 0 < int(port) < 65536
--- /dev/null
+++ b/currantstage/protocol/__init__.py
@@ -0,0 +1,103 @@
+"""Typed messages, their encodings and the statuses of outcomes."""
+
+from __future__ import annotations
+
+from currantstage.protocol._callers import (
+    JSON_TYPE,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    UNKNOWN_STATUS,
+    CallerAnswer,
+    CallerRequest,
+    OutcomeBody,
+    RequestEnd,
+    to_caller_answer,
+)
+from currantstage.protocol._errors import (
+    DecodeError,
+    NoteSyntaxError,
+    ProtocolError,
+)
+from currantstage.protocol._note_codec import (
+    MAX_NOTE_BYTES,
+    encode_note,
+    note_digest,
+    parse_note,
+)
+from currantstage.protocol._operators import (
+    OPERATOR_KEY_HEADER,
+    NoteReport,
+    NoteState,
+    OperatorError,
+    encode_message,
+    report_committed,
+    report_progress,
+    report_refusal,
+)
+from currantstage.protocol._peers import (
+    MAX_FRAME_BYTES,
+    Heartbeat,
+    PeerFrame,
+    PeerMessage,
+    decode_frame,
+    encode_frame,
+)
+from currantstage.protocol._store_codec import (
+    WireListing,
+    WireRow,
+    WireRows,
+    WireTransaction,
+    WireWrite,
+    decode,
+    decode_generation,
+    decode_listing,
+    decode_outcome,
+    decode_rows,
+    encode_generation,
+    encode_transaction,
+)
+
+__all__ = [
+    "CallerAnswer",
+    "CallerRequest",
+    "DecodeError",
+    "Heartbeat",
+    "JSON_TYPE",
+    "KEY_HEADER",
+    "MAX_FRAME_BYTES",
+    "MAX_NOTE_BYTES",
+    "NoteReport",
+    "NoteState",
+    "NoteSyntaxError",
+    "OPERATOR_KEY_HEADER",
+    "OUTCOME_HEADER",
+    "OperatorError",
+    "OutcomeBody",
+    "PeerFrame",
+    "PeerMessage",
+    "ProtocolError",
+    "RequestEnd",
+    "UNKNOWN_STATUS",
+    "WireListing",
+    "WireRow",
+    "WireRows",
+    "WireTransaction",
+    "WireWrite",
+    "decode",
+    "decode_frame",
+    "decode_generation",
+    "decode_listing",
+    "decode_outcome",
+    "decode_rows",
+    "encode_frame",
+    "encode_generation",
+    "encode_message",
+    "encode_note",
+    "encode_transaction",
+    "note_digest",
+    "parse_note",
+    "report_committed",
+    "report_progress",
+    "report_refusal",
+    "to_caller_answer",
+]
--- /dev/null
+++ b/currantstage/protocol/_peers.py
@@ -0,0 +1,54 @@
+"""Frames between entry VMs: authenticated, bounded, typed."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TypeAlias
+
+import msgspec
+from msgspec import Struct
+
+from currantstage.protocol._errors import DecodeError
+from currantstage.state import EntryVmId, Generation, IncarnationId
+
+#: Longest frame that is sent or read, in bytes.
+MAX_FRAME_BYTES = 64 * 1024
+_TAG_BYTES = hashlib.sha256().digest_size
+
+
+class Heartbeat(Struct, frozen=True, kw_only=True, tag="heartbeat"):
+    """Says that the sender lives, and which generation it has heard of."""
+
+    generation: Generation
+
+
+PeerMessage: TypeAlias = Heartbeat
+
+
+class PeerFrame(Struct, frozen=True, kw_only=True):
+    """One message with its sender and receiver."""
+
+    sender: EntryVmId
+    incarnation: IncarnationId
+    receiver: EntryVmId
+    message: PeerMessage
+
+
+def encode_frame(frame: PeerFrame, secret: bytes) -> bytes:
+    """Return `frame` behind its HMAC-SHA-256 under `secret`."""
+    body = msgspec.msgpack.encode(frame)
+    return hmac.digest(secret, body, "sha256") + body
+
+
+def decode_frame(data: bytes, secret: bytes) -> PeerFrame:
+    """Return the frame in `data`; raises `DecodeError` when it is not genuine."""
+    if len(data) > MAX_FRAME_BYTES:
+        raise DecodeError(f"frame of {len(data)} bytes")
+    tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
+    if not hmac.compare_digest(tag, hmac.digest(secret, body, "sha256")):
+        raise DecodeError("frame with a wrong tag")
+    try:
+        return msgspec.msgpack.decode(body, type=PeerFrame)
+    except msgspec.DecodeError as error:
+        raise DecodeError(str(error)) from error
--- /dev/null
+++ b/currantstage/protocol/_store_codec.py
@@ -0,0 +1,127 @@
+"""Encoding of rows and objects for the platform's service."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+from msgspec import Struct
+
+from currantstage.protocol._errors import DecodeError
+from currantstage.state import (
+    AttemptId,
+    ListedVm,
+    Record,
+    RowKey,
+    RowVersion,
+    RowWrite,
+    StoredGeneration,
+    TransactionOutcome,
+    VersionedRow,
+)
+
+T = TypeVar("T")
+
+
+class WireRow(Struct, frozen=True, kw_only=True):
+    """A row as the table service sends it; the body is opaque to the service."""
+
+    key: str
+    version: int
+    body: str
+
+
+class WireRows(Struct, frozen=True, kw_only=True):
+    """Answer to a scan."""
+
+    rows: tuple[WireRow, ...]
+
+
+class WireWrite(Struct, frozen=True, kw_only=True):
+    """One conditional write; a missing body deletes the row."""
+
+    key: str
+    expected_version: int
+    body: str | None
+
+
+class WireTransaction(Struct, frozen=True, kw_only=True):
+    """All writes of one transaction."""
+
+    writes: tuple[WireWrite, ...]
+
+
+class WireListing(Struct, frozen=True, kw_only=True):
+    """Answer of the platform's lagging list."""
+
+    vms: tuple[ListedVm, ...]
+
+
+class _RowBody(Struct, frozen=True, kw_only=True):
+    attempt: AttemptId
+    record: Record
+
+
+def encode_transaction(attempt: AttemptId, writes: tuple[RowWrite, ...]) -> bytes:
+    """Return the body of a transaction call."""
+    return msgspec.json.encode(
+        WireTransaction(
+            writes=tuple(
+                WireWrite(
+                    key=write.key,
+                    expected_version=write.expected_version,
+                    body=_encode_body(attempt, write.record),
+                )
+                for write in writes
+            )
+        )
+    )
+
+
+def _encode_body(attempt: AttemptId, record: Record | None) -> str | None:
+    if record is None:
+        return None
+    return msgspec.json.encode(_RowBody(attempt=attempt, record=record)).decode()
+
+
+def decode_rows(body: bytes) -> tuple[VersionedRow, ...]:
+    """Return the rows of an answer; raises `DecodeError`."""
+    return tuple(_to_row(row) for row in decode(body, WireRows).rows)
+
+
+def _to_row(wire: WireRow) -> VersionedRow:
+    content = decode(wire.body.encode(), _RowBody)
+    return VersionedRow(
+        key=RowKey(wire.key),
+        version=RowVersion(wire.version),
+        attempt=content.attempt,
+        record=content.record,
+    )
+
+
+def decode_outcome(body: bytes) -> TransactionOutcome:
+    """Return the outcome of a transaction; raises `DecodeError`."""
+    return decode(body, TransactionOutcome)
+
+
+def encode_generation(content: StoredGeneration) -> bytes:
+    """Return the bytes of a generation's object."""
+    return msgspec.json.encode(content)
+
+
+def decode_generation(body: bytes) -> StoredGeneration:
+    """Return the content of a generation's object; raises `DecodeError`."""
+    return decode(body, StoredGeneration)
+
+
+def decode_listing(body: bytes) -> tuple[ListedVm, ...]:
+    """Return the lines of the platform's list; raises `DecodeError`."""
+    return decode(body, WireListing).vms
+
+
+def decode(body: bytes, expected: type[T]) -> T:
+    """Return the JSON message in `body`; raises `DecodeError`."""
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise DecodeError(str(error)) from error
--- /dev/null
+++ b/currantstage/standin/__init__.py
@@ -0,0 +1,41 @@
+"""Small stand-ins of the platform and of backend servers, for demo and tests."""
+
+from __future__ import annotations
+
+from currantstage.standin._backend import (
+    SILENCE_S,
+    BackendMode,
+    BackendStandIn,
+)
+from currantstage.standin._cluster import (
+    DATA_CENTRES,
+    OPERATOR_KEY,
+    VM_NAMES,
+    LoopbackCluster,
+    free_ports,
+    sample_note,
+)
+from currantstage.standin._platform import (
+    PlatformMode,
+    PlatformStandIn,
+    start_site,
+)
+from currantstage.standin._table import (
+    PlatformContent,
+)
+
+__all__ = [
+    "BackendMode",
+    "BackendStandIn",
+    "DATA_CENTRES",
+    "LoopbackCluster",
+    "OPERATOR_KEY",
+    "PlatformContent",
+    "PlatformMode",
+    "PlatformStandIn",
+    "SILENCE_S",
+    "VM_NAMES",
+    "free_ports",
+    "sample_note",
+    "start_site",
+]
--- /dev/null
+++ b/currantstage/standin/_backend.py
@@ -0,0 +1,88 @@
+"""A stand-in of a backend server, with its failures."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+from aiohttp import web
+
+from currantstage.standin._platform import start_site
+
+#: Longest that a silent backend server holds a request, in seconds.
+SILENCE_S = 60.0
+
+
+class BackendMode(Enum):
+    """How the stand-in treats a request."""
+
+    UP = "up"
+    FAILING = "failing"
+    #: Takes the request and never answers.
+    SILENT = "silent"
+    #: Announces a longer answer than it sends.
+    SHORT = "short"
+
+
+class BackendStandIn:
+    """Answers each request with its own name and the request's body.
+
+    Parameters
+    ----------
+    name : str
+    address : str
+        ``IP:port``.
+    duration_s : float
+        Time that each request takes, in seconds.
+    """
+
+    def __init__(self, name: str, address: str, duration_s: float = 0.0) -> None:
+        self.mode = BackendMode.UP
+        self.duration_s = duration_s
+        #: Bodies of the requests that it has run, in order of arrival.
+        self.bodies: list[bytes] = []
+        self.running = 0
+        self.most_running = 0
+        self._name = name
+        self._address = address
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application()
+        app.add_routes([web.post("/run/{queue}", self._run)])
+        self._runner = await start_site(app, self._address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.bodies.append(body)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            if self.mode is BackendMode.SILENT:
+                await asyncio.sleep(SILENCE_S)
+            await asyncio.sleep(self.duration_s)
+        finally:
+            self.running -= 1
+        if self.mode is BackendMode.FAILING:
+            return web.Response(status=500, text="failed")
+        answer = f"{self._name}:".encode() + body
+        if self.mode is BackendMode.SHORT:
+            return await self._answer_short(request, answer)
+        return web.Response(body=answer)
+
+    async def _answer_short(
+        self, request: web.Request, answer: bytes
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"content-length": str(len(answer) + 1)})
+        await response.prepare(request)
+        await response.write(answer)
+        if request.transport is not None:
+            request.transport.close()
+        return response
--- /dev/null
+++ b/currantstage/standin/_cluster.py
@@ -0,0 +1,121 @@
+"""Three data centres on loopback in one process, against the stand-ins."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import AsyncExitStack
+from importlib import resources
+from string import Template
+from typing import TYPE_CHECKING, Self
+
+from currantstage.application import Daemon
+from currantstage.config import (
+    EntryVmSettings,
+    OperatorSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+)
+from currantstage.standin._backend import BackendStandIn
+from currantstage.standin._platform import PlatformStandIn
+from currantstage.state import DataCentreId, EntryVmId
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+#: Key that operators of the loopback cluster present.
+OPERATOR_KEY = "operators-of-the-demo"
+DATA_CENTRES = (DataCentreId("a"), DataCentreId("b"), DataCentreId("c"))
+VM_NAMES = ("a1", "a2", "b1", "b2", "c1", "c2")
+
+
+def free_ports(count: int) -> list[int]:
+    """Return `count` distinct ports of the loopback address that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def sample_note(ports: Sequence[int]) -> str:
+    """Return the shipped sample note with its VMs at `ports` of loopback."""
+    text = (
+        resources.files("currantstage.standin") / "samples/first-note.ini"
+    ).read_text(encoding="utf-8")
+    return Template(text).substitute(dict(zip(VM_NAMES, ports, strict=True)))
+
+
+class LoopbackCluster:
+    """Daemons, backend servers and the platform, all on loopback.
+
+    Parameters
+    ----------
+    daemons_per_data_centre : int
+    """
+
+    def __init__(self, daemons_per_data_centre: int = 1) -> None:
+        count = daemons_per_data_centre * len(DATA_CENTRES)
+        ports = free_ports(1 + len(VM_NAMES) + 2 * count)
+        self.platform = PlatformStandIn(f"127.0.0.1:{ports.pop()}")
+        self.backend_ports = [ports.pop() for _ in VM_NAMES]
+        self.backends = {
+            name: BackendStandIn(name, f"127.0.0.1:{port}")
+            for name, port in zip(VM_NAMES, self.backend_ports, strict=True)
+        }
+        self.settings = [
+            self._settings_of(index, ports.pop(), ports.pop()) for index in range(count)
+        ]
+        self.daemons: list[Daemon] = []
+        self._resources = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    @property
+    def urls(self) -> list[str]:
+        """Addresses at which the daemons serve."""
+        return [f"http://{each.entry_vm.http_address}" for each in self.settings]
+
+    @property
+    def note(self) -> str:
+        """The sample note for this cluster's backend servers."""
+        return sample_note(self.backend_ports)
+
+    async def start(self) -> None:
+        """Start the platform, the backend servers and the daemons."""
+        stand_ins: tuple[PlatformStandIn | BackendStandIn, ...]
+        stand_ins = (self.platform, *self.backends.values())
+        for part in stand_ins:
+            self._resources.push_async_callback(part.close)
+            await part.start()
+        for settings in self.settings:
+            daemon = Daemon.from_config(settings)
+            await daemon.start()
+            self._resources.push_async_callback(daemon.close)
+            self.daemons.append(daemon)
+
+    async def close(self) -> None:
+        """Stop everything in reverse order."""
+        await self._resources.aclose()
+
+    def _settings_of(self, index: int, http_port: int, peer_port: int) -> Settings:
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        return Settings(
+            entry_vm=EntryVmSettings(
+                id=EntryVmId(f"{data_centre}-entry-{index // len(DATA_CENTRES) + 1}"),
+                data_centre=data_centre,
+                http_address=f"127.0.0.1:{http_port}",
+                peer_address=f"127.0.0.1:{peer_port}",
+            ),
+            platform=PlatformSettings(url=self.platform.url),
+            peers=PeerSettings(secret="peers-of-the-demo"),
+            operators=OperatorSettings(key=OPERATOR_KEY),
+        )
--- /dev/null
+++ b/currantstage/standin/_table.py
@@ -0,0 +1,74 @@
+"""An in-memory stand-in of the platform's table, object store and VM list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.protocol import (
+    WireListing,
+    WireRow,
+    WireRows,
+    WireTransaction,
+)
+from currantstage.state import ABSENT, ListedVm, RowKey, TransactionOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class PlatformContent:
+    """What the platform keeps: versioned rows, objects and the list of VMs.
+
+    Versions of a key never repeat, also when its row is deleted and made again.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, WireRow] = {}
+        self._last_version = 0
+        self._objects: dict[str, bytes] = {}
+        self._vms: tuple[ListedVm, ...] = ()
+
+    def read(self, key: str) -> WireRows:
+        """Return the row under `key`, if any."""
+        row = self._rows.get(key)
+        return WireRows(rows=() if row is None else (row,))
+
+    def scan(self, prefix: str) -> WireRows:
+        """Return the rows under `prefix`, ordered by key."""
+        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        return WireRows(rows=tuple(self._rows[key] for key in keys))
+
+    def transact(self, transaction: WireTransaction) -> TransactionOutcome:
+        """Apply all writes, or none when a version differs."""
+        for write in transaction.writes:
+            row = self._rows.get(write.key)
+            version = ABSENT if row is None else row.version
+            if version != write.expected_version:
+                return TransactionOutcome(
+                    is_applied=False, conflicting_key=RowKey(write.key)
+                )
+        self._last_version += 1
+        for write in transaction.writes:
+            if write.body is None:
+                self._rows.pop(write.key, None)
+            else:
+                self._rows[write.key] = WireRow(
+                    key=write.key, version=self._last_version, body=write.body
+                )
+        return TransactionOutcome(is_applied=True)
+
+    def get_object(self, name: str) -> bytes | None:
+        """Return the object under `name`, if any."""
+        return self._objects.get(name)
+
+    def put_object(self, name: str, body: bytes) -> None:
+        """Store an object; the first content under a name stays."""
+        self._objects.setdefault(name, body)
+
+    def list_vms(self) -> WireListing:
+        """Return the list as it shows now."""
+        return WireListing(vms=self._vms)
+
+    def set_listing(self, vms: Iterable[ListedVm]) -> None:
+        """Change what the list shows."""
+        self._vms = tuple(vms)
--- /dev/null
+++ b/currantstage/transport/_operator_client.py
@@ -0,0 +1,99 @@
+"""The command line's client of a daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Self, TypeVar
+
+import aiohttp
+
+from currantstage.protocol import (
+    OPERATOR_KEY_HEADER,
+    DecodeError,
+    NoteReport,
+    OperatorError,
+    decode,
+)
+from currantstage.state import Fleet
+from currantstage.transport._errors import OperatorCallError
+
+if TYPE_CHECKING:
+    from currantstage.state import NoteId
+
+T = TypeVar("T")
+
+#: Deadline of one operators' call, in seconds.
+CALL_TIMEOUT_S = 30.0
+#: Statuses whose body is an `OperatorError`; other ones carry a report.
+_FAILURE_STATUSES = frozenset({403, 404, 500, 503})
+
+
+class OperatorClient:
+    """Calls the operators' routes of one entry VM.
+
+    Parameters
+    ----------
+    url : str
+        ``http://IP:port`` of the entry VM or of the balancer.
+    key : str
+        The operators' key.
+    """
+
+    def __init__(self, url: str, key: str) -> None:
+        self._url = url.rstrip("/")
+        self._headers = {OPERATOR_KEY_HEADER: key}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(headers=self._headers, timeout=timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def submit_note(self, text: str) -> NoteReport:
+        """Submit the note in `text`; raises `OperatorCallError`."""
+        return await self._call("POST", "/v1/notes", NoteReport, text.encode())
+
+    async def note_status(self, note_id: NoteId) -> NoteReport:
+        """Ask how far a note has come; raises `OperatorCallError`."""
+        return await self._call("GET", f"/v1/notes/{note_id}", NoteReport)
+
+    async def fleet(self) -> Fleet:
+        """Return the fleet in force; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/fleet", Fleet)
+
+    async def _call(
+        self, method: str, path: str, expected: type[T], data: bytes | None = None
+    ) -> T:
+        assert self._session is not None
+        try:
+            async with self._session.request(
+                method, self._url + path, data=data
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise OperatorCallError(f"{self._url}: {error!r}") from error
+        if response.status in _FAILURE_STATUSES:
+            raise OperatorCallError(_error_text(body))
+        try:
+            return decode(body, expected)
+        except DecodeError as error:
+            raise OperatorCallError("the answer can't be read") from error
+
+
+def _error_text(body: bytes) -> str:
+    try:
+        return decode(body, OperatorError).error
+    except DecodeError:
+        return "the answer can't be read"
--- /dev/null
+++ b/currantstage/transport/_platform.py
@@ -0,0 +1,137 @@
+"""Client of the platform's table service, object store and VM list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Self, TypeVar
+
+import aiohttp
+
+from currantstage.protocol import (
+    DecodeError,
+    decode_generation,
+    decode_listing,
+    decode_outcome,
+    decode_rows,
+    encode_generation,
+    encode_transaction,
+)
+from currantstage.state import StoreUnavailableError, StoreUncertainError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from currantstage.config import PlatformSettings
+    from currantstage.state import (
+        AttemptId,
+        ListedVm,
+        ObjectName,
+        RowKey,
+        RowWrite,
+        StoredGeneration,
+        TransactionOutcome,
+        VersionedRow,
+    )
+
+T = TypeVar("T")
+
+_NOT_FOUND = 404
+_OK = 200
+
+
+class PlatformClient:
+    """Implements `TableService`, `ObjectStore` and `VmDirectory` over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Address of the platform's service, ``http://IP:port``.
+    timeout_s : float
+        Deadline of one call, in seconds.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    @classmethod
+    def from_config(cls, settings: PlatformSettings) -> Self:
+        """Return a client for the service that `settings` name."""
+        return cls(settings.url, settings.timeout_ms / 1000)
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self, key: RowKey) -> VersionedRow | None:
+        """Return the row under `key`, or None when there is none."""
+        body = await self._call("GET", "/rows", params={"key": key})
+        rows = _decoded(decode_rows, body)
+        return rows[0] if rows else None
+
+    async def scan(self, prefix: RowKey) -> Sequence[VersionedRow]:
+        """Return the rows whose keys start with `prefix`."""
+        body = await self._call("GET", "/rows", params={"prefix": prefix})
+        return _decoded(decode_rows, body)
+
+    async def transact(
+        self, attempt: AttemptId, writes: Sequence[RowWrite]
+    ) -> TransactionOutcome:
+        """Apply all of `writes`, or none of them when a version differs."""
+        content = encode_transaction(attempt, tuple(writes))
+        body = await self._call("POST", "/transactions", data=content)
+        try:
+            return decode_outcome(body or b"")
+        except DecodeError as error:
+            raise StoreUncertainError(str(error)) from error
+
+    async def get(self, name: ObjectName) -> StoredGeneration | None:
+        """Return the object under `name`, or None when there is none."""
+        body = await self._call("GET", f"/objects/{name}")
+        return None if body is None else _decoded(decode_generation, body)
+
+    async def put(self, name: ObjectName, content: StoredGeneration) -> None:
+        """Store `content` under `name`."""
+        await self._call("PUT", f"/objects/{name}", data=encode_generation(content))
+
+    async def list_vms(self) -> Sequence[ListedVm]:
+        """Return what the platform's list shows now."""
+        return _decoded(decode_listing, await self._call("GET", "/vms"))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str] | None = None,
+        data: bytes | None = None,
+    ) -> bytes | None:
+        """Return the body of a good answer, or None when nothing is there."""
+        if self._session is None:
+            raise StoreUnavailableError("the client is closed")
+        try:
+            async with self._session.request(
+                method, self._url + path, params=params, data=data
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailableError(str(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise StoreUncertainError(f"{method} {path}: {error!r}") from error
+        if response.status == _NOT_FOUND:
+            return None
+        if response.status != _OK:
+            raise StoreUnavailableError(f"{method} {path}: status {response.status}")
+        return body
+
+
+def _decoded(decoder: Callable[[bytes], T], body: bytes | None) -> T:
+    try:
+        return decoder(body or b"")
+    except DecodeError as error:
+        raise StoreUnavailableError(str(error)) from error
--- /dev/null
+++ b/tests/cmd/test_serve.py
@@ -0,0 +1,145 @@
+"""The real daemon as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+import uvloop
+
+from currantstage.protocol import KEY_HEADER, OUTCOME_HEADER, NoteState
+from currantstage.standin import BackendStandIn, PlatformStandIn, free_ports
+from currantstage.state import NoteId
+from currantstage.transport import OperatorClient
+
+SETTINGS = """
+[entry-vm]
+id = a-entry-1
+data_centre = a
+http_address = 127.0.0.1:{http}
+peer_address = 127.0.0.1:{peer}
+[platform]
+url = {platform}
+[peers]
+secret = s
+[operators]
+key = operators
+"""
+NOTE = """
+[note]
+id = first
+[add pool p]
+data_centre = a
+[add vm v]
+pool = p
+rack = r
+address = 127.0.0.1:{backend}
+[add queue q]
+pools = p
+access = open
+"""
+
+
+@contextlib.asynccontextmanager
+async def serving(tmp_path, *, duration_s):
+    http, peer, platform_port, backend_port = free_ports(4)
+    platform = PlatformStandIn(f"127.0.0.1:{platform_port}")
+    backend = BackendStandIn("v", f"127.0.0.1:{backend_port}", duration_s=duration_s)
+    await platform.start()
+    await backend.start()
+    path = tmp_path / "entry-vm.ini"
+    path.write_text(SETTINGS.format(http=http, peer=peer, platform=platform.url))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "currantstage", "serve", "--config", str(path)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    url = f"http://127.0.0.1:{http}"
+    try:
+        async with OperatorClient(url, "operators") as operator:
+            while b"currantstage:started" not in await process.stdout.readline():
+                assert process.returncode is None
+            report = await operator.submit_note(NOTE.format(backend=backend_port))
+            while report.state is NoteState.COMMITTED:
+                await asyncio.sleep(0.02)
+                report = await operator.note_status(NoteId("first"))
+        yield process, url, backend
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await backend.close()
+        await platform.close()
+
+
+def test_sigterm_ends_the_daemon_after_its_running_request(tmp_path):
+    async def check():
+        async with (
+            serving(tmp_path, duration_s=0.5) as (process, url, backend),
+            aiohttp.ClientSession() as caller,
+        ):
+            request = asyncio.create_task(caller.post(f"{url}/v1/queues/q", data=b"x"))
+            while not backend.running:
+                await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGTERM)
+            response = await request
+            assert (response.status, await response.read()) == (200, b"v:x")
+            assert await process.wait() == 0
+
+    uvloop.run(check())
+
+
+def test_a_serving_daemon_has_one_python_thread_and_no_child(tmp_path):
+    async def check():
+        async with (
+            serving(tmp_path, duration_s=0.0) as (process, url, _),
+            aiohttp.ClientSession() as caller,
+        ):
+            async with caller.post(f"{url}/v1/queues/q", data=b"x") as response:
+                assert response.headers[OUTCOME_HEADER] == "completed"
+            async with caller.get(f"{url}/metrics") as response:
+                text = await response.text()
+            assert 'currantstage_requests_total{outcome="completed"' in text
+            assert "currantstage_python_threads 1.0" in text
+            tasks = Path(f"/proc/{process.pid}/task")
+            children = [(task / "children").read_text() for task in tasks.iterdir()]
+            assert not "".join(children).strip()
+
+    uvloop.run(check())
+
+
+def test_bad_keys_change_nothing(tmp_path):
+    async def check():
+        async with (
+            serving(tmp_path, duration_s=0.0) as (_, url, backend),
+            aiohttp.ClientSession() as caller,
+        ):
+            note = "[note]\nid = second\n[withdraw queue q]\n"
+            async with caller.post(f"{url}/v1/notes", data=note) as response:
+                assert response.status == 403
+            headers = {KEY_HEADER: "no.key"}
+            async with caller.post(
+                f"{url}/v1/queues/none", data=b"x", headers=headers
+            ) as response:
+                assert response.status == 404
+                assert response.headers[OUTCOME_HEADER] == "not-run"
+            async with caller.post(f"{url}/v1/queues/q", data=b"x") as response:
+                assert response.status == 200
+            assert backend.bodies == [b"x"]
+
+    uvloop.run(check())
+
+
+def test_settings_with_faults_end_with_status_2(tmp_path):
+    path = tmp_path / "bad.ini"
+    path.write_text("[platform]\ncolour = red\n")
+    status = os.spawnl(
+        os.P_WAIT,
+        sys.executable,
+        *(sys.executable, "-m", "currantstage", "serve", "--config", str(path)),
+    )
+    assert status == 2
--- /dev/null
+++ b/tests/coordination/test_configuration.py
@@ -0,0 +1,59 @@
+"""The configuration in force never falls back."""
+
+from __future__ import annotations
+
+from currantstage.coordination import Configuration, Membership, commit_note
+from currantstage.state import (
+    FIRST_GENERATION,
+    DataCentreId,
+    EntryVmId,
+    EntryVmRow,
+    Fleet,
+    Generation,
+    IncarnationId,
+    entry_vm_key,
+)
+from tests.coordination.test_note_commit import make_note
+from tests.fakes import FakeStore, make_store_access
+
+
+def make_membership(configuration, seed=7):
+    row = EntryVmRow(
+        entry_vm=EntryVmId("e1"),
+        incarnation=IncarnationId(f"start-{seed}"),
+        data_centre=DataCentreId("a"),
+        http_address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        applied_generation=FIRST_GENERATION,
+    )
+    return Membership(make_store_access(seed), configuration, row)
+
+
+def test_an_older_generation_is_ignored():
+    configuration = Configuration()
+    assert configuration.apply(Fleet(generation=Generation(5)))
+    assert not configuration.apply(Fleet(generation=Generation(4)))
+    assert configuration.fleet.generation == 5
+
+
+def test_the_row_shows_the_generation_applied():
+    store = FakeStore()
+    configuration = Configuration()
+    membership = make_membership(configuration)
+    store.run(membership.follow_head())
+    store.run(commit_note(make_store_access(), make_note("a"), "a"))
+    store.run(membership.follow_head())
+    row = store.rows[entry_vm_key(EntryVmId("e1"))].record
+    assert row.applied_generation == configuration.fleet.generation == 1
+
+
+def test_leaving_deletes_only_the_row_of_the_same_start():
+    store = FakeStore()
+    first = make_membership(Configuration(), seed=1)
+    second = make_membership(Configuration(), seed=2)
+    store.run(first.follow_head())
+    store.run(second.follow_head())
+    store.run(first.leave())
+    assert entry_vm_key(EntryVmId("e1")) in store.rows
+    store.run(second.leave())
+    assert entry_vm_key(EntryVmId("e1")) not in store.rows
--- /dev/null
+++ b/tests/coordination/test_note_commit.py
@@ -0,0 +1,132 @@
+"""Committing release notes: races, lost answers, resubmission."""
+
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure, Success
+
+from currantstage.coordination import (
+    Committed,
+    NoteIdTaken,
+    NoteInvalid,
+    NoteOvertaken,
+    PutObject,
+    StoreAwayError,
+    Transact,
+    WriteUncertainError,
+    commit_note,
+)
+from currantstage.state import (
+    HEAD_KEY,
+    Additions,
+    Generation,
+    NoteId,
+    ReleaseNote,
+    Team,
+    TeamId,
+    Withdrawals,
+)
+from tests.fakes import FakeStore, Fault, make_store_access
+
+
+def make_note(name: str) -> ReleaseNote:
+    team = Team(team_id=TeamId(name), share=1.0, upper_limit_slots=4)
+    return ReleaseNote(note_id=NoteId(f"add-{name}"), added=Additions(teams=(team,)))
+
+
+def submit(store: FakeStore, note: ReleaseNote, seed: int = 1):
+    return store.run(commit_note(make_store_access(seed), note, note.note_id))
+
+
+def test_notes_rise_by_one_generation():
+    store = FakeStore()
+    assert submit(store, make_note("a")) == Success(Committed(Generation(1)))
+    assert submit(store, make_note("b"), 2) == Success(Committed(Generation(2)))
+    assert store.rows[HEAD_KEY].record.generation == 2
+
+
+def test_resubmission_gives_the_first_answer():
+    store = FakeStore()
+    submit(store, make_note("a"))
+    submit(store, make_note("b"), 2)
+    assert submit(store, make_note("a"), 3) == Success(Committed(Generation(1)))
+    assert store.rows[HEAD_KEY].record.generation == 2
+
+
+def test_another_note_under_a_used_id_is_refused():
+    store = FakeStore()
+    submit(store, make_note("a"))
+    other = commit_note(make_store_access(2), make_note("a"), "another digest")
+    assert store.run(other) == Failure(NoteIdTaken(Generation(1)))
+
+
+def test_an_invalid_note_changes_nothing_and_lists_every_fault():
+    store = FakeStore()
+    note = ReleaseNote(
+        note_id=NoteId("bad"),
+        added=Additions(
+            teams=(Team(team_id=TeamId("a"), share=0.0, upper_limit_slots=-1),)
+        ),
+        withdrawn=Withdrawals(teams=(TeamId("ghost"),)),
+    )
+    refusal = submit(store, note).failure()
+    assert isinstance(refusal, NoteInvalid)
+    assert len(refusal.faults) == 3
+    assert not store.rows
+    assert not store.objects
+
+
+@pytest.mark.parametrize("lost", range(1, 4))
+def test_a_lost_answer_never_commits_twice(lost):
+    store = FakeStore()
+    seen = 0
+
+    def lose_first(call):
+        nonlocal seen
+        if isinstance(call, Transact) and seen < lost:
+            seen += 1
+            return Fault.ANSWER_LOST
+        return Fault.NONE
+
+    store.choose_fault = lose_first
+    assert submit(store, make_note("a")) == Success(Committed(Generation(1)))
+    assert store.rows[HEAD_KEY].record.generation == 1
+
+
+def test_a_store_that_refuses_leaves_nothing_behind():
+    store = FakeStore()
+    store.choose_fault = lambda call: Fault.REFUSED
+    with pytest.raises(StoreAwayError):
+        submit(store, make_note("a"))
+    assert not store.rows
+
+
+def test_a_commit_that_can_not_be_read_back_is_reported_as_uncertain():
+    store = FakeStore()
+    is_cut = False
+
+    def cut_after_the_object(call):
+        nonlocal is_cut
+        if isinstance(call, Transact):
+            is_cut = True
+            return Fault.ANSWER_LOST
+        return Fault.REFUSED if is_cut else Fault.NONE
+
+    store.choose_fault = cut_after_the_object
+    with pytest.raises(WriteUncertainError):
+        submit(store, make_note("a"))
+
+
+def test_of_two_racing_operators_one_wins_and_the_other_hears_of_it():
+    store = FakeStore()
+    slow = commit_note(make_store_access(1), make_note("slow"), "slow")
+    call = next(slow)
+    while not isinstance(call, PutObject):
+        call = slow.send(store.answer(call))
+    submit(store, make_note("fast"), 2)
+    with pytest.raises(StopIteration) as stop:
+        while True:
+            call = slow.send(store.answer(call))
+    overtaken = NoteOvertaken(Generation(1), NoteId("add-fast"))
+    assert stop.value.value == Failure(overtaken)
+    assert store.rows[HEAD_KEY].record.generation == 1
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,130 @@
+"""Fakes at the ports: a platform whose answers a test can lose, and a clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from enum import Enum
+from typing import TypeVar
+
+from currantstage.coordination import (
+    Done,
+    GetObject,
+    ObjectFetched,
+    Pause,
+    Procedure,
+    PutObject,
+    ReadRow,
+    RetryPolicy,
+    RowRead,
+    RowsScanned,
+    ScanRows,
+    StoreAccess,
+    StoreCall,
+    StoreFailed,
+    StoreReply,
+    Transact,
+    Transacted,
+)
+from currantstage.state import (
+    ABSENT,
+    ObjectName,
+    RowKey,
+    RowVersion,
+    StoredGeneration,
+    TransactionOutcome,
+    VersionedRow,
+)
+
+T = TypeVar("T")
+
+
+class Fault(Enum):
+    """What happens to one call."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+
+
+class FakeClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.time_s = 0.0
+
+    def now_s(self) -> float:
+        return self.time_s
+
+
+class FakeStore:
+    """Answers the calls of procedures from memory, with faults."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, VersionedRow] = {}
+        self.objects: dict[ObjectName, StoredGeneration] = {}
+        self.calls: list[StoreCall] = []
+        #: Decides about each call; replaced by tests.
+        self.choose_fault: Callable[[StoreCall], Fault] = lambda call: Fault.NONE
+        self._last_version = 0
+
+    def answer(self, call: StoreCall) -> StoreReply:
+        """Return the reply to one call of a procedure."""
+        self.calls.append(call)
+        if isinstance(call, Pause):
+            return Done()
+        fault = self.choose_fault(call)
+        if fault is Fault.REFUSED:
+            return StoreFailed(may_have_applied=False)
+        reply = self._perform(call)
+        if fault is Fault.ANSWER_LOST:
+            return StoreFailed(may_have_applied=True)
+        return reply
+
+    def run(self, procedure: Procedure[T]) -> T:
+        """Drive a procedure to its end."""
+        try:
+            call = next(procedure)
+            while True:
+                call = procedure.send(self.answer(call))
+        except StopIteration as stop:
+            return stop.value
+
+    def _perform(self, call: StoreCall) -> StoreReply:
+        match call:
+            case ReadRow(key):
+                return RowRead(self.rows.get(key))
+            case ScanRows(prefix):
+                keys = sorted(key for key in self.rows if key.startswith(prefix))
+                return RowsScanned(tuple(self.rows[key] for key in keys))
+            case Transact():
+                return Transacted(self._transact(call))
+            case GetObject(name):
+                return ObjectFetched(self.objects.get(name))
+            case PutObject(name, content):
+                self.objects.setdefault(name, content)
+                return Done()
+        raise AssertionError(call)
+
+    def _transact(self, call: Transact) -> TransactionOutcome:
+        for write in call.writes:
+            row = self.rows.get(write.key)
+            if write.expected_version != (ABSENT if row is None else row.version):
+                return TransactionOutcome(is_applied=False, conflicting_key=write.key)
+        self._last_version += 1
+        for write in call.writes:
+            if write.record is None:
+                self.rows.pop(write.key, None)
+                continue
+            self.rows[write.key] = VersionedRow(
+                key=write.key,
+                version=RowVersion(self._last_version),
+                attempt=call.attempt,
+                record=write.record,
+            )
+        return TransactionOutcome(is_applied=True)
+
+
+def make_store_access(seed: int = 1) -> StoreAccess:
+    """Return a `StoreAccess` whose random choices are fixed."""
+    return StoreAccess(random.Random(seed), RetryPolicy())
