Set the seams between admission, limits and peers

Cause: limits, shares and placement are built side by side and meet in admission. Change: TeamLimiter, WorkerSlots and SharePolicy as protocols, local implementations for one entry VM; peers' messages go to handlers by type.

--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -18,10 +18,13 @@
     Configuration,
     CoordinationError,
     Dispatcher,
+    LocalTeamLimiter,
+    LocalWorkerSlots,
     Membership,
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.protocol import Heartbeat, PeerFrame
 from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId
 from currantstage.transport import (
     BackendClient,
@@ -65,7 +68,10 @@
             self._store, self._configuration, self._first_row()
         )
         self._dispatcher = Dispatcher(
-            self._configuration, settings.entry_vm.data_centre
+            self._configuration,
+            settings.entry_vm.data_centre,
+            LocalTeamLimiter(self._configuration),
+            LocalWorkerSlots(self._configuration),
         )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
@@ -81,9 +87,8 @@
             settings.entry_vm.id,
             self._membership.row.incarnation,
             settings.peers.secret.encode(),
-            self._configuration,
-            self._follow.wake,
         )
+        self._peers.handle(Heartbeat, self._hear_heartbeat)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
 
     @classmethod
@@ -168,13 +173,18 @@
         generation = await self._runner.run(self._membership.follow_head())
         if generation > before:
             log_message("currantstage:applied", generation=generation)
-            self._peers.send_heartbeats(self._sockets)
+            await self._send_heartbeats()
 
     async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
     async def _send_heartbeats(self) -> None:
-        self._peers.send_heartbeats(self._sockets)
+        message = Heartbeat(generation=self._configuration.fleet.generation)
+        self._peers.broadcast(self._sockets, message)
+
+    def _hear_heartbeat(self, frame: PeerFrame) -> None:
+        if self._configuration.lacks(frame.message.generation):
+            self._follow.wake()
 
     async def _leave(self) -> None:
         try:
--- a/currantstage/application/_peer_service.py
+++ b/currantstage/application/_peer_service.py
@@ -1,4 +1,4 @@
-"""Talk with the other entry VMs: heartbeats that hint at newer generations."""
+"""Talk with the other entry VMs."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from currantstage.protocol import (
     DecodeError,
-    Heartbeat,
     PeerFrame,
+    PeerMessage,
     decode_frame,
     encode_frame,
 )
@@ -17,8 +17,8 @@
     from collections.abc import Callable
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Configuration, StoreAccess
-    from currantstage.state import EntryVmId, IncarnationId
+    from currantstage.coordination import StoreAccess
+    from currantstage.state import EntryVmId, IncarnationId, PeerLink
     from currantstage.transport import PeerSockets
 
 
@@ -27,31 +27,33 @@
 
     Parameters
     ----------
-    entry_vm, incarnation : EntryVmId, IncarnationId
-        Who this daemon is.
+    entry_vm : EntryVmId
+    incarnation : IncarnationId
     secret : bytes
         Shared by all entry VMs.
-    configuration : Configuration
-    on_newer_generation : callable
-        Called when a peer has heard of a newer generation.
     """
 
     def __init__(
-        self,
-        entry_vm: EntryVmId,
-        incarnation: IncarnationId,
-        secret: bytes,
-        configuration: Configuration,
-        on_newer_generation: Callable[[], None],
+        self, entry_vm: EntryVmId, incarnation: IncarnationId, secret: bytes
     ) -> None:
         self._entry_vm = entry_vm
         self._incarnation = incarnation
         self._secret = secret
-        self._configuration = configuration
-        self._on_newer_generation = on_newer_generation
-        self._peers: set[EntryVmId] = set()
+        self._handlers: dict[type[PeerMessage], Callable[[PeerFrame], None]] = {}
+        self._peers: frozenset[EntryVmId] = frozenset()
         self.rejected_frames = 0
 
+    @property
+    def peers(self) -> frozenset[EntryVmId]:
+        """The other entry VMs that had a row at the last refresh."""
+        return self._peers
+
+    def handle(
+        self, message_type: type[PeerMessage], handler: Callable[[PeerFrame], None]
+    ) -> None:
+        """Pass each genuine frame with a message of `message_type` to `handler`."""
+        self._handlers[message_type] = handler
+
     async def refresh(
         self, runner: ProcedureRunner, store: StoreAccess, sockets: PeerSockets
     ) -> None:
@@ -67,19 +69,22 @@
             sockets.disconnect(gone)
         for peer, address in addresses.items():
             sockets.connect(peer, address)
-        self._peers = set(addresses)
+        self._peers = frozenset(addresses)
+
+    def send(self, link: PeerLink, receiver: EntryVmId, message: PeerMessage) -> None:
+        """Send `message` to one peer, without promise of delivery."""
+        frame = PeerFrame(
+            sender=self._entry_vm,
+            incarnation=self._incarnation,
+            receiver=receiver,
+            message=message,
+        )
+        link.send(receiver, encode_frame(frame, self._secret))
 
-    def send_heartbeats(self, sockets: PeerSockets) -> None:
-        """Send a heartbeat to every peer."""
-        message = Heartbeat(generation=self._configuration.fleet.generation)
+    def broadcast(self, link: PeerLink, message: PeerMessage) -> None:
+        """Send `message` to every peer, without promise of delivery."""
         for peer in sorted(self._peers):
-            frame = PeerFrame(
-                sender=self._entry_vm,
-                incarnation=self._incarnation,
-                receiver=peer,
-                message=message,
-            )
-            sockets.send(peer, encode_frame(frame, self._secret))
+            self.send(link, peer, message)
 
     def receive(self, data: bytes) -> None:
         """Take one frame; a bad one is counted and dropped."""
@@ -88,8 +93,8 @@
         except DecodeError:
             self.rejected_frames += 1
             return
-        if frame.receiver != self._entry_vm:
+        handler = self._handlers.get(type(frame.message))
+        if handler is None or frame.receiver != self._entry_vm:
             self.rejected_frames += 1
             return
-        if frame.message.generation > self._configuration.fleet.generation:
-            self._on_newer_generation()
+        handler(frame)
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -23,6 +23,10 @@
     digest_secret,
     identify_team,
 )
+from currantstage.coordination._local_limits import (
+    LocalTeamLimiter,
+    LocalWorkerSlots,
+)
 from currantstage.coordination._note_check import (
     MAX_CONFIG_LEASE_S,
     MIN_CONFIG_LEASE_S,
@@ -53,6 +57,12 @@
     SendFailure,
     Uncertain,
 )
+from currantstage.coordination._policies import (
+    SharePolicy,
+    TeamLimiter,
+    TeamLoad,
+    WorkerSlots,
+)
 from currantstage.coordination._procedures import (
     Done,
     GetObject,
@@ -89,6 +99,8 @@
     "GetObject",
     "Head",
     "IdT",
+    "LocalTeamLimiter",
+    "LocalWorkerSlots",
     "MAX_CONFIG_LEASE_S",
     "MIN_CONFIG_LEASE_S",
     "Membership",
@@ -115,15 +127,19 @@
     "RowsScanned",
     "ScanRows",
     "SendFailure",
+    "SharePolicy",
     "StoreAccess",
     "StoreAwayError",
     "StoreCall",
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "TeamLimiter",
+    "TeamLoad",
     "Transact",
     "Transacted",
     "Uncertain",
+    "WorkerSlots",
     "WriteUncertainError",
     "check_note",
     "commit_note",
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,7 +18,8 @@
 
 if TYPE_CHECKING:
     from currantstage.coordination._configuration import Configuration
-    from currantstage.state import DataCentreId, QueueId, TeamId, Vm, VmId
+    from currantstage.coordination._policies import TeamLimiter, WorkerSlots
+    from currantstage.state import DataCentreId, Queue, QueueId, TeamId, Vm
 
 #: Advice to a caller when every slot is taken, in seconds.
 RETRY_AFTER_S = 1.0
@@ -49,20 +49,24 @@
     ----------
     configuration : Configuration
     data_centre : DataCentreId
-        Where this entry VM stands; its backend servers are preferred.
+        Where this entry VM stands; only its backend servers are used.
+    limiter : TeamLimiter
+    slots : WorkerSlots
     """
 
-    def __init__(self, configuration: Configuration, data_centre: DataCentreId) -> None:
+    def __init__(
+        self,
+        configuration: Configuration,
+        data_centre: DataCentreId,
+        limiter: TeamLimiter,
+        slots: WorkerSlots,
+    ) -> None:
         self._configuration = configuration
         self._data_centre = data_centre
-        self._running: Counter[VmId] = Counter()
+        self._limiter = limiter
+        self._slots = slots
         self._is_stopping = False
 
-    @property
-    def running_requests(self) -> int:
-        """Requests that hold a slot now."""
-        return self._running.total()
-
     @property
     def is_stopping(self) -> bool:
         """Whether new requests are refused."""
@@ -82,31 +86,38 @@
         queue = fleet.queues.get(queue_id)
         if queue is None:
             return Failure(Refusal(RefusalReason.QUEUE_UNKNOWN))
-        team = identify_team(fleet, queue, presented_key)
-        if isinstance(team, Failure):
-            return team
-        vm = self._least_loaded(queue_id)
-        if vm is None:
-            return Failure(Refusal(RefusalReason.NO_CAPACITY, RETRY_AFTER_S))
-        self._running[vm.vm_id] += 1
-        return Success(Assignment(vm, team.unwrap(), queue.timeout_ms / 1000))
+        identified = identify_team(fleet, queue, presented_key)
+        if isinstance(identified, Failure):
+            return identified
+        return self._assign(queue, identified.unwrap())
 
     def finish(self, assignment: Assignment) -> None:
-        """Give back the slot of `assignment`."""
-        self._running[assignment.vm.vm_id] -= 1
+        """Give back what `assignment` holds."""
+        self._slots.release(assignment.vm.vm_id)
+        if assignment.team is not None:
+            self._limiter.release(assignment.team)
+
+    def _assign(self, queue: Queue, team: TeamId | None) -> Result[Assignment, Refusal]:
+        vm = self._least_loaded(queue)
+        if vm is None:
+            return Failure(Refusal(RefusalReason.NO_CAPACITY, RETRY_AFTER_S))
+        if team is not None and not self._limiter.try_acquire(team):
+            return Failure(Refusal(RefusalReason.TEAM_AT_LIMIT, RETRY_AFTER_S))
+        self._slots.try_acquire(vm.vm_id)
+        return Success(Assignment(vm, team, queue.timeout_ms / 1000))
 
-    def _least_loaded(self, queue_id: QueueId) -> Vm | None:
+    def _least_loaded(self, queue: Queue) -> Vm | None:
         fleet = self._configuration.fleet
         candidates = [
             vm
-            for pool_id in fleet.queues[queue_id].pools
+            for pool_id in queue.pools
             if fleet.pools[pool_id].data_centre == self._data_centre
             for vm in fleet.vms_of_pool(pool_id)
-            if self._running[vm.vm_id] < vm.slots
+            if self._slots.free_slots(vm.vm_id) > 0
         ]
-        return min(
+        return max(
             candidates,
-            key=lambda vm: (self._running[vm.vm_id] / vm.slots, vm.vm_id),
+            key=lambda vm: self._slots.free_slots(vm.vm_id) / vm.slots,
             default=None,
         )
 
--- /dev/null
+++ b/currantstage/coordination/_local_limits.py
@@ -0,0 +1,54 @@
+"""Limits that one entry VM keeps by itself, without its peers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from currantstage.coordination._configuration import Configuration
+    from currantstage.state import TeamId, VmId
+
+
+class LocalTeamLimiter:
+    """Implements `TeamLimiter` for a fleet with one entry VM."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._running: Counter[TeamId] = Counter()
+
+    def try_acquire(self, team: TeamId) -> bool:
+        """Take one slot of the team's upper limit; return False when none is left."""
+        record = self._configuration.fleet.teams.get(team)
+        if record is None or self._running[team] >= record.upper_limit_slots:
+            return False
+        self._running[team] += 1
+        return True
+
+    def release(self, team: TeamId) -> None:
+        """Give one slot back."""
+        self._running[team] -= 1
+
+
+class LocalWorkerSlots:
+    """Implements `WorkerSlots` for a data centre with one entry VM."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._running: Counter[VmId] = Counter()
+
+    def free_slots(self, vm: VmId) -> int:
+        """Return the slots of `vm` that this entry VM may still take."""
+        record = self._configuration.fleet.vms.get(vm)
+        return 0 if record is None else record.slots - self._running[vm]
+
+    def try_acquire(self, vm: VmId) -> bool:
+        """Take one slot of `vm`; return False when none is left."""
+        if self.free_slots(vm) <= 0:
+            return False
+        self._running[vm] += 1
+        return True
+
+    def release(self, vm: VmId) -> None:
+        """Give one slot back."""
+        self._running[vm] -= 1
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -21,6 +21,7 @@
 
     KEY_REFUSED = "key-refused"
     QUEUE_UNKNOWN = "queue-unknown"
+    TEAM_AT_LIMIT = "team-at-limit"
     NO_CAPACITY = "no-capacity"
     STOPPING = "stopping"
     UNREACHABLE = "unreachable"
