Hold periodic duties under lease with fencing

Cause: maintenance, moves and reclaiming need one holder each, and a holder that is paused past its lease must not write.

Change: a lease row that is renewed, and a fence row that only a new holder rewrites. Each transaction of a duty checks the fence row's version (RowCheck, a new item of transactions), so a newer holder makes it fail and renewals never conflict with it. Procedures can read the monotonic clock between two calls, so that an observation starts after the row was seen. Objects can be listed and deleted, and procedures can read the platform's list. DutyRunner tends leases and steps the registered duties.

Conclusion: tests cover takeover, drift, a paused holder, a lost answer, resignation and a restart of the holder.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -11,6 +11,10 @@
     PEER_REFRESH_S,
     Daemon,
 )
+from currantstage.application._duty_runner import (
+    RENEWALS_PER_LEASE,
+    DutyRunner,
+)
 from currantstage.application._errors import (
     ApplicationError,
     StartError,
@@ -33,6 +37,7 @@
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
+    "DutyRunner",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "NO_TEAM",
@@ -41,5 +46,6 @@
     "PeerService",
     "ProcedureRunner",
     "QueueService",
+    "RENEWALS_PER_LEASE",
     "StartError",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,15 +9,19 @@
 from eliot import log_message
 
 from currantstage.application._caller_service import QueueService
+from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.coordination import (
+    DUTY_LEASE_S,
     Configuration,
     CoordinationError,
     Dispatcher,
+    Duty,
+    DutyLeases,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
@@ -75,7 +79,9 @@
         )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
-        self._runner = ProcedureRunner(self._platform, self._platform)
+        self._runner = ProcedureRunner(
+            self._platform, self._platform, self._platform, self._clock
+        )
         self._backends = BackendClient()
         self._queues = QueueService(
             self._dispatcher, self._backends, self._metrics, self._clock
@@ -131,11 +137,17 @@
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
 
     async def _own(
         self,
-        part: PlatformClient | BackendClient | PeerSockets | DutyLoop | HttpServer,
+        part: PlatformClient
+        | BackendClient
+        | PeerSockets
+        | DutyLoop
+        | DutyRunner
+        | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
         self._resources.push_async_callback(part.close)
@@ -156,6 +168,16 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_duty_runner(self) -> DutyRunner:
+        row = self._membership.row
+        leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
+        return DutyRunner(
+            self._runner, leases, self._clock, self._build_duties(), DUTY_LEASE_S
+        )
+
+    def _build_duties(self) -> list[Duty]:
+        return []
+
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
         incarnation = f"{self._random.getrandbits(INCARNATION_BITS):016x}"
--- a/currantstage/application/_procedure_runner.py
+++ b/currantstage/application/_procedure_runner.py
@@ -6,11 +6,17 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from currantstage.coordination import (
+    ClockRead,
+    DeleteObject,
     Done,
     GetObject,
+    ListObjects,
+    ListVms,
     ObjectFetched,
+    ObjectsListed,
     Pause,
     PutObject,
+    ReadClock,
     ReadRow,
     RowRead,
     RowsScanned,
@@ -18,12 +24,13 @@
     StoreFailed,
     Transact,
     Transacted,
+    VmsListed,
 )
 from currantstage.state import StoreUnavailableError, StoreUncertainError
 
 if TYPE_CHECKING:
-    from currantstage.coordination import Procedure, StoreCall, StoreReply
-    from currantstage.state import ObjectStore, TableService
+    from currantstage.coordination import PlatformCall, Procedure, StoreCall, StoreReply
+    from currantstage.state import Clock, ObjectStore, TableService, VmDirectory
 
 T = TypeVar("T")
 
@@ -35,11 +42,21 @@
     ----------
     table : TableService
     objects : ObjectStore
+    directory : VmDirectory
+    clock : Clock
     """
 
-    def __init__(self, table: TableService, objects: ObjectStore) -> None:
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        directory: VmDirectory,
+        clock: Clock,
+    ) -> None:
         self._table = table
         self._objects = objects
+        self._directory = directory
+        self._clock = clock
 
     async def run(self, procedure: Procedure[T]) -> T:
         """Return the procedure's result, or raise what it raises."""
@@ -52,6 +69,11 @@
             return result
 
     async def _answer(self, call: StoreCall) -> StoreReply:
+        if isinstance(call, ReadClock):
+            return ClockRead(self._clock.now_s())
+        if isinstance(call, Pause):
+            await asyncio.sleep(call.duration_s)
+            return Done()
         try:
             return await self._perform(call)
         except StoreUnavailableError:
@@ -59,19 +81,23 @@
         except StoreUncertainError:
             return StoreFailed(may_have_applied=True)
 
-    async def _perform(self, call: StoreCall) -> StoreReply:
+    async def _perform(self, call: PlatformCall) -> StoreReply:
         match call:
             case ReadRow(key):
                 return RowRead(await self._table.read(key))
             case ScanRows(prefix):
                 return RowsScanned(tuple(await self._table.scan(prefix)))
-            case Transact(attempt, writes):
-                return Transacted(await self._table.transact(attempt, writes))
+            case Transact(attempt, items):
+                return Transacted(await self._table.transact(attempt, items))
             case GetObject(name):
                 return ObjectFetched(await self._objects.get(name))
             case PutObject(name, content):
                 await self._objects.put(name, content)
                 return Done()
-            case Pause(duration_s):
-                await asyncio.sleep(duration_s)
+            case ListObjects(prefix):
+                return ObjectsListed(tuple(await self._objects.list_names(prefix)))
+            case DeleteObject(name):
+                await self._objects.delete(name)
                 return Done()
+            case ListVms():
+                return VmsListed(tuple(await self._directory.list_vms()))
--- /dev/null
+++ b/currantstage/coordination/_duty_lease.py
@@ -0,0 +1,260 @@
+"""Leases on periodic duties, with fencing numbers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from currantstage.coordination._lease_time import lapse_s, observer_wait_s
+from currantstage.state import (
+    ABSENT,
+    DUTY_PREFIX,
+    DutyFenceRow,
+    DutyKind,
+    DutyLeaseRow,
+    FencingNumber,
+    RowCheck,
+    RowVersion,
+    RowWrite,
+    duty_fence_key,
+    duty_lease_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import (
+        EntryVmId,
+        IncarnationId,
+        RowKey,
+        TransactionItem,
+        VersionedRow,
+    )
+
+#: Time from a renewal to the lapse of a duty's lease, in seconds.
+DUTY_LEASE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class DutyGrant:
+    """The right to carry out a duty until its lease lapses.
+
+    Parameters
+    ----------
+    duty : DutyKind
+    fencing : FencingNumber
+    fence_version : RowVersion
+        Version of the fence row that this holder wrote when it took the duty.
+    lapses_s : float
+        When the lease lapses on the holder's clock, in seconds.
+    """
+
+    duty: DutyKind
+    fencing: FencingNumber
+    fence_version: RowVersion
+    lapses_s: float
+
+    def is_held(self, now_s: float) -> bool:
+        """Return whether the lease has not lapsed yet."""
+        return now_s < self.lapses_s
+
+    def guard(self, items: Sequence[TransactionItem]) -> tuple[TransactionItem, ...]:
+        """Return `items` with the condition that no newer holder exists.
+
+        Every write of a duty goes through here. A holder that was paused past its
+        lease finds the fence row rewritten, and its transaction changes nothing.
+        """
+        check = RowCheck(
+            key=duty_fence_key(self.duty), expected_version=self.fence_version
+        )
+        return (*items, check)
+
+
+class Duty(Protocol):
+    """A periodic duty of which one entry VM at a time takes care."""
+
+    @property
+    def kind(self) -> DutyKind:
+        """Which lease the duty needs."""
+
+    @property
+    def interval_s(self) -> float:
+        """Pause between two steps, in seconds."""
+
+    def step(self, grant: DutyGrant) -> Procedure[None]:
+        """Do what is due now.
+
+        A step starts from what the rows say, since the last holder may have stopped
+        anywhere, and passes every transaction through `grant.guard`.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class _Observation:
+    """A lease row and when it was first seen at its version."""
+
+    version: RowVersion
+    first_seen_s: float
+
+
+class DutyLeases:
+    """Takes, renews and resigns the leases of duties for one entry VM.
+
+    Parameters
+    ----------
+    store : StoreAccess
+    holder : EntryVmId
+    incarnation : IncarnationId
+    lease_s : float
+        Length of the leases that this entry VM takes, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: StoreAccess,
+        holder: EntryVmId,
+        incarnation: IncarnationId,
+        lease_s: float = DUTY_LEASE_S,
+    ) -> None:
+        self._store = store
+        self._holder = holder
+        self._incarnation = incarnation
+        self._lease_s = lease_s
+        self._observations: dict[DutyKind, _Observation] = {}
+        self._grants: dict[DutyKind, DutyGrant] = {}
+
+    def grant(self, duty: DutyKind, now_s: float) -> DutyGrant | None:
+        """Return the grant of `duty`, or None when this entry VM does not hold it."""
+        grant = self._grants.get(duty)
+        return grant if grant is not None and grant.is_held(now_s) else None
+
+    def tend(self, duties: Sequence[DutyKind]) -> Procedure[None]:
+        """Renew the leases held, and take those that are free or have lapsed.
+
+        Raises `StoreAwayError` and `WriteUncertainError`; grants then run on until
+        they lapse, and the next call resumes.
+        """
+        scanned = yield from self._store.scan(DUTY_PREFIX)
+        # Read after the scan: an observation must not begin before the row was seen.
+        now_s = yield from self._store.now_s()
+        rows = {row.key: row for row in scanned}
+        for duty in duties:
+            yield from self._tend_one(duty, rows, now_s)
+
+    def resign(self) -> Procedure[None]:
+        """Give back every lease held, so that others need not wait for its lapse."""
+        grants, self._grants = self._grants, {}
+        for grant in grants.values():
+            row = yield from self._store.read(duty_lease_key(grant.duty))
+            if row is not None and self._is_own(row):
+                yield from self._store.transact(
+                    grant.guard([self._lease_write(row, grant.fencing, None)])
+                )
+
+    def _tend_one(
+        self, duty: DutyKind, rows: Mapping[RowKey, VersionedRow], now_s: float
+    ) -> Procedure[None]:
+        lease = rows.get(duty_lease_key(duty))
+        if lease is not None and self._is_own(lease):
+            yield from self._renew(lease, rows.get(duty_fence_key(duty)))
+            return
+        self._grants.pop(duty, None)
+        if lease is None or self._has_lapsed(lease, now_s):
+            yield from self._take(duty, lease, rows.get(duty_fence_key(duty)))
+
+    def _is_own(self, row: VersionedRow) -> bool:
+        record = row.record
+        return (
+            isinstance(record, DutyLeaseRow)
+            and record.holder == self._holder
+            and record.incarnation == self._incarnation
+        )
+
+    def _has_lapsed(self, row: VersionedRow, now_s: float) -> bool:
+        record = row.record
+        assert isinstance(record, DutyLeaseRow)
+        if record.holder is None:
+            return True
+        seen = self._observations.get(record.duty)
+        if seen is None or seen.version != row.version:
+            self._observations[record.duty] = _Observation(row.version, now_s)
+            return False
+        return now_s - seen.first_seen_s >= observer_wait_s(record.lease_s)
+
+    def _renew(
+        self, lease: VersionedRow, fence: VersionedRow | None
+    ) -> Procedure[None]:
+        """Renew a lease whose row names this start, also one whose take got lost."""
+        record = lease.record
+        assert isinstance(record, DutyLeaseRow)
+        assert fence is not None
+        sent_s = yield from self._store.now_s()
+        outcome = yield from self._store.transact(
+            [self._lease_write(lease, record.fencing, self._holder)]
+        )
+        if not outcome.is_applied:
+            self._grants.pop(record.duty, None)
+            return
+        self._grants[record.duty] = DutyGrant(
+            record.duty, record.fencing, fence.version, lapse_s(sent_s, self._lease_s)
+        )
+
+    def _take(
+        self, duty: DutyKind, lease: VersionedRow | None, fence: VersionedRow | None
+    ) -> Procedure[None]:
+        fencing = _next_fencing(fence)
+        sent_s = yield from self._store.now_s()
+        outcome = yield from self._store.transact(
+            [
+                RowWrite(
+                    key=duty_lease_key(duty),
+                    expected_version=ABSENT if lease is None else lease.version,
+                    record=self._lease_row(duty, fencing, self._holder),
+                ),
+                RowWrite(
+                    key=duty_fence_key(duty),
+                    expected_version=ABSENT if fence is None else fence.version,
+                    record=DutyFenceRow(duty=duty, fencing=fencing),
+                ),
+            ]
+        )
+        if not outcome.is_applied:
+            return
+        # The version that the fence row got is not in the answer.
+        taken = yield from self._store.read(duty_fence_key(duty))
+        if taken is None or not isinstance(taken.record, DutyFenceRow):
+            return
+        if taken.record.fencing == fencing:
+            self._grants[duty] = DutyGrant(
+                duty, fencing, taken.version, lapse_s(sent_s, self._lease_s)
+            )
+
+    def _lease_write(
+        self, row: VersionedRow, fencing: FencingNumber, holder: EntryVmId | None
+    ) -> RowWrite:
+        record = row.record
+        assert isinstance(record, DutyLeaseRow)
+        return RowWrite(
+            key=row.key,
+            expected_version=row.version,
+            record=self._lease_row(record.duty, fencing, holder),
+        )
+
+    def _lease_row(
+        self, duty: DutyKind, fencing: FencingNumber, holder: EntryVmId | None
+    ) -> DutyLeaseRow:
+        return DutyLeaseRow(
+            duty=duty,
+            fencing=fencing,
+            holder=holder,
+            incarnation=self._incarnation,
+            lease_s=self._lease_s,
+        )
+
+
+def _next_fencing(fence: VersionedRow | None) -> FencingNumber:
+    if fence is None or not isinstance(fence.record, DutyFenceRow):
+        return FencingNumber(1)
+    return FencingNumber(fence.record.fencing + 1)
--- a/currantstage/coordination/_procedures.py
+++ b/currantstage/coordination/_procedures.py
@@ -14,10 +14,11 @@
 
 from currantstage.state import (
     AttemptId,
+    ListedVm,
     ObjectName,
     RowKey,
-    RowWrite,
     StoredGeneration,
+    TransactionItem,
     TransactionOutcome,
     VersionedRow,
 )
@@ -44,7 +45,7 @@
     """Apply conditional writes; the reply is `Transacted`."""
 
     attempt: AttemptId
-    writes: tuple[RowWrite, ...]
+    items: tuple[TransactionItem, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,30 @@
     content: StoredGeneration
 
 
+@dataclass(frozen=True, slots=True)
+class ListObjects:
+    """List the names of objects under a prefix; the reply is `ObjectsListed`."""
+
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteObject:
+    """Delete an object; the reply is `Done`."""
+
+    name: ObjectName
+
+
+@dataclass(frozen=True, slots=True)
+class ListVms:
+    """Read the platform's lagging list; the reply is `VmsListed`."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClock:
+    """Read the monotonic clock between two calls; the reply is `ClockRead`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Pause:
     """Wait before the next step; the reply is `Done`."""
@@ -97,6 +122,27 @@
     content: StoredGeneration | None
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectsListed:
+    """The names of the objects under the prefix, in order."""
+
+    names: tuple[ObjectName, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VmsListed:
+    """The lines of the platform's lagging list."""
+
+    vms: tuple[ListedVm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClockRead:
+    """The time on this process's monotonic clock, in seconds."""
+
+    now_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The call took effect and returns nothing."""
@@ -115,8 +161,27 @@
     may_have_applied: bool
 
 
-StoreCall: TypeAlias = ReadRow | ScanRows | Transact | GetObject | PutObject | Pause
+#: Calls that the platform answers, or fails to answer.
+PlatformCall: TypeAlias = (
+    ReadRow
+    | ScanRows
+    | Transact
+    | GetObject
+    | PutObject
+    | ListObjects
+    | DeleteObject
+    | ListVms
+)
+StoreCall: TypeAlias = PlatformCall | ReadClock | Pause
 StoreReply: TypeAlias = (
-    RowRead | RowsScanned | Transacted | ObjectFetched | Done | StoreFailed
+    RowRead
+    | RowsScanned
+    | Transacted
+    | ObjectFetched
+    | ObjectsListed
+    | VmsListed
+    | ClockRead
+    | Done
+    | StoreFailed
 )
 Procedure: TypeAlias = Generator[StoreCall, StoreReply, T]
--- a/currantstage/coordination/_store_access.py
+++ b/currantstage/coordination/_store_access.py
@@ -7,12 +7,18 @@
 
 from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
 from currantstage.coordination._procedures import (
+    ClockRead,
+    DeleteObject,
     Done,
     GetObject,
+    ListObjects,
+    ListVms,
     ObjectFetched,
+    ObjectsListed,
     Pause,
     Procedure,
     PutObject,
+    ReadClock,
     ReadRow,
     RowRead,
     RowsScanned,
@@ -22,13 +28,15 @@
     StoreReply,
     Transact,
     Transacted,
+    VmsListed,
 )
-from currantstage.state import AttemptId, RowWrite, TransactionOutcome
+from currantstage.state import AttemptId, RowWrite, TransactionItem, TransactionOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from currantstage.state import (
+        ListedVm,
         ObjectName,
         Random,
         RowKey,
@@ -104,8 +112,30 @@
         """Store an object; raises `StoreAwayError` when that is not certain."""
         yield from self._repeat(PutObject(name, content), Done)
 
-    def transact(self, writes: Sequence[RowWrite]) -> Procedure[TransactionOutcome]:
-        """Apply `writes` at most once, whatever answers are lost.
+    def list_objects(self, prefix: str) -> Procedure[tuple[ObjectName, ...]]:
+        """Return the names of the objects under `prefix`; raises `StoreAwayError`."""
+        reply = yield from self._repeat(ListObjects(prefix), ObjectsListed)
+        return reply.names
+
+    def delete_object(self, name: ObjectName) -> Procedure[None]:
+        """Delete an object; raises `StoreAwayError` when that is not certain."""
+        yield from self._repeat(DeleteObject(name), Done)
+
+    def list_vms(self) -> Procedure[tuple[ListedVm, ...]]:
+        """Return the platform's lagging list; raises `StoreAwayError`."""
+        reply = yield from self._repeat(ListVms(), VmsListed)
+        return reply.vms
+
+    def now_s(self) -> Procedure[float]:
+        """Return the time on this process's monotonic clock, in seconds."""
+        reply = yield ReadClock()
+        assert isinstance(reply, ClockRead)
+        return reply.now_s
+
+    def transact(
+        self, items: Sequence[TransactionItem]
+    ) -> Procedure[TransactionOutcome]:
+        """Apply all writes of `items` at most once, whatever answers are lost.
 
         After a lost answer the first written row is read back: it carries the
         attempt's name if and only if the transaction was applied. A transaction
@@ -120,7 +150,8 @@
             The answer was lost, and reading back failed as well.
         """
         attempt = self.new_attempt()
-        call = Transact(attempt, tuple(writes))
+        call = Transact(attempt, tuple(items))
+        read_back_key = _first_written_key(items)
         is_uncertain = False
         for tries in range(1, self._policy.max_tries + 1):
             reply = yield call
@@ -128,22 +159,24 @@
                 if reply.outcome.is_applied or not is_uncertain:
                     return reply.outcome
                 # An earlier try may have applied the writes and moved the versions.
-                return (yield from self._read_back(attempt, writes, reply.outcome))
+                return (
+                    yield from self._read_back(attempt, read_back_key, reply.outcome)
+                )
             is_uncertain = is_uncertain or _may_have_applied(reply)
             yield Pause(self._policy.delay_s(tries, self._random))
         if not is_uncertain:
             raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
-        conflict = TransactionOutcome(is_applied=False, conflicting_key=writes[0].key)
-        return (yield from self._read_back(attempt, writes, conflict))
+        conflict = TransactionOutcome(is_applied=False, conflicting_key=read_back_key)
+        return (yield from self._read_back(attempt, read_back_key, conflict))
 
     def _read_back(
         self,
         attempt: AttemptId,
-        writes: Sequence[RowWrite],
+        key: RowKey,
         otherwise: TransactionOutcome,
     ) -> Procedure[TransactionOutcome]:
         try:
-            row = yield from self.read(writes[0].key)
+            row = yield from self.read(key)
         except StoreAwayError as error:
             raise WriteUncertainError(f"attempt {attempt}") from error
         if row is not None and row.attempt == attempt:
@@ -159,5 +192,9 @@
         raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
 
 
+def _first_written_key(items: Sequence[TransactionItem]) -> RowKey:
+    return next(item.key for item in items if isinstance(item, RowWrite))
+
+
 def _may_have_applied(reply: StoreReply) -> bool:
     return isinstance(reply, StoreFailed) and reply.may_have_applied
--- a/currantstage/protocol/_store_codec.py
+++ b/currantstage/protocol/_store_codec.py
@@ -11,11 +11,14 @@
 from currantstage.state import (
     AttemptId,
     ListedVm,
+    ObjectName,
     Record,
+    RowCheck,
     RowKey,
     RowVersion,
     RowWrite,
     StoredGeneration,
+    TransactionItem,
     TransactionOutcome,
     VersionedRow,
 )
@@ -45,10 +48,24 @@
     body: str | None
 
 
+class WireCheck(Struct, frozen=True, kw_only=True):
+    """One condition on a row that the transaction does not write."""
+
+    key: str
+    expected_version: int
+
+
 class WireTransaction(Struct, frozen=True, kw_only=True):
-    """All writes of one transaction."""
+    """All writes and conditions of one transaction."""
 
     writes: tuple[WireWrite, ...]
+    checks: tuple[WireCheck, ...] = ()
+
+
+class WireNames(Struct, frozen=True, kw_only=True):
+    """Names of objects."""
+
+    names: tuple[ObjectName, ...]
 
 
 class WireListing(Struct, frozen=True, kw_only=True):
@@ -62,7 +79,7 @@
     record: Record
 
 
-def encode_transaction(attempt: AttemptId, writes: tuple[RowWrite, ...]) -> bytes:
+def encode_transaction(attempt: AttemptId, items: tuple[TransactionItem, ...]) -> bytes:
     """Return the body of a transaction call."""
     return msgspec.json.encode(
         WireTransaction(
@@ -72,8 +89,14 @@
                     expected_version=write.expected_version,
                     body=_encode_body(attempt, write.record),
                 )
-                for write in writes
-            )
+                for write in items
+                if isinstance(write, RowWrite)
+            ),
+            checks=tuple(
+                WireCheck(key=check.key, expected_version=check.expected_version)
+                for check in items
+                if isinstance(check, RowCheck)
+            ),
         )
     )
 
@@ -114,6 +137,11 @@
     return decode(body, StoredGeneration)
 
 
+def decode_names(body: bytes) -> tuple[ObjectName, ...]:
+    """Return the names of objects; raises `DecodeError`."""
+    return decode(body, WireNames).names
+
+
 def decode_listing(body: bytes) -> tuple[ListedVm, ...]:
     """Return the lines of the platform's list; raises `DecodeError`."""
     return decode(body, WireListing).vms
--- a/currantstage/standin/_platform.py
+++ b/currantstage/standin/_platform.py
@@ -58,6 +58,8 @@
                 web.post("/transactions", self._transactions),
                 web.get("/objects/{name:.+}", self._get_object),
                 web.put("/objects/{name:.+}", self._put_object),
+                web.get("/objects", self._list_names),
+                web.delete("/objects/{name:.+}", self._delete_object),
                 web.get("/vms", self._vms),
             ]
         )
@@ -105,6 +107,13 @@
         self.content.put_object(request.match_info["name"], await request.read())
         return web.Response()
 
+    async def _list_names(self, request: web.Request) -> web.Response:
+        return _json(self.content.list_names(request.query["prefix"]))
+
+    async def _delete_object(self, request: web.Request) -> web.Response:
+        self.content.delete_object(request.match_info["name"])
+        return web.Response()
+
     async def _vms(self, _: web.Request) -> web.Response:
         return _json(self.content.list_vms())
 
--- a/currantstage/standin/_table.py
+++ b/currantstage/standin/_table.py
@@ -5,12 +5,15 @@
 from typing import TYPE_CHECKING
 
 from currantstage.protocol import (
+    WireCheck,
     WireListing,
+    WireNames,
     WireRow,
     WireRows,
     WireTransaction,
+    WireWrite,
 )
-from currantstage.state import ABSENT, ListedVm, RowKey, TransactionOutcome
+from currantstage.state import ABSENT, ListedVm, ObjectName, RowKey, TransactionOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,12 +43,14 @@
 
     def transact(self, transaction: WireTransaction) -> TransactionOutcome:
         """Apply all writes, or none when a version differs."""
-        for write in transaction.writes:
-            row = self._rows.get(write.key)
+        conditions: tuple[WireWrite | WireCheck, ...]
+        conditions = (*transaction.writes, *transaction.checks)
+        for item in conditions:
+            row = self._rows.get(item.key)
             version = ABSENT if row is None else row.version
-            if version != write.expected_version:
+            if version != item.expected_version:
                 return TransactionOutcome(
-                    is_applied=False, conflicting_key=RowKey(write.key)
+                    is_applied=False, conflicting_key=RowKey(item.key)
                 )
         self._last_version += 1
         for write in transaction.writes:
@@ -65,6 +70,15 @@
         """Store an object; the first content under a name stays."""
         self._objects.setdefault(name, body)
 
+    def list_names(self, prefix: str) -> WireNames:
+        """Return the names of the objects that start with `prefix`."""
+        names = sorted(name for name in self._objects if name.startswith(prefix))
+        return WireNames(names=tuple(ObjectName(name) for name in names))
+
+    def delete_object(self, name: str) -> None:
+        """Delete an object, if there is one."""
+        self._objects.pop(name, None)
+
     def list_vms(self) -> WireListing:
         """Return the list as it shows now."""
         return WireListing(vms=self._vms)
--- a/currantstage/state/_ports.py
+++ b/currantstage/state/_ports.py
@@ -14,8 +14,8 @@
 
     from currantstage.state._ids import AttemptId, EntryVmId, ObjectName, RowKey
     from currantstage.state._rows import (
-        RowWrite,
         StoredGeneration,
+        TransactionItem,
         TransactionOutcome,
         VersionedRow,
     )
@@ -49,9 +49,9 @@
         """Return the rows whose keys start with `prefix`, in order of key."""
 
     async def transact(
-        self, attempt: AttemptId, writes: Sequence[RowWrite]
+        self, attempt: AttemptId, items: Sequence[TransactionItem]
     ) -> TransactionOutcome:
-        """Apply all of `writes`, or none of them when a version differs."""
+        """Apply all writes of `items`, or none of them when a version differs."""
 
 
 class ObjectStore(Protocol):
@@ -63,6 +63,12 @@
     async def put(self, name: ObjectName, content: StoredGeneration) -> None:
         """Store `content` under `name`; repeating the call has no further effect."""
 
+    async def list_names(self, prefix: str) -> Sequence[ObjectName]:
+        """Return the names of the objects that start with `prefix`, in order."""
+
+    async def delete(self, name: ObjectName) -> None:
+        """Delete the object under `name`, if there is one."""
+
 
 class VmDirectory(Protocol):
     """The platform's lagging list of VMs."""
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TypeAlias
 
 from msgspec import Struct
@@ -11,6 +12,7 @@
     AttemptId,
     DataCentreId,
     EntryVmId,
+    FencingNumber,
     Generation,
     IncarnationId,
     NoteId,
@@ -23,6 +25,17 @@
 HEAD_KEY = RowKey("head")
 ENTRY_VM_PREFIX = RowKey("entry-vm/")
 NOTE_PREFIX = RowKey("note/")
+DUTY_PREFIX = RowKey("duty/")
+
+
+class DutyKind(Enum):
+    """Periodic duties that one entry VM at a time carries out for the whole fleet."""
+
+    MAINTENANCE = "maintenance"
+    MOVES = "moves"
+    RECLAIMING = "reclaiming"
+    #: Deletes old generations and the rows of entry VMs that are gone.
+    CLEANUP = "cleanup"
 
 
 class HeadRow(Struct, frozen=True, kw_only=True, tag="head"):
@@ -53,7 +66,41 @@
     applied_generation: Generation
 
 
-Record: TypeAlias = HeadRow | NoteRow | EntryVmRow
+class DutyLeaseRow(Struct, frozen=True, kw_only=True, tag="duty-lease"):
+    """The lease of a duty; every renewal gives the row a new version.
+
+    Parameters
+    ----------
+    duty : DutyKind
+    fencing : FencingNumber
+        Rises by one with each holder.
+    holder : EntryVmId or None
+        None once the last holder has resigned.
+    incarnation : IncarnationId
+        Start of the holder's process.
+    lease_s : float
+        Time from a renewal to its lapse on the holder's clock, in seconds.
+    """
+
+    duty: DutyKind
+    fencing: FencingNumber
+    holder: EntryVmId | None
+    incarnation: IncarnationId
+    lease_s: float
+
+
+class DutyFenceRow(Struct, frozen=True, kw_only=True, tag="duty-fence"):
+    """The newest fencing number of a duty; only a new holder writes this row.
+
+    A renewal leaves it alone, so it can be checked by every write of a duty without
+    conflicting with the lease's own renewals.
+    """
+
+    duty: DutyKind
+    fencing: FencingNumber
+
+
+Record: TypeAlias = HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
@@ -89,6 +136,23 @@
     record: Record | None
 
 
+class RowCheck(Struct, frozen=True, kw_only=True):
+    """A condition of a transaction on a row that it does not write.
+
+    Parameters
+    ----------
+    key : RowKey
+    expected_version : RowVersion
+        Version that the row must still have; ``ABSENT`` means no row.
+    """
+
+    key: RowKey
+    expected_version: RowVersion
+
+
+TransactionItem: TypeAlias = RowWrite | RowCheck
+
+
 class TransactionOutcome(Struct, frozen=True, kw_only=True):
     """Whether a transaction was applied, and the first row that differed if not."""
 
@@ -108,3 +172,13 @@
 def note_key(note_id: NoteId) -> RowKey:
     """Return the key of the row that records the release note `note_id`."""
     return RowKey(f"{NOTE_PREFIX}{note_id}")
+
+
+def duty_lease_key(duty: DutyKind) -> RowKey:
+    """Return the key of the row that holds the lease of `duty`."""
+    return RowKey(f"{DUTY_PREFIX}{duty.value}/lease")
+
+
+def duty_fence_key(duty: DutyKind) -> RowKey:
+    """Return the key of the row that holds the newest fencing number of `duty`."""
+    return RowKey(f"{DUTY_PREFIX}{duty.value}/fence")
--- a/currantstage/transport/_platform.py
+++ b/currantstage/transport/_platform.py
@@ -10,6 +10,7 @@
     DecodeError,
     decode_generation,
     decode_listing,
+    decode_names,
     decode_outcome,
     decode_rows,
     encode_generation,
@@ -26,8 +27,8 @@
         ListedVm,
         ObjectName,
         RowKey,
-        RowWrite,
         StoredGeneration,
+        TransactionItem,
         TransactionOutcome,
         VersionedRow,
     )
@@ -81,10 +82,10 @@
         return _decoded(decode_rows, body)
 
     async def transact(
-        self, attempt: AttemptId, writes: Sequence[RowWrite]
+        self, attempt: AttemptId, items: Sequence[TransactionItem]
     ) -> TransactionOutcome:
-        """Apply all of `writes`, or none of them when a version differs."""
-        content = encode_transaction(attempt, tuple(writes))
+        """Apply all writes of `items`, or none of them when a version differs."""
+        content = encode_transaction(attempt, tuple(items))
         body = await self._call("POST", "/transactions", data=content)
         try:
             return decode_outcome(body or b"")
@@ -100,6 +101,15 @@
         """Store `content` under `name`."""
         await self._call("PUT", f"/objects/{name}", data=encode_generation(content))
 
+    async def list_names(self, prefix: str) -> Sequence[ObjectName]:
+        """Return the names of the objects that start with `prefix`."""
+        body = await self._call("GET", "/objects", params={"prefix": prefix})
+        return _decoded(decode_names, body)
+
+    async def delete(self, name: ObjectName) -> None:
+        """Delete the object under `name`, if there is one."""
+        await self._call("DELETE", f"/objects/{name}")
+
     async def list_vms(self) -> Sequence[ListedVm]:
         """Return what the platform's list shows now."""
         return _decoded(decode_listing, await self._call("GET", "/vms"))
--- /dev/null
+++ b/tests/coordination/test_duty_lease.py
@@ -0,0 +1,170 @@
+"""Leases on duties: one holder, fencing, takeover and resignation."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from currantstage.coordination import (
+    DUTY_LEASE_S,
+    DutyLeases,
+    Transact,
+    WriteUncertainError,
+    observer_wait_s,
+)
+from currantstage.state import (
+    ABSENT,
+    DataCentreId,
+    DutyKind,
+    EntryVmId,
+    EntryVmRow,
+    Generation,
+    IncarnationId,
+    RowKey,
+    RowWrite,
+)
+from tests.fakes import FakeClock, FakeStore, Fault, make_store_access
+
+DUTY = DutyKind.MAINTENANCE
+EFFECT_KEY = RowKey("effect")
+
+
+class Contender:
+    """One entry VM that competes for the duty, with a clock of its own."""
+
+    def __init__(self, store, name, seed):
+        self.clock = FakeClock()
+        self.store = store
+        self.access = make_store_access(seed)
+        self.leases = DutyLeases(
+            self.access, EntryVmId(name), IncarnationId(f"{name}-{seed}")
+        )
+
+    def tend(self):
+        self.store.run(self.leases.tend([DUTY]), self.clock)
+
+    def grant(self):
+        return self.leases.grant(DUTY, self.clock.now_s())
+
+    def write_effect(self, grant):
+        """Write one row as part of the duty; return whether it was applied."""
+        current = self.store.rows.get(EFFECT_KEY)
+        record = EntryVmRow(
+            entry_vm=EntryVmId("effect"),
+            incarnation=IncarnationId("i"),
+            data_centre=DataCentreId("a"),
+            http_address="127.0.0.1:1",
+            peer_address="127.0.0.1:2",
+            applied_generation=Generation(grant.fencing),
+        )
+        version = ABSENT if current is None else current.version
+        write = RowWrite(key=EFFECT_KEY, expected_version=version, record=record)
+        outcome = self.store.run(self.access.transact(grant.guard([write])), self.clock)
+        return outcome.is_applied
+
+
+def make_contenders():
+    store = FakeStore()
+    return store, Contender(store, "e1", 1), Contender(store, "e2", 2)
+
+
+def test_the_first_to_ask_holds_the_duty_alone():
+    _, first, second = make_contenders()
+    first.tend()
+    second.tend()
+    assert first.grant().fencing == 1
+    assert second.grant() is None
+
+
+def test_a_renewal_extends_the_lease_and_leaves_the_fence_alone():
+    _, first, _ = make_contenders()
+    first.tend()
+    before = first.grant()
+    first.clock.time_s += DUTY_LEASE_S / 2
+    first.tend()
+    assert first.grant().lapses_s == before.lapses_s + DUTY_LEASE_S / 2
+    assert first.write_effect(before)
+
+
+def test_an_observer_waits_for_the_lease_and_the_drift():
+    _, first, second = make_contenders()
+    first.tend()
+    second.tend()
+    second.clock.time_s += observer_wait_s(DUTY_LEASE_S) - 0.001
+    second.tend()
+    assert second.grant() is None
+    second.clock.time_s += 0.001
+    second.tend()
+    assert second.grant().fencing == 2
+
+
+def test_a_slow_scan_does_not_shorten_the_wait():
+    store, first, second = make_contenders()
+    first.tend()
+    tending = second.leases.tend([DUTY])
+    reply = store.answer(next(tending), second.clock)
+    second.clock.time_s += observer_wait_s(DUTY_LEASE_S)
+    call = tending.send(reply)
+    with contextlib.suppress(StopIteration):
+        while True:
+            call = tending.send(store.answer(call, second.clock))
+    second.tend()
+    assert second.grant() is None
+
+
+def test_a_holder_paused_past_its_lease_changes_nothing():
+    _, first, second = make_contenders()
+    first.tend()
+    stale = first.grant()
+    second.tend()
+    second.clock.time_s += observer_wait_s(DUTY_LEASE_S)
+    second.tend()
+    assert second.write_effect(second.grant())
+    assert not first.write_effect(stale)
+    first.clock.time_s += DUTY_LEASE_S
+    assert first.grant() is None
+    first.tend()
+    assert first.grant() is None
+
+
+def test_a_take_whose_answer_was_lost_is_resumed():
+    store, first, second = make_contenders()
+    is_cut = False
+
+    def cut_at_the_first_write(call):
+        nonlocal is_cut
+        is_cut = is_cut or isinstance(call, Transact)
+        return Fault.ANSWER_LOST if is_cut else Fault.NONE
+
+    store.choose_fault = cut_at_the_first_write
+    with pytest.raises(WriteUncertainError):
+        first.tend()
+    assert first.grant() is None
+    store.choose_fault = lambda call: Fault.NONE
+    second.tend()
+    first.tend()
+    assert first.grant().fencing == 1
+    assert second.grant() is None
+
+
+def test_resignation_lets_the_next_holder_start_at_once():
+    store, first, second = make_contenders()
+    first.tend()
+    stale = first.grant()
+    store.run(first.leases.resign(), first.clock)
+    second.tend()
+    assert first.grant() is None
+    assert second.grant().fencing == 2
+    assert not first.write_effect(stale)
+
+
+def test_a_new_start_of_the_holder_waits_like_any_other():
+    store, first, _ = make_contenders()
+    first.tend()
+    restarted = Contender(store, "e1", 9)
+    restarted.tend()
+    assert restarted.grant() is None
+    restarted.clock.time_s += observer_wait_s(DUTY_LEASE_S)
+    restarted.tend()
+    assert restarted.grant().fencing == 2
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,12 +8,18 @@
 from typing import TypeVar
 
 from currantstage.coordination import (
+    ClockRead,
+    DeleteObject,
     Done,
     GetObject,
+    ListObjects,
+    ListVms,
     ObjectFetched,
+    ObjectsListed,
     Pause,
     Procedure,
     PutObject,
+    ReadClock,
     ReadRow,
     RetryPolicy,
     RowRead,
@@ -25,10 +31,13 @@
     StoreReply,
     Transact,
     Transacted,
+    VmsListed,
 )
 from currantstage.state import (
     ABSENT,
+    ListedVm,
     ObjectName,
+    RowCheck,
     RowKey,
     RowVersion,
     StoredGeneration,
@@ -63,14 +72,19 @@
     def __init__(self) -> None:
         self.rows: dict[RowKey, VersionedRow] = {}
         self.objects: dict[ObjectName, StoredGeneration] = {}
+        self.vms: tuple[ListedVm, ...] = ()
         self.calls: list[StoreCall] = []
         #: Decides about each call; replaced by tests.
         self.choose_fault: Callable[[StoreCall], Fault] = lambda call: Fault.NONE
         self._last_version = 0
+        #: Clock of the processes that have none of their own.
+        self.clock = FakeClock()
 
-    def answer(self, call: StoreCall) -> StoreReply:
-        """Return the reply to one call of a procedure."""
+    def answer(self, call: StoreCall, clock: FakeClock | None = None) -> StoreReply:
+        """Return the reply to one call of a procedure of a process with `clock`."""
         self.calls.append(call)
+        if isinstance(call, ReadClock):
+            return ClockRead((clock or self.clock).now_s())
         if isinstance(call, Pause):
             return Done()
         fault = self.choose_fault(call)
@@ -81,12 +95,12 @@
             return StoreFailed(may_have_applied=True)
         return reply
 
-    def run(self, procedure: Procedure[T]) -> T:
-        """Drive a procedure to its end."""
+    def run(self, procedure: Procedure[T], clock: FakeClock | None = None) -> T:
+        """Drive a procedure of a process with `clock` to its end."""
         try:
             call = next(procedure)
             while True:
-                call = procedure.send(self.answer(call))
+                call = procedure.send(self.answer(call, clock))
         except StopIteration as stop:
             return stop.value
 
@@ -104,15 +118,25 @@
             case PutObject(name, content):
                 self.objects.setdefault(name, content)
                 return Done()
+            case ListObjects(prefix):
+                names = sorted(name for name in self.objects if name.startswith(prefix))
+                return ObjectsListed(tuple(names))
+            case DeleteObject(name):
+                self.objects.pop(name, None)
+                return Done()
+            case ListVms():
+                return VmsListed(self.vms)
         raise AssertionError(call)
 
     def _transact(self, call: Transact) -> TransactionOutcome:
-        for write in call.writes:
-            row = self.rows.get(write.key)
-            if write.expected_version != (ABSENT if row is None else row.version):
-                return TransactionOutcome(is_applied=False, conflicting_key=write.key)
+        for item in call.items:
+            row = self.rows.get(item.key)
+            if item.expected_version != (ABSENT if row is None else row.version):
+                return TransactionOutcome(is_applied=False, conflicting_key=item.key)
         self._last_version += 1
-        for write in call.writes:
+        for write in call.items:
+            if isinstance(write, RowCheck):
+                continue
             if write.record is None:
                 self.rows.pop(write.key, None)
                 continue
