Accept a note only when no entry VM can serve under an older one

Cause: a note was called accepted as soon as all rows showed it, with no bound on an entry VM that can't be reached, and one row was shared by all starts of an entry VM.

Change: a configuration lease, renewed by writing the entry VM's own row in a transaction that also checks the head row. No renewal can take effect once a newer generation is committed, so whoever first saw the newer head waits one lease from then. Each start has a row of its own. Keyed work is refused without a lease (config-lease-lapsed, 503). Acceptance is recorded in a row, so that no entry VM later says otherwise. A cleanup duty deletes dead rows and old generations. Calls to the platform have a circuit breaker for each service and a retry budget; a lost answer whose write may still arrive is now reported as uncertain instead of as a conflict. Notes are checked for budgets beyond the pool's size, racks in two data centres, repeated pools, malformed digests, addresses and identifiers, each fault with its section.

The default lease goes from 30 s to 10 s. The test of a lost take waits for the circuit breaker, which did not exist before.

--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -73,7 +73,9 @@
         with start_action(
             action_type="currantstage:request", queue=request.queue
         ) as action:
-            admitted = self._dispatcher.admit(request.queue, request.presented_key)
+            admitted = self._dispatcher.admit(
+                request.queue, request.presented_key, started_s
+            )
             team = NO_TEAM
             end: RequestEnd
             if isinstance(admitted, Failure):
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -17,11 +17,14 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    Acceptance,
+    Cleanup,
     Configuration,
     CoordinationError,
     Dispatcher,
     Duty,
     DutyLeases,
+    HeadWatch,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
@@ -29,7 +32,12 @@
     StoreAccess,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
-from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId
+from currantstage.state import (
+    DEFAULT_CONFIG_LEASE_S,
+    FIRST_GENERATION,
+    EntryVmRow,
+    IncarnationId,
+)
 from currantstage.transport import (
     BackendClient,
     HttpServer,
@@ -68,8 +76,9 @@
         self._resources = AsyncExitStack()
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
+        self._watch = HeadWatch()
         self._membership = Membership(
-            self._store, self._configuration, self._first_row()
+            self._store, self._configuration, self._watch, self._first_row()
         )
         self._dispatcher = Dispatcher(
             self._configuration,
@@ -161,7 +170,11 @@
             self._settings.serving.max_body_bytes,
         )
         notes = NoteService(
-            self._runner, self._store, self._configuration, self._follow.wake
+            self._runner,
+            self._store,
+            self._configuration,
+            Acceptance(self._store, self._configuration, self._watch),
+            self._follow.wake,
         )
         add_caller_routes(server.app, self._queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
@@ -176,7 +189,7 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return []
+        return [Cleanup(self._store)]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -188,6 +201,7 @@
             http_address=entry_vm.http_address,
             peer_address=entry_vm.peer_address,
             applied_generation=FIRST_GENERATION,
+            config_lease_s=DEFAULT_CONFIG_LEASE_S,
         )
 
     async def _follow_head(self) -> None:
--- a/currantstage/application/_operator_service.py
+++ b/currantstage/application/_operator_service.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from currantstage.coordination import CoordinationError, commit_note, note_progress
+from currantstage.coordination import CoordinationError, commit_note
 from currantstage.protocol import (
     NoteReport,
     NoteState,
@@ -24,7 +24,7 @@
     from collections.abc import Callable
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Configuration, StoreAccess
+    from currantstage.coordination import Acceptance, Configuration, StoreAccess
     from currantstage.state import Fleet, NoteId
 
 
@@ -36,6 +36,7 @@
     runner : ProcedureRunner
     store : StoreAccess
     configuration : Configuration
+    acceptance : Acceptance
     on_commit : callable
         Called when a note was committed here, so that it is applied at once.
     """
@@ -45,11 +46,13 @@
         runner: ProcedureRunner,
         store: StoreAccess,
         configuration: Configuration,
+        acceptance: Acceptance,
         on_commit: Callable[[], None],
     ) -> None:
         self._runner = runner
         self._store = store
         self._configuration = configuration
+        self._acceptance = acceptance
         self._on_commit = on_commit
 
     async def submit_note(self, text: str) -> NoteReport:
@@ -76,9 +79,7 @@
             if row is None or not isinstance(row.record, NoteRow):
                 return None
             return report_progress(
-                await self._runner.run(
-                    note_progress(self._store, row.record.generation)
-                )
+                await self._runner.run(self._acceptance.progress(row.record.generation))
             )
         except CoordinationError as error:
             raise OperatorCallError(f"{type(error).__name__}: {error}") from error
--- a/currantstage/cmd/_note.py
+++ b/currantstage/cmd/_note.py
@@ -151,6 +151,10 @@
         text += f", generation {report.generation}"
     if report.waiting_for:
         text += f", waiting for {', '.join(report.waiting_for)}"
+    if report.waiting_for and report.longest_wait_s is not None:
+        text += f" (at most {report.longest_wait_s:.0f} s)"
+    if report.waiting_for_teams:
+        text += f", teams above their limit: {', '.join(report.waiting_for_teams)}"
     return "\n".join((text, *(f"  {fault}" for fault in report.faults)))
 
 
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
+from currantstage.coordination._cleanup import (
+    CLEANUP_INTERVAL_S,
+    KEPT_GENERATIONS,
+    MAX_DELETIONS_PER_RUN,
+    REMOVAL_DELAY_S,
+    Cleanup,
+)
+from currantstage.coordination._config_lease import (
+    MAX_OPEN_RENEWALS,
+    RENEWALS_PER_LEASE,
+    ConfigLease,
+    Renewal,
+    RenewalNumber,
+)
 from currantstage.coordination._configuration import (
     Configuration,
-    Membership,
 )
 from currantstage.coordination._dispatch import (
     RETRY_AFTER_S,
@@ -25,6 +38,18 @@
     StoreContentError,
     WriteUncertainError,
 )
+from currantstage.coordination._fleet_check import (
+    MAX_CONFIG_LEASE_S,
+    MIN_CONFIG_LEASE_S,
+    FleetFault,
+    check_fleet,
+    is_address,
+    is_identifier,
+)
+from currantstage.coordination._head_watch import (
+    MAX_SIGHTINGS,
+    HeadWatch,
+)
 from currantstage.coordination._keys import (
     digest_secret,
     identify_team,
@@ -38,15 +63,25 @@
     LocalTeamLimiter,
     LocalWorkerSlots,
 )
+from currantstage.coordination._membership import (
+    MAX_RENEWAL_TRIES,
+    Membership,
+    RenewalOutcome,
+    RenewalRequest,
+)
+from currantstage.coordination._note_acceptance import (
+    Acceptance,
+    NoteProgress,
+    UpperLimitCheck,
+)
 from currantstage.coordination._note_check import (
-    MAX_CONFIG_LEASE_S,
-    MIN_CONFIG_LEASE_S,
     IdT,
     NoteFault,
     RecordT,
     check_note,
 )
 from currantstage.coordination._note_commit import (
+    GENERATION_PREFIX,
     Committed,
     Head,
     NoteIdTaken,
@@ -54,11 +89,16 @@
     NoteOvertaken,
     NoteRefusal,
     commit_note,
+    generation_of_object,
+    load_generation,
     load_head,
 )
-from currantstage.coordination._note_status import (
-    NoteProgress,
-    note_progress,
+from currantstage.coordination._note_items import (
+    FieldChange,
+    NoteItem,
+    NoteVerb,
+    diff_fleets,
+    list_items,
 )
 from currantstage.coordination._outcomes import (
     Answer,
@@ -99,19 +139,36 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._row_observer import (
+    RowObserver,
+)
 from currantstage.coordination._store_access import (
     ATTEMPT_ID_BITS,
     ReplyT,
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.coordination._store_health import (
+    FAILURES_TO_OPEN,
+    MAX_RETRY_TOKENS,
+    OPEN_S,
+    TOKENS_PER_SUCCESS,
+    CircuitBreaker,
+    RetryBudget,
+    StoreService,
+)
 
 __all__ = [
     "ATTEMPT_ID_BITS",
+    "Acceptance",
     "Answer",
     "Assignment",
+    "CLEANUP_INTERVAL_S",
+    "CircuitBreaker",
+    "Cleanup",
     "ClockRead",
     "Committed",
+    "ConfigLease",
     "Configuration",
     "CoordinationError",
     "DUTY_LEASE_S",
@@ -121,23 +178,37 @@
     "Duty",
     "DutyGrant",
     "DutyLeases",
+    "FAILURES_TO_OPEN",
+    "FieldChange",
+    "FleetFault",
+    "GENERATION_PREFIX",
     "GetObject",
     "Head",
+    "HeadWatch",
     "IdT",
+    "KEPT_GENERATIONS",
     "ListObjects",
     "ListVms",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
+    "MAX_DELETIONS_PER_RUN",
+    "MAX_OPEN_RENEWALS",
+    "MAX_RENEWAL_TRIES",
+    "MAX_RETRY_TOKENS",
+    "MAX_SIGHTINGS",
     "MIN_CONFIG_LEASE_S",
     "Membership",
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
+    "NoteItem",
     "NoteOvertaken",
     "NoteProgress",
     "NoteRefusal",
+    "NoteVerb",
+    "OPEN_S",
     "ObjectFetched",
     "ObjectsListed",
     "Outcome",
@@ -145,15 +216,23 @@
     "PlatformCall",
     "Procedure",
     "PutObject",
+    "REMOVAL_DELAY_S",
+    "RENEWALS_PER_LEASE",
     "RETRY_AFTER_S",
     "ReadClock",
     "ReadRow",
     "RecordT",
     "Refusal",
     "RefusalReason",
+    "Renewal",
+    "RenewalNumber",
+    "RenewalOutcome",
+    "RenewalRequest",
     "ReplyT",
     "RequestEnd",
+    "RetryBudget",
     "RetryPolicy",
+    "RowObserver",
     "RowRead",
     "RowsScanned",
     "ScanRows",
@@ -165,21 +244,30 @@
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "StoreService",
+    "TOKENS_PER_SUCCESS",
     "TeamLimiter",
     "TeamLoad",
     "Transact",
     "Transacted",
     "Uncertain",
+    "UpperLimitCheck",
     "VmsListed",
     "WorkerSlots",
     "WriteUncertainError",
+    "check_fleet",
     "check_note",
     "commit_note",
     "conclude",
+    "diff_fleets",
     "digest_secret",
+    "generation_of_object",
     "identify_team",
+    "is_address",
+    "is_identifier",
     "lapse_s",
+    "list_items",
+    "load_generation",
     "load_head",
-    "note_progress",
     "observer_wait_s",
 ]
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -2,40 +2,33 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from currantstage.coordination._note_commit import load_head
-from currantstage.state import (
-    ABSENT,
-    HEAD_KEY,
-    EntryVmRow,
-    Fleet,
-    Generation,
-    HeadRow,
-    RowVersion,
-    RowWrite,
-    entry_vm_key,
-)
-
-if TYPE_CHECKING:
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+from currantstage.coordination._config_lease import ConfigLease
+from currantstage.state import Fleet, Generation
 
 
 class Configuration:
-    """Holds the newest fleet that this entry VM has applied.
+    """Holds the newest fleet that this entry VM has applied, under its lease.
 
     Generations never fall: an older fleet is ignored.
     """
 
     def __init__(self) -> None:
         self._fleet = Fleet()
+        self.lease = ConfigLease()
 
     @property
     def fleet(self) -> Fleet:
         """The fleet in force."""
         return self._fleet
 
+    def may_serve_keyed(self, now_s: float) -> bool:
+        """Return whether work that needs a key may be admitted or started.
+
+        Once the lease has lapsed, a newer generation may have been accepted without
+        this entry VM, and keys that it still knows may be withdrawn.
+        """
+        return self.lease.is_held(now_s)
+
     def lacks(self, generation: Generation) -> bool:
         """Return whether `generation` is newer than the one in force."""
         return generation > self._fleet.generation
@@ -46,77 +39,3 @@
             return False
         self._fleet = fleet
         return True
-
-
-class Membership:
-    """Keeps this entry VM's row at the generation that it has applied.
-
-    Parameters
-    ----------
-    store : StoreAccess
-    configuration : Configuration
-    row : EntryVmRow
-        The row's first content, with this start's new incarnation.
-    """
-
-    def __init__(
-        self, store: StoreAccess, configuration: Configuration, row: EntryVmRow
-    ) -> None:
-        self._store = store
-        self._configuration = configuration
-        self._row = row
-        self._version: RowVersion | None = None
-
-    @property
-    def row(self) -> EntryVmRow:
-        """The row as it was last written."""
-        return self._row
-
-    def follow_head(self) -> Procedure[Generation]:
-        """Apply a newer generation when there is one, then record it.
-
-        Returns
-        -------
-        Generation
-            The generation in force. Raises `StoreAwayError` and
-            `WriteUncertainError`; the next call resumes.
-        """
-        row = yield from self._store.read(HEAD_KEY)
-        record = None if row is None else row.record
-        if isinstance(record, HeadRow) and self._configuration.lacks(record.generation):
-            head = yield from load_head(self._store)
-            self._configuration.apply(head.fleet)
-        generation = self._configuration.fleet.generation
-        if self._version is None or generation != self._row.applied_generation:
-            yield from self._record(generation)
-        return generation
-
-    def leave(self) -> Procedure[None]:
-        """Delete this entry VM's row, unless a newer start has taken it over."""
-        key = entry_vm_key(self._row.entry_vm)
-        current = yield from self._store.read(key)
-        if current is None or not isinstance(current.record, EntryVmRow):
-            return
-        if current.record.incarnation == self._row.incarnation:
-            yield from self._store.transact(
-                [RowWrite(key=key, expected_version=current.version, record=None)]
-            )
-
-    def _record(self, generation: Generation) -> Procedure[None]:
-        key = entry_vm_key(self._row.entry_vm)
-        current = yield from self._store.read(key)
-        version = ABSENT if current is None else current.version
-        row = EntryVmRow(
-            entry_vm=self._row.entry_vm,
-            incarnation=self._row.incarnation,
-            data_centre=self._row.data_centre,
-            http_address=self._row.http_address,
-            peer_address=self._row.peer_address,
-            applied_generation=generation,
-        )
-        outcome = yield from self._store.transact(
-            [RowWrite(key=key, expected_version=version, record=row)]
-        )
-        if outcome.is_applied:
-            self._row = row
-            self._version = RowVersion(version + 1)
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -15,6 +15,7 @@
     SendFailure,
     Uncertain,
 )
+from currantstage.state import QueueAccess
 
 if TYPE_CHECKING:
     from currantstage.coordination._configuration import Configuration
@@ -77,7 +78,7 @@
         self._is_stopping = True
 
     def admit(
-        self, queue_id: QueueId, presented_key: str | None
+        self, queue_id: QueueId, presented_key: str | None, now_s: float
     ) -> Result[Assignment, Refusal]:
         """Return the slot that the request takes, or why it is not run."""
         if self._is_stopping:
@@ -86,6 +87,11 @@
         queue = fleet.queues.get(queue_id)
         if queue is None:
             return Failure(Refusal(RefusalReason.QUEUE_UNKNOWN))
+        if not self._configuration.may_serve_keyed(now_s):
+            if queue.access is not QueueAccess.OPEN:
+                lapsed = Refusal(RefusalReason.CONFIG_LEASE_LAPSED, RETRY_AFTER_S)
+                return Failure(lapsed)
+            presented_key = None
         identified = identify_team(fleet, queue, presented_key)
         if isinstance(identified, Failure):
             return identified
--- a/currantstage/coordination/_duty_lease.py
+++ b/currantstage/coordination/_duty_lease.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from currantstage.coordination._lease_time import lapse_s, observer_wait_s
+from currantstage.coordination._row_observer import RowObserver
 from currantstage.state import (
     ABSENT,
     DUTY_PREFIX,
@@ -91,14 +92,6 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class _Observation:
-    """A lease row and when it was first seen at its version."""
-
-    version: RowVersion
-    first_seen_s: float
-
-
 class DutyLeases:
     """Takes, renews and resigns the leases of duties for one entry VM.
 
@@ -122,7 +115,7 @@
         self._holder = holder
         self._incarnation = incarnation
         self._lease_s = lease_s
-        self._observations: dict[DutyKind, _Observation] = {}
+        self._observer = RowObserver()
         self._grants: dict[DutyKind, DutyGrant] = {}
 
     def grant(self, duty: DutyKind, now_s: float) -> DutyGrant | None:
@@ -177,11 +170,8 @@
         assert isinstance(record, DutyLeaseRow)
         if record.holder is None:
             return True
-        seen = self._observations.get(record.duty)
-        if seen is None or seen.version != row.version:
-            self._observations[record.duty] = _Observation(row.version, now_s)
-            return False
-        return now_s - seen.first_seen_s >= observer_wait_s(record.lease_s)
+        unchanged_s = self._observer.unchanged_s(row, now_s)
+        return unchanged_s >= observer_wait_s(record.lease_s)
 
     def _renew(
         self, lease: VersionedRow, fence: VersionedRow | None
--- a/currantstage/coordination/_note_check.py
+++ b/currantstage/coordination/_note_check.py
@@ -9,20 +9,18 @@
 from msgspec import UNSET
 from returns.result import Failure, Result, Success
 
+from currantstage.coordination._fleet_check import check_fleet, is_identifier
+from currantstage.coordination._note_items import list_items
 from currantstage.state import Fleet, Generation, ItemKind, ReleaseNote
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from currantstage.state import Pool, PoolId, Queue, Team, Vm, Wave
+    from currantstage.coordination._fleet_check import FleetFault
 
 IdT = TypeVar("IdT", bound=str)
 RecordT = TypeVar("RecordT", bound=msgspec.Struct)
 
-#: Shortest and longest configuration lease that a note may set, in seconds.
-MIN_CONFIG_LEASE_S = 2.0
-MAX_CONFIG_LEASE_S = 3600.0
-
 
 @dataclass(frozen=True, slots=True)
 class NoteFault:
@@ -66,6 +64,8 @@
         The new fleet has the next generation.
     """
     faults: list[NoteFault] = []
+    if not is_identifier(note.note_id):
+        faults.append(NoteFault("id", "has 1 to 64 letters, digits, '-' and '_'"))
     tables = {
         section.kind: _apply_section(section, faults)
         for section in _sections(fleet, note)
@@ -83,7 +83,7 @@
         queues=tables[ItemKind.QUEUE],
         waves=tables[ItemKind.WAVE],
     )
-    faults.extend(_check_fleet(after))
+    faults.extend(_place_faults(note, check_fleet(after)))
     return Failure(tuple(faults)) if faults else Success(after)
 
 
@@ -141,83 +141,15 @@
     return msgspec.structs.replace(record, **values)
 
 
-def _check_fleet(fleet: Fleet) -> Iterable[NoteFault]:
-    yield from _check_lease(fleet)
-    for pool in fleet.pools.values():
-        yield from _check_pool(pool)
-    for vm in fleet.vms.values():
-        yield from _check_vm(fleet, vm)
-    for team in fleet.teams.values():
-        yield from _check_team(team)
-    for key in fleet.keys.values():
-        if key.team not in fleet.teams:
-            yield NoteFault(f"key {key.key_id}", f"team {key.team} does not exist")
-    for queue in fleet.queues.values():
-        yield from _check_queue(fleet, queue)
-    for wave in fleet.waves.values():
-        yield from _check_wave(fleet, wave)
-    yield from _check_addresses(fleet)
-
-
-def _check_lease(fleet: Fleet) -> Iterable[NoteFault]:
-    if not MIN_CONFIG_LEASE_S <= fleet.config_lease_s <= MAX_CONFIG_LEASE_S:
-        yield NoteFault(
-            "config_lease_s",
-            f"must lie between {MIN_CONFIG_LEASE_S:g} and {MAX_CONFIG_LEASE_S:g} s",
-        )
-
-
-def _check_pool(pool: Pool) -> Iterable[NoteFault]:
-    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 0:
-        yield NoteFault(f"pool {pool.pool_id}", "a budget must not be negative")
-
-
-def _check_vm(fleet: Fleet, vm: Vm) -> Iterable[NoteFault]:
-    place = f"vm {vm.vm_id}"
-    yield from _check_pools_exist(fleet, place, (vm.pool,))
-    if min(vm.slots, vm.connections) < 1:
-        yield NoteFault(place, "slots and connections must be positive")
-    if vm.connections < vm.slots:
-        yield NoteFault(place, "each slot needs a connection")
-
-
-def _check_team(team: Team) -> Iterable[NoteFault]:
-    place = f"team {team.team_id}"
-    if not 0 < team.share < float("inf"):
-        yield NoteFault(place, "share must be above zero and finite")
-    if team.upper_limit_slots < 0:
-        yield NoteFault(place, "upper_limit_slots must not be negative")
-
-
-def _check_queue(fleet: Fleet, queue: Queue) -> Iterable[NoteFault]:
-    place = f"queue {queue.queue_id}"
-    yield from _check_pools_exist(fleet, place, queue.pools)
-    if queue.timeout_ms < 1:
-        yield NoteFault(place, "timeout_ms must be positive")
-    if queue.max_waiting < 0:
-        yield NoteFault(place, "max_waiting must not be negative")
-
-
-def _check_wave(fleet: Fleet, wave: Wave) -> Iterable[NoteFault]:
-    place = f"wave {wave.wave_id}"
-    yield from _check_pools_exist(fleet, place, wave.pools)
-    if wave.period_s < 1:
-        yield NoteFault(place, "period_s must be positive")
-
-
-def _check_pools_exist(
-    fleet: Fleet, place: str, pools: tuple[PoolId, ...]
+def _place_faults(
+    note: ReleaseNote, faults: Iterable[FleetFault]
 ) -> Iterable[NoteFault]:
-    if not pools:
-        yield NoteFault(place, "needs a pool")
-    for pool in pools:
-        if pool not in fleet.pools:
-            yield NoteFault(place, f"pool {pool} does not exist")
-
-
-def _check_addresses(fleet: Fleet) -> Iterable[NoteFault]:
-    owner_of_address: dict[str, str] = {}
-    for vm in sorted(fleet.vms.values(), key=lambda vm: vm.vm_id):
-        owner = owner_of_address.setdefault(vm.address, vm.vm_id)
-        if owner != vm.vm_id:
-            yield NoteFault(f"vm {vm.vm_id}", f"address {vm.address} is vm {owner}'s")
+    """Return faults of the fleet with their places in the note that causes them."""
+    items = {(item.kind, item.item_id): str(item) for item in list_items(note)}
+    for fault in faults:
+        if fault.kind is None:
+            yield NoteFault(fault.item_id, fault.reason)
+            continue
+        otherwise = f"{fault.kind.value} {fault.item_id}, which the note leaves"
+        place = items.get((fault.kind, fault.item_id), otherwise)
+        yield NoteFault(place, fault.reason)
--- a/currantstage/coordination/_note_commit.py
+++ b/currantstage/coordination/_note_commit.py
@@ -7,8 +7,9 @@
 
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination._errors import StoreContentError
+from currantstage.coordination._errors import StoreAwayError, StoreContentError
 from currantstage.coordination._note_check import NoteFault, check_note
+from currantstage.coordination._note_items import NoteItem, list_items
 from currantstage.state import (
     ABSENT,
     HEAD_KEY,
@@ -28,6 +29,11 @@
 if TYPE_CHECKING:
     from currantstage.coordination._procedures import Procedure
     from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import VersionedRow
+
+
+#: Start of the names of the objects that hold generations.
+GENERATION_PREFIX = "generation/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +60,14 @@
         The generation that won.
     note_id : NoteId
         The note that won.
+    touched : tuple of NoteItem
+        What the note that won adds, changes and withdraws; empty when its object
+        can't be read now.
     """
 
     generation: Generation
     note_id: NoteId
+    touched: tuple[NoteItem, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +97,10 @@
     note_id: NoteId | None
 
 
-def load_head(store: StoreAccess) -> Procedure[Head]:
-    """Read the head row and the snapshot that it names.
+def load_generation(
+    store: StoreAccess, head: VersionedRow | None
+) -> Procedure[StoredGeneration]:
+    """Return the object that a head row names.
 
     Raises
     ------
@@ -97,15 +109,30 @@
     StoreContentError
         The head row names an object that does not exist.
     """
+    if head is None or not isinstance(head.record, HeadRow):
+        raise StoreContentError(f"{HEAD_KEY} holds no head")
+    stored = yield from store.get_object(head.record.object_name)
+    if stored is None:
+        raise StoreContentError(f"object {head.record.object_name} is missing")
+    return stored
+
+
+def generation_of_object(name: ObjectName) -> Generation:
+    """Return the generation in an object's name.
+
+    >>> generation_of_object(ObjectName("generation/000000000012/5f"))
+    12
+    """
+    return Generation(int(name.removeprefix(GENERATION_PREFIX).partition("/")[0]))
+
+
+def load_head(store: StoreAccess) -> Procedure[Head]:
+    """Read the head row and its snapshot; raises as `load_generation` does."""
     row = yield from store.read(HEAD_KEY)
     if row is None:
         return Head(ABSENT, Fleet(), None)
-    if not isinstance(row.record, HeadRow):
-        raise StoreContentError(f"{HEAD_KEY} holds another kind of record")
-    stored = yield from store.get_object(row.record.object_name)
-    if stored is None:
-        raise StoreContentError(f"object {row.record.object_name} is missing")
-    return Head(row.version, stored.fleet, row.record.note_id)
+    stored = yield from load_generation(store, row)
+    return Head(row.version, stored.fleet, stored.note.note_id)
 
 
 def commit_note(
@@ -130,7 +157,9 @@
         return Failure(NoteInvalid(checked.failure()))
     fleet = checked.unwrap()
     # Racing operators write the same generation, so the name also has the attempt.
-    name = ObjectName(f"generation/{fleet.generation:012d}/{store.new_attempt()}")
+    name = ObjectName(
+        f"{GENERATION_PREFIX}{fleet.generation:012d}/{store.new_attempt()}"
+    )
     yield from store.put_object(name, StoredGeneration(note=note, fleet=fleet))
     outcome = yield from store.transact(
         _commit_writes(head.version, fleet.generation, note.note_id, name, digest)
@@ -190,4 +219,9 @@
     row = yield from store.read(HEAD_KEY)
     if row is None or not isinstance(row.record, HeadRow):
         raise StoreContentError("the head row vanished")
-    return Failure(NoteOvertaken(row.record.generation, row.record.note_id))
+    try:
+        stored = yield from load_generation(store, row)
+        touched = tuple(list_items(stored.note))
+    except StoreAwayError:
+        touched = ()
+    return Failure(NoteOvertaken(row.record.generation, row.record.note_id, touched))
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -21,6 +21,8 @@
 
     KEY_REFUSED = "key-refused"
     QUEUE_UNKNOWN = "queue-unknown"
+    #: The entry VM can't tell whether the key has been withdrawn.
+    CONFIG_LEASE_LAPSED = "config-lease-lapsed"
     TEAM_AT_LIMIT = "team-at-limit"
     NO_CAPACITY = "no-capacity"
     STOPPING = "stopping"
--- a/currantstage/coordination/_store_access.py
+++ b/currantstage/coordination/_store_access.py
@@ -16,6 +16,7 @@
     ObjectFetched,
     ObjectsListed,
     Pause,
+    PlatformCall,
     Procedure,
     PutObject,
     ReadClock,
@@ -23,14 +24,24 @@
     RowRead,
     RowsScanned,
     ScanRows,
-    StoreCall,
     StoreFailed,
     StoreReply,
     Transact,
     Transacted,
     VmsListed,
 )
-from currantstage.state import AttemptId, RowWrite, TransactionItem, TransactionOutcome
+from currantstage.coordination._store_health import (
+    CircuitBreaker,
+    RetryBudget,
+    StoreService,
+)
+from currantstage.state import (
+    ABSENT,
+    AttemptId,
+    RowWrite,
+    TransactionItem,
+    TransactionOutcome,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -76,6 +87,9 @@
 class StoreAccess:
     """Reads and writes of the platform's service as procedures.
 
+    Failed calls are repeated within a retry budget, and a circuit breaker fails calls
+    to a service that keeps failing at once.
+
     Parameters
     ----------
     random : Random
@@ -86,6 +100,8 @@
     def __init__(self, random: Random, policy: RetryPolicy) -> None:
         self._random = random
         self._policy = policy
+        self._budget = RetryBudget()
+        self._breakers = {service: CircuitBreaker() for service in StoreService}
 
     def new_attempt(self) -> AttemptId:
         """Return a name for one write that no other write shares."""
@@ -147,53 +163,84 @@
         StoreAwayError
             Nothing was written.
         WriteUncertainError
-            The answer was lost, and reading back failed as well.
+            The answer was lost, and reading back failed or shows nothing yet; the
+            write may still take effect.
         """
         attempt = self.new_attempt()
-        call = Transact(attempt, tuple(items))
-        read_back_key = _first_written_key(items)
+        written = _first_write(items)
         is_uncertain = False
         for tries in range(1, self._policy.max_tries + 1):
-            reply = yield call
+            reply = yield from self._try(Transact(attempt, tuple(items)))
             if isinstance(reply, Transacted):
                 if reply.outcome.is_applied or not is_uncertain:
                     return reply.outcome
                 # An earlier try may have applied the writes and moved the versions.
-                return (
-                    yield from self._read_back(attempt, read_back_key, reply.outcome)
-                )
+                return (yield from self._read_back(attempt, written, reply.outcome))
             is_uncertain = is_uncertain or _may_have_applied(reply)
-            yield Pause(self._policy.delay_s(tries, self._random))
+            if not (yield from self._may_repeat(tries)):
+                break
         if not is_uncertain:
-            raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
-        conflict = TransactionOutcome(is_applied=False, conflicting_key=read_back_key)
-        return (yield from self._read_back(attempt, read_back_key, conflict))
+            raise StoreAwayError("the transaction got no answer")
+        return (yield from self._read_back(attempt, written, None))
 
     def _read_back(
         self,
         attempt: AttemptId,
-        key: RowKey,
-        otherwise: TransactionOutcome,
+        written: RowWrite,
+        otherwise: TransactionOutcome | None,
     ) -> Procedure[TransactionOutcome]:
         try:
-            row = yield from self.read(key)
+            row = yield from self.read(written.key)
         except StoreAwayError as error:
             raise WriteUncertainError(f"attempt {attempt}") from error
         if row is not None and row.attempt == attempt:
             return TransactionOutcome(is_applied=True)
-        return otherwise
+        if otherwise is not None:
+            return otherwise
+        if written.expected_version == (ABSENT if row is None else row.version):
+            raise WriteUncertainError(f"attempt {attempt} may still take effect")
+        return TransactionOutcome(is_applied=False, conflicting_key=written.key)
 
-    def _repeat(self, call: StoreCall, expected: type[ReplyT]) -> Procedure[ReplyT]:
+    def _repeat(self, call: PlatformCall, expected: type[ReplyT]) -> Procedure[ReplyT]:
         for tries in range(1, self._policy.max_tries + 1):
-            reply: StoreReply = yield call
+            reply = yield from self._try(call)
             if isinstance(reply, expected):
                 return reply
-            yield Pause(self._policy.delay_s(tries, self._random))
-        raise StoreAwayError(f"no answer in {self._policy.max_tries} tries")
-
-
-def _first_written_key(items: Sequence[TransactionItem]) -> RowKey:
-    return next(item.key for item in items if isinstance(item, RowWrite))
+            if not (yield from self._may_repeat(tries)):
+                break
+        raise StoreAwayError(f"no answer to {type(call).__name__}")
+
+    def _try(self, call: PlatformCall) -> Procedure[StoreReply]:
+        """Make one call, or fail it at once while the service's circuit is open."""
+        breaker = self._breakers[_service_of(call)]
+        if breaker.is_open and not breaker.try_probe((yield from self.now_s())):
+            return StoreFailed(may_have_applied=False)
+        reply = yield call
+        if not isinstance(reply, StoreFailed):
+            breaker.record_success()
+            self._budget.record_success()
+            return reply
+        breaker.record_failure()
+        if breaker.is_tripped:
+            breaker.open((yield from self.now_s()))
+        return reply
+
+    def _may_repeat(self, tries: int) -> Procedure[bool]:
+        """Wait before the next try; return False when there is none."""
+        if tries >= self._policy.max_tries or not self._budget.try_spend():
+            return False
+        yield Pause(self._policy.delay_s(tries, self._random))
+        return True
+
+
+def _first_write(items: Sequence[TransactionItem]) -> RowWrite:
+    return next(item for item in items if isinstance(item, RowWrite))
+
+
+def _service_of(call: PlatformCall) -> StoreService:
+    if isinstance(call, ReadRow | ScanRows | Transact):
+        return StoreService.TABLE
+    return StoreService.DIRECTORY if isinstance(call, ListVms) else StoreService.OBJECTS
 
 
 def _may_have_applied(reply: StoreReply) -> bool:
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -25,6 +25,7 @@
 _STATUS_OF_REASON = {
     RefusalReason.KEY_REFUSED: 403,
     RefusalReason.QUEUE_UNKNOWN: 404,
+    RefusalReason.CONFIG_LEASE_LAPSED: 503,
     RefusalReason.TEAM_AT_LIMIT: 429,
     RefusalReason.NO_CAPACITY: 429,
     RefusalReason.STOPPING: 503,
--- a/currantstage/protocol/_operators.py
+++ b/currantstage/protocol/_operators.py
@@ -15,7 +15,7 @@
     NoteProgress,
     NoteRefusal,
 )
-from currantstage.state import EntryVmId, Generation
+from currantstage.state import EntryVmId, Generation, TeamId
 
 #: Header that carries the operators' key.
 OPERATOR_KEY_HEADER = "currantstage-operator-key"
@@ -41,12 +41,18 @@
         The generation that the note made, or the one that overtook it.
     waiting_for : tuple of EntryVmId
         Entry VMs in which the note is not in force yet.
+    waiting_for_teams : tuple of TeamId
+        Teams that still hold more than a lowered upper limit.
+    longest_wait_s : float or None
+        Bound on the wait for the entry VMs, in seconds.
     faults : tuple of str
     """
 
     state: NoteState
     generation: Generation | None = None
     waiting_for: tuple[EntryVmId, ...] = ()
+    waiting_for_teams: tuple[TeamId, ...] = ()
+    longest_wait_s: float | None = None
     faults: tuple[str, ...] = ()
 
 
@@ -60,7 +66,11 @@
     """Return the report of a committed note."""
     state = NoteState.ACCEPTED if progress.is_accepted else NoteState.COMMITTED
     return NoteReport(
-        state=state, generation=progress.generation, waiting_for=progress.waiting_for
+        state=state,
+        generation=progress.generation,
+        waiting_for=progress.waiting_for,
+        waiting_for_teams=progress.waiting_for_teams,
+        longest_wait_s=progress.longest_wait_s,
     )
 
 
@@ -78,7 +88,10 @@
         return NoteReport(
             state=NoteState.OVERTAKEN,
             generation=refusal.generation,
-            faults=(f"note {refusal.note_id} was committed first",),
+            faults=(
+                f"note {refusal.note_id} was committed first",
+                *(f"it has: {item}" for item in refusal.touched),
+            ),
         )
     assert isinstance(refusal, NoteIdTaken)
     return NoteReport(
--- a/currantstage/state/__init__.py
+++ b/currantstage/state/__init__.py
@@ -64,10 +64,12 @@
     VmLiveness,
 )
 from currantstage.state._rows import (
+    ACCEPTED_KEY,
     DUTY_PREFIX,
     ENTRY_VM_PREFIX,
     HEAD_KEY,
     NOTE_PREFIX,
+    AcceptedRow,
     DutyFenceRow,
     DutyKind,
     DutyLeaseRow,
@@ -89,6 +91,8 @@
 
 __all__ = [
     "ABSENT",
+    "ACCEPTED_KEY",
+    "AcceptedRow",
     "Additions",
     "AttemptId",
     "Changes",
--- a/currantstage/state/_fleet.py
+++ b/currantstage/state/_fleet.py
@@ -20,7 +20,7 @@
 )
 
 #: Configuration lease used until a release note sets another, in seconds.
-DEFAULT_CONFIG_LEASE_S = 30.0
+DEFAULT_CONFIG_LEASE_S = 10.0
 
 
 class QueueAccess(Enum):
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -23,6 +23,7 @@
 from currantstage.state._notes import ReleaseNote
 
 HEAD_KEY = RowKey("head")
+ACCEPTED_KEY = RowKey("accepted")
 ENTRY_VM_PREFIX = RowKey("entry-vm/")
 NOTE_PREFIX = RowKey("note/")
 DUTY_PREFIX = RowKey("duty/")
@@ -55,8 +56,28 @@
     digest: str
 
 
+class AcceptedRow(Struct, frozen=True, kw_only=True, tag="accepted"):
+    """The newest generation known to be in force everywhere; it never falls."""
+
+    generation: Generation
+
+
 class EntryVmRow(Struct, frozen=True, kw_only=True, tag="entry-vm"):
-    """Membership of an entry VM and the generation that it has applied."""
+    """Membership of one start of an entry VM, and its configuration lease.
+
+    Every write of this row is a renewal of the lease, and takes effect only while
+    `applied_generation` is the head.
+
+    Parameters
+    ----------
+    entry_vm : EntryVmId
+    incarnation : IncarnationId
+    data_centre : DataCentreId
+    http_address, peer_address : str
+    applied_generation : Generation
+    config_lease_s : float
+        Length of the lease that this renewal started, in seconds.
+    """
 
     entry_vm: EntryVmId
     incarnation: IncarnationId
@@ -64,6 +85,7 @@
     http_address: str
     peer_address: str
     applied_generation: Generation
+    config_lease_s: float
 
 
 class DutyLeaseRow(Struct, frozen=True, kw_only=True, tag="duty-lease"):
@@ -100,7 +122,9 @@
     fencing: FencingNumber
 
 
-Record: TypeAlias = HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
+Record: TypeAlias = (
+    HeadRow | AcceptedRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
+)
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
@@ -160,13 +184,15 @@
     conflicting_key: RowKey | None = None
 
 
-def entry_vm_key(entry_vm: EntryVmId) -> RowKey:
-    """Return the key of the membership row of `entry_vm`.
+def entry_vm_key(entry_vm: EntryVmId, incarnation: IncarnationId) -> RowKey:
+    """Return the key of the membership row of one start of `entry_vm`.
+
+    Each start has a row of its own, since the process before it may still run.
 
-    >>> entry_vm_key(EntryVmId("a1"))
-    'entry-vm/a1'
+    >>> entry_vm_key(EntryVmId("a1"), IncarnationId("5f"))
+    'entry-vm/a1/5f'
     """
-    return RowKey(f"{ENTRY_VM_PREFIX}{entry_vm}")
+    return RowKey(f"{ENTRY_VM_PREFIX}{entry_vm}/{incarnation}")
 
 
 def note_key(note_id: NoteId) -> RowKey:
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from currantstage.coordination import Configuration, Membership, commit_note
+from currantstage.coordination import Configuration, HeadWatch, Membership, commit_note
 from currantstage.state import (
+    DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
     DataCentreId,
     EntryVmId,
@@ -25,8 +26,13 @@
         http_address="127.0.0.1:1",
         peer_address="127.0.0.1:2",
         applied_generation=FIRST_GENERATION,
+        config_lease_s=DEFAULT_CONFIG_LEASE_S,
     )
-    return Membership(make_store_access(seed), configuration, row)
+    return Membership(make_store_access(seed), configuration, HeadWatch(), row)
+
+
+def key_of(membership):
+    return entry_vm_key(membership.row.entry_vm, membership.row.incarnation)
 
 
 def test_an_older_generation_is_ignored():
@@ -43,7 +49,7 @@
     store.run(membership.follow_head())
     store.run(commit_note(make_store_access(), make_note("a"), "a"))
     store.run(membership.follow_head())
-    row = store.rows[entry_vm_key(EntryVmId("e1"))].record
+    row = store.rows[key_of(membership)].record
     assert row.applied_generation == configuration.fleet.generation == 1
 
 
@@ -54,6 +60,7 @@
     store.run(first.follow_head())
     store.run(second.follow_head())
     store.run(first.leave())
-    assert entry_vm_key(EntryVmId("e1")) in store.rows
+    assert key_of(first) not in store.rows
+    assert key_of(second) in store.rows
     store.run(second.leave())
-    assert entry_vm_key(EntryVmId("e1")) not in store.rows
+    assert key_of(second) not in store.rows
--- a/tests/coordination/test_duty_lease.py
+++ b/tests/coordination/test_duty_lease.py
@@ -8,6 +8,7 @@
 
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    OPEN_S,
     DutyLeases,
     Transact,
     WriteUncertainError,
@@ -57,6 +58,7 @@
             http_address="127.0.0.1:1",
             peer_address="127.0.0.1:2",
             applied_generation=Generation(grant.fencing),
+            config_lease_s=10.0,
         )
         version = ABSENT if current is None else current.version
         write = RowWrite(key=EFFECT_KEY, expected_version=version, record=record)
@@ -142,6 +144,7 @@
         first.tend()
     assert first.grant() is None
     store.choose_fault = lambda call: Fault.NONE
+    first.clock.time_s += OPEN_S
     second.tend()
     first.tend()
     assert first.grant().fencing == 1
--- a/tests/coordination/test_note_commit.py
+++ b/tests/coordination/test_note_commit.py
@@ -9,7 +9,9 @@
     Committed,
     NoteIdTaken,
     NoteInvalid,
+    NoteItem,
     NoteOvertaken,
+    NoteVerb,
     PutObject,
     StoreAwayError,
     Transact,
@@ -20,6 +22,7 @@
     HEAD_KEY,
     Additions,
     Generation,
+    ItemKind,
     NoteId,
     ReleaseNote,
     Team,
@@ -127,6 +130,7 @@
     with pytest.raises(StopIteration) as stop:
         while True:
             call = slow.send(store.answer(call))
-    overtaken = NoteOvertaken(Generation(1), NoteId("add-fast"))
+    touched = (NoteItem(NoteVerb.ADD, ItemKind.TEAM, "fast"),)
+    overtaken = NoteOvertaken(Generation(1), NoteId("add-fast"), touched)
     assert stop.value.value == Failure(overtaken)
     assert store.rows[HEAD_KEY].record.generation == 1
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,6 +9,7 @@
 
 from currantstage.coordination import (
     ClockRead,
+    Configuration,
     DeleteObject,
     Done,
     GetObject,
@@ -152,3 +153,9 @@
 def make_store_access(seed: int = 1) -> StoreAccess:
     """Return a `StoreAccess` whose random choices are fixed."""
     return StoreAccess(random.Random(seed), RetryPolicy())
+
+
+def hold_lease(configuration: Configuration, lease_s: float = 1e9) -> None:
+    """Let `configuration` serve keyed work for `lease_s` from time zero."""
+    renewal = configuration.lease.send(0.0, lease_s)
+    configuration.lease.confirm(renewal.number)
