Choose the next waiting request by weighted max-min shares

Cause: a full fleet must serve each team by its share, whoever floods it. Change: WeightedMaxMin implements SharePolicy as a pure function over the teams' loads; max_min_slots gives the allocation that it approaches. TeamLoad gains running_elsewhere_slots (default 0), what gossip says of the other data centres; it counts above a local floor, so that no team starves.

--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -80,6 +80,13 @@
     Transact,
     Transacted,
 )
+from currantstage.coordination._shares import (
+    LOCAL_FLOOR_FRACTION,
+    ROUNDING_SLOTS,
+    TeamDemand,
+    WeightedMaxMin,
+    max_min_slots,
+)
 from currantstage.coordination._store_access import (
     ATTEMPT_ID_BITS,
     ReplyT,
@@ -99,6 +106,7 @@
     "GetObject",
     "Head",
     "IdT",
+    "LOCAL_FLOOR_FRACTION",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
     "MAX_CONFIG_LEASE_S",
@@ -116,6 +124,7 @@
     "Procedure",
     "PutObject",
     "RETRY_AFTER_S",
+    "ROUNDING_SLOTS",
     "ReadRow",
     "RecordT",
     "Refusal",
@@ -134,11 +143,13 @@
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "TeamDemand",
     "TeamLimiter",
     "TeamLoad",
     "Transact",
     "Transacted",
     "Uncertain",
+    "WeightedMaxMin",
     "WorkerSlots",
     "WriteUncertainError",
     "check_note",
@@ -147,5 +158,6 @@
     "digest_secret",
     "identify_team",
     "load_head",
+    "max_min_slots",
     "note_progress",
 ]
--- a/currantstage/coordination/_policies.py
+++ b/currantstage/coordination/_policies.py
@@ -23,12 +23,15 @@
     running_slots : float
         Slots that the team holds now, weighted by size.
     waiting_requests : int
+    running_elsewhere_slots : float
+        The same in the other data centres, as far as gossip tells.
     """
 
     team: TeamId
     share: float
     running_slots: float
     waiting_requests: int
+    running_elsewhere_slots: float = 0.0
 
 
 class TeamLimiter(Protocol):
