Divide limits among entry VMs by allotments

Cause: an upper limit holds over the whole fleet, and callers come to any entry VM. Change: a ledger row a scope and one row a holder in the table; slots move between holders by totals that only rise, which loss, doubling and reordering can't harm; a dead holder's slots come back after its longest work has ended and every living holder has recorded what it traded with the dead. The same code serves team limits and worker slots, by resource and scope. Tests cause loss, doubling, reordering, crashes on either side, restart, a cut-off holder, lost answers, store outage, a lowered limit, a limit of 1 at 8 entry VMs; a fuzz machine checks the bound at each step. Conclusion: not yet wired into the daemon.

--- /dev/null
+++ b/currantstage/coordination/_allotment_demand.py
@@ -0,0 +1,114 @@
+"""What a holder lacks, what peers have asked of it, and who goes first."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from currantstage.coordination._allotment_messages import Need, Peer
+    from currantstage.state import ResourceId
+
+#: How long work that found no slot counts as waiting, in seconds.
+SHORTAGE_MEMORY_S = 0.5
+#: How long a peer's unmet request is remembered, in seconds.
+CLAIM_MEMORY_S = 1.0
+#: Shortest time between two handovers of the odd slot while both sides want it.
+CONTENDED_HOLD_S = 0.5
+
+
+class ShortageLog:
+    """Remembers for which resources work found no slot, and how often."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[ResourceId] = Counter()
+        self._last_s: dict[ResourceId, float] = {}
+
+    def note(self, resource: ResourceId, now_s: float) -> None:
+        """Record that work found no slot of `resource`."""
+        if not self.is_short(resource, now_s):
+            self._counts[resource] = 0
+        self._counts[resource] += 1
+        self._last_s[resource] = now_s
+
+    def is_short(self, resource: ResourceId, now_s: float) -> bool:
+        """Return whether work found no slot lately."""
+        last_s = self._last_s.get(resource)
+        return last_s is not None and now_s - last_s < SHORTAGE_MEMORY_S
+
+    def current(self, now_s: float) -> dict[ResourceId, int]:
+        """Return how often work lately found no slot, by resource."""
+        self._last_s = {
+            resource: last_s
+            for resource, last_s in self._last_s.items()
+            if now_s - last_s < SHORTAGE_MEMORY_S
+        }
+        return {resource: self._counts[resource] for resource in self._last_s}
+
+    def clear(self, resource: ResourceId) -> None:
+        """Forget a shortage that has been met."""
+        self._last_s.pop(resource, None)
+
+
+@dataclass(slots=True)
+class _Claim:
+    peer: Peer
+    slots: int
+    until_s: float
+
+
+class ClaimQueue:
+    """Slots that peers wanted while there were none idle, oldest first."""
+
+    def __init__(self) -> None:
+        self._claims: dict[ResourceId, list[_Claim]] = {}
+
+    def put(self, resource: ResourceId, peer: Peer, slots: int, now_s: float) -> None:
+        """Set what `peer` has coming; it keeps its place if it had one."""
+        claims = self._claims.setdefault(resource, [])
+        until_s = now_s + CLAIM_MEMORY_S
+        for claim in claims:
+            if claim.peer == peer:
+                claim.slots, claim.until_s = slots, until_s
+                return
+        if slots > 0:
+            claims.append(_Claim(peer, slots, until_s))
+
+    def take_one(self, resource: ResourceId, now_s: float) -> Peer | None:
+        """Return the peer that gets the next slot, if any has one coming."""
+        claims = [
+            claim
+            for claim in self._claims.get(resource, ())
+            if claim.slots > 0 and claim.until_s > now_s
+        ]
+        if not claims:
+            self._claims.pop(resource, None)
+            return None
+        claim = claims[0]
+        claim.slots -= 1
+        self._claims[resource] = [*claims[1:], claim]
+        return claim.peer
+
+
+def fair_excess(held_slots: int, need: Need, may_give_odd: bool) -> int:
+    """Return the slots that evening out with a peer takes from `held_slots`.
+
+    Parameters
+    ----------
+    held_slots : int
+    need : Need
+        What the peer holds and wants.
+    may_give_odd : bool
+        Whether a single slot more than the peer's may go; both sides want it, so it
+        goes back and forth.
+
+    Examples
+    --------
+    >>> from currantstage.coordination import Need
+    >>> fair_excess(5, Need(held_slots=1, wanted_slots=9), may_give_odd=False)
+    2
+    """
+    difference = held_slots - need.held_slots
+    even = difference // 2 if difference > 1 else int(difference == 1 and may_give_odd)
+    return max(0, min(need.wanted_slots, even))
--- /dev/null
+++ b/currantstage/coordination/_allotment_ledger.py
@@ -0,0 +1,102 @@
+"""The ledger of a scope: totals that follow the limits, and what is free."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from currantstage.state import team_resource, worker_resource
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from currantstage.state import (
+        DataCentreId,
+        Fleet,
+        Generation,
+        IncarnationId,
+        LedgerRow,
+        ResourceId,
+    )
+
+
+def team_limits(fleet: Fleet) -> dict[ResourceId, int]:
+    """Return the upper limit of every team, as resources."""
+    return {
+        team_resource(team.team_id): team.upper_limit_slots
+        for team in fleet.teams.values()
+    }
+
+
+def worker_limits(fleet: Fleet, data_centre: DataCentreId) -> dict[ResourceId, int]:
+    """Return the slots of every worker of `data_centre`, as resources."""
+    return {
+        worker_resource(vm.vm_id): vm.slots
+        for vm in fleet.vms.values()
+        if fleet.pools[vm.pool].data_centre == data_centre
+    }
+
+
+def allotted_slots(ledger: LedgerRow, resource: ResourceId) -> int:
+    """Return the slots of `resource` that exist: free, held or under way.
+
+    No more than these can ever be in use at once.
+    """
+    return ledger.total_slots.get(resource, 0)
+
+
+def resources_above_limit(
+    ledger: LedgerRow, limits: Mapping[ResourceId, int]
+) -> tuple[ResourceId, ...]:
+    """Return the resources of which more slots exist than `limits` allow.
+
+    A lowered limit holds everywhere once its resource is no longer among them.
+    """
+    return tuple(
+        resource
+        for resource, total in sorted(ledger.total_slots.items())
+        if total > limits.get(resource, 0)
+    )
+
+
+def follow_limits(
+    ledger: LedgerRow, generation: Generation, limits: Mapping[ResourceId, int]
+) -> LedgerRow:
+    """Return the ledger after the totals have moved towards `limits`.
+
+    A raised limit creates free slots; a lowered one destroys those that are free,
+    and the rest as holders give it back. A caller whose configuration is older than
+    the ledger's changes nothing, so an old limit never comes back.
+    """
+    if generation < ledger.generation:
+        return ledger
+    total, free = dict(ledger.total_slots), dict(ledger.free_slots)
+    for resource in total.keys() | limits.keys():
+        excess = total.get(resource, 0) - limits.get(resource, 0)
+        change = -min(excess, free.get(resource, 0))
+        total[resource] = total.get(resource, 0) + change
+        free[resource] = free.get(resource, 0) + change
+    return replace(
+        ledger,
+        generation=generation,
+        total_slots=_without_zeros(total),
+        free_slots=_without_zeros(free),
+    )
+
+
+def move_from_free(ledger: LedgerRow, taken: Mapping[ResourceId, int]) -> LedgerRow:
+    """Return the ledger after `taken` slots left the free ones; below zero returns."""
+    free = dict(ledger.free_slots)
+    for resource, slots in taken.items():
+        free[resource] = free.get(resource, 0) - slots
+    return replace(ledger, free_slots=_without_zeros(free))
+
+
+def retire_holders(ledger: LedgerRow, holders: Iterable[IncarnationId]) -> LedgerRow:
+    """Return the ledger with `holders` added to the retired ones."""
+    return replace(ledger, retired=tuple(sorted({*ledger.retired, *holders})))
+
+
+def _without_zeros(slots: Mapping[ResourceId, int]) -> dict[ResourceId, int]:
+    return {resource: slots[resource] for resource in sorted(slots) if slots[resource]}
--- a/currantstage/state/__init__.py
+++ b/currantstage/state/__init__.py
@@ -2,6 +2,20 @@
 
 from __future__ import annotations
 
+from currantstage.state._allotment_rows import (
+    ALLOTMENT_PREFIX,
+    FLEET_SCOPE,
+    HolderRow,
+    LedgerRow,
+    ResourceId,
+    ScopeId,
+    data_centre_scope,
+    holder_key,
+    holder_prefix,
+    ledger_key,
+    team_resource,
+    worker_resource,
+)
 from currantstage.state._errors import (
     PeerUnavailableError,
     StateError,
@@ -81,6 +95,7 @@
 
 __all__ = [
     "ABSENT",
+    "ALLOTMENT_PREFIX",
     "Additions",
     "AttemptId",
     "Changes",
@@ -91,15 +106,18 @@
     "EntryVmId",
     "EntryVmRow",
     "FIRST_GENERATION",
+    "FLEET_SCOPE",
     "FencingNumber",
     "Fleet",
     "Generation",
     "HEAD_KEY",
     "HeadRow",
+    "HolderRow",
     "IncarnationId",
     "ItemKind",
     "Key",
     "KeyId",
+    "LedgerRow",
     "ListedVm",
     "NOTE_PREFIX",
     "NoteId",
@@ -120,9 +138,11 @@
     "Record",
     "ReleaseNote",
     "RequestId",
+    "ResourceId",
     "RowKey",
     "RowVersion",
     "RowWrite",
+    "ScopeId",
     "StateError",
     "StoreUnavailableError",
     "StoreUncertainError",
@@ -142,6 +162,12 @@
     "WaveChange",
     "WaveId",
     "Withdrawals",
+    "data_centre_scope",
     "entry_vm_key",
+    "holder_key",
+    "holder_prefix",
+    "ledger_key",
     "note_key",
+    "team_resource",
+    "worker_resource",
 ]
--- /dev/null
+++ b/currantstage/state/_allotment_rows.py
@@ -0,0 +1,113 @@
+"""Rows that divide upper limits and worker slots among the entry VMs."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+from msgspec import Struct, field
+
+from currantstage.state._ids import (
+    FIRST_GENERATION,
+    DataCentreId,
+    EntryVmId,
+    Generation,
+    IncarnationId,
+    RowKey,
+    TeamId,
+    VmId,
+)
+
+#: Something with a number of slots: a team's upper limit, or a worker.
+ResourceId = NewType("ResourceId", str)
+#: The entry VMs that divide the same resources among themselves.
+ScopeId = NewType("ScopeId", str)
+
+#: Scope of the teams' upper limits.
+FLEET_SCOPE = ScopeId("fleet")
+ALLOTMENT_PREFIX = RowKey("allotment/")
+
+
+class LedgerRow(Struct, frozen=True, kw_only=True, tag="allotment-ledger"):
+    """Slots of each resource that exist, and those that nobody holds.
+
+    Parameters
+    ----------
+    generation : Generation
+        Newest configuration that has changed the totals.
+    total_slots : dict
+        Slots in existence by resource: free, held and under way between holders.
+    free_slots : dict
+        Slots that no holder has; resources without any are left out.
+    retired : tuple of IncarnationId
+        Holders that run nothing any more and whose slots are being reclaimed.
+    reclaims : int
+        How often the slots of retired holders have been added to the free ones.
+    """
+
+    generation: Generation = FIRST_GENERATION
+    total_slots: dict[ResourceId, int] = field(default_factory=dict)
+    free_slots: dict[ResourceId, int] = field(default_factory=dict)
+    retired: tuple[IncarnationId, ...] = ()
+    reclaims: int = 0
+
+
+class HolderRow(Struct, frozen=True, kw_only=True, tag="allotment-holder"):
+    """What one start of an entry VM has taken from the ledger.
+
+    Transfers between holders are not in the rows until one of the two is retired.
+
+    Parameters
+    ----------
+    incarnation : IncarnationId
+    entry_vm : EntryVmId
+    max_work_s : float
+        Longest time that work started by this holder may still run, in seconds.
+    granted_slots : dict
+        Slots taken from the ledger less those given back, by resource. Below zero
+        for a holder that gave back more than it took, having got them from peers.
+    closed_slots : dict
+        For each retired holder with which it has stopped trading for good, the
+        slots received from that holder less those sent to it, by resource.
+    """
+
+    incarnation: IncarnationId
+    entry_vm: EntryVmId
+    max_work_s: float
+    granted_slots: dict[ResourceId, int] = field(default_factory=dict)
+    closed_slots: dict[IncarnationId, dict[ResourceId, int]] = field(
+        default_factory=dict
+    )
+
+
+def team_resource(team: TeamId) -> ResourceId:
+    """Return the resource of a team's upper limit.
+
+    >>> team_resource(TeamId("north"))
+    'team/north'
+    """
+    return ResourceId(f"team/{team}")
+
+
+def worker_resource(vm: VmId) -> ResourceId:
+    """Return the resource of a worker's slots."""
+    return ResourceId(f"vm/{vm}")
+
+
+def data_centre_scope(data_centre: DataCentreId) -> ScopeId:
+    """Return the scope of the worker slots of `data_centre`."""
+    return ScopeId(f"data-centre-{data_centre}")
+
+
+def ledger_key(scope: ScopeId) -> RowKey:
+    """Return the key of the ledger of `scope`."""
+    return RowKey(f"{ALLOTMENT_PREFIX}{scope}/ledger")
+
+
+def holder_prefix(scope: ScopeId) -> RowKey:
+    """Return the prefix of the keys of all holders of `scope`."""
+    return RowKey(f"{ALLOTMENT_PREFIX}{scope}/holder/")
+
+
+def holder_key(scope: ScopeId, holder: IncarnationId) -> RowKey:
+    """Return the key of one holder's row."""
+    return RowKey(f"{holder_prefix(scope)}{holder}")
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from currantstage.state._allotment_rows import HolderRow, LedgerRow
 from currantstage.state._fleet import Fleet
 from currantstage.state._ids import (
     AttemptId,
@@ -53,7 +54,7 @@
     applied_generation: Generation
 
 
-Record: TypeAlias = HeadRow | NoteRow | EntryVmRow
+Record: TypeAlias = HeadRow | NoteRow | EntryVmRow | LedgerRow | HolderRow
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/coordination/test_allotments.py
@@ -0,0 +1,343 @@
+"""Upper limits divided among entry VMs, while things fail."""
+
+from __future__ import annotations
+
+import pytest
+
+from currantstage.coordination import (
+    AllotmentTransfer,
+    Settled,
+    StoreAwayError,
+    Transact,
+    WriteUncertainError,
+    allotted_slots,
+    quarantine_s,
+    resources_above_limit,
+)
+from currantstage.state import FLEET_SCOPE, HolderRow, holder_key
+from tests.allotments import TEAM, WORK_S, Site
+from tests.fakes import Fault
+
+
+def held(node):
+    return node.book.held_slots(TEAM)
+
+
+def wait_out(site, node):
+    """Let the quarantine of every dead holder pass, and reclaim."""
+    node.reclaim()
+    site.now_s += quarantine_s(
+        HolderRow(incarnation="", entry_vm="", max_work_s=WORK_S)
+    )
+    node.reclaim()
+
+
+def reclaim_all(site, node):
+    wait_out(site, node)
+    for each in site.nodes.values():
+        each.settle()
+    report = node.reclaim()
+    for each in site.nodes.values():
+        each.settle()
+    return report
+
+
+def test_first_settlements_divide_the_limit():
+    nodes = Site().start_all(4)
+    assert [held(node) for node in nodes] == [2, 2, 2, 2]
+
+
+def test_nothing_starts_before_the_table_has_confirmed():
+    site = Site()
+    node = site.start("e0")
+    assert not node.acquire()
+    node.settle()
+    assert node.acquire()
+
+
+def test_a_limit_of_one_is_usable_in_full_from_any_of_eight_entry_vms():
+    site = Site({TEAM: 1})
+    nodes = site.start_all(8)
+    for node in nodes:
+        for _ in range(4):
+            if node.acquire():
+                break
+            node.ask()
+            site.deliver_all()
+            site.now_s += 0.05
+        assert node.book.running_slots(TEAM) == 1
+        assert site.running() == 1
+        node.release()
+
+
+def test_a_contended_slot_goes_round():
+    site = Site({TEAM: 1})
+    first, second = site.start_all(2)
+    served = {first: 0, second: 0}
+    for _ in range(200):
+        for node in (first, second):
+            if node.acquire():
+                served[node] += 1
+            node.ask()
+        site.deliver_all()
+        assert site.running() <= 1
+        for node in (first, second):
+            if node.book.running_slots(TEAM):
+                node.release()
+        site.deliver_all()
+        site.now_s += 0.05
+    assert min(served.values()) >= 50
+
+
+def test_idle_slots_are_levelled_for_a_later_cut_off():
+    site = Site()
+    nodes = site.start_all(4)
+    for _ in range(4):
+        for node in nodes:
+            node.level()
+        site.deliver_all()
+    assert [held(node) for node in nodes] == [2, 2, 2, 2]
+
+
+def move_one(site, giver, taker):
+    """Make `giver` send one slot; return the transfer, not yet delivered."""
+    for _ in range(held(taker) + 1):
+        taker.acquire()
+    taker.ask()
+    while not isinstance(site.network[-1][2], AllotmentTransfer):
+        site.deliver()
+    return site.network[-1]
+
+
+def test_lost_transfer_is_repeated_and_a_doubled_one_counts_once():
+    site = Site()
+    giver, taker = site.start_all(2)
+    transfer = move_one(site, giver, taker)
+    before = held(giver), held(taker)
+    site.network.clear()
+    assert sum(before) == 7
+    giver.repeat()
+    assert site.network == [transfer]
+    site.network *= 3
+    site.deliver_all()
+    assert (held(giver), held(taker)) == (before[0], before[1] + 1)
+    giver.repeat()
+    assert not site.network
+
+
+def test_reordered_transfers_end_with_the_same_totals():
+    site = Site()
+    giver, taker = site.start_all(2)
+    first = move_one(site, giver, taker)
+    site.network.clear()
+    site.now_s += 1
+    second = move_one(site, giver, taker)
+    site.network[:] = [second, first]
+    site.deliver_all()
+    assert held(giver) + held(taker) == 8
+
+
+def test_a_restarted_receiver_takes_nothing_meant_for_its_earlier_start():
+    site = Site()
+    giver, taker = site.start_all(2)
+    move_one(site, giver, taker)
+    restarted = site.start("e1", start=2)
+    restarted.settle()
+    site.deliver_all()
+    assert held(restarted) == 0
+
+
+@pytest.mark.parametrize("is_delivered", [True, False])
+def test_crash_of_the_sender_loses_and_doubles_nothing(is_delivered):
+    """The hazard: the table still shows what the dead sender had handed over."""
+    site = Site()
+    giver, taker = site.start_all(2)
+    move_one(site, giver, taker)
+    if is_delivered:
+        site.deliver_all()
+    late = list(site.network)
+    site.drop_vm(giver.peer.entry_vm)
+    reclaim_all(site, taker)
+    site.network += late
+    site.deliver_all()
+    assert site.held_or_free() == 8
+
+
+@pytest.mark.parametrize("is_delivered", [True, False])
+def test_crash_of_the_receiver_loses_and_doubles_nothing(is_delivered):
+    site = Site()
+    giver, taker = site.start_all(2)
+    move_one(site, giver, taker)
+    if is_delivered:
+        site.deliver_all()
+    site.drop_vm(taker.peer.entry_vm)
+    reclaim_all(site, giver)
+    site.deliver_all()
+    assert site.held_or_free() == 8
+
+
+def test_two_that_traded_and_died_together_are_reclaimed_together():
+    site = Site()
+    giver, taker, third = site.start_all(3)
+    move_one(site, giver, taker)
+    site.deliver_all()
+    site.drop_vm(giver.peer.entry_vm)
+    site.drop_vm(taker.peer.entry_vm)
+    reclaim_all(site, third)
+    assert site.held_or_free() == 8
+
+
+def test_a_cut_off_holder_keeps_its_slots_and_delays_reclaiming():
+    site = Site()
+    cut_off, dead, third = site.start_all(3)
+    site.drop_vm(dead.peer.entry_vm)
+    wait_out(site, third)
+    third.settle()
+    report = third.reclaim()
+    assert report.waiting_for == (cut_off.peer.entry_vm,)
+    assert cut_off.acquire()
+    cut_off.settle()
+    assert third.reclaim().reclaimed == (dead.peer.incarnation,)
+
+
+def test_slots_of_the_dead_stay_away_while_their_work_may_run():
+    site = Site()
+    dead, other = site.start_all(2)
+    site.drop_vm(dead.peer.entry_vm)
+    other.reclaim()
+    site.now_s += WORK_S
+    assert other.reclaim().retired == ()
+    site.now_s += WORK_S
+    assert other.reclaim().retired == (dead.peer.incarnation,)
+
+
+def test_a_restart_reuses_nothing_until_the_work_of_its_earlier_start_has_ended():
+    site = Site({TEAM: 4})
+    (before,) = site.start_all(1)
+    while before.acquire():
+        pass
+    after = site.start("e0", start=2)
+    after.settle()
+    after.reclaim()
+    assert not after.acquire()
+    reclaim_all(site, after)
+    assert held(after) == 4
+
+
+def test_a_holder_taken_for_dead_shuts_its_book():
+    site = Site()
+    zombie, other = site.start_all(2)
+    site.listed.discard(zombie.peer.entry_vm)
+    wait_out(site, other)
+    other.settle()
+    assert other.reclaim().reclaimed == (zombie.peer.incarnation,)
+    assert zombie.settle() is Settled.RETIRED
+    assert not zombie.acquire()
+
+
+def test_a_lowered_limit_takes_idle_slots_first_and_the_rest_as_work_ends():
+    site = Site()
+    nodes = site.start_all(2)
+    busy = max(nodes, key=held)
+    running = 0
+    while busy.acquire():
+        running += 1
+    site.set_limit(2)
+    for node in nodes * 3:
+        node.settle()
+    assert allotted_slots(site.ledger, TEAM) == max(2, running)
+    assert not busy.acquire()
+    while running:
+        busy.release()
+        running -= 1
+        for node in nodes * 3:
+            node.settle()
+        assert allotted_slots(site.ledger, TEAM) == max(2, running)
+    assert resources_above_limit(site.ledger, site.limits) == ()
+
+
+def test_an_older_configuration_brings_no_old_limit_back():
+    site = Site()
+    old, new = site.start_all(2)
+    old_generation, old_limits = old.generation, dict(old.limits)
+    site.set_limit(2)
+    new.settle()
+    old.generation, old.limits = old_generation, old_limits
+    old.settle()
+    assert site.ledger.generation == site.generation
+    assert allotted_slots(site.ledger, TEAM) < 8
+
+
+def test_work_longer_than_the_row_says_is_refused():
+    site = Site()
+    (node,) = site.start_all(1)
+    assert not node.book.try_acquire(TEAM, WORK_S + 1)
+    assert node.book.try_acquire(TEAM, WORK_S)
+
+
+def lose_writes(site, fault):
+    site.store.choose_fault = lambda call: (
+        fault if isinstance(call, Transact) else Fault.NONE
+    )
+
+
+def test_slots_given_back_stay_unused_until_the_outcome_is_certain():
+    site = Site()
+    (node,) = site.start_all(1)
+    site.set_limit(2)
+    site.store.choose_fault = lambda call: (
+        Fault.ANSWER_LOST if isinstance(call, Transact) else Fault.REFUSED
+    )
+    with pytest.raises(StoreAwayError):
+        node.settle()
+    reads = iter([Fault.NONE, Fault.NONE])
+    site.store.choose_fault = lambda call: (
+        Fault.ANSWER_LOST if isinstance(call, Transact) else next(reads, Fault.REFUSED)
+    )
+    with pytest.raises(WriteUncertainError):
+        node.settle()
+    assert held(node) == 2
+    site.store.choose_fault = lambda call: Fault.NONE
+    node.settle()
+    assert held(node) == allotted_slots(site.ledger, TEAM) == 2
+
+
+def test_lost_answers_are_read_back():
+    site = Site()
+    lose_writes(site, Fault.ANSWER_LOST)
+    nodes = site.start_all(3)
+    assert sum(map(held, nodes)) == 8
+    assert site.ledger.free_slots == {}
+
+
+def test_an_outage_of_the_store_stops_neither_work_nor_transfers():
+    site = Site()
+    giver, taker = site.start_all(2)
+    site.store.choose_fault = lambda call: Fault.REFUSED
+    with pytest.raises(StoreAwayError):
+        taker.settle()
+    move_one(site, giver, taker)
+    site.deliver_all()
+    assert taker.acquire()
+
+
+def test_a_planned_stop_hands_everything_back():
+    site = Site()
+    leaving, other = site.start_all(2)
+    assert site.store.run(leaving.settlement.leave())
+    other.settle()
+    del site.nodes["e0"]
+    other.reclaim()
+    other.settle()
+    assert site.held_or_free() == 8
+    assert holder_key(FLEET_SCOPE, leaving.peer.incarnation) not in site.store.rows
+
+
+def test_nothing_is_written_while_nothing_changes():
+    site = Site()
+    nodes = site.start_all(3)
+    move_one(site, nodes[0], nodes[1])
+    site.deliver_all()
+    site.store.calls.clear()
+    assert [node.settle() for node in nodes] == [Settled.UNCHANGED] * 3
+    assert not any(isinstance(call, Transact) for call in site.store.calls)
--- /dev/null
+++ b/tests/fuzz/test_allotment_machine.py
@@ -0,0 +1,252 @@
+"""Fuzz upper limits: never more running than the limit, and no slot is lost.
+
+What holders could start at once counts as running.
+
+Verified by hand: the machine fails when any of these guards is taken out.
+
+- `AllotmentBook.receive` ignores transfers of closed peers
+- `AllotmentBook.receive` takes the highest total rather than adding it
+- `AllotmentBook.send` deducts before the message goes out
+- `AllotmentExchange.hear_transfer` takes only what is meant for its own start
+- `AllotmentSettlement._record` deducts what it gives back before it writes
+- `AllotmentReclaimer._free` waits until every living holder has closed its trade
+- `quarantine_s` waits for the longest work of the dead
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from currantstage.coordination import (
+    StoreAwayError,
+    StoreFailed,
+    Transact,
+    WriteUncertainError,
+    quarantine_s,
+    resources_above_limit,
+)
+from currantstage.state import HolderRow
+from tests.allotments import TEAM, WORK_S, Site
+from tests.fakes import FakeStore, Fault
+
+NAMES = ("e0", "e1", "e2")
+PICKS = st.integers(0, 99)
+QUARANTINE_S = quarantine_s(HolderRow(incarnation="", entry_vm="", max_work_s=WORK_S))
+
+
+class LateStore(FakeStore):
+    """A store in which a write may take effect long after its caller gave up."""
+
+    def __init__(self):
+        super().__init__()
+        self.failing_calls = 0
+        self.fault = Fault.NONE
+        self.delays_writes = False
+        self.delayed = []
+
+    def fail_next(self, calls, fault, delays_writes):
+        self.failing_calls = calls
+        self.fault = fault
+        self.delays_writes = delays_writes
+
+    def answer(self, call):
+        is_failing = self.failing_calls > 0
+        self.failing_calls -= is_failing
+        self.choose_fault = lambda call: self.fault if is_failing else Fault.NONE
+        if is_failing and self.delays_writes and isinstance(call, Transact):
+            self.delayed.append(call)
+            return StoreFailed(may_have_applied=True)
+        return super().answer(call)
+
+    def apply_delayed(self, index):
+        self.failing_calls = 0
+        self.answer(self.delayed.pop(index))
+
+
+@dataclass
+class Work:
+    """One slot in use, known to the oracle; outlives the process that started it."""
+
+    node: object
+    ends_s: float
+
+
+class AllotmentMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.site = Site({TEAM: 3})
+        self.site.store = LateStore()
+        self.starts = dict.fromkeys(NAMES, 1)
+        self.work = []
+        self.procedures = {}
+        self.bound = 3
+        for node in self.site.start_all(len(NAMES)):
+            assert node.book.is_open
+
+    def node(self, pick):
+        names = sorted(self.site.nodes)
+        return self.site.nodes[names[pick % len(names)]]
+
+    @rule(pick=PICKS, is_answered=st.booleans())
+    def demand(self, pick, is_answered):
+        """Start work until a node has no slot left, then ask its peers."""
+        node = self.node(pick)
+        while node.acquire():
+            self.work.append(Work(node, self.site.now_s + WORK_S))
+        node.ask()
+        if is_answered:
+            self.site.deliver_all()
+
+    @rule(pick=PICKS)
+    def finish(self, pick):
+        live = [each for each in self.work if self.is_live(each.node)]
+        if live:
+            work = live[pick % len(live)]
+            self.work.remove(work)
+            work.node.release()
+
+    @rule(pick=PICKS, what=st.sampled_from(["level", "repeat", "apply_limits"]))
+    def act(self, pick, what):
+        getattr(self.node(pick), what)()
+
+    @rule(picks=st.lists(PICKS, min_size=1, max_size=6), copies=st.integers(0, 2))
+    def deliver(self, picks, copies):
+        """Lose, deliver or double some messages, in any order."""
+        for pick in picks[: len(self.site.network)]:
+            index = pick % len(self.site.network)
+            message = self.site.network[index]
+            if not copies:
+                del self.site.network[index]
+                continue
+            self.site.deliver(index)
+            if copies > 1:
+                self.site.network.append(message)
+
+    @rule(pick=PICKS, steps=st.integers(1, 6), is_reclaim=st.booleans())
+    def step_procedure(self, pick, steps, is_reclaim):
+        """Take some steps of a settlement or reclaiming; the rest comes later."""
+        node = self.node(pick)
+        key = (node.peer, is_reclaim)
+        for _ in range(steps):
+            self.step_once(node, key)
+
+    def step_once(self, node, key):
+        try:
+            if key not in self.procedures:
+                procedure = self.begin(node, key[1])
+                self.procedures[key] = (procedure, next(procedure))
+            procedure, call = self.procedures[key]
+            reply = self.site.store.answer(call)
+            self.procedures[key] = (procedure, procedure.send(reply))
+        except (StopIteration, StoreAwayError, WriteUncertainError):
+            self.procedures.pop(key, None)
+
+    def begin(self, node, is_reclaim):
+        if is_reclaim:
+            return node.begin_reclaim()
+        return node.begin_settle()
+
+    @rule(pick=PICKS, is_reclaim=st.booleans())
+    def finish_procedure(self, pick, is_reclaim):
+        node = self.node(pick)
+        key = (node.peer, is_reclaim)
+        self.step_once(node, key)
+        while key in self.procedures:
+            self.step_once(node, key)
+
+    @rule()
+    def settle_all(self):
+        for pick in range(len(self.site.nodes)):
+            self.finish_procedure(pick, is_reclaim=False)
+
+    @rule(
+        pick=PICKS,
+        waited_s=st.sampled_from([QUARANTINE_S / 2, QUARANTINE_S]),
+        is_settled=st.booleans(),
+    )
+    def reclaim_dead(self, pick, waited_s, is_settled):
+        """Take every step of reclaiming, while messages stay under way."""
+        for seconds in (0.0, waited_s, 0.0):
+            self.pass_time(seconds)
+            self.finish_procedure(pick, is_reclaim=True)
+            if is_settled:
+                self.settle_all()
+            else:
+                self.finish_procedure(pick, is_reclaim=False)
+
+    @rule(fault=st.sampled_from(Fault), calls=st.integers(1, 4), delays=st.booleans())
+    def fail_calls(self, fault, calls, delays):
+        """Let the next few calls to the store fail."""
+        self.site.store.fail_next(calls, fault, delays)
+
+    @rule(pick=PICKS)
+    def apply_delayed_write(self, pick):
+        if self.site.store.delayed:
+            self.site.store.apply_delayed(pick % len(self.site.store.delayed))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, QUARANTINE_S / 2, QUARANTINE_S]))
+    def pass_time(self, seconds):
+        self.site.now_s += seconds
+        for work in [each for each in self.work if each.ends_s <= self.site.now_s]:
+            self.work.remove(work)
+            if self.is_live(work.node):
+                work.node.release()
+
+    @precondition(lambda self: len(self.site.nodes) > 1)
+    @rule(pick=PICKS)
+    def lose_vm(self, pick):
+        self.site.drop_vm(self.node(pick).peer.entry_vm)
+
+    @rule(pick=PICKS)
+    def start_process(self, pick):
+        """Restart a process, or start one on a VM that was lost."""
+        name = NAMES[pick % len(NAMES)]
+        self.starts[name] += 1
+        self.site.start(name, self.starts[name])
+
+    @rule(slots=st.integers(0, 5))
+    def commit_limit(self, slots):
+        self.site.limits[TEAM] = slots
+        self.site.generation += 1
+
+    def is_live(self, node):
+        return self.site.nodes.get(node.peer.entry_vm) is node
+
+    @invariant()
+    def never_above_the_limit(self):
+        limit = self.site.limits[TEAM]
+        is_followed = self.site.ledger.generation == self.site.generation
+        if is_followed and not resources_above_limit(
+            self.site.ledger, self.site.limits
+        ):
+            self.bound = limit
+        self.bound = max(self.bound, limit)
+        startable = [n.book.startable_slots(TEAM) for n in self.site.nodes.values()]
+        assert len(self.work) + sum(startable) <= self.bound
+
+    def teardown(self):
+        """Mend everything; then every slot of the limit must be usable again."""
+        site = self.site
+        site.store.fail_next(0, Fault.NONE, delays_writes=False)
+        self.pass_time(QUARANTINE_S)
+        for _ in range(6):
+            self.pass_time(QUARANTINE_S)
+            for node in site.nodes.values():
+                node.apply_limits()
+                node.repeat()
+                site.deliver_all()
+                node.settle()
+                node.reclaim()
+            self.never_above_the_limit()
+        assert site.held_or_free() == site.ledger.total_slots.get(TEAM, 0)
+        assert site.ledger.total_slots.get(TEAM, 0) == site.limits[TEAM]
+
+
+AllotmentMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=50, deadline=None
+)
+TestAllotmentMachine = AllotmentMachine.TestCase
