--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from currantstage.state._allotment_rows import HolderRow, LedgerRow
 from currantstage.state._fleet import Fleet
 from currantstage.state._ids import (
     AttemptId,
@@ -123,7 +124,14 @@
 
 
 Record: TypeAlias = (
-    HeadRow | AcceptedRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
+    HeadRow
+    | AcceptedRow
+    | NoteRow
+    | EntryVmRow
+    | DutyLeaseRow
+    | DutyFenceRow
+    | LedgerRow
+    | HolderRow
 )
 
 
