Check the core protocol from specifications, and fuzz the codecs

Two specifications for z3 in spec/: allotments with late settlement and reclaiming, and commit and acceptance of notes under configuration leases.

Fuzzing the codecs found five faults, mended with their tests: - a share or size of nan or inf passed the INI reader, and the stored generation could never be read again - keys of a [DEFAULT] section slipped into every section of notes and settings - text with lone surrogates raised UnicodeEncodeError in the note and settings readers - bytes in a caller's key that are no UTF-8 ended in status 500 and no outcome - the same in the operators' key

Still to come: the walk that replays one run on specification and code.

--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -106,10 +106,14 @@
 
 def parse_settings(text: str) -> Settings:
     """Return the settings in `text`; raises `ConfigError` with all faults."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    # No section of defaults: its keys would slip into every other section.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=True, default_section=""
+    )
     try:
+        text.encode()
         parser.read_string(text)
-    except configparser.Error as error:
+    except (configparser.Error, UnicodeEncodeError) as error:
         raise ConfigError((" ".join(str(error).split()),)) from error
     sections = {info.encode_name: info for info in msgspec.structs.fields(Settings)}
     faults = [
--- a/currantstage/coordination/_keys.py
+++ b/currantstage/coordination/_keys.py
@@ -24,7 +24,9 @@
     >>> digest_secret("s", "secret")[:8]
     '2e2ad46e'
     """
-    return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
+    # A header's bytes that are no UTF-8 arrive as surrogates.
+    salted = f"{salt}:{secret}".encode(errors="surrogatepass")
+    return hashlib.sha256(salted).hexdigest()
 
 
 def identify_team(
--- a/currantstage/protocol/_note_codec.py
+++ b/currantstage/protocol/_note_codec.py
@@ -4,6 +4,7 @@
 
 import configparser
 import hashlib
+import math
 from typing import Any
 
 import msgspec
@@ -34,7 +35,11 @@
     >>> note.withdrawn.keys
     ('k1',)
     """
-    if len(text.encode()) > MAX_NOTE_BYTES:
+    try:
+        size_bytes = len(text.encode())
+    except UnicodeEncodeError as error:
+        raise NoteSyntaxError((f"not Unicode text: {error}",)) from error
+    if size_bytes > MAX_NOTE_BYTES:
         raise NoteSyntaxError((f"longer than {MAX_NOTE_BYTES} bytes",))
     if text.lstrip().startswith("{"):
         return _parse_json(text)
@@ -59,7 +64,10 @@
 
 
 def _parse_ini(text: str) -> ReleaseNote:
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    # No section of defaults: its keys would slip into every other section.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=True, default_section=""
+    )
     try:
         parser.read_string(text)
     except configparser.Error as error:
@@ -159,6 +167,10 @@
 
 def _check_value(place: str, value: Any, expected: Any, faults: list[str]) -> None:
     try:
-        msgspec.convert(value, expected, strict=False)
+        converted = msgspec.convert(value, expected, strict=False)
     except msgspec.ValidationError as error:
         faults.append(f"{place}: {error}")
+        return
+    # JSON, in which notes are stored, has no such numbers.
+    if isinstance(converted, float) and not math.isfinite(converted):
+        faults.append(f"{place}: not a finite number")
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -99,7 +99,9 @@
 
     def refuse(request: Request) -> HTTPResponse | None:
         presented = request.headers.get(OPERATOR_KEY_HEADER, "")
-        if hmac.compare_digest(presented.encode(), key.encode()):
+        # A header's bytes that are no UTF-8 arrive as surrogates.
+        presented_bytes = presented.encode(errors="surrogatepass")
+        if hmac.compare_digest(presented_bytes, key.encode()):
             return None
         return _message(OperatorError(error="the operators' key is wrong"), 403)
 
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,25 @@
+"""Specifications of the core protocol, checked with z3.
+
+``python -m spec`` proves every invariant and shows that each guard is needed.
+"""
+
+from __future__ import annotations
+
+from spec._allotments import AllotmentModel
+from spec._engine import Model, Step, Trace, find_trace, guard_names, prove_inductive
+from spec._notes import NoteModel
+from spec._report import check_all, proof_models, search_models
+
+__all__ = [
+    "AllotmentModel",
+    "Model",
+    "NoteModel",
+    "Step",
+    "Trace",
+    "check_all",
+    "find_trace",
+    "guard_names",
+    "proof_models",
+    "prove_inductive",
+    "search_models",
+]
--- a/tests/cmd/test_serve.py
+++ b/tests/cmd/test_serve.py
@@ -134,6 +134,23 @@
     uvloop.run(check())
 
 
+def test_keys_that_are_no_text_are_refused(tmp_path):
+    async def check():
+        async with serving(tmp_path, duration_s=0.0) as (_, url, backend):
+            host, port = url.removeprefix("http://").split(":")
+            for line, status in (
+                (b"GET /v1/fleet HTTP/1.1\r\ncurrantstage-operator-key", b"403"),
+                (b"POST /v1/queues/none HTTP/1.1\r\ncurrantstage-key", b"404"),
+            ):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(line + b": \xff\xfe\r\ncontent-length: 0\r\n\r\n")
+                assert status in await reader.readline()
+                writer.close()
+            assert backend.bodies == []
+
+    uvloop.run(check())
+
+
 def test_settings_with_faults_end_with_status_2(tmp_path):
     path = tmp_path / "bad.ini"
     path.write_text("[platform]\ncolour = red\n")
