Let requests wait, retry and fail safely

Cause: a request that found no free slot was refused, a failed connection said nothing about its server, and an attempt was never repeated.

Change: admission, bounded lines by team, placement, attempts with a retry budget, server health by probes on fresh connections, outlier ejection and learnt run times stand in the coordination layer as synchronous state machines with typed effects; the application awaits them. A slot is given back only when its job can't be running any more. A planned stop fails /healthz first, refuses waiting requests as not run, and lets running ones finish. Callers declare idempotency, urgency, a timeout and a size by headers.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 from currantstage.application._caller_service import (
-    NO_TEAM,
     QueueService,
 )
 from currantstage.application._daemon import (
     INCARNATION_BITS,
+    LISTING_INTERVAL_S,
     PEER_REFRESH_S,
+    PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._dispatch_driver import (
+    Admitted,
+    DispatchDriver,
+)
 from currantstage.application._errors import (
     ApplicationError,
     StartError,
@@ -28,18 +33,29 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._request_path import (
+    RequestPath,
+)
+from currantstage.application._server_monitor import (
+    ServerMonitor,
+)
 
 __all__ = [
+    "Admitted",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
+    "DispatchDriver",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
-    "NO_TEAM",
+    "LISTING_INTERVAL_S",
     "NoteService",
     "PEER_REFRESH_S",
+    "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
+    "RequestPath",
+    "ServerMonitor",
     "StartError",
 ]
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -1,52 +1,76 @@
-"""Serve callers' requests: admission, the backend server's answer, metrics."""
+"""Serve callers' requests: admission, attempts on backend servers, the answer."""
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from eliot import start_action
-from returns.result import Failure
 
-from currantstage.coordination import Answer, conclude
+from currantstage.coordination import (
+    NO_TEAM,
+    Answer,
+    Attempts,
+    Finish,
+    Refusal,
+    SendFailure,
+    is_server_error,
+)
 from currantstage.protocol import to_caller_answer
+from currantstage.state import RequestId
+from currantstage.transport import BackendCall
 
 if TYPE_CHECKING:
+    from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination import Assignment, Dispatcher
-    from currantstage.protocol import CallerAnswer, CallerRequest, RequestEnd
-    from currantstage.state import Clock
+    from currantstage.application._server_monitor import ServerMonitor
+    from currantstage.coordination import Assignment, RequestEnd, RetryBudget
+    from currantstage.protocol import CallerAnswer, CallerRequest
+    from currantstage.state import Clock, IncarnationId, Random
     from currantstage.transport import BackendClient
 
-#: Label of requests that show no key.
-NO_TEAM = "-"
-
 
 class QueueService:
     """Implements `CallerService`.
 
     Parameters
     ----------
-    dispatcher : Dispatcher
+    driver : DispatchDriver
     backends : BackendClient
+    monitor : ServerMonitor
+    budget : RetryBudget
     metrics : DaemonMetrics
     clock : Clock
+    random : Random
+    incarnation : IncarnationId
+        Makes the identifiers of this process's requests unique.
     """
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
+        driver: DispatchDriver,
         backends: BackendClient,
+        monitor: ServerMonitor,
+        budget: RetryBudget,
         metrics: DaemonMetrics,
         clock: Clock,
+        random: Random,
+        incarnation: IncarnationId,
     ) -> None:
-        self._dispatcher = dispatcher
+        self._driver = driver
         self._backends = backends
+        self._monitor = monitor
+        self._budget = budget
         self._metrics = metrics
         self._clock = clock
+        self._random = random
+        self._incarnation = incarnation
+        self._last_number = 0
         self._active = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._runs: set[asyncio.Task[RequestEnd]] = set()
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to `request`."""
@@ -64,41 +88,100 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
+                await self._driver.drain()
         except TimeoutError:
             return False
         return True
 
     async def _serve(self, request: CallerRequest) -> CallerAnswer:
         started_s = self._clock.now_s()
+        request_id = self._next_id()
         with start_action(
-            action_type="currantstage:request", queue=request.queue
+            action_type="currantstage:request", request=request_id, queue=request.queue
         ) as action:
-            admitted = self._dispatcher.admit(request.queue, request.presented_key)
-            team = NO_TEAM
-            end: RequestEnd
-            if isinstance(admitted, Failure):
-                end = admitted.failure()
-            else:
-                assignment = admitted.unwrap()
-                team = assignment.team or NO_TEAM
-                end = await self._run(request, assignment)
+            team, end = await self._run_once_admitted(request_id, request)
             answer = to_caller_answer(end)
             action.add_success_fields(outcome=answer.outcome.value, team=team)
         duration_s = self._clock.now_s() - started_s
         self._metrics.count_request(
             request.queue, team, answer.outcome.value, duration_s
         )
+        if isinstance(end, Refusal):
+            self._metrics.count_refusal(request.queue, end.reason)
         return answer
 
-    async def _run(self, request: CallerRequest, assignment: Assignment) -> RequestEnd:
-        try:
-            reply = await self._backends.send(
-                assignment.vm.address,
-                request.queue,
-                request.content_type,
-                request.body,
-                assignment.timeout_s,
+    async def _run_once_admitted(
+        self, request_id: RequestId, request: CallerRequest
+    ) -> tuple[str, RequestEnd]:
+        admitted = await self._driver.enter(request_id, request.to_submission())
+        if isinstance(admitted, Refusal):
+            return NO_TEAM, admitted
+        # A caller that goes away doesn't stop its job: the slot stays taken until the
+        # backend server has answered.
+        run = asyncio.create_task(self._run(request, admitted))
+        self._runs.add(run)
+        run.add_done_callback(self._runs.discard)
+        return admitted.request.team, await asyncio.shield(run)
+
+    async def _run(self, call: CallerRequest, assignment: Assignment) -> RequestEnd:
+        """Attempt the request until it ends."""
+        self._budget.on_request()
+        request = assignment.request
+        attempts = Attempts(
+            call.options.idempotent, request.deadline_s, self._budget, self._random
+        )
+        while True:
+            result = await self._attempt(call, assignment)
+            vm = assignment.vm.vm_id
+            step = attempts.after(vm, result, self._clock.now_s())
+            if isinstance(step, Finish):
+                end = step.end
+                break
+            self._metrics.count_retry(call.queue)
+            await asyncio.sleep(step.pause_s)
+            admitted = await self._driver.reenter(
+                replace(request, avoided=step.avoided)
             )
+            if isinstance(admitted, Refusal):
+                end = attempts.give_up(admitted)
+                break
+            assignment = admitted
+        is_completed = isinstance(end, Answer) and not is_server_error(end)
+        self._monitor.on_end(attempts.failed_on, vm if is_completed else None)
+        return end
+
+    async def _attempt(
+        self, call: CallerRequest, assignment: Assignment
+    ) -> Answer | SendFailure:
+        """Send the request once, and give the slot back when that is safe."""
+        result: Answer | SendFailure = SendFailure.SENT
+        try:
+            result = await self._send(call, assignment)
         finally:
-            self._dispatcher.finish(assignment)
-        return reply if isinstance(reply, Answer) else conclude(reply)
+            is_certain = isinstance(result, Answer) or result is SendFailure.NOT_SENT
+            self._driver.finish(assignment, is_certain)
+        await self._monitor.on_result(assignment, result)
+        return result
+
+    async def _send(
+        self, call: CallerRequest, assignment: Assignment
+    ) -> Answer | SendFailure:
+        timeout_s = assignment.request.deadline_s - self._clock.now_s()
+        if timeout_s <= 0:
+            return SendFailure.NOT_SENT
+        silence_s = None
+        if call.options.idempotent:
+            # Only a request that may run twice is given up before its deadline.
+            silence_s = self._monitor.silence_bound_s(call.queue)
+        backend_call = BackendCall(
+            queue=call.queue,
+            content_type=call.content_type,
+            body=call.body,
+            timeout_s=timeout_s,
+            silence_s=silence_s,
+        )
+        return await self._backends.send(assignment.vm, backend_call)
+
+    def _next_id(self) -> RequestId:
+        self._last_number += 1
+        return RequestId(f"{self._incarnation}-{self._last_number}")
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -2,30 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
 from eliot import log_message
 
-from currantstage.application._caller_service import QueueService
 from currantstage.application._errors import StartError
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     Configuration,
     CoordinationError,
-    Dispatcher,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
     RetryPolicy,
+    RoundRobinShares,
     StoreAccess,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
-from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId
+from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId, VmLiveness
 from currantstage.transport import (
     BackendClient,
     HttpServer,
@@ -43,6 +44,10 @@
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -62,24 +67,30 @@
         self._random = random.Random(seed)
         self._clock = MonotonicClock()
         self._resources = AsyncExitStack()
+        self._is_ready = True
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
         self._membership = Membership(
             self._store, self._configuration, self._first_row()
         )
-        self._dispatcher = Dispatcher(
+        self._metrics = DaemonMetrics()
+        self._platform = PlatformClient.from_config(settings.platform)
+        self._runner = ProcedureRunner(self._platform, self._platform)
+        self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
             LocalTeamLimiter(self._configuration),
             LocalWorkerSlots(self._configuration),
+            RoundRobinShares(),
+            self._metrics,
+            self._clock,
+            self._random,
+            self._membership.row.incarnation,
         )
-        self._metrics = DaemonMetrics()
-        self._platform = PlatformClient.from_config(settings.platform)
-        self._runner = ProcedureRunner(self._platform, self._platform)
-        self._backends = BackendClient()
-        self._queues = QueueService(
-            self._dispatcher, self._backends, self._metrics, self._clock
+        self._probes = DutyLoop(
+            "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
+        self._path.monitor.on_doubt(self._probes.wake)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
@@ -107,15 +118,19 @@
 
     async def close(self) -> None:
         """Stop gracefully: refuse new requests, let the running ones finish, leave."""
-        self._dispatcher.stop_admission()
-        await self._queues.drain(self._settings.serving.max_drain_ms / 1000)
+        self._is_ready = False
+        serving = self._settings.serving
+        # The balancer sees the failed health check before anything is refused.
+        await asyncio.sleep(serving.balancer_notice_ms / 1000)
+        self._path.driver.stop_admission()
+        await self._path.queues.drain(serving.max_drain_ms / 1000)
         await self._leave()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return not self._dispatcher.is_stopping
+        return self._is_ready
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -125,12 +140,14 @@
         self._resources.callback(self._metrics.close)
         heartbeat_s = self._settings.peers.heartbeat_ms / 1000
         await self._own(self._platform)
-        await self._own(self._backends)
+        await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(self._probes)
+        await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_http_server())
 
     async def _own(
@@ -151,7 +168,7 @@
         notes = NoteService(
             self._runner, self._store, self._configuration, self._follow.wake
         )
-        add_caller_routes(server.app, self._queues)
+        add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
         add_health_routes(server.app, self)
         return server
@@ -173,8 +190,15 @@
         generation = await self._runner.run(self._membership.follow_head())
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            self._path.apply_fleet()
             await self._send_heartbeats()
 
+    async def _list_vms(self) -> None:
+        listed = await self._platform.list_vms()
+        self._path.driver.set_leaving(
+            each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
+        )
+
     async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
--- a/currantstage/application/_metrics.py
+++ b/currantstage/application/_metrics.py
@@ -11,11 +11,12 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from opentelemetry.metrics import CallbackOptions
 
-    from currantstage.state import QueueId
+    from currantstage.coordination import RefusalReason
+    from currantstage.state import QueueId, VmId
 
 #: Upper bounds of the latency histogram's buckets, in seconds.
 LATENCY_BUCKETS_S = (
@@ -56,7 +57,16 @@
             description="Time from arrival to answer.",
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
-
+        self._refusals = meter.create_counter(
+            "currantstage_refusals", description="Requests not run, by reason."
+        )
+        self._retries = meter.create_counter(
+            "currantstage_retries", description="Further attempts of requests."
+        )
+        self._ejections = meter.create_counter(
+            "currantstage_ejections", description="Ejections of workers."
+        )
+        self._meter = meter
         meter.create_observable_gauge(
             "currantstage_python_threads",
             [_observe_threads],
@@ -71,6 +81,33 @@
         self._requests.add(1, labels)
         self._latency.record(duration_s, labels)
 
+    def count_refusal(self, queue: QueueId, reason: RefusalReason) -> None:
+        """Count one request that was not run."""
+        self._refusals.add(1, {"queue": queue, "reason": reason.value})
+
+    def count_retry(self, queue: QueueId) -> None:
+        """Count one further attempt of a request."""
+        self._retries.add(1, {"queue": queue})
+
+    def count_ejection(self, vm: VmId) -> None:
+        """Count one ejection of a worker."""
+        self._ejections.add(1, {"vm": vm})
+
+    def observe_load(
+        self, waiting: Callable[[], int], running: Callable[[], int]
+    ) -> None:
+        """Show how many requests wait and run when the metrics are pulled."""
+        self._meter.create_observable_gauge(
+            "currantstage_waiting_requests",
+            [lambda _: [Observation(waiting())]],
+            description="Requests that wait for a slot.",
+        )
+        self._meter.create_observable_gauge(
+            "currantstage_running_requests",
+            [lambda _: [Observation(running())]],
+            description="Requests that hold a slot, those in doubt included.",
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -82,6 +82,7 @@
 
     max_body_bytes: int = 16 * 1024 * 1024
     max_drain_ms: int = 60_000
+    balancer_notice_ms: int = 500
 
 
 class Settings(Struct, frozen=True, kw_only=True, rename={"entry_vm": "entry-vm"}):
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -1,70 +1,85 @@
-"""Choose the backend server for a request and account for its slots."""
+"""Admit requests, let them wait in bounded lines, and start them on workers."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import Counter
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 
-from currantstage.coordination._keys import identify_team
-from currantstage.coordination._outcomes import (
-    Answer,
-    Refusal,
-    RefusalReason,
-    SendFailure,
-    Uncertain,
+from currantstage.coordination._admission import (
+    RETRY_AFTER_S,
+    check_still_allowed,
+    check_submission,
+    estimate_wait_s,
+    find_longest_line,
+    is_hopeless,
+    retry_after_s,
 )
+from currantstage.coordination._dispatch_effects import (
+    MIN_WEIGHT_SLOTS,
+    Assignment,
+    DispatchEffect,
+    Refuse,
+    ReleaseAt,
+    Start,
+    Wait,
+)
+from currantstage.coordination._outcomes import Refusal, RefusalReason
+from currantstage.coordination._policies import TeamLoad
+from currantstage.coordination._waiting import NO_TEAM, QueueLine
 
 if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.coordination._policies import TeamLimiter, WorkerSlots
-    from currantstage.state import DataCentreId, Queue, QueueId, TeamId, Vm
-
-#: Advice to a caller when every slot is taken, in seconds.
-RETRY_AFTER_S = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """A request that holds a slot of a backend server.
+    from collections.abc import Iterable
 
-    Parameters
-    ----------
-    vm : Vm
-    team : TeamId or None
-    timeout_s : float
-        Time left for the answer, in seconds.
-    """
+    from currantstage.coordination._estimates import RunTimeEstimates
+    from currantstage.coordination._jobs import Submission
+    from currantstage.coordination._placement import Placement
+    from currantstage.coordination._policies import SharePolicy, TeamLimiter
+    from currantstage.coordination._topology import Topology
+    from currantstage.coordination._waiting import WaitingRequest
+    from currantstage.coordination._worker_room import WorkerRoom
+    from currantstage.state import QueueId, RequestId, TeamId, VmId
 
-    vm: Vm
-    team: TeamId | None
-    timeout_s: float
+#: Time after its deadline for which a job without an answer counts as running.
+END_MARGIN_S = 1.0
 
 
 class Dispatcher:
-    """Admits requests and assigns them to backend servers.
+    """Bounded lines of waiting requests in front of the workers of a data centre.
+
+    Every method takes what has happened and returns the effects of it. A request that
+    waits is started when a slot is released; nothing has to ask again.
 
     Parameters
     ----------
-    configuration : Configuration
-    data_centre : DataCentreId
-        Where this entry VM stands; only its backend servers are used.
+    topology : Topology
     limiter : TeamLimiter
-    slots : WorkerSlots
+    shares : SharePolicy
+    placement : Placement
+    room : WorkerRoom
+    estimates : RunTimeEstimates
     """
 
     def __init__(
         self,
-        configuration: Configuration,
-        data_centre: DataCentreId,
+        topology: Topology,
         limiter: TeamLimiter,
-        slots: WorkerSlots,
+        shares: SharePolicy,
+        placement: Placement,
+        room: WorkerRoom,
+        estimates: RunTimeEstimates,
     ) -> None:
-        self._configuration = configuration
-        self._data_centre = data_centre
+        self._topology = topology
         self._limiter = limiter
-        self._slots = slots
+        self._shares = shares
+        self._placement = placement
+        self._room = room
+        self._estimates = estimates
+        self._waiting: dict[RequestId, WaitingRequest] = {}
+        self._lines: dict[QueueId, QueueLine] = {}
+        self._running: dict[tuple[QueueId, TeamId], float] = {}
+        self._running_of_queue: Counter[QueueId] = Counter()
         self._is_stopping = False
 
     @property
@@ -72,61 +87,201 @@
         """Whether new requests are refused."""
         return self._is_stopping
 
-    def stop_admission(self) -> None:
-        """Refuse new requests from now on; running ones finish."""
-        self._is_stopping = True
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
 
-    def admit(
-        self, queue_id: QueueId, presented_key: str | None
-    ) -> Result[Assignment, Refusal]:
-        """Return the slot that the request takes, or why it is not run."""
+    @property
+    def running_count(self) -> int:
+        """Requests that hold a slot, those in doubt included."""
+        return self._running_of_queue.total()
+
+    def submit(
+        self, request_id: RequestId, submission: Submission, now_s: float
+    ) -> list[DispatchEffect]:
+        """Take a new request: start it, let it wait, or refuse it."""
         if self._is_stopping:
-            return Failure(Refusal(RefusalReason.STOPPING, RETRY_AFTER_S))
-        fleet = self._configuration.fleet
-        queue = fleet.queues.get(queue_id)
-        if queue is None:
-            return Failure(Refusal(RefusalReason.QUEUE_UNKNOWN))
-        identified = identify_team(fleet, queue, presented_key)
-        if isinstance(identified, Failure):
-            return identified
-        return self._assign(queue, identified.unwrap())
-
-    def finish(self, assignment: Assignment) -> None:
-        """Give back what `assignment` holds."""
-        self._slots.release(assignment.vm.vm_id)
-        if assignment.team is not None:
-            self._limiter.release(assignment.team)
-
-    def _assign(self, queue: Queue, team: TeamId | None) -> Result[Assignment, Refusal]:
-        vm = self._least_loaded(queue)
-        if vm is None:
-            return Failure(Refusal(RefusalReason.NO_CAPACITY, RETRY_AFTER_S))
-        if team is not None and not self._limiter.try_acquire(team):
-            return Failure(Refusal(RefusalReason.TEAM_AT_LIMIT, RETRY_AFTER_S))
-        self._slots.try_acquire(vm.vm_id)
-        return Success(Assignment(vm, team, queue.timeout_ms / 1000))
-
-    def _least_loaded(self, queue: Queue) -> Vm | None:
-        fleet = self._configuration.fleet
-        candidates = [
-            vm
-            for pool_id in queue.pools
-            if fleet.pools[pool_id].data_centre == self._data_centre
-            for vm in fleet.vms_of_pool(pool_id)
-            if self._slots.free_slots(vm.vm_id) > 0
+            return [Refuse(request_id, _STOPPING)]
+        checked = check_submission(self._topology, request_id, submission, now_s)
+        if isinstance(checked, Failure):
+            return [Refuse(request_id, checked.failure())]
+        return self._enter(checked.unwrap(), now_s)
+
+    def resubmit(self, request: WaitingRequest, now_s: float) -> list[DispatchEffect]:
+        """Take a request again whose attempt failed, also while stopping."""
+        refusal = check_still_allowed(self._topology, request)
+        if refusal is not None:
+            return [Refuse(request.request_id, refusal)]
+        return self._enter(request, now_s)
+
+    def withdraw(
+        self, request_id: RequestId, reason: RefusalReason
+    ) -> list[DispatchEffect]:
+        """Take a waiting request out, in constant time; no effect on others."""
+        request = self._waiting.get(request_id)
+        if request is None:
+            return []
+        self._remove(request)
+        retry_s = RETRY_AFTER_S if reason is RefusalReason.DEADLINE_PASSED else None
+        return [Refuse(request_id, Refusal(reason, retry_s))]
+
+    def finish(
+        self, assignment: Assignment, is_end_certain: bool, now_s: float
+    ) -> list[DispatchEffect]:
+        """Give back what `assignment` holds, once its job can't be running any more.
+
+        Parameters
+        ----------
+        assignment : Assignment
+        is_end_certain : bool
+            Whether the answer is whole or no byte was sent. Otherwise the job may run
+            until the deadline that its server was told.
+        now_s : float
+        """
+        if is_end_certain:
+            return self.release(assignment, now_s)
+        at_s = assignment.request.deadline_s + END_MARGIN_S
+        return [ReleaseAt(assignment, max(at_s, now_s))]
+
+    def release(self, assignment: Assignment, now_s: float) -> list[DispatchEffect]:
+        """Give back what `assignment` holds, and start who waited for it."""
+        request = assignment.request
+        self._room.give_back(assignment.vm, request.size)
+        if request.team != NO_TEAM:
+            self._limiter.release(request.team)
+        self._give_up_weight(assignment)
+        self._running_of_queue[request.queue] -= 1
+        return self.start_waiting(now_s)
+
+    def set_leaving(self, vms: Iterable[VmId], now_s: float) -> list[DispatchEffect]:
+        """Give nothing new to the servers `vms`; their running requests finish."""
+        self._room.set_leaving(vms)
+        return self.start_waiting(now_s)
+
+    def stop_admission(self) -> list[DispatchEffect]:
+        """Refuse new and waiting requests from now on; running ones finish."""
+        self._is_stopping = True
+        new = [request for request in self._waiting.values() if not request.avoided]
+        return [effect for each in new for effect in self._refuse(each, _STOPPING)]
+
+    def start_waiting(self, now_s: float) -> list[DispatchEffect]:
+        """Start what can start, after capacity, limits or the fleet have changed."""
+        effects: list[DispatchEffect] = []
+        for queue in tuple(self._lines):
+            before = len(effects)
+            self._start_line(queue, now_s, effects)
+            if len(effects) > before and queue in self._lines:
+                # Queues that share workers take turns.
+                self._lines[queue] = self._lines.pop(queue)
+        return effects
+
+    def _enter(self, request: WaitingRequest, now_s: float) -> list[DispatchEffect]:
+        line = self._lines.setdefault(request.queue, QueueLine())
+        is_first = not line.waiting_of(request.team)
+        line.append(request)
+        self._waiting[request.request_id] = request
+        effects: list[DispatchEffect] = []
+        if is_first or request.is_urgent:
+            self._start_line(request.queue, now_s, effects)
+        if request.request_id in self._waiting:
+            effects.extend(self._shed(request, line, now_s))
+        if request.request_id in self._waiting:
+            effects.append(Wait(request.request_id, request.deadline_s))
+        return effects
+
+    def _shed(
+        self, request: WaitingRequest, line: QueueLine, now_s: float
+    ) -> list[DispatchEffect]:
+        """Refuse a request that can't be served in time, or one too many."""
+        running = self._running_of_queue[request.queue]
+        ahead = line.ahead_of(request.team)
+        wait_s = estimate_wait_s(self._estimates, request.queue, ahead, running)
+        if not request.is_urgent and is_hopeless(
+            self._estimates, request, wait_s, now_s
+        ):
+            reason = RefusalReason.DEADLINE_UNMEETABLE
+            return self._refuse(request, Refusal(reason, retry_after_s(wait_s)))
+        if len(line) <= self._topology.fleet.queues[request.queue].max_waiting:
+            return []
+        victim = find_longest_line(self._topology, line)
+        refusal = Refusal(RefusalReason.QUEUE_FULL, retry_after_s(wait_s))
+        return self._refuse(victim, refusal)
+
+    def _start_line(
+        self, queue: QueueId, now_s: float, effects: list[DispatchEffect]
+    ) -> None:
+        line = self._lines[queue]
+        blocked: set[TeamId] = set()
+        while self._room.has_free_slot(queue, now_s):
+            loads = self._loads(queue, line, blocked)
+            if not loads:
+                return
+            team = self._shares.choose(loads)
+            request = line.first_of(team)
+            refusal = check_still_allowed(self._topology, request)
+            if refusal is not None:
+                effects.extend(self._refuse(request, refusal))
+                continue
+            assignment = self._try_assign(request, now_s)
+            if assignment is None:
+                blocked.add(team)
+                continue
+            self._remove(request)
+            effects.append(Start(request.request_id, assignment))
+
+    def _loads(
+        self, queue: QueueId, line: QueueLine, blocked: set[TeamId]
+    ) -> list[TeamLoad]:
+        teams = self._topology.fleet.teams
+        return [
+            TeamLoad(
+                team=team,
+                share=teams[team].share if team in teams else 1.0,
+                running_slots=self._running.get((queue, team), 0.0),
+                waiting_requests=len(requests),
+            )
+            for team, requests in line
+            if team not in blocked
         ]
-        return max(
-            candidates,
-            key=lambda vm: self._slots.free_slots(vm.vm_id) / vm.slots,
-            default=None,
-        )
 
+    def _try_assign(self, request: WaitingRequest, now_s: float) -> Assignment | None:
+        if request.team != NO_TEAM and not self._limiter.try_acquire(request.team):
+            return None
+        candidates = self._room.candidates(request, now_s)
+        vm = None
+        if candidates:
+            vm = self._placement.choose(request.request_id, candidates)
+        if vm is None or not self._room.try_take(vm, request.size):
+            if request.team != NO_TEAM:
+                self._limiter.release(request.team)
+            return None
+        assignment = Assignment(request, vm, now_s)
+        held = self._running.get((request.queue, request.team), 0.0)
+        self._running[request.queue, request.team] = held + assignment.weight_slots
+        self._running_of_queue[request.queue] += 1
+        return assignment
+
+    def _give_up_weight(self, assignment: Assignment) -> None:
+        key = (assignment.request.queue, assignment.request.team)
+        left = self._running[key] - assignment.weight_slots
+        if left < MIN_WEIGHT_SLOTS:
+            del self._running[key]
+        else:
+            self._running[key] = left
+
+    def _refuse(
+        self, request: WaitingRequest, refusal: Refusal
+    ) -> list[DispatchEffect]:
+        self._remove(request)
+        return [Refuse(request.request_id, refusal)]
 
-def conclude(failure: SendFailure) -> Refusal | Uncertain:
-    """Return what is certain after a request got no whole answer."""
-    if failure is SendFailure.NOT_SENT:
-        return Refusal(RefusalReason.UNREACHABLE, RETRY_AFTER_S)
-    return Uncertain("the backend server gave no whole answer")
+    def _remove(self, request: WaitingRequest) -> None:
+        del self._waiting[request.request_id]
+        line = self._lines[request.queue]
+        line.remove(request)
+        if not line:
+            del self._lines[request.queue]
 
 
-RequestEnd = Answer | Refusal | Uncertain
+_STOPPING = Refusal(RefusalReason.STOPPING, RETRY_AFTER_S)
--- a/currantstage/coordination/_keys.py
+++ b/currantstage/coordination/_keys.py
@@ -27,6 +27,15 @@
     return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
 
 
+def key_id_of(presented: str) -> KeyId:
+    """Return the public part of ``key-id.secret``.
+
+    >>> key_id_of("north-1.secret")
+    'north-1'
+    """
+    return KeyId(presented.partition(".")[0])
+
+
 def identify_team(
     fleet: Fleet, queue: Queue, presented: str | None
 ) -> Result[TeamId | None, Refusal]:
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from currantstage.coordination._jobs import JobSize
 
 
 class Outcome(Enum):
@@ -21,12 +25,38 @@
 
     KEY_REFUSED = "key-refused"
     QUEUE_UNKNOWN = "queue-unknown"
+    MALFORMED = "malformed"
+    #: No worker of the queue is large enough.
+    JOB_TOO_LARGE = "job-too-large"
+    #: The queue's bound on waiting requests is reached.
+    QUEUE_FULL = "queue-full"
+    #: The learnt run times leave no hope of an answer before the deadline.
+    DEADLINE_UNMEETABLE = "deadline-unmeetable"
+    #: The deadline passed while the request waited.
+    DEADLINE_PASSED = "deadline-passed"
+    #: A caller that goes away withdraws its waiting request.
+    CANCELLED = "cancelled"
     TEAM_AT_LIMIT = "team-at-limit"
     NO_CAPACITY = "no-capacity"
     STOPPING = "stopping"
     UNREACHABLE = "unreachable"
 
 
+@dataclass(frozen=True, slots=True)
+class SizeShortage:
+    """A job that no worker can hold.
+
+    Parameters
+    ----------
+    asked : JobSize
+    largest : JobSize
+        What the largest worker of the queue has.
+    """
+
+    asked: JobSize
+    largest: JobSize
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """A request that certainly did not run.
@@ -36,10 +66,13 @@
     reason : RefusalReason
     retry_after_s : float or None
         When to try again, in seconds; None when repeating can't help.
+    shortage : SizeShortage or None
+        Set when the job is too large.
     """
 
     reason: RefusalReason
     retry_after_s: float | None = None
+    shortage: SizeShortage | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,5 +94,12 @@
 class SendFailure(Enum):
     """How far a request came that got no whole answer."""
 
+    #: No connection could be made: no byte left this entry VM.
     NOT_SENT = "not-sent"
+    #: A connection was lost, or ended before the answer's length.
     SENT = "sent"
+    #: A connection made no progress within its bound.
+    SILENT = "silent"
+
+
+RequestEnd: TypeAlias = Answer | Refusal | Uncertain
--- /dev/null
+++ b/currantstage/coordination/_topology.py
@@ -0,0 +1,74 @@
+"""Which workers serve which queue from one data centre, worked out per generation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from currantstage.coordination._configuration import Configuration
+    from currantstage.state import DataCentreId, Fleet, PoolId, QueueId, Vm, VmId
+
+
+class Topology:
+    """Looks up workers and queues of one data centre.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    data_centre : DataCentreId
+    """
+
+    def __init__(self, configuration: Configuration, data_centre: DataCentreId) -> None:
+        self._configuration = configuration
+        self._data_centre = data_centre
+        self._indexed: Fleet | None = None
+        self._vms_of_pool: dict[PoolId, tuple[Vm, ...]] = {}
+        self._vms_of_queue: dict[QueueId, tuple[Vm, ...]] = {}
+        self._queues_of_pool: dict[PoolId, tuple[QueueId, ...]] = {}
+
+    @property
+    def fleet(self) -> Fleet:
+        """The fleet in force."""
+        return self._configuration.fleet
+
+    def vms_of_queue(self, queue: QueueId) -> tuple[Vm, ...]:
+        """Return the workers of this data centre that serve `queue`."""
+        self._refresh()
+        return self._vms_of_queue.get(queue, ())
+
+    def vm_ids_of_pool(self, pool: PoolId) -> tuple[VmId, ...]:
+        """Return the workers of `pool`, if it is of this data centre."""
+        self._refresh()
+        return tuple(vm.vm_id for vm in self._vms_of_pool.get(pool, ()))
+
+    def queues_of_pool(self, pool: PoolId) -> tuple[QueueId, ...]:
+        """Return the queues that `pool` serves."""
+        self._refresh()
+        return self._queues_of_pool.get(pool, ())
+
+    def _refresh(self) -> None:
+        fleet = self._configuration.fleet
+        if fleet is self._indexed:
+            return
+        members: dict[PoolId, list[Vm]] = {
+            pool.pool_id: []
+            for pool in fleet.pools.values()
+            if pool.data_centre == self._data_centre
+        }
+        for vm in fleet.vms.values():
+            if vm.pool in members:
+                members[vm.pool].append(vm)
+        self._vms_of_pool = {pool: tuple(vms) for pool, vms in members.items()}
+        self._vms_of_queue = {
+            queue.queue_id: tuple(
+                vm for pool in queue.pools for vm in self._vms_of_pool.get(pool, ())
+            )
+            for queue in fleet.queues.values()
+        }
+        self._queues_of_pool = {
+            pool: tuple(
+                queue.queue_id for queue in fleet.queues.values() if pool in queue.pools
+            )
+            for pool in members
+        }
+        self._indexed = fleet
--- /dev/null
+++ b/currantstage/coordination/_worker_room.py
@@ -0,0 +1,119 @@
+"""Which workers have room for a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination._connection_health import ServerState
+from currantstage.coordination._jobs import NO_SIZE, JobSize, capacity_of
+from currantstage.coordination._placement import Candidate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantstage.coordination._connection_health import ServerHealth
+    from currantstage.coordination._outliers import OutlierDetector
+    from currantstage.coordination._policies import WorkerSlots
+    from currantstage.coordination._topology import Topology
+    from currantstage.coordination._waiting import WaitingRequest
+    from currantstage.state import QueueId, Vm, VmId
+
+
+class WorkerRoom:
+    """Accounts for slots and declared sizes, and leaves out unfit workers.
+
+    Parameters
+    ----------
+    topology : Topology
+    slots : WorkerSlots
+    health : ServerHealth
+    outliers : OutlierDetector
+    """
+
+    def __init__(
+        self,
+        topology: Topology,
+        slots: WorkerSlots,
+        health: ServerHealth,
+        outliers: OutlierDetector,
+    ) -> None:
+        self._topology = topology
+        self._slots = slots
+        self._health = health
+        self._outliers = outliers
+        self._leaving: frozenset[VmId] = frozenset()
+        self._used: dict[VmId, JobSize] = {}
+
+    def set_leaving(self, vms: Iterable[VmId]) -> None:
+        """Give nothing new to `vms`, and to them only."""
+        self._leaving = frozenset(vms)
+
+    def has_free_slot(self, queue: QueueId, now_s: float) -> bool:
+        """Return whether any usable worker of `queue` has a free slot."""
+        return any(
+            self._slots.free_slots(vm.vm_id) > 0 and self._is_usable(vm.vm_id, now_s)
+            for vm in self._topology.vms_of_queue(queue)
+        )
+
+    def candidates(self, request: WaitingRequest, now_s: float) -> list[Candidate]:
+        """Return the workers that may take `request` now.
+
+        Workers that failed it before are returned only when no other worker could
+        ever take it.
+        """
+        usable = [
+            vm
+            for vm in self._topology.vms_of_queue(request.queue)
+            if self._is_usable(vm.vm_id, now_s)
+        ]
+        if request.avoided:
+            fresh = [vm for vm in usable if vm.vm_id not in request.avoided]
+            usable = fresh or usable
+        candidates = []
+        for vm in usable:
+            free = self._slots.free_slots(vm.vm_id)
+            if free > 0 and self._has_room(vm, request.size):
+                state = self._health.state_of(vm.vm_id)
+                is_suspect = state is ServerState.SUSPECT
+                candidates.append(Candidate(vm, free, is_suspect))
+        return candidates
+
+    def try_take(self, vm: Vm, size: JobSize) -> bool:
+        """Take a slot and room for `size`; return False when no slot is left."""
+        if not self._slots.try_acquire(vm.vm_id):
+            return False
+        if size != NO_SIZE:
+            self._used[vm.vm_id] = _add(self._used.get(vm.vm_id, NO_SIZE), size, 1)
+        return True
+
+    def give_back(self, vm: Vm, size: JobSize) -> None:
+        """Give back what `try_take` took."""
+        self._slots.release(vm.vm_id)
+        if size == NO_SIZE:
+            return
+        left = _add(self._used[vm.vm_id], size, -1)
+        if left == NO_SIZE:
+            del self._used[vm.vm_id]
+        else:
+            self._used[vm.vm_id] = left
+
+    def _is_usable(self, vm: VmId, now_s: float) -> bool:
+        return (
+            vm not in self._leaving
+            and self._health.state_of(vm) is not ServerState.DOWN
+            and not self._outliers.is_ejected(vm, now_s)
+        )
+
+    def _has_room(self, vm: Vm, size: JobSize) -> bool:
+        if size == NO_SIZE:
+            return True
+        used = self._used.get(vm.vm_id, NO_SIZE)
+        return _add(used, size, 1).fits(capacity_of(vm))
+
+
+def _add(size: JobSize, other: JobSize, sign: int) -> JobSize:
+    return JobSize(
+        processors=round(size.processors + sign * other.processors, 6),
+        memory_mb=size.memory_mb + sign * other.memory_mb,
+        accelerators=size.accelerators + sign * other.accelerators,
+    )
--- a/currantstage/standin/_cluster.py
+++ b/currantstage/standin/_cluster.py
@@ -14,6 +14,7 @@
     OperatorSettings,
     PeerSettings,
     PlatformSettings,
+    ServingSettings,
     Settings,
 )
 from currantstage.standin._backend import BackendStandIn
@@ -118,4 +119,5 @@
             platform=PlatformSettings(url=self.platform.url),
             peers=PeerSettings(secret="peers-of-the-demo"),
             operators=OperatorSettings(key=OPERATOR_KEY),
+            serving=ServingSettings(balancer_notice_ms=1),
         )
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from currantstage.transport._backends import (
+    CONNECT_TIMEOUT_S,
+    MAX_IDLE_S,
+    PROBE_TIMEOUT_S,
+    BackendCall,
     BackendClient,
+    ServerConnections,
 )
 from currantstage.transport._errors import (
     ListenError,
@@ -11,6 +16,7 @@
     TransportError,
 )
 from currantstage.transport._http_server import (
+    MAX_ANSWER_S,
     HttpServer,
 )
 from currantstage.transport._operator_client import (
@@ -36,20 +42,26 @@
 )
 
 __all__ = [
+    "BackendCall",
     "BackendClient",
     "CALL_TIMEOUT_S",
+    "CONNECT_TIMEOUT_S",
     "CallerService",
     "HealthService",
     "HttpServer",
     "ListenError",
+    "MAX_ANSWER_S",
+    "MAX_IDLE_S",
     "OperatorCallError",
     "OperatorClient",
     "OperatorService",
+    "PROBE_TIMEOUT_S",
     "PeerSockets",
     "PlatformClient",
     "RECONNECT_MAX_MS",
     "RECONNECT_MIN_MS",
     "SEND_BUFFER_FRAMES",
+    "ServerConnections",
     "TransportError",
     "add_caller_routes",
     "add_health_routes",
--- a/currantstage/transport/_http_server.py
+++ b/currantstage/transport/_http_server.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from sanic.server import AsyncioServer
 
+#: Longest that a connection waits for its answer, in seconds.
+MAX_ANSWER_S = 25 * 3600
+
 
 class HttpServer:
     """Runs a sanic application by its `create_server`, with no worker process.
@@ -30,6 +33,8 @@
         # The rewriting of methods at start would break a second application.
         self.app.config.TOUCHUP = False
         self.app.config.REQUEST_MAX_SIZE = max_body_bytes
+        # Queues bound each request; sanic's own answer would not say its outcome.
+        self.app.config.RESPONSE_TIMEOUT = MAX_ANSWER_S
         self._address = address
         self._server: AsyncioServer | None = None
 
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import hmac
+import math
 from typing import TYPE_CHECKING, Any, Protocol
 
+from returns.result import Failure
 from sanic import HTTPResponse
 
 from currantstage.protocol import (
     JSON_TYPE,
-    KEY_HEADER,
     OPERATOR_KEY_HEADER,
     OUTCOME_HEADER,
-    CallerRequest,
     NoteReport,
     NoteState,
     OperatorError,
     encode_message,
+    read_caller_request,
+    to_caller_answer,
 )
 from currantstage.state import NoteId, QueueId
 
@@ -24,12 +26,11 @@
     from msgspec import Struct
     from sanic import Request, Sanic
 
-    from currantstage.protocol import CallerAnswer
+    from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import Fleet
 
 _OK = 200
 _STOPPING = 503
-_DEFAULT_TYPE = "application/octet-stream"
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 _STATUS_OF_NOTE_STATE = {
     NoteState.INVALID: 422,
@@ -74,17 +75,14 @@
     """Serve callers' requests at ``POST /v1/queues/QUEUE``."""
 
     async def serve(request: Request, queue: str) -> HTTPResponse:
-        answer = await service.serve(
-            CallerRequest(
-                queue=QueueId(queue),
-                presented_key=request.headers.get(KEY_HEADER),
-                content_type=request.headers.get("content-type", _DEFAULT_TYPE),
-                body=request.body,
-            )
-        )
+        read = read_caller_request(QueueId(queue), request.headers, request.body)
+        if isinstance(read, Failure):
+            answer = to_caller_answer(read.failure())
+        else:
+            answer = await service.serve(read.unwrap())
         headers = {OUTCOME_HEADER: answer.outcome.value}
         if answer.retry_after_s is not None:
-            headers["retry-after"] = f"{answer.retry_after_s:.0f}"
+            headers["retry-after"] = str(math.ceil(answer.retry_after_s))
         return HTTPResponse(
             answer.body, answer.status, headers, content_type=answer.content_type
         )
