--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -16,6 +16,10 @@
     Admitted,
     DispatchDriver,
 )
+from currantstage.application._duty_runner import (
+    RENEWALS_PER_LEASE,
+    DutyRunner,
+)
 from currantstage.application._errors import (
     ApplicationError,
     StartError,
@@ -46,6 +50,7 @@
     "Daemon",
     "DaemonMetrics",
     "DispatchDriver",
+    "DutyRunner",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
@@ -55,6 +60,7 @@
     "PeerService",
     "ProcedureRunner",
     "QueueService",
+    "RENEWALS_PER_LEASE",
     "RequestPath",
     "ServerMonitor",
     "StartError",
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,6 +9,7 @@
 
 from eliot import log_message
 
+from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -16,8 +17,11 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
+    DUTY_LEASE_S,
     Configuration,
     CoordinationError,
+    Duty,
+    DutyLeases,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
@@ -75,7 +79,9 @@
         )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
-        self._runner = ProcedureRunner(self._platform, self._platform)
+        self._runner = ProcedureRunner(
+            self._platform, self._platform, self._platform, self._clock
+        )
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
@@ -148,11 +154,17 @@
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(self._probes)
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
+        await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
 
     async def _own(
         self,
-        part: PlatformClient | BackendClient | PeerSockets | DutyLoop | HttpServer,
+        part: PlatformClient
+        | BackendClient
+        | PeerSockets
+        | DutyLoop
+        | DutyRunner
+        | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
         self._resources.push_async_callback(part.close)
@@ -173,6 +185,16 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_duty_runner(self) -> DutyRunner:
+        row = self._membership.row
+        leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
+        return DutyRunner(
+            self._runner, leases, self._clock, self._build_duties(), DUTY_LEASE_S
+        )
+
+    def _build_duties(self) -> list[Duty]:
+        return []
+
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
         incarnation = f"{self._random.getrandbits(INCARNATION_BITS):016x}"
