Test the request path under failing servers

Cause: the request path had no failure tests.

The stand-in can silence open connections only, and drop a request after running it.

--- a/currantstage/standin/_backend.py
+++ b/currantstage/standin/_backend.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from enum import Enum
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -22,6 +24,8 @@
     SILENT = "silent"
     #: Announces a longer answer than it sends.
     SHORT = "short"
+    #: Runs the request, then closes the connection without an answer.
+    DROPPING = "dropping"
 
 
 class BackendStandIn:
@@ -43,35 +47,63 @@
         self.bodies: list[bytes] = []
         self.running = 0
         self.most_running = 0
+        self._connections: WeakSet[asyncio.Transport] = WeakSet()
+        self._silenced: WeakSet[asyncio.Transport] = WeakSet()
+        self._closing = asyncio.Event()
         self._name = name
         self._address = address
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Listen."""
+        self._closing.clear()
         app = web.Application()
-        app.add_routes([web.post("/run/{queue}", self._run)])
+        app.add_routes(
+            [web.post("/run/{queue}", self._run), web.head("/", self._answer_probe)]
+        )
         self._runner = await start_site(app, self._address)
 
     async def close(self) -> None:
         """Stop listening."""
+        self._closing.set()
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
 
+    def silence_connections(self) -> None:
+        """Ignore from now on what comes in on the connections that are open."""
+        self._silenced.update(self._connections)
+
+    async def _answer_probe(self, request: web.Request) -> web.Response:
+        await self._hold_if_silent(request)
+        return web.Response()
+
+    async def _hold_if_silent(self, request: web.Request) -> None:
+        if request.transport is None:
+            return
+        self._connections.add(request.transport)
+        is_silent = request.transport in self._silenced
+        if is_silent or self.mode is BackendMode.SILENT:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._closing.wait(), SILENCE_S)
+            request.transport.close()
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        if request.transport in self._silenced:
+            await self._hold_if_silent(request)
         self.bodies.append(body)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
-            if self.mode is BackendMode.SILENT:
-                await asyncio.sleep(SILENCE_S)
+            await self._hold_if_silent(request)
             await asyncio.sleep(self.duration_s)
         finally:
             self.running -= 1
         if self.mode is BackendMode.FAILING:
             return web.Response(status=500, text="failed")
+        if self.mode is BackendMode.DROPPING and request.transport is not None:
+            request.transport.close()
         answer = f"{self._name}:".encode() + body
         if self.mode is BackendMode.SHORT:
             return await self._answer_short(request, answer)
--- /dev/null
+++ b/tests/coordination/test_faults.py
@@ -0,0 +1,155 @@
+"""Attempts, server health, ejection and learnt run times."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from currantstage.coordination import (
+    MAX_SAVED_RETRIES,
+    UNKNOWN_SILENCE_S,
+    Answer,
+    Attempts,
+    Finish,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Retry,
+    RetryBudget,
+    SendFailure,
+    ServerState,
+    Uncertain,
+)
+from currantstage.protocol import to_caller_answer
+from currantstage.state import VmId
+from tests.request_fakes import QUEUE, FakePath, make_fleet
+
+FAILED = Answer(500, "text/plain", b"failed")
+DONE = Answer(200, "text/plain", b"done")
+
+
+def make_attempts(is_idempotent, budget=None):
+    budget = RetryBudget() if budget is None else budget
+    return Attempts(is_idempotent, 10.0, budget, random.Random(1))
+
+
+@pytest.mark.parametrize("failure", [SendFailure.SENT, SendFailure.SILENT])
+def test_a_request_that_may_have_run_is_sent_once(failure):
+    step = make_attempts(False).after(VmId("a"), failure, 0.0)
+    assert isinstance(step, Finish)
+    assert to_caller_answer(step.end).outcome is Outcome.UNKNOWN
+
+
+def test_a_request_of_which_no_byte_was_sent_is_tried_elsewhere():
+    attempts = make_attempts(False)
+    step = attempts.after(VmId("a"), SendFailure.NOT_SENT, 0.0)
+    assert isinstance(step, Retry)
+    assert step.avoided == {"a"}
+
+
+def test_a_retry_that_was_not_sent_does_not_hide_the_first_attempt():
+    attempts = make_attempts(True)
+    attempts.after(VmId("a"), SendFailure.SENT, 0.0)
+    attempts.after(VmId("b"), SendFailure.NOT_SENT, 0.0)
+    step = attempts.after(VmId("c"), SendFailure.NOT_SENT, 0.0)
+    assert isinstance(step.end, Uncertain)
+    refusal = Refusal(RefusalReason.QUEUE_FULL)
+    assert isinstance(attempts.give_up(refusal), Uncertain)
+
+
+def test_retries_end_with_the_deadline_and_with_the_budget():
+    late = make_attempts(True).after(VmId("a"), SendFailure.SENT, 9.999)
+    assert isinstance(late, Finish)
+    budget = RetryBudget()
+    steps = [
+        make_attempts(True, budget).after(VmId("a"), SendFailure.SENT, 0.0)
+        for _ in range(100)
+    ]
+    retries = sum(isinstance(step, Retry) for step in steps)
+    assert retries == MAX_SAVED_RETRIES
+
+
+def test_a_failed_answer_is_the_end_when_nothing_better_comes():
+    attempts = make_attempts(True)
+    assert isinstance(attempts.after(VmId("a"), FAILED, 0.0), Retry)
+    assert attempts.give_up(Refusal(RefusalReason.QUEUE_FULL)) == FAILED
+
+
+def test_only_a_fresh_connection_calls_a_server_down():
+    path = FakePath(make_fleet())
+    vm = VmId("w0")
+    path.health.on_connection_failed(vm, 0.0)
+    assert path.health.state_of(vm) is ServerState.SUSPECT
+    assert path.health.due_probes(0.0) == [vm]
+    assert path.health.due_probes(0.0) == []
+    path.health.on_probe(vm, False, 1.0)
+    assert path.health.state_of(vm) is ServerState.DOWN
+    vms = {path.submit(str(n))[0].assignment.vm.vm_id for n in range(2)}
+    assert vms == {"w1"}
+    assert path.health.due_probes(1.0) == []
+    assert path.health.due_probes(2.0) == [vm]
+    path.health.on_probe(vm, True, 2.0)
+    assert path.health.state_of(vm) is ServerState.UP
+
+
+def run_jobs(path, outcome_of, count=400):
+    """Let workers in turn run one job each; return the workers ejected."""
+    workers = sorted(path.configuration.fleet.vms)
+    ejected = []
+    for number in range(count):
+        vm = workers[number % len(workers)]
+        if path.outliers.is_ejected(vm, 0.0):
+            continue
+        if outcome_of(vm, number):
+            path.tracker.on_end([], vm, 0.0)
+        else:
+            ejected.extend(path.tracker.on_end([vm], None, 0.0))
+    return ejected
+
+
+def test_a_worker_that_fails_everything_is_ejected():
+    path = FakePath(make_fleet(workers=6))
+    assert run_jobs(path, lambda vm, _: vm != "w3") == ["w3"]
+
+
+def test_jobs_that_fail_everywhere_eject_nobody():
+    path = FakePath(make_fleet(workers=6))
+    assert run_jobs(path, lambda vm, number: False) == []
+    rng = random.Random(5)
+    assert run_jobs(path, lambda vm, number: rng.random() < 0.5) == []
+
+
+def test_ejection_leaves_most_of_the_pool():
+    path = FakePath(make_fleet(workers=6))
+    assert len(run_jobs(path, lambda vm, _: vm in ("w0", "w1"))) == 2
+
+
+def test_a_job_that_fails_on_several_workers_counts_against_none():
+    path = FakePath(make_fleet(workers=6))
+    run_jobs(path, lambda vm, _: True)
+    for _ in range(50):
+        assert path.tracker.on_end([VmId("w0"), VmId("w1")], None, 0.0) == []
+    assert path.tracker.on_end([VmId("w0")] * 20, VmId("w1"), 0.0) == ["w0"]
+
+
+def test_an_ejected_worker_returns_on_trial():
+    path = FakePath(make_fleet(workers=6))
+    run_jobs(path, lambda vm, _: vm != "w3")
+    assert path.outliers.is_ejected(VmId("w3"), 4.9)
+    assert not path.outliers.is_ejected(VmId("w3"), 5.0)
+    assert path.tracker.on_end([VmId("w3")], None, 5.0) == ["w3"]
+    assert path.outliers.is_ejected(VmId("w3"), 14.9)
+
+
+def test_the_bound_on_silence_follows_run_times_that_grow():
+    path = FakePath(make_fleet())
+    assert path.tracker.silence_bound_s(QUEUE) == UNKNOWN_SILENCE_S
+    (start,) = path.submit("a")
+    for _ in range(50):
+        path.tracker.on_result(start.assignment, DONE, 1.0)
+    first_s = path.tracker.silence_bound_s(QUEUE)
+    assert first_s == 3.0
+    for _ in range(5):
+        path.tracker.on_result(start.assignment, SendFailure.SILENT, first_s)
+    assert path.tracker.silence_bound_s(QUEUE) == 2 * first_s
--- /dev/null
+++ b/tests/request_fakes.py
@@ -0,0 +1,114 @@
+"""A small fleet, and the dispatcher in front of it, for tests of the request path."""
+
+from __future__ import annotations
+
+import random
+
+from currantstage.coordination import (
+    Configuration,
+    Dispatcher,
+    FaultTracker,
+    LeastLoaded,
+    LocalTeamLimiter,
+    LocalWorkerSlots,
+    OutlierDetector,
+    RoundRobinShares,
+    RunTimeEstimates,
+    ServerHealth,
+    Submission,
+    Topology,
+    WorkerRoom,
+    digest_secret,
+)
+from currantstage.state import (
+    DataCentreId,
+    Fleet,
+    Generation,
+    Key,
+    KeyId,
+    Pool,
+    PoolId,
+    Queue,
+    QueueId,
+    RackId,
+    RequestId,
+    Team,
+    TeamId,
+    Vm,
+    VmId,
+)
+
+QUEUE = QueueId("q")
+POOL = PoolId("p")
+
+
+def make_fleet(*, workers=2, slots=2, limits=None, max_waiting=256, generation=1):
+    """Return one pool and one keyed queue; `limits` maps teams to upper limits."""
+    limits = {"north": 100} if limits is None else limits
+    vms = [
+        Vm(
+            vm_id=VmId(f"w{number}"),
+            pool=POOL,
+            rack=RackId(f"r{number % 2}"),
+            address="127.0.0.1:1",
+            slots=slots,
+        )
+        for number in range(workers)
+    ]
+    queue = Queue(
+        queue_id=QUEUE, pools=(POOL,), max_waiting=max_waiting, timeout_ms=10_000
+    )
+    return Fleet(
+        generation=Generation(generation),
+        pools={POOL: Pool(pool_id=POOL, data_centre=DataCentreId("a"))},
+        vms={vm.vm_id: vm for vm in vms},
+        teams={
+            TeamId(team): Team(
+                team_id=TeamId(team), share=1.0, upper_limit_slots=upper_limit
+            )
+            for team, upper_limit in limits.items()
+        },
+        keys={
+            KeyId(team): Key(
+                key_id=KeyId(team),
+                team=TeamId(team),
+                salt="s",
+                digest=digest_secret("s", "secret"),
+            )
+            for team in limits
+        },
+        queues={QUEUE: queue},
+    )
+
+
+class FakePath:
+    """The coordination layer's parts of a request path."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.configuration = Configuration()
+        self.configuration.apply(fleet)
+        self.health = ServerHealth()
+        self.outliers = OutlierDetector()
+        self.estimates = RunTimeEstimates()
+        topology = Topology(self.configuration, DataCentreId("a"))
+        self.tracker = FaultTracker(
+            topology, self.health, self.outliers, self.estimates
+        )
+        self.dispatcher = Dispatcher(
+            topology,
+            LocalTeamLimiter(self.configuration),
+            RoundRobinShares(),
+            LeastLoaded(random.Random(3)),
+            WorkerRoom(
+                topology,
+                LocalWorkerSlots(self.configuration),
+                self.health,
+                self.outliers,
+            ),
+            self.estimates,
+        )
+
+    def submit(self, name, team="north", now_s=0.0, **options):
+        """Submit one request and return the effects."""
+        submission = Submission(QUEUE, f"{team}.secret", **options)
+        return self.dispatcher.submit(RequestId(name), submission, now_s)
