--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -94,6 +94,7 @@
         self.tracker = FaultTracker(
             topology, self.health, self.outliers, self.estimates
         )
+        self.slots = LocalWorkerSlots(self.configuration)
         self.dispatcher = Dispatcher(
             topology,
             LocalTeamLimiter(self.configuration),
@@ -101,7 +102,7 @@
             LeastLoaded(random.Random(3)),
             WorkerRoom(
                 topology,
-                LocalWorkerSlots(self.configuration),
+                self.slots,
                 self.health,
                 self.outliers,
             ),
