Let every refusal carry its outcome, and bound callers' options

Cause: an option or key that is not UTF-8 ended as an internal error, and what sanic refuses by itself (a body too large, a malformed request) named no outcome.

Change: such headers are refused as malformed or as a wrong key; sanic's own refusals say not-run, and a fault of the daemon says unknown. Tests cover SIGTERM under queued load, size bounds, any header by hypothesis, a worker's ejection, several silent connections at once, and the limiter's balance after each random history.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system, one command each."""
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -38,6 +38,7 @@
     PlatformClient,
     TransportError,
     add_caller_routes,
+    add_error_answers,
     add_health_routes,
     add_operator_routes,
 )
@@ -180,6 +181,7 @@
         notes = NoteService(
             self._runner, self._store, self._configuration, self._follow.wake
         )
+        add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
         add_health_routes(server.app, self)
--- a/currantstage/coordination/_keys.py
+++ b/currantstage/coordination/_keys.py
@@ -24,7 +24,7 @@
     >>> digest_secret("s", "secret")[:8]
     '2e2ad46e'
     """
-    return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
+    return hashlib.sha256(f"{salt}:{secret}".encode(errors="surrogatepass")).hexdigest()
 
 
 def key_id_of(presented: str) -> KeyId:
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -158,7 +158,8 @@
     if declared:
         try:
             options = msgspec.convert(declared, CallerOptions, strict=False)
-        except msgspec.ValidationError:
+        # A header that is not UTF-8 can't be encoded for conversion.
+        except (msgspec.ValidationError, UnicodeError):
             return Failure(Refusal(RefusalReason.MALFORMED))
     return Success(
         CallerRequest(
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -37,6 +37,7 @@
     HealthService,
     OperatorService,
     add_caller_routes,
+    add_error_answers,
     add_health_routes,
     add_operator_routes,
 )
@@ -64,6 +65,7 @@
     "ServerConnections",
     "TransportError",
     "add_caller_routes",
+    "add_error_answers",
     "add_health_routes",
     "add_operator_routes",
 ]
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -6,9 +6,19 @@
 import math
 from typing import TYPE_CHECKING, Any, Protocol
 
+from eliot import write_traceback
+from msgspec.structs import replace
 from returns.result import Failure
 from sanic import HTTPResponse
+from sanic.exceptions import (
+    BadRequest,
+    MethodNotAllowed,
+    NotFound,
+    PayloadTooLarge,
+    SanicException,
+)
 
+from currantstage.coordination import Refusal, RefusalReason, Uncertain
 from currantstage.protocol import (
     JSON_TYPE,
     OPERATOR_KEY_HEADER,
@@ -31,6 +41,7 @@
 
 _OK = 200
 _STOPPING = 503
+_INTERNAL_ERROR = 500
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 _STATUS_OF_NOTE_STATE = {
     NoteState.INVALID: 422,
@@ -80,16 +91,32 @@
             answer = to_caller_answer(read.failure())
         else:
             answer = await service.serve(read.unwrap())
-        headers = {OUTCOME_HEADER: answer.outcome.value}
-        if answer.retry_after_s is not None:
-            headers["retry-after"] = str(math.ceil(answer.retry_after_s))
-        return HTTPResponse(
-            answer.body, answer.status, headers, content_type=answer.content_type
-        )
+        return _caller_response(answer)
 
     app.add_route(serve, "/v1/queues/<queue>", methods=["POST"], name="serve")
 
 
+def add_error_answers(app: Sanic[Any, Any]) -> None:
+    """Let every error carry its outcome.
+
+    What sanic refuses by itself never reached a queue. Any other error is a fault of
+    the daemon, and says nothing about how far the request came.
+    """
+
+    async def refuse(_: Request, error: Exception) -> HTTPResponse:
+        assert isinstance(error, SanicException)
+        answer = to_caller_answer(Refusal(RefusalReason.MALFORMED))
+        return _caller_response(replace(answer, status=error.status_code))
+
+    async def fail(_: Request, error: Exception) -> HTTPResponse:
+        write_traceback()
+        answer = to_caller_answer(Uncertain(f"internal error: {type(error).__name__}"))
+        return _caller_response(replace(answer, status=_INTERNAL_ERROR))
+
+    app.exception(BadRequest, PayloadTooLarge, NotFound, MethodNotAllowed)(refuse)
+    app.exception(Exception)(fail)
+
+
 def add_operator_routes(
     app: Sanic[Any, Any], service: OperatorService, key: str
 ) -> None:
@@ -97,7 +124,7 @@
 
     def refuse(request: Request) -> HTTPResponse | None:
         presented = request.headers.get(OPERATOR_KEY_HEADER, "")
-        if hmac.compare_digest(presented.encode(), key.encode()):
+        if hmac.compare_digest(presented.encode(errors="surrogatepass"), key.encode()):
             return None
         return _message(OperatorError(error="the operators' key is wrong"), 403)
 
@@ -140,6 +167,15 @@
     app.add_route(metrics, "/metrics", methods=["GET"], name="metrics")
 
 
+def _caller_response(answer: CallerAnswer) -> HTTPResponse:
+    headers = {OUTCOME_HEADER: answer.outcome.value}
+    if answer.retry_after_s is not None:
+        headers["retry-after"] = str(math.ceil(answer.retry_after_s))
+    return HTTPResponse(
+        answer.body, answer.status, headers, content_type=answer.content_type
+    )
+
+
 def _message(message: Struct, status: int) -> HTTPResponse:
     return HTTPResponse(encode_message(message), status, content_type=JSON_TYPE)
 
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -147,8 +147,10 @@
 
 def test_a_silent_connection_is_replaced_and_its_server_kept():
     async def check(site):
-        for _ in range(20):
-            await site.serve(b"x")
+        # More connections than attempts, so that trying them in turn won't do.
+        site.backends["w0"].duration_s = 0.02
+        for _ in range(3):
+            await asyncio.gather(*(site.serve(b"x") for _ in range(4)))
         site.backends["w0"].silence_connections()
         answer = await site.serve(b"again", IDEMPOTENT)
         assert answer.body == b"w0:again"
@@ -156,7 +158,7 @@
         assert (await site.serve(b"next")).body == b"w0:next"
         assert site.runs().count(b"again") == 1
 
-    run_on_site(check, workers=1)
+    run_on_site(check, workers=1, slots=4)
 
 
 def test_a_cancelled_caller_keeps_the_slot_until_its_job_has_ended():
--- a/tests/cmd/test_serve.py
+++ b/tests/cmd/test_serve.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 import uvloop
 
 from currantstage.protocol import KEY_HEADER, OUTCOME_HEADER, NoteState
@@ -29,7 +30,10 @@
 secret = s
 [operators]
 key = operators
+[serving]
+max_body_bytes = {max_body}
 """
+MAX_BODY_BYTES = 100_000
 NOTE = """
 [note]
 id = first
@@ -53,7 +57,11 @@
     await platform.start()
     await backend.start()
     path = tmp_path / "entry-vm.ini"
-    path.write_text(SETTINGS.format(http=http, peer=peer, platform=platform.url))
+    path.write_text(
+        SETTINGS.format(
+            http=http, peer=peer, platform=platform.url, max_body=MAX_BODY_BYTES
+        )
+    )
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "currantstage", "serve", "--config", str(path)),
         stdout=asyncio.subprocess.PIPE,
@@ -93,6 +101,74 @@
     uvloop.run(check())
 
 
+def test_sigterm_refuses_who_waits_and_finishes_who_runs(tmp_path):
+    async def check():
+        async with (
+            serving(tmp_path, duration_s=1.0) as (process, url, backend),
+            aiohttp.ClientSession() as caller,
+        ):
+
+            async def ask(body):
+                async with caller.post(f"{url}/v1/queues/q", data=body) as response:
+                    return response.status, response.headers, await response.read()
+
+            requests = [asyncio.create_task(ask(b"%d" % n)) for n in range(12)]
+            while backend.running < 8:
+                await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGTERM)
+            status = 200
+            while status == 200:
+                async with caller.get(f"{url}/healthz") as response:
+                    status = response.status
+            assert not any(request.done() for request in requests)
+            answers = await asyncio.gather(*requests)
+            assert await process.wait() == 0
+        refused = [each for each in answers if each[0] == 503]
+        assert len(refused) == 4
+        for _, headers, body in refused:
+            assert headers[OUTCOME_HEADER] == "not-run"
+            assert int(headers["retry-after"]) >= 1
+            assert msgspec.json.decode(body)["reason"] == "stopping"
+        assert sum(status == 200 for status, _, _ in answers) == 8
+        assert len(backend.bodies) == 8
+
+    uvloop.run(check())
+
+
+def test_malformed_requests_are_refused_as_not_run(tmp_path):
+    async def check():
+        async with (
+            serving(tmp_path, duration_s=0.0) as (_, url, backend),
+            aiohttp.ClientSession() as caller,
+        ):
+            port = int(url.rpartition(":")[2])
+            for key in (b"\xff\xfe.x", b"k." + b"x" * 4000, b"."):
+                status, head = await post_raw(port, b"currantstage-key: " + key, b"1")
+                assert (status, b"completed" in head) == (200, True)
+            for option in (b"timeout-ms: 0", b"processors: nan", b"urgent: \xff"):
+                status, head = await post_raw(port, b"currantstage-" + option, b"2")
+                assert (status, b"not-run" in head) == (400, True), option
+            largest = bytes(MAX_BODY_BYTES)
+            async with caller.post(f"{url}/v1/queues/q", data=largest) as response:
+                assert response.status == 200
+            status, head = await post_raw(port, b"x: y", largest + b"x")
+            assert (status, b"not-run" in head) == (413, True)
+            assert [len(body) for body in backend.bodies] == [1, 1, 1, MAX_BODY_BYTES]
+
+    uvloop.run(check())
+
+
+async def post_raw(port, header, body):
+    """Post with a header as it stands; return the status and the answer's head."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    length = str(len(body)).encode()
+    lines = (b"POST /v1/queues/q HTTP/1.1", b"host: x", b"content-length: " + length)
+    writer.write(b"\r\n".join((*lines, header, b"", body)))
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), head
+
+
 def test_a_serving_daemon_has_one_python_thread_and_no_child(tmp_path):
     async def check():
         async with (
--- a/tests/coordination/test_faults.py
+++ b/tests/coordination/test_faults.py
@@ -113,6 +113,13 @@
     assert run_jobs(path, lambda vm, _: vm != "w3") == ["w3"]
 
 
+def test_an_ejected_worker_gets_no_request():
+    path = FakePath(make_fleet(workers=2, slots=4))
+    run_jobs(path, lambda vm, _: vm != "w0")
+    vms = {path.submit(str(n))[0].assignment.vm.vm_id for n in range(4)}
+    assert vms == {"w1"}
+
+
 def test_jobs_that_fail_everywhere_eject_nobody():
     path = FakePath(make_fleet(workers=6))
     assert run_jobs(path, lambda vm, number: False) == []
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -183,6 +183,9 @@
         assert self.dispatcher.waiting_count == self.dispatcher.running_count == 0
         for vm in self.path.configuration.fleet.vms.values():
             assert self.path.slots.free_slots(vm.vm_id) == vm.slots
+        for team, limit in self.limits.items():
+            taken = [self.path.limiter.try_acquire(team) for _ in range(limit + 1)]
+            assert taken == [True] * limit + [False]
 
     def held_calls(self):
         return [call for call in self.calls.values() if call.held is not None]
--- /dev/null
+++ b/tests/protocol/test_callers.py
@@ -0,0 +1,86 @@
+"""What callers declare about their requests."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from currantstage.coordination import (
+    JobSize,
+    RefusalReason,
+    Submission,
+    identify_team,
+)
+from currantstage.protocol import (
+    KEY_HEADER,
+    MAX_SIZE,
+    CallerRequest,
+    read_caller_request,
+)
+from tests.request_fakes import QUEUE, make_fleet
+
+NAMES = ("idempotent", "urgent", "timeout-ms", "processors", "memory-mb")
+
+
+def read(**options):
+    headers = {f"currantstage-{k.replace('_', '-')}": v for k, v in options.items()}
+    return read_caller_request(QUEUE, headers, b"")
+
+
+def test_options_reach_admission():
+    request = read(
+        idempotent="true", urgent="1", timeout_ms="1500", memory_mb="64"
+    ).unwrap()
+    assert request.to_submission() == Submission(
+        queue=QUEUE,
+        is_idempotent=True,
+        is_urgent=True,
+        timeout_s=1.5,
+        size=JobSize(memory_mb=64),
+    )
+
+
+def test_a_request_that_declares_nothing_is_not_idempotent():
+    assert not read().unwrap().to_submission().is_idempotent
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("timeout_ms", "0"),
+        ("timeout_ms", "9" * 30),
+        ("processors", "nan"),
+        ("processors", "inf"),
+        ("processors", "-1"),
+        ("memory_mb", str(MAX_SIZE + 1)),
+        ("idempotent", "maybe"),
+        ("idempotent", ""),
+    ],
+)
+def test_a_malformed_option_is_refused(name, value):
+    result = read(**{name: value})
+    assert result.failure().reason is RefusalReason.MALFORMED
+
+
+@settings(derandomize=True, database=None, max_examples=300)
+@given(
+    headers=st.dictionaries(
+        st.sampled_from([KEY_HEADER, *(f"currantstage-{name}" for name in NAMES)]),
+        st.text(st.characters(max_codepoint=0xE000), max_size=40),
+    ),
+    body=st.binary(max_size=64),
+)
+def test_any_header_gives_a_request_or_a_refusal(headers, body):
+    result = read_caller_request(QUEUE, headers, body)
+    if isinstance(result, Failure):
+        assert result.failure().reason is RefusalReason.MALFORMED
+        return
+    request = result.unwrap()
+    assert isinstance(request, CallerRequest)
+    assert request.body == body
+    fleet = make_fleet()
+    identified = identify_team(fleet, fleet.queues[QUEUE], request.presented_key)
+    is_right = request.presented_key == "north.secret"
+    assert isinstance(identified, Success) == is_right
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -94,10 +94,11 @@
         self.tracker = FaultTracker(
             topology, self.health, self.outliers, self.estimates
         )
+        self.limiter = LocalTeamLimiter(self.configuration)
         self.slots = LocalWorkerSlots(self.configuration)
         self.dispatcher = Dispatcher(
             topology,
-            LocalTeamLimiter(self.configuration),
+            self.limiter,
             RoundRobinShares(),
             LeastLoaded(random.Random(3)),
             WorkerRoom(
