--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -18,10 +18,13 @@
 from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    Acceptance,
+    Cleanup,
     Configuration,
     CoordinationError,
     Duty,
     DutyLeases,
+    HeadWatch,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
@@ -30,7 +33,13 @@
     StoreAccess,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
-from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId, VmLiveness
+from currantstage.state import (
+    DEFAULT_CONFIG_LEASE_S,
+    FIRST_GENERATION,
+    EntryVmRow,
+    IncarnationId,
+    VmLiveness,
+)
 from currantstage.transport import (
     BackendClient,
     HttpServer,
@@ -75,8 +84,9 @@
         self._is_ready = True
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
+        self._watch = HeadWatch()
         self._membership = Membership(
-            self._store, self._configuration, self._first_row()
+            self._store, self._configuration, self._watch, self._first_row()
         )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
@@ -179,7 +189,11 @@
             self._settings.serving.max_body_bytes,
         )
         notes = NoteService(
-            self._runner, self._store, self._configuration, self._follow.wake
+            self._runner,
+            self._store,
+            self._configuration,
+            Acceptance(self._store, self._configuration, self._watch),
+            self._follow.wake,
         )
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
@@ -195,7 +209,7 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return []
+        return [Cleanup(self._store)]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -207,6 +221,7 @@
             http_address=entry_vm.http_address,
             peer_address=entry_vm.peer_address,
             applied_generation=FIRST_GENERATION,
+            config_lease_s=DEFAULT_CONFIG_LEASE_S,
         )
 
     async def _follow_head(self) -> None:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -18,16 +18,29 @@
     MAX_TRIES,
     RETRIES_PER_REQUEST,
     UNREACHABLE_RETRY_AFTER_S,
+    AttemptBudget,
     Attempts,
     Finish,
     Retry,
-    RetryBudget,
     Step,
     is_server_error,
 )
+from currantstage.coordination._cleanup import (
+    CLEANUP_INTERVAL_S,
+    KEPT_GENERATIONS,
+    MAX_DELETIONS_PER_RUN,
+    REMOVAL_DELAY_S,
+    Cleanup,
+)
+from currantstage.coordination._config_lease import (
+    MAX_OPEN_RENEWALS,
+    RENEWALS_PER_LEASE,
+    ConfigLease,
+    Renewal,
+    RenewalNumber,
+)
 from currantstage.coordination._configuration import (
     Configuration,
-    Membership,
 )
 from currantstage.coordination._connection_health import (
     FIRST_PROBE_PAUSE_S,
@@ -73,6 +86,18 @@
     UNKNOWN_SILENCE_S,
     FaultTracker,
 )
+from currantstage.coordination._fleet_check import (
+    MAX_CONFIG_LEASE_S,
+    MIN_CONFIG_LEASE_S,
+    FleetFault,
+    check_fleet,
+    is_address,
+    is_identifier,
+)
+from currantstage.coordination._head_watch import (
+    MAX_SIGHTINGS,
+    HeadWatch,
+)
 from currantstage.coordination._jobs import (
     NO_SIZE,
     JobSize,
@@ -94,15 +119,25 @@
     LocalTeamLimiter,
     LocalWorkerSlots,
 )
+from currantstage.coordination._membership import (
+    MAX_RENEWAL_TRIES,
+    Membership,
+    RenewalOutcome,
+    RenewalRequest,
+)
+from currantstage.coordination._note_acceptance import (
+    Acceptance,
+    NoteProgress,
+    UpperLimitCheck,
+)
 from currantstage.coordination._note_check import (
-    MAX_CONFIG_LEASE_S,
-    MIN_CONFIG_LEASE_S,
     IdT,
     NoteFault,
     RecordT,
     check_note,
 )
 from currantstage.coordination._note_commit import (
+    GENERATION_PREFIX,
     Committed,
     Head,
     NoteIdTaken,
@@ -110,11 +145,16 @@
     NoteOvertaken,
     NoteRefusal,
     commit_note,
+    generation_of_object,
+    load_generation,
     load_head,
 )
-from currantstage.coordination._note_status import (
-    NoteProgress,
-    note_progress,
+from currantstage.coordination._note_items import (
+    FieldChange,
+    NoteItem,
+    NoteVerb,
+    diff_fleets,
+    list_items,
 )
 from currantstage.coordination._outcomes import (
     Answer,
@@ -176,12 +216,24 @@
 from currantstage.coordination._round_robin import (
     RoundRobinShares,
 )
+from currantstage.coordination._row_observer import (
+    RowObserver,
+)
 from currantstage.coordination._store_access import (
     ATTEMPT_ID_BITS,
     ReplyT,
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.coordination._store_health import (
+    FAILURES_TO_OPEN,
+    MAX_RETRY_TOKENS,
+    OPEN_S,
+    TOKENS_PER_SUCCESS,
+    CircuitBreaker,
+    RetryBudget,
+    StoreService,
+)
 from currantstage.coordination._topology import (
     Topology,
 )
@@ -197,13 +249,19 @@
 
 __all__ = [
     "ATTEMPT_ID_BITS",
+    "Acceptance",
     "Answer",
     "Assignment",
+    "AttemptBudget",
     "Attempts",
     "AttributedRing",
+    "CLEANUP_INTERVAL_S",
     "Candidate",
+    "CircuitBreaker",
+    "Cleanup",
     "ClockRead",
     "Committed",
+    "ConfigLease",
     "Configuration",
     "CoordinationError",
     "DUTY_LEASE_S",
@@ -215,15 +273,21 @@
     "DutyGrant",
     "DutyLeases",
     "END_MARGIN_S",
+    "FAILURES_TO_OPEN",
     "FIRST_EJECTION_S",
     "FIRST_PROBE_PAUSE_S",
     "FIRST_RETRY_PAUSE_S",
     "FaultTracker",
+    "FieldChange",
     "Finish",
+    "FleetFault",
+    "GENERATION_PREFIX",
     "GetObject",
     "Head",
+    "HeadWatch",
     "IdT",
     "JobSize",
+    "KEPT_GENERATIONS",
     "LONG_QUANTILE",
     "LeastLoaded",
     "ListObjects",
@@ -233,11 +297,16 @@
     "MAX_CHANCE",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
+    "MAX_DELETIONS_PER_RUN",
     "MAX_EJECTED_FRACTION",
     "MAX_EJECTION_S",
+    "MAX_OPEN_RENEWALS",
     "MAX_PROBE_PAUSE_S",
+    "MAX_RENEWAL_TRIES",
     "MAX_RETRY_AFTER_S",
+    "MAX_RETRY_TOKENS",
     "MAX_SAVED_RETRIES",
+    "MAX_SIGHTINGS",
     "MAX_TRIES",
     "MIN_CONFIG_LEASE_S",
     "MIN_FAILURE_RATE",
@@ -250,9 +319,12 @@
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
+    "NoteItem",
     "NoteOvertaken",
     "NoteProgress",
     "NoteRefusal",
+    "NoteVerb",
+    "OPEN_S",
     "ObjectFetched",
     "ObjectsListed",
     "Outcome",
@@ -266,6 +338,8 @@
     "QuantileWindow",
     "QueueLine",
     "RECENT_RESULTS",
+    "REMOVAL_DELAY_S",
+    "RENEWALS_PER_LEASE",
     "RETRIES_PER_REQUEST",
     "RETRY_AFTER_S",
     "ReadClock",
@@ -275,12 +349,17 @@
     "RefusalReason",
     "Refuse",
     "ReleaseAt",
+    "Renewal",
+    "RenewalNumber",
+    "RenewalOutcome",
+    "RenewalRequest",
     "ReplyT",
     "RequestEnd",
     "Retry",
     "RetryBudget",
     "RetryPolicy",
     "RoundRobinShares",
+    "RowObserver",
     "RowRead",
     "RowsScanned",
     "RunTimeEstimates",
@@ -299,7 +378,9 @@
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "StoreService",
     "Submission",
+    "TOKENS_PER_SUCCESS",
     "TeamLimiter",
     "TeamLine",
     "TeamLoad",
@@ -309,6 +390,7 @@
     "UNKNOWN_SILENCE_S",
     "UNREACHABLE_RETRY_AFTER_S",
     "Uncertain",
+    "UpperLimitCheck",
     "VmsListed",
     "WINDOW_OBSERVATIONS",
     "Wait",
@@ -317,21 +399,27 @@
     "WorkerSlots",
     "WriteUncertainError",
     "capacity_of",
+    "check_fleet",
     "check_note",
     "check_still_allowed",
     "check_submission",
     "commit_note",
+    "diff_fleets",
     "digest_secret",
     "estimate_wait_s",
     "find_longest_line",
+    "generation_of_object",
     "identify_team",
+    "is_address",
     "is_hopeless",
+    "is_identifier",
     "is_server_error",
     "key_id_of",
     "lapse_s",
     "largest_capacity",
+    "list_items",
+    "load_generation",
     "load_head",
-    "note_progress",
     "observer_wait_s",
     "retry_after_s",
 ]
--- a/currantstage/coordination/_attempts.py
+++ b/currantstage/coordination/_attempts.py
@@ -30,7 +30,7 @@
 _FIRST_SERVER_ERROR = 500
 
 
-class RetryBudget:
+class AttemptBudget:
     """Bounds the retries of one entry VM to a fraction of its requests."""
 
     def __init__(self) -> None:
@@ -83,7 +83,7 @@
     ----------
     is_idempotent : bool
     deadline_s : float
-    budget : RetryBudget
+    budget : AttemptBudget
     random : Random
     """
 
@@ -91,7 +91,7 @@
         self,
         is_idempotent: bool,
         deadline_s: float,
-        budget: RetryBudget,
+        budget: AttemptBudget,
         random: Random,
     ) -> None:
         self._is_idempotent = is_idempotent
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -110,7 +110,7 @@
 
     def resubmit(self, request: WaitingRequest, now_s: float) -> list[DispatchEffect]:
         """Take a request again whose attempt failed, also while stopping."""
-        refusal = check_still_allowed(self._topology, request)
+        refusal = check_still_allowed(self._topology, request, now_s)
         if refusal is not None:
             return [Refuse(request.request_id, refusal)]
         return self._enter(request, now_s)
@@ -219,7 +219,7 @@
                 return
             team = self._shares.choose(loads)
             request = line.first_of(team)
-            refusal = check_still_allowed(self._topology, request)
+            refusal = check_still_allowed(self._topology, request, now_s)
             if refusal is not None:
                 effects.extend(self._refuse(request, refusal))
                 continue
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -26,6 +26,8 @@
     KEY_REFUSED = "key-refused"
     QUEUE_UNKNOWN = "queue-unknown"
     MALFORMED = "malformed"
+    #: The entry VM can't tell whether the key has been withdrawn.
+    CONFIG_LEASE_LAPSED = "config-lease-lapsed"
     #: No worker of the queue is large enough.
     JOB_TOO_LARGE = "job-too-large"
     #: The queue's bound on waiting requests is reached.
--- a/currantstage/coordination/_topology.py
+++ b/currantstage/coordination/_topology.py
@@ -31,6 +31,10 @@
         """The fleet in force."""
         return self._configuration.fleet
 
+    def may_serve_keyed(self, now_s: float) -> bool:
+        """Return whether work that needs a key may be admitted or started."""
+        return self._configuration.may_serve_keyed(now_s)
+
     def vms_of_queue(self, queue: QueueId) -> tuple[Vm, ...]:
         """Return the workers of this data centre that serve `queue`."""
         self._refresh()
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -22,7 +22,7 @@
 from currantstage.standin import BackendMode, BackendStandIn, free_ports
 from currantstage.state import DataCentreId, IncarnationId, VmId
 from currantstage.util import MonotonicClock
-from tests.request_fakes import QUEUE, make_fleet
+from tests.request_fakes import QUEUE, make_fleet, renew_lease
 
 IDEMPOTENT = CallerOptions(idempotent=True)
 
@@ -63,6 +63,8 @@
     }
     configuration = Configuration()
     configuration.apply(msgspec.structs.replace(fleet, vms=vms))
+    clock = MonotonicClock()
+    renew_lease(configuration, clock.now_s())
     metrics = DaemonMetrics()
     path = RequestPath.build(
         configuration,
@@ -71,7 +73,7 @@
         LocalWorkerSlots(configuration),
         RoundRobinShares(),
         metrics,
-        MonotonicClock(),
+        clock,
         random.Random(4),
         IncarnationId("i"),
     )
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -145,6 +145,17 @@
     assert refused(effects) == [("second", RefusalReason.KEY_REFUSED)]
 
 
+def test_a_lapsed_lease_starts_nothing_that_waits():
+    path = FakePath(make_fleet(workers=1, slots=1))
+    (held,) = fill(path, 1)
+    path.submit("second")
+    path.configuration.lease.send(0.0, lease_s=2.0)
+    effects = path.dispatcher.finish(held, True, 3.0)
+    lapsed = RefusalReason.CONFIG_LEASE_LAPSED
+    assert refused(effects) == [("second", lapsed)]
+    assert refused(path.submit("third", now_s=3.0)) == [("third", lapsed)]
+
+
 def test_stopping_refuses_who_waits_and_lets_retries_through():
     path = FakePath(make_fleet(workers=1, slots=1))
     (held,) = fill(path, 1)
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -19,6 +19,7 @@
 from currantstage.coordination import (
     Answer,
     Assignment,
+    AttemptBudget,
     Attempts,
     Finish,
     JobSize,
@@ -27,7 +28,6 @@
     Refuse,
     ReleaseAt,
     RequestEnd,
-    RetryBudget,
     SendFailure,
     Start,
     Wait,
@@ -77,7 +77,7 @@
         self.limits = dict(LIMITS)
         self.path = FakePath(make_fleet(workers=3, limits=LIMITS, max_waiting=6))
         self.dispatcher = self.path.dispatcher
-        self.budget = RetryBudget()
+        self.budget = AttemptBudget()
         self.random = random.Random(1)
         self.calls: dict[str, Call] = {}
         self.timers: list[tuple[float, object]] = []
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -38,6 +38,8 @@
     VmId,
 )
 
+#: Longer than any test.
+LONG_LEASE_S = 1e6
 QUEUE = QueueId("q")
 POOL = PoolId("p")
 
@@ -81,12 +83,19 @@
     )
 
 
+def renew_lease(configuration, now_s, lease_s=LONG_LEASE_S):
+    """Let `configuration` serve keyed work."""
+    renewal = configuration.lease.send(now_s, lease_s)
+    configuration.lease.confirm(renewal.number)
+
+
 class FakePath:
     """The coordination layer's parts of a request path."""
 
     def __init__(self, fleet: Fleet) -> None:
         self.configuration = Configuration()
         self.configuration.apply(fleet)
+        renew_lease(self.configuration, 0.0)
         self.health = ServerHealth()
         self.outliers = OutlierDetector()
         self.estimates = RunTimeEstimates()
