--- a/currantstage/coordination/_keys.py
+++ b/currantstage/coordination/_keys.py
@@ -24,9 +24,16 @@
     >>> digest_secret("s", "secret")[:8]
     '2e2ad46e'
     """
-    # A header's bytes that are no UTF-8 arrive as surrogates.
-    salted = f"{salt}:{secret}".encode(errors="surrogatepass")
-    return hashlib.sha256(salted).hexdigest()
+    return hashlib.sha256(f"{salt}:{secret}".encode(errors="surrogatepass")).hexdigest()
+
+
+def key_id_of(presented: str) -> KeyId:
+    """Return the public part of ``key-id.secret``.
+
+    >>> key_id_of("north-1.secret")
+    'north-1'
+    """
+    return KeyId(presented.partition(".")[0])
 
 
 def identify_team(
--- a/tests/fuzz/__init__.py
+++ b/tests/fuzz/__init__.py
@@ -1,1 +1,1 @@
-"""Stateful fuzzing of the coordination layer against simple oracles."""
+"""Tests of the package."""
