Report service-level burn, and replay notes on specification and code

- report burn: counts by queue and team in each entry VM (four windows of 60 buckets, at most 4,096 pairs), given out at /v1/service-levels; the command asks every entry VM that has a row and names those that do not answer; table, JSON, one HTML page
- objectives are part of a queue's record and set by note
- refusals are put down to the team of the presented key; wrong keys are not counted

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantstage.application._caller_service import (
+    EndObserver,
     QueueService,
 )
 from currantstage.application._daemon import (
@@ -43,6 +44,9 @@
 from currantstage.application._server_monitor import (
     ServerMonitor,
 )
+from currantstage.application._service_level_service import (
+    ServiceLevelService,
+)
 
 __all__ = [
     "Admitted",
@@ -51,6 +55,7 @@
     "DaemonMetrics",
     "DispatchDriver",
     "DutyRunner",
+    "EndObserver",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
@@ -63,5 +68,6 @@
     "RENEWALS_PER_LEASE",
     "RequestPath",
     "ServerMonitor",
+    "ServiceLevelService",
     "StartError",
 ]
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from eliot import start_action
 
@@ -27,10 +27,19 @@
     from currantstage.application._server_monitor import ServerMonitor
     from currantstage.coordination import Assignment, AttemptBudget, RequestEnd
     from currantstage.protocol import CallerAnswer, CallerRequest
-    from currantstage.state import Clock, IncarnationId, Random
+    from currantstage.state import Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
 
 
+class EndObserver(Protocol):
+    """Hears of each request that ends."""
+
+    def __call__(
+        self, request: CallerRequest, team: TeamId, end: RequestEnd, duration_s: float
+    ) -> None:
+        """Take note of the end; `team` is `NO_TEAM` when it is not known."""
+
+
 class QueueService:
     """Implements `CallerService`.
 
@@ -71,6 +80,11 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._runs: set[asyncio.Task[RequestEnd]] = set()
+        self._observer: EndObserver | None = None
+
+    def on_end(self, observer: EndObserver) -> None:
+        """Tell `observer` of each request that ends."""
+        self._observer = observer
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to `request`."""
@@ -108,11 +122,13 @@
         )
         if isinstance(end, Refusal):
             self._metrics.count_refusal(request.queue, end.reason)
+        if self._observer is not None:
+            self._observer(request, team, end, duration_s)
         return answer
 
     async def _run_once_admitted(
         self, request_id: RequestId, request: CallerRequest
-    ) -> tuple[str, RequestEnd]:
+    ) -> tuple[TeamId, RequestEnd]:
         admitted = await self._driver.enter(request_id, request.to_submission())
         if isinstance(admitted, Refusal):
             return NO_TEAM, admitted
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -16,6 +16,7 @@
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._request_path import RequestPath
+from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
@@ -30,6 +31,7 @@
     Membership,
     RetryPolicy,
     RoundRobinShares,
+    ServiceLevelRecorder,
     StoreAccess,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
@@ -50,6 +52,7 @@
     add_error_answers,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 from currantstage.util import DutyLoop, MonotonicClock
 
@@ -108,6 +111,15 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._service_levels = ServiceLevelService(
+            self._runner,
+            self._store,
+            self._configuration,
+            ServiceLevelRecorder(self._clock.now_s()),
+            self._membership.row,
+            self._clock,
+        )
+        self._path.queues.on_end(self._service_levels.on_end)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
@@ -198,6 +210,9 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_service_level_routes(
+            server.app, self._service_levels, self._settings.operators.key
+        )
         add_health_routes(server.app, self)
         return server
 
--- a/currantstage/cmd/_main.py
+++ b/currantstage/cmd/_main.py
@@ -8,6 +8,7 @@
 from currantstage.cmd._config import config
 from currantstage.cmd._demo import demo
 from currantstage.cmd._note import note
+from currantstage.cmd._report import report
 from currantstage.cmd._serve import serve
 
 
@@ -19,5 +20,6 @@
 
 main.add_command(serve)
 main.add_command(note)
+main.add_command(report)
 main.add_command(config)
 main.add_command(demo)
--- /dev/null
+++ b/currantstage/cmd/_report.py
@@ -0,0 +1,66 @@
+"""Commands that report on the service."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+import uvloop
+
+from currantstage.cmd._burn_gathering import gather_burn
+from currantstage.cmd._burn_page import render_page
+from currantstage.cmd._burn_table import render_table
+from currantstage.cmd._config import PATH
+from currantstage.cmd._exit import ExitStatus
+from currantstage.coordination import Alert
+from currantstage.transport import OperatorCallError
+
+
+@click.group()
+def report() -> None:
+    """Report on what the service promises."""
+
+
+@report.command()
+@click.option(
+    "--server",
+    "servers",
+    multiple=True,
+    envvar="CURRANTSTAGE_SERVER",
+    default=("http://127.0.0.1:8080",),
+    show_default=True,
+    help="Address of an entry VM; repeat it to name several.",
+)
+@click.option(
+    "--operator-key",
+    envvar="CURRANTSTAGE_OPERATOR_KEY",
+    required=True,
+    help="The operators' key.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@click.option("--html", "page", type=PATH, help="Write a self-contained page as well.")
+def burn(
+    servers: tuple[str, ...], operator_key: str, as_json: bool, page: Path | None
+) -> None:
+    """Tell how fast each queue and team uses up its error budget.
+
+    Every entry VM that has a row in the table is asked; those that do not answer are
+    named. Exit status 0 means that no budget burns fast enough to page.
+
+    Example: currantstage report burn --operator-key KEY --html burn.html
+    """
+    try:
+        found = uvloop.run(gather_burn(servers, operator_key))
+    except OperatorCallError as error:
+        click.echo(f"no answer: {error}", err=True)
+        sys.exit(ExitStatus.UNAVAILABLE)
+    if page is not None:
+        page.write_text(render_page(found), encoding="utf-8")
+    if as_json:
+        click.echo(msgspec.json.encode(found).decode())
+    else:
+        click.echo(render_table(found))
+    is_paged = any(each.alert is Alert.PAGE for each in found.budgets)
+    sys.exit(ExitStatus.REFUSED if is_paged else ExitStatus.OK)
--- /dev/null
+++ b/currantstage/coordination/_burn_rates.py
@@ -0,0 +1,192 @@
+"""Error budgets and how fast they burn, over all entry VMs."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from currantstage.coordination._service_levels import WINDOWS_S, WindowCount
+from currantstage.state import QueueId, TeamId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from currantstage.state import Queue
+
+
+class Objective(Enum):
+    """What an objective is about."""
+
+    AVAILABILITY = "availability"
+    LATENCY = "latency"
+
+
+class Alert(Enum):
+    """How urgent the burn of a budget is."""
+
+    NONE = "none"
+    #: Look at it within the day.
+    TICKET = "ticket"
+    #: Look at it now.
+    PAGE = "page"
+
+
+@dataclass(frozen=True, slots=True)
+class AlertRule:
+    """Raises an alert when a budget burns too fast in a long and a short window.
+
+    Parameters
+    ----------
+    alert : Alert
+    burn_rate : float
+    long_s, short_s : int
+        The windows, in seconds; the short one shows that it still goes on.
+    """
+
+    alert: Alert
+    burn_rate: float
+    long_s: int
+    short_s: int
+
+
+#: Rules in order of urgency; the first that holds counts.
+ALERT_RULES = (
+    AlertRule(Alert.PAGE, burn_rate=14.4, long_s=3_600, short_s=300),
+    AlertRule(Alert.PAGE, burn_rate=6.0, long_s=21_600, short_s=3_600),
+    AlertRule(Alert.TICKET, burn_rate=1.0, long_s=259_200, short_s=21_600),
+)
+
+
+class WindowBurn(Struct, frozen=True):
+    """How fast a budget burnt in one window.
+
+    Parameters
+    ----------
+    window_s : int
+    requests, bad : int
+    burn_rate : float or None
+        One uses up the budget exactly; None when there was no request.
+    """
+
+    window_s: int
+    requests: int
+    bad: int
+    burn_rate: float | None
+
+
+class BudgetBurn(Struct, frozen=True):
+    """The error budget of one objective of one queue and team.
+
+    Parameters
+    ----------
+    queue : QueueId
+    team : TeamId
+        `NO_TEAM` for requests without a key.
+    objective : Objective
+    target : float
+    windows : tuple of WindowBurn
+    alert : Alert
+    """
+
+    queue: QueueId
+    team: TeamId
+    objective: Objective
+    target: float
+    windows: tuple[WindowBurn, ...]
+    alert: Alert
+
+    @property
+    def remaining_budget(self) -> float | None:
+        """Part of the longest window's budget that is left; below zero when spent."""
+        rate = self.windows[-1].burn_rate
+        return None if rate is None else 1.0 - rate
+
+
+class SeriesCount(Struct, frozen=True):
+    """What one entry VM counted for one queue and team."""
+
+    queue: QueueId
+    team: TeamId
+    windows: tuple[WindowCount, ...]
+
+
+def merge_counts(series: Iterable[SeriesCount]) -> list[SeriesCount]:
+    """Return the sums by queue and team of what several entry VMs counted."""
+    sums: defaultdict[tuple[QueueId, TeamId], dict[int, WindowCount]]
+    sums = defaultdict(lambda: {each: WindowCount(each) for each in WINDOWS_S})
+    for each in series:
+        windows = sums[each.queue, each.team]
+        for count in each.windows:
+            if count.window_s in windows:
+                windows[count.window_s] = _add(windows[count.window_s], count)
+    return [
+        SeriesCount(queue, team, tuple(windows.values()))
+        for (queue, team), windows in sorted(sums.items(), key=lambda item: item[0])
+    ]
+
+
+def burn_budgets(
+    series: Iterable[SeriesCount], queues: Mapping[QueueId, Queue]
+) -> list[BudgetBurn]:
+    """Return the burn of each objective; queues without a record are left out."""
+    burns = []
+    for each in merge_counts(series):
+        queue = queues.get(each.queue)
+        if queue is not None:
+            burns.append(_availability(each, queue))
+            burns.append(_latency(each, queue))
+    return burns
+
+
+def _add(one: WindowCount, other: WindowCount) -> WindowCount:
+    return WindowCount(
+        one.window_s,
+        one.total + other.total,
+        one.failed + other.failed,
+        one.slow + other.slow,
+    )
+
+
+def _availability(series: SeriesCount, queue: Queue) -> BudgetBurn:
+    target = queue.availability_objective
+    windows = tuple(
+        _burn(count.window_s, count.total, count.failed, target)
+        for count in series.windows
+    )
+    return _budget(series, Objective.AVAILABILITY, target, windows)
+
+
+def _latency(series: SeriesCount, queue: Queue) -> BudgetBurn:
+    target = queue.latency_objective
+    windows = tuple(
+        _burn(count.window_s, count.total - count.failed, count.slow, target)
+        for count in series.windows
+    )
+    return _budget(series, Objective.LATENCY, target, windows)
+
+
+def _budget(
+    series: SeriesCount,
+    objective: Objective,
+    target: float,
+    windows: tuple[WindowBurn, ...],
+) -> BudgetBurn:
+    alert = _choose_alert(windows)
+    return BudgetBurn(series.queue, series.team, objective, target, windows, alert)
+
+
+def _burn(window_s: int, requests: int, bad: int, target: float) -> WindowBurn:
+    rate = bad / requests / (1.0 - target) if requests else None
+    return WindowBurn(window_s, requests, bad, rate)
+
+
+def _choose_alert(windows: tuple[WindowBurn, ...]) -> Alert:
+    rates = {each.window_s: each.burn_rate or 0.0 for each in windows}
+    for rule in ALERT_RULES:
+        if min(rates[rule.long_s], rates[rule.short_s]) >= rule.burn_rate:
+            return rule.alert
+    return Alert.NONE
--- a/currantstage/coordination/_fleet_check.py
+++ b/currantstage/coordination/_fleet_check.py
@@ -141,6 +141,10 @@
         yield "timeout_ms must be positive"
     if queue.max_waiting < 0:
         yield "max_waiting must not be negative"
+    if not 0 < queue.availability_objective < 1 or not 0 < queue.latency_objective < 1:
+        yield "objectives must lie between 0 and 1"
+    if queue.latency_bound_ms < 1:
+        yield "latency_bound_ms must be positive"
 
 
 def _check_wave(fleet: Fleet, wave: Wave) -> Iterable[str]:
--- /dev/null
+++ b/currantstage/coordination/_service_levels.py
@@ -0,0 +1,172 @@
+"""Count how requests ended, in windows, within bounded memory."""
+
+from __future__ import annotations
+
+from array import array
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from currantstage.coordination._outcomes import Refusal, RefusalReason, Uncertain
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from currantstage.coordination._outcomes import RequestEnd
+    from currantstage.state import Queue, QueueId, TeamId
+
+#: Windows over which requests are counted, shortest first, in seconds.
+WINDOWS_S = (300, 3_600, 21_600, 259_200)
+#: Parts into which each window is divided.
+BUCKETS_PER_WINDOW = 60
+#: Pairs of queue and team that are counted at once; further ones are only numbered.
+MAX_SERIES = 4_096
+#: Lowest status of an answer by which a backend server says that it failed.
+FIRST_SERVER_ERROR = 500
+
+#: Refusals that follow from what the caller asked, or from its team's own limit.
+CALLER_REFUSALS = frozenset(
+    {
+        RefusalReason.KEY_REFUSED,
+        RefusalReason.QUEUE_UNKNOWN,
+        RefusalReason.MALFORMED,
+        RefusalReason.JOB_TOO_LARGE,
+        RefusalReason.CANCELLED,
+        RefusalReason.TEAM_AT_LIMIT,
+    }
+)
+
+
+class Verdict(Enum):
+    """What the end of a request means for the service level."""
+
+    GOOD = "good"
+    #: A whole answer, later than the queue's bound.
+    SLOW = "slow"
+    FAILED = "failed"
+    #: Not the service's to answer for.
+    EXCLUDED = "excluded"
+
+
+class WindowCount(Struct, frozen=True):
+    """Requests of one queue and team in one window.
+
+    Parameters
+    ----------
+    window_s : int
+    total, failed, slow : int
+        Requests in all, those without a good answer, and those with a late one.
+    """
+
+    window_s: int
+    total: int = 0
+    failed: int = 0
+    slow: int = 0
+
+
+def judge(end: RequestEnd, duration_s: float, queue: Queue) -> Verdict:
+    """Return what the end of a request of `queue` means for its service level.
+
+    A refusal counts as a failure unless the caller or its team caused it: capacity
+    that is missing, a stopping entry VM and a lapsed lease are the service's.
+    """
+    if isinstance(end, Refusal):
+        is_callers = end.reason in CALLER_REFUSALS
+        return Verdict.EXCLUDED if is_callers else Verdict.FAILED
+    if isinstance(end, Uncertain) or end.status >= FIRST_SERVER_ERROR:
+        return Verdict.FAILED
+    is_slow = duration_s * 1000 > queue.latency_bound_ms
+    return Verdict.SLOW if is_slow else Verdict.GOOD
+
+
+class _Ring:
+    """Counts of one window, by bucket; a bucket is cleared when its time returns."""
+
+    __slots__ = ("_bucket_s", "_failed", "_newest", "_slow", "_total")
+
+    def __init__(self, window_s: int) -> None:
+        self._bucket_s = window_s / BUCKETS_PER_WINDOW
+        self._newest = 0
+        self._total = array("L", bytes(BUCKETS_PER_WINDOW * array("L").itemsize))
+        self._failed = self._total[:]
+        self._slow = self._total[:]
+
+    def add(self, verdict: Verdict, now_s: float) -> None:
+        index = self._advance(now_s)
+        self._total[index] += 1
+        self._failed[index] += verdict is Verdict.FAILED
+        self._slow[index] += verdict is Verdict.SLOW
+
+    def count(self, window_s: int, now_s: float) -> WindowCount:
+        self._advance(now_s)
+        return WindowCount(
+            window_s, sum(self._total), sum(self._failed), sum(self._slow)
+        )
+
+    def _advance(self, now_s: float) -> int:
+        """Clear the buckets whose time has passed; return the current one's index."""
+        number = int(now_s / self._bucket_s)
+        for passed in range(
+            max(self._newest + 1, number - BUCKETS_PER_WINDOW + 1), number + 1
+        ):
+            index = passed % BUCKETS_PER_WINDOW
+            self._total[index] = self._failed[index] = self._slow[index] = 0
+        self._newest = max(self._newest, number)
+        return self._newest % BUCKETS_PER_WINDOW
+
+
+class ServiceLevelRecorder:
+    """Counts the requests of this entry VM by queue and team.
+
+    Parameters
+    ----------
+    now_s : float
+        When counting starts, in seconds.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self._started_s = now_s
+        self._series: dict[tuple[QueueId, TeamId], list[_Ring]] = {}
+        #: Requests that were not counted for want of room.
+        self.uncounted = 0
+
+    def add(
+        self,
+        queue: Queue,
+        team: TeamId,
+        end: RequestEnd,
+        duration_s: float,
+        now_s: float,
+    ) -> None:
+        """Count a request that has ended."""
+        verdict = judge(end, duration_s, queue)
+        if verdict is Verdict.EXCLUDED:
+            return
+        rings = self._series.get((queue.queue_id, team))
+        if rings is None:
+            if len(self._series) >= MAX_SERIES:
+                self.uncounted += 1
+                return
+            rings = [_Ring(window_s) for window_s in WINDOWS_S]
+            self._series[queue.queue_id, team] = rings
+        for ring in rings:
+            ring.add(verdict, now_s)
+
+    def covered_s(self, now_s: float) -> float:
+        """Return for how long requests have been counted, in seconds."""
+        return now_s - self._started_s
+
+    def counts(
+        self, now_s: float
+    ) -> Iterator[tuple[QueueId, TeamId, tuple[WindowCount, ...]]]:
+        """Yield the counts of each queue and team, by window."""
+        for (queue, team), rings in self._series.items():
+            yield (
+                queue,
+                team,
+                tuple(
+                    ring.count(window_s, now_s)
+                    for ring, window_s in zip(rings, WINDOWS_S, strict=True)
+                ),
+            )
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -48,6 +48,14 @@
     decode_frame,
     encode_frame,
 )
+from currantstage.protocol._service_levels import (
+    AnsweredMember,
+    BurnReport,
+    MemberAddress,
+    Members,
+    ServiceLevelReport,
+    SilentMember,
+)
 from currantstage.protocol._store_codec import (
     WireCheck,
     WireListing,
@@ -67,6 +75,8 @@
 )
 
 __all__ = [
+    "AnsweredMember",
+    "BurnReport",
     "CallerAnswer",
     "CallerOptions",
     "CallerRequest",
@@ -79,6 +89,8 @@
     "MAX_NOTE_BYTES",
     "MAX_SIZE",
     "MAX_TIMEOUT_MS",
+    "MemberAddress",
+    "Members",
     "NoteReport",
     "NoteState",
     "NoteSyntaxError",
@@ -90,6 +102,8 @@
     "PeerFrame",
     "PeerMessage",
     "ProtocolError",
+    "ServiceLevelReport",
+    "SilentMember",
     "TIMEOUT_HEADER",
     "UNKNOWN_STATUS",
     "WireCheck",
--- a/currantstage/state/_fleet.py
+++ b/currantstage/state/_fleet.py
@@ -131,6 +131,12 @@
         Requests that may wait at one entry VM.
     timeout_ms : int
         Longest time from arrival to answer, in milliseconds.
+    availability_objective : float
+        Part of the requests that get a whole answer.
+    latency_objective : float
+        Part of the answers that arrive within `latency_bound_ms`.
+    latency_bound_ms : int
+        Bound on the time from arrival to answer, in milliseconds.
     """
 
     queue_id: QueueId
@@ -138,6 +144,9 @@
     access: QueueAccess = QueueAccess.KEYED
     max_waiting: int = 256
     timeout_ms: int = 30_000
+    availability_objective: float = 0.999
+    latency_objective: float = 0.99
+    latency_bound_ms: int = 1_000
 
 
 class Wave(Struct, frozen=True, kw_only=True):
--- a/currantstage/state/_notes.py
+++ b/currantstage/state/_notes.py
@@ -69,6 +69,9 @@
     access: QueueAccess | UnsetType = UNSET
     max_waiting: int | UnsetType = UNSET
     timeout_ms: int | UnsetType = UNSET
+    availability_objective: float | UnsetType = UNSET
+    latency_objective: float | UnsetType = UNSET
+    latency_bound_ms: int | UnsetType = UNSET
 
 
 class WaveChange(Struct, frozen=True, kw_only=True):
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -36,10 +36,12 @@
     CallerService,
     HealthService,
     OperatorService,
+    ServiceLevelSource,
     add_caller_routes,
     add_error_answers,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 
 __all__ = [
@@ -63,9 +65,11 @@
     "RECONNECT_MIN_MS",
     "SEND_BUFFER_FRAMES",
     "ServerConnections",
+    "ServiceLevelSource",
     "TransportError",
     "add_caller_routes",
     "add_error_answers",
     "add_health_routes",
     "add_operator_routes",
+    "add_service_level_routes",
 ]
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -9,8 +9,10 @@
 from currantstage.protocol import (
     OPERATOR_KEY_HEADER,
     DecodeError,
+    Members,
     NoteReport,
     OperatorError,
+    ServiceLevelReport,
     decode,
 )
 from currantstage.state import Fleet
@@ -73,6 +75,14 @@
         """Return the fleet in force; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/fleet", Fleet)
 
+    async def service_levels(self) -> ServiceLevelReport:
+        """Return what the entry VM has counted; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/service-levels", ServiceLevelReport)
+
+    async def members(self) -> Members:
+        """Return the entry VMs that have a row; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/members", Members)
+
     async def _call(
         self, method: str, path: str, expected: type[T], data: bytes | None = None
     ) -> T:
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -4,6 +4,7 @@
 
 import hmac
 import math
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 from eliot import write_traceback
@@ -36,7 +37,12 @@
     from msgspec import Struct
     from sanic import Request, Sanic
 
-    from currantstage.protocol import CallerAnswer, CallerRequest
+    from currantstage.protocol import (
+        CallerAnswer,
+        CallerRequest,
+        Members,
+        ServiceLevelReport,
+    )
     from currantstage.state import Fleet
 
 _OK = 200
@@ -72,6 +78,16 @@
         """Return the fleet in force at this entry VM."""
 
 
+class ServiceLevelSource(Protocol):
+    """Gives out what was counted for the service levels."""
+
+    async def service_levels(self) -> ServiceLevelReport:
+        """Return what this entry VM has counted."""
+
+    async def members(self) -> Members:
+        """Return the entry VMs that have a row; raises `OperatorCallError`."""
+
+
 class HealthService(Protocol):
     """Tells the platform's balancer and its monitoring how the daemon does."""
 
@@ -121,12 +137,7 @@
     app: Sanic[Any, Any], service: OperatorService, key: str
 ) -> None:
     """Serve operators' calls under ``/v1/``, for those who present `key`."""
-
-    def refuse(request: Request) -> HTTPResponse | None:
-        presented = request.headers.get(OPERATOR_KEY_HEADER, "")
-        if hmac.compare_digest(presented.encode(errors="surrogatepass"), key.encode()):
-            return None
-        return _message(OperatorError(error="the operators' key is wrong"), 403)
+    refuse = partial(_refuse_wrong_key, key)
 
     async def submit(request: Request) -> HTTPResponse:
         refused = refuse(request)
@@ -152,6 +163,24 @@
     app.add_route(fleet, "/v1/fleet", methods=["GET"], name="fleet")
 
 
+def add_service_level_routes(
+    app: Sanic[Any, Any], source: ServiceLevelSource, key: str
+) -> None:
+    """Serve the counts of the service levels, for those who present `key`."""
+
+    async def service_levels(request: Request) -> HTTPResponse:
+        refused = _refuse_wrong_key(key, request)
+        return refused or _message(await source.service_levels(), _OK)
+
+    async def members(request: Request) -> HTTPResponse:
+        return _refuse_wrong_key(key, request) or _message(await source.members(), _OK)
+
+    app.add_route(
+        service_levels, "/v1/service-levels", methods=["GET"], name="service_levels"
+    )
+    app.add_route(members, "/v1/members", methods=["GET"], name="members")
+
+
 def add_health_routes(app: Sanic[Any, Any], service: HealthService) -> None:
     """Serve ``/healthz`` and ``/metrics``."""
 
@@ -167,6 +196,13 @@
     app.add_route(metrics, "/metrics", methods=["GET"], name="metrics")
 
 
+def _refuse_wrong_key(key: str, request: Request) -> HTTPResponse | None:
+    presented = request.headers.get(OPERATOR_KEY_HEADER, "")
+    if hmac.compare_digest(presented.encode(errors="surrogatepass"), key.encode()):
+        return None
+    return _message(OperatorError(error="the operators' key is wrong"), 403)
+
+
 def _caller_response(answer: CallerAnswer) -> HTTPResponse:
     headers = {OUTCOME_HEADER: answer.outcome.value}
     if answer.retry_after_s is not None:
--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -7,7 +7,8 @@
 
 from spec._allotments import AllotmentModel
 from spec._engine import Model, Step, Trace, find_trace, guard_names, prove_inductive
-from spec._notes import NoteModel
+from spec._notes import NoteModel, longest
+from spec._replay import StepNotEnabledError, Walk, value_of
 from spec._report import check_all, proof_models, search_models
 
 __all__ = [
@@ -15,11 +16,15 @@
     "Model",
     "NoteModel",
     "Step",
+    "StepNotEnabledError",
     "Trace",
+    "Walk",
     "check_all",
     "find_trace",
     "guard_names",
+    "longest",
     "proof_models",
     "prove_inductive",
     "search_models",
+    "value_of",
 ]
