--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -53,14 +53,14 @@
         self.fault = fault
         self.delays_writes = delays_writes
 
-    def answer(self, call):
+    def answer(self, call, clock=None):
         is_failing = self.failing_calls > 0
         self.failing_calls -= is_failing
         self.choose_fault = lambda call: self.fault if is_failing else Fault.NONE
         if is_failing and self.delays_writes and isinstance(call, Transact):
             self.delayed.append(call)
             return StoreFailed(may_have_applied=True)
-        return super().answer(call)
+        return super().answer(call, clock)
 
     def apply_delayed(self, index):
         self.failing_calls = 0
