--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
     NO_TEAM,
     QueueService,
@@ -19,6 +23,13 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
@@ -34,12 +45,18 @@
 )
 
 __all__ = [
+    "ASK_AGAIN_S",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
+    "LimitPath",
     "NO_TEAM",
     "NoteService",
     "PEER_REFRESH_S",
@@ -47,5 +64,6 @@
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "SETTLE_INTERVAL_S",
     "StartError",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -11,6 +11,7 @@
 from currantstage.application._caller_service import QueueService
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
@@ -22,9 +23,8 @@
     Dispatcher,
     Duty,
     DutyLeases,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
     Membership,
+    ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
 )
@@ -71,24 +71,11 @@
         self._membership = Membership(
             self._store, self._configuration, self._first_row()
         )
-        self._dispatcher = Dispatcher(
-            self._configuration,
-            settings.entry_vm.data_centre,
-            LocalTeamLimiter(self._configuration),
-            LocalWorkerSlots(self._configuration),
-        )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
         self._runner = ProcedureRunner(
             self._platform, self._platform, self._platform, self._clock
         )
-        self._backends = BackendClient()
-        self._queues = QueueService(
-            self._dispatcher, self._backends, self._metrics, self._clock
-        )
-        self._follow = DutyLoop(
-            "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
-        )
         self._peers = PeerService(
             settings.entry_vm.id,
             self._membership.row.incarnation,
@@ -96,6 +83,28 @@
         )
         self._peers.handle(Heartbeat, self._hear_heartbeat)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._limits = LimitPath(
+            self._membership.row,
+            self._configuration,
+            self._store,
+            self._runner,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
+        self._dispatcher = Dispatcher(
+            self._configuration,
+            settings.entry_vm.data_centre,
+            self._limits.limiter,
+            self._limits.slots,
+        )
+        self._backends = BackendClient()
+        self._queues = QueueService(
+            self._dispatcher, self._backends, self._metrics, self._clock
+        )
+        self._follow = DutyLoop(
+            "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
+        )
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -114,14 +123,15 @@
     async def close(self) -> None:
         """Stop gracefully: refuse new requests, let the running ones finish, leave."""
         self._dispatcher.stop_admission()
-        await self._queues.drain(self._settings.serving.max_drain_ms / 1000)
+        if await self._queues.drain(self._settings.serving.max_drain_ms / 1000):
+            await self._limits.leave()
         await self._leave()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return not self._dispatcher.is_stopping
+        return not (self._dispatcher.is_stopping or self._limits.is_retired)
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -134,6 +144,10 @@
         await self._own(self._backends)
         await self._follow_head()
         await self._own(self._sockets)
+        await self._refresh()
+        # Only now: whoever holds allotments must be the only process of its entry VM,
+        # which the address that it listens on proves.
+        await self._own(self._limits)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
@@ -147,6 +161,7 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -176,7 +191,8 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return []
+        entry_vm = self._settings.entry_vm.id
+        return [ReclaimingDuty(self._store, self._configuration, entry_vm)]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -195,6 +211,9 @@
         generation = await self._runner.run(self._membership.follow_head())
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            # The limits are divided among those who are there now.
+            await self._refresh()
+            self._limits.follow_limits()
             await self._send_heartbeats()
 
     async def _refresh(self) -> None:
@@ -205,7 +224,10 @@
         self._peers.broadcast(self._sockets, message)
 
     def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
+        message = frame.message
+        if isinstance(message, Heartbeat) and self._configuration.lacks(
+            message.generation
+        ):
             self._follow.wake()
 
     async def _leave(self) -> None:
--- a/currantstage/application/_peer_service.py
+++ b/currantstage/application/_peer_service.py
@@ -14,7 +14,7 @@
 from currantstage.state import ENTRY_VM_PREFIX, EntryVmRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from currantstage.application._procedure_runner import ProcedureRunner
     from currantstage.coordination import StoreAccess
@@ -40,13 +40,18 @@
         self._incarnation = incarnation
         self._secret = secret
         self._handlers: dict[type[PeerMessage], Callable[[PeerFrame], None]] = {}
-        self._peers: frozenset[EntryVmId] = frozenset()
+        self._members: dict[EntryVmId, EntryVmRow] = {}
         self.rejected_frames = 0
 
     @property
     def peers(self) -> frozenset[EntryVmId]:
         """The other entry VMs that had a row at the last refresh."""
-        return self._peers
+        return frozenset(self._members)
+
+    @property
+    def members(self) -> Mapping[EntryVmId, EntryVmRow]:
+        """The rows of the other entry VMs at the last refresh."""
+        return self._members
 
     def handle(
         self, message_type: type[PeerMessage], handler: Callable[[PeerFrame], None]
@@ -59,17 +64,17 @@
     ) -> None:
         """Connect to the entry VMs that have a row, and forget the others."""
         rows = await runner.run(store.scan(ENTRY_VM_PREFIX))
-        addresses = {
-            row.record.entry_vm: row.record.peer_address
+        members = {
+            row.record.entry_vm: row.record
             for row in rows
             if isinstance(row.record, EntryVmRow)
             and row.record.entry_vm != self._entry_vm
         }
-        for gone in self._peers - addresses.keys():
+        for gone in self._members.keys() - members.keys():
             sockets.disconnect(gone)
-        for peer, address in addresses.items():
-            sockets.connect(peer, address)
-        self._peers = frozenset(addresses)
+        for peer, record in members.items():
+            sockets.connect(peer, record.peer_address)
+        self._members = members
 
     def send(self, link: PeerLink, receiver: EntryVmId, message: PeerMessage) -> None:
         """Send `message` to one peer, without promise of delivery."""
@@ -83,7 +88,7 @@
 
     def broadcast(self, link: PeerLink, message: PeerMessage) -> None:
         """Send `message` to every peer, without promise of delivery."""
-        for peer in sorted(self._peers):
+        for peer in sorted(self._members):
             self.send(link, peer, message)
 
     def receive(self, data: bytes) -> None:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -19,8 +19,10 @@
     AllotmentExchange,
 )
 from currantstage.coordination._allotment_ledger import (
+    WORK_MARGIN_S,
     allotted_slots,
     follow_limits,
+    longest_work_s,
     move_from_free,
     resources_above_limit,
     retire_holders,
@@ -43,7 +45,6 @@
     work_ceilings,
 )
 from currantstage.coordination._allotment_reclaim import (
-    CLOCK_DRIFT,
     LIST_LAG_S,
     AllotmentReclaimer,
     LiveView,
@@ -156,6 +157,10 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._reclaiming_duty import (
+    RECLAIM_INTERVAL_S,
+    ReclaimingDuty,
+)
 from currantstage.coordination._shares import (
     LOCAL_FLOOR_FRACTION,
     ROUNDING_SLOTS,
@@ -186,7 +191,6 @@
     "Answer",
     "Assignment",
     "CLAIM_MEMORY_S",
-    "CLOCK_DRIFT",
     "CONTENDED_HOLD_S",
     "ClaimQueue",
     "ClockRead",
@@ -230,11 +234,13 @@
     "PlatformCall",
     "Procedure",
     "PutObject",
+    "RECLAIM_INTERVAL_S",
     "RETRY_AFTER_S",
     "ROUNDING_SLOTS",
     "ReadClock",
     "ReadRow",
     "ReclaimReport",
+    "ReclaimingDuty",
     "RecordT",
     "Refusal",
     "RefusalReason",
@@ -264,6 +270,7 @@
     "Transacted",
     "Uncertain",
     "VmsListed",
+    "WORK_MARGIN_S",
     "WeightedMaxMin",
     "WorkerSlots",
     "WriteUncertainError",
@@ -279,6 +286,7 @@
     "lapse_s",
     "ledger_of",
     "load_head",
+    "longest_work_s",
     "max_min_slots",
     "move_from_free",
     "note_progress",
--- a/currantstage/coordination/_allotment_book.py
+++ b/currantstage/coordination/_allotment_book.py
@@ -51,6 +51,11 @@
         """Whether this holder has given up everything for good."""
         return self._is_retired
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether any work has a slot."""
+        return any(self._running.values())
+
     @property
     def max_work_s(self) -> float:
         """Longest work that the holder's row covers, in seconds."""
--- a/currantstage/coordination/_allotment_ledger.py
+++ b/currantstage/coordination/_allotment_ledger.py
@@ -21,6 +21,16 @@
     )
 
 
+#: Time after its deadline for which work may still be running, in seconds.
+WORK_MARGIN_S = 5.0
+
+
+def longest_work_s(fleet: Fleet) -> float:
+    """Return the longest time that work started under `fleet` may run, in seconds."""
+    timeouts_ms = [queue.timeout_ms for queue in fleet.queues.values()]
+    return max(timeouts_ms, default=0) / 1000 + WORK_MARGIN_S
+
+
 def team_limits(fleet: Fleet) -> dict[ResourceId, int]:
     """Return the upper limit of every team, as resources."""
     return {
--- a/currantstage/coordination/_allotment_reclaim.py
+++ b/currantstage/coordination/_allotment_reclaim.py
@@ -4,12 +4,13 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from msgspec.structs import replace
 
 from currantstage.coordination._allotment_ledger import move_from_free, retire_holders
 from currantstage.coordination._allotment_settlement import ledger_of, version_of
+from currantstage.coordination._lease_time import observer_wait_s
 from currantstage.state import (
     HolderRow,
     IncarnationId,
@@ -20,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
     from currantstage.coordination._procedures import Procedure
     from currantstage.coordination._store_access import StoreAccess
@@ -30,13 +31,16 @@
         ResourceId,
         RowVersion,
         ScopeId,
+        TransactionItem,
         VersionedRow,
     )
 
+    TransactionGuard: TypeAlias = Callable[
+        [Sequence[TransactionItem]], Sequence[TransactionItem]
+    ]
+
 #: Longest time that the platform's list may lag behind, in seconds.
 LIST_LAG_S = 15.0
-#: Bound on how much faster one clock runs than another, as a fraction.
-CLOCK_DRIFT = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +95,19 @@
         self._scope = scope
         self._gone_since_s: dict[IncarnationId, float] = {}
 
-    def reclaim(self, now_s: float, live: LiveView) -> Procedure[ReclaimReport]:
-        """Take the next step for every dead holder; raises `StoreAwayError`."""
+    def reclaim(
+        self, now_s: float, live: LiveView, guard: TransactionGuard
+    ) -> Procedure[ReclaimReport]:
+        """Take the next step for every dead holder; raises `StoreAwayError`.
+
+        Parameters
+        ----------
+        now_s : float
+            Time at which `live` was known already, in seconds.
+        live : LiveView
+        guard : callable
+            Adds conditions to the items of each transaction.
+        """
         ledger_row = yield from self._store.read(ledger_key(self._scope))
         rows = yield from self._store.scan(holder_prefix(self._scope))
         holders = {
@@ -104,11 +119,11 @@
         dead = self._find_dead(now_s, live, holders, ledger.retired)
         if dead:
             updated = retire_holders(ledger, dead)
-            is_applied = yield from self._write(ledger_row, updated, {})
+            is_applied = yield from self._write(ledger_row, updated, {}, guard)
             return ReclaimReport(retired=dead if is_applied else ())
         if not ledger.retired:
             return ReclaimReport()
-        return (yield from self._free(ledger_row, ledger, holders))
+        return (yield from self._free(ledger_row, ledger, holders, guard))
 
     def _find_dead(
         self,
@@ -139,6 +154,7 @@
         ledger_row: VersionedRow | None,
         ledger: LedgerRow,
         holders: Mapping[IncarnationId, VersionedRow],
+        guard: TransactionGuard,
     ) -> Procedure[ReclaimReport]:
         records = [_record_of(row) for row in holders.values()]
         dead = [each for each in records if each.incarnation in ledger.retired]
@@ -159,7 +175,7 @@
             reclaims=ledger.reclaims + 1,
         )
         doomed = {each.incarnation: holders[each.incarnation].version for each in dead}
-        is_applied = yield from self._write(ledger_row, freed, doomed)
+        is_applied = yield from self._write(ledger_row, freed, doomed, guard)
         return ReclaimReport(reclaimed=ledger.retired if is_applied else ())
 
     def _write(
@@ -167,6 +183,7 @@
         ledger_row: VersionedRow | None,
         ledger: LedgerRow,
         doomed: Mapping[IncarnationId, RowVersion],
+        guard: TransactionGuard,
     ) -> Procedure[bool]:
         deletions = [
             RowWrite(
@@ -181,7 +198,7 @@
             expected_version=version_of(ledger_row),
             record=ledger,
         )
-        outcome = yield from self._store.transact([update, *deletions])
+        outcome = yield from self._store.transact(guard([update, *deletions]))
         return outcome.is_applied
 
 
@@ -191,7 +208,7 @@
     The last thing that it may have done is to start its longest work, just before
     it vanished and at most the list's lag after the list dropped it.
     """
-    return (record.max_work_s + LIST_LAG_S) * (1 + CLOCK_DRIFT)
+    return observer_wait_s(record.max_work_s + LIST_LAG_S)
 
 
 def reclaimable_slots(
--- /dev/null
+++ b/currantstage/coordination/_reclaiming_duty.py
@@ -0,0 +1,87 @@
+"""The duty of reclaiming the slots of dead holders, in every scope."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination._allotment_reclaim import AllotmentReclaimer, LiveView
+from currantstage.state import (
+    ENTRY_VM_PREFIX,
+    FLEET_SCOPE,
+    DutyKind,
+    EntryVmId,
+    EntryVmRow,
+    data_centre_scope,
+)
+
+if TYPE_CHECKING:
+    from currantstage.coordination._configuration import Configuration
+    from currantstage.coordination._duty_lease import DutyGrant
+    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import ScopeId
+
+#: Pause between two looks for dead holders, in seconds.
+RECLAIM_INTERVAL_S = 5.0
+
+
+class ReclaimingDuty:
+    """Implements `Duty`: retires dead holders and frees their slots.
+
+    Parameters
+    ----------
+    store : StoreAccess
+    configuration : Configuration
+    entry_vm : EntryVmId
+        Where the duty runs.
+    """
+
+    def __init__(
+        self, store: StoreAccess, configuration: Configuration, entry_vm: EntryVmId
+    ) -> None:
+        self._store = store
+        self._configuration = configuration
+        self._entry_vm = entry_vm
+        self._reclaimers: dict[ScopeId, AllotmentReclaimer] = {}
+
+    @property
+    def kind(self) -> DutyKind:
+        """Which lease the duty needs."""
+        return DutyKind.RECLAIMING
+
+    @property
+    def interval_s(self) -> float:
+        """Pause between two steps, in seconds."""
+        return RECLAIM_INTERVAL_S
+
+    def step(self, grant: DutyGrant) -> Procedure[None]:
+        """Take the next step in every scope; raises `StoreAwayError`."""
+        live = yield from self._look()
+        if live is None:
+            return
+        # Read after the list, so that nothing counts as gone before it was seen so.
+        now_s = yield from self._store.now_s()
+        for scope in self._scopes():
+            reclaimer = self._reclaimers.setdefault(
+                scope, AllotmentReclaimer(self._store, scope)
+            )
+            yield from reclaimer.reclaim(now_s, live, grant.guard)
+
+    def _look(self) -> Procedure[LiveView | None]:
+        lines = yield from self._store.list_vms()
+        rows = yield from self._store.scan(ENTRY_VM_PREFIX)
+        listed = frozenset(EntryVmId(line.vm_id) for line in lines)
+        # A list that lacks the entry VM that reads it can't tell who else is gone.
+        if self._entry_vm not in listed:
+            return None
+        members = {
+            row.record.entry_vm: row.record.incarnation
+            for row in rows
+            if isinstance(row.record, EntryVmRow)
+        }
+        return LiveView(listed, members)
+
+    def _scopes(self) -> list[ScopeId]:
+        pools = self._configuration.fleet.pools.values()
+        data_centres = {pool.data_centre for pool in pools}
+        return [FLEET_SCOPE, *map(data_centre_scope, sorted(data_centres))]
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,6 +9,11 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.coordination import (
+    AllotmentAsk,
+    AllotmentReceipt,
+    AllotmentTransfer,
+)
 from currantstage.protocol._errors import DecodeError
 from currantstage.state import EntryVmId, Generation, IncarnationId
 
@@ -23,7 +28,7 @@
     generation: Generation
 
 
-PeerMessage: TypeAlias = Heartbeat
+PeerMessage: TypeAlias = Heartbeat | AllotmentAsk | AllotmentTransfer | AllotmentReceipt
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
--- a/currantstage/standin/_cluster.py
+++ b/currantstage/standin/_cluster.py
@@ -18,7 +18,7 @@
 )
 from currantstage.standin._backend import BackendStandIn
 from currantstage.standin._platform import PlatformStandIn
-from currantstage.state import DataCentreId, EntryVmId
+from currantstage.state import DataCentreId, EntryVmId, ListedVm, VmId, VmLiveness
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -96,6 +96,7 @@
         for part in stand_ins:
             self._resources.push_async_callback(part.close)
             await part.start()
+        self.platform.content.set_listing(self._listing())
         for settings in self.settings:
             daemon = Daemon.from_config(settings)
             await daemon.start()
@@ -106,6 +107,10 @@
         """Stop everything in reverse order."""
         await self._resources.aclose()
 
+    def _listing(self) -> list[ListedVm]:
+        names = [*VM_NAMES, *(each.entry_vm.id for each in self.settings)]
+        return [ListedVm(vm_id=VmId(name), liveness=VmLiveness.LIVE) for name in names]
+
     def _settings_of(self, index: int, http_port: int, peer_port: int) -> Settings:
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
         return Settings(
--- a/currantstage/state/__init__.py
+++ b/currantstage/state/__init__.py
@@ -13,6 +13,7 @@
     holder_key,
     holder_prefix,
     ledger_key,
+    member_scopes,
     team_resource,
     worker_resource,
 )
@@ -183,6 +184,7 @@
     "holder_key",
     "holder_prefix",
     "ledger_key",
+    "member_scopes",
     "note_key",
     "team_resource",
     "worker_resource",
--- a/currantstage/state/_allotment_rows.py
+++ b/currantstage/state/_allotment_rows.py
@@ -98,6 +98,15 @@
     return ScopeId(f"data-centre-{data_centre}")
 
 
+def member_scopes(data_centre: DataCentreId) -> tuple[ScopeId, ...]:
+    """Return the scopes that an entry VM of `data_centre` belongs to.
+
+    >>> member_scopes(DataCentreId("a"))
+    ('fleet', 'data-centre-a')
+    """
+    return (FLEET_SCOPE, data_centre_scope(data_centre))
+
+
 def ledger_key(scope: ScopeId) -> RowKey:
     """Return the key of the ledger of `scope`."""
     return RowKey(f"{ALLOTMENT_PREFIX}{scope}/ledger")
--- a/tests/allotments.py
+++ b/tests/allotments.py
@@ -89,7 +89,7 @@
 
     def begin_reclaim(self):
         live = LiveView(set(self.site.listed), dict(self.site.members))
-        return self.reclaimer.reclaim(self.site.now_s, live)
+        return self.reclaimer.reclaim(self.site.now_s, live, tuple)
 
     def settle(self):
         return self.site.store.run(self.begin_settle())
