--- a/currantstage/application/_allotment_service.py
+++ b/currantstage/application/_allotment_service.py
@@ -30,6 +30,7 @@
     from currantstage.protocol import PeerFrame
     from currantstage.state import (
         Clock,
+        EntryVmId,
         EntryVmRow,
         Fleet,
         PeerLink,
@@ -126,7 +127,7 @@
     def exchange(self) -> None:
         """Repeat unacknowledged transfers and ask for the even part."""
         peers = self._scope_peers()
-        self._send(self._exchange.repeat(peers))
+        self._send(self._exchange.repeat())
         self._send(self._exchange.level(peers, self._needs()))
 
     async def leave(self, runner: ProcedureRunner) -> None:
@@ -169,9 +170,9 @@
         for each in sends:
             self._peers.send(self._link, each.receiver, each.message)
 
-    def _scope_peers(self) -> tuple[Peer, ...]:
+    def _scope_peers(self) -> tuple[EntryVmId, ...]:
         return tuple(
-            Peer(row.entry_vm, row.incarnation)
+            name
             for name, row in sorted(self._peers.members.items())
             if self.scope in member_scopes(row.data_centre)
         )
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -18,18 +18,27 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    Acceptance,
+    AllotmentLimitCheck,
+    Cleanup,
     Configuration,
     CoordinationError,
     Dispatcher,
     Duty,
     DutyLeases,
+    HeadWatch,
     Membership,
     ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
-from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId
+from currantstage.state import (
+    DEFAULT_CONFIG_LEASE_S,
+    FIRST_GENERATION,
+    EntryVmRow,
+    IncarnationId,
+)
 from currantstage.transport import (
     BackendClient,
     HttpServer,
@@ -68,8 +77,9 @@
         self._resources = AsyncExitStack()
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
+        self._watch = HeadWatch()
         self._membership = Membership(
-            self._store, self._configuration, self._first_row()
+            self._store, self._configuration, self._watch, self._first_row()
         )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
@@ -176,7 +186,16 @@
             self._settings.serving.max_body_bytes,
         )
         notes = NoteService(
-            self._runner, self._store, self._configuration, self._follow.wake
+            self._runner,
+            self._store,
+            self._configuration,
+            Acceptance(
+                self._store,
+                self._configuration,
+                self._watch,
+                AllotmentLimitCheck(self._store),
+            ),
+            self._follow.wake,
         )
         add_caller_routes(server.app, self._queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
@@ -192,7 +211,10 @@
 
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
-        return [ReclaimingDuty(self._store, self._configuration, entry_vm)]
+        return [
+            Cleanup(self._store),
+            ReclaimingDuty(self._store, self._configuration, entry_vm),
+        ]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -204,6 +226,7 @@
             http_address=entry_vm.http_address,
             peer_address=entry_vm.peer_address,
             applied_generation=FIRST_GENERATION,
+            config_lease_s=DEFAULT_CONFIG_LEASE_S,
         )
 
     async def _follow_head(self) -> None:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -40,6 +40,7 @@
 )
 from currantstage.coordination._allotment_plan import (
     AllotmentNeeds,
+    HolderStart,
     SettlementPlan,
     plan_settlement,
     work_ceilings,
@@ -47,7 +48,6 @@
 from currantstage.coordination._allotment_reclaim import (
     LIST_LAG_S,
     AllotmentReclaimer,
-    LiveView,
     ReclaimReport,
     quarantine_s,
     reclaimable_slots,
@@ -60,9 +60,22 @@
     ledger_of,
     version_of,
 )
+from currantstage.coordination._cleanup import (
+    CLEANUP_INTERVAL_S,
+    KEPT_GENERATIONS,
+    MAX_DELETIONS_PER_RUN,
+    REMOVAL_DELAY_S,
+    Cleanup,
+)
+from currantstage.coordination._config_lease import (
+    MAX_OPEN_RENEWALS,
+    RENEWALS_PER_LEASE,
+    ConfigLease,
+    Renewal,
+    RenewalNumber,
+)
 from currantstage.coordination._configuration import (
     Configuration,
-    Membership,
 )
 from currantstage.coordination._dispatch import (
     RETRY_AFTER_S,
@@ -83,6 +96,18 @@
     StoreContentError,
     WriteUncertainError,
 )
+from currantstage.coordination._fleet_check import (
+    MAX_CONFIG_LEASE_S,
+    MIN_CONFIG_LEASE_S,
+    FleetFault,
+    check_fleet,
+    is_address,
+    is_identifier,
+)
+from currantstage.coordination._head_watch import (
+    MAX_SIGHTINGS,
+    HeadWatch,
+)
 from currantstage.coordination._keys import (
     digest_secret,
     identify_team,
@@ -92,19 +117,33 @@
     lapse_s,
     observer_wait_s,
 )
+from currantstage.coordination._limit_check import (
+    MAX_CHECK_TRIES,
+    AllotmentLimitCheck,
+)
 from currantstage.coordination._local_limits import (
     LocalTeamLimiter,
     LocalWorkerSlots,
 )
+from currantstage.coordination._membership import (
+    MAX_RENEWAL_TRIES,
+    Membership,
+    RenewalOutcome,
+    RenewalRequest,
+)
+from currantstage.coordination._note_acceptance import (
+    Acceptance,
+    NoteProgress,
+    UpperLimitCheck,
+)
 from currantstage.coordination._note_check import (
-    MAX_CONFIG_LEASE_S,
-    MIN_CONFIG_LEASE_S,
     IdT,
     NoteFault,
     RecordT,
     check_note,
 )
 from currantstage.coordination._note_commit import (
+    GENERATION_PREFIX,
     Committed,
     Head,
     NoteIdTaken,
@@ -112,11 +151,16 @@
     NoteOvertaken,
     NoteRefusal,
     commit_note,
+    generation_of_object,
+    load_generation,
     load_head,
 )
-from currantstage.coordination._note_status import (
-    NoteProgress,
-    note_progress,
+from currantstage.coordination._note_items import (
+    FieldChange,
+    NoteItem,
+    NoteVerb,
+    diff_fleets,
+    list_items,
 )
 from currantstage.coordination._outcomes import (
     Answer,
@@ -161,6 +205,9 @@
     RECLAIM_INTERVAL_S,
     ReclaimingDuty,
 )
+from currantstage.coordination._row_observer import (
+    RowObserver,
+)
 from currantstage.coordination._shares import (
     LOCAL_FLOOR_FRACTION,
     ROUNDING_SLOTS,
@@ -174,14 +221,25 @@
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.coordination._store_health import (
+    FAILURES_TO_OPEN,
+    MAX_RETRY_TOKENS,
+    OPEN_S,
+    TOKENS_PER_SUCCESS,
+    CircuitBreaker,
+    RetryBudget,
+    StoreService,
+)
 
 __all__ = [
     "ASK_FANOUT",
     "ASK_INTERVAL_S",
     "ATTEMPT_ID_BITS",
+    "Acceptance",
     "AllotmentAsk",
     "AllotmentBook",
     "AllotmentExchange",
+    "AllotmentLimitCheck",
     "AllotmentMessage",
     "AllotmentNeeds",
     "AllotmentReceipt",
@@ -191,10 +249,14 @@
     "Answer",
     "Assignment",
     "CLAIM_MEMORY_S",
+    "CLEANUP_INTERVAL_S",
     "CONTENDED_HOLD_S",
+    "CircuitBreaker",
     "ClaimQueue",
+    "Cleanup",
     "ClockRead",
     "Committed",
+    "ConfigLease",
     "Configuration",
     "CoordinationError",
     "DUTY_LEASE_S",
@@ -204,28 +266,43 @@
     "Duty",
     "DutyGrant",
     "DutyLeases",
+    "FAILURES_TO_OPEN",
+    "FieldChange",
+    "FleetFault",
+    "GENERATION_PREFIX",
     "GetObject",
     "Head",
+    "HeadWatch",
+    "HolderStart",
     "IdT",
+    "KEPT_GENERATIONS",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
     "ListObjects",
     "ListVms",
-    "LiveView",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
+    "MAX_CHECK_TRIES",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
+    "MAX_DELETIONS_PER_RUN",
+    "MAX_OPEN_RENEWALS",
+    "MAX_RENEWAL_TRIES",
+    "MAX_RETRY_TOKENS",
     "MAX_SETTLEMENT_TRIES",
+    "MAX_SIGHTINGS",
     "MIN_CONFIG_LEASE_S",
     "Membership",
     "Need",
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
+    "NoteItem",
     "NoteOvertaken",
     "NoteProgress",
     "NoteRefusal",
+    "NoteVerb",
+    "OPEN_S",
     "ObjectFetched",
     "ObjectsListed",
     "Outcome",
@@ -235,6 +312,8 @@
     "Procedure",
     "PutObject",
     "RECLAIM_INTERVAL_S",
+    "REMOVAL_DELAY_S",
+    "RENEWALS_PER_LEASE",
     "RETRY_AFTER_S",
     "ROUNDING_SLOTS",
     "ReadClock",
@@ -244,9 +323,15 @@
     "RecordT",
     "Refusal",
     "RefusalReason",
+    "Renewal",
+    "RenewalNumber",
+    "RenewalOutcome",
+    "RenewalRequest",
     "ReplyT",
     "RequestEnd",
+    "RetryBudget",
     "RetryPolicy",
+    "RowObserver",
     "RowRead",
     "RowsScanned",
     "SHORTAGE_MEMORY_S",
@@ -263,33 +348,42 @@
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "StoreService",
+    "TOKENS_PER_SUCCESS",
     "TeamDemand",
     "TeamLimiter",
     "TeamLoad",
     "Transact",
     "Transacted",
     "Uncertain",
+    "UpperLimitCheck",
     "VmsListed",
     "WORK_MARGIN_S",
     "WeightedMaxMin",
     "WorkerSlots",
     "WriteUncertainError",
     "allotted_slots",
+    "check_fleet",
     "check_note",
     "commit_note",
     "conclude",
+    "diff_fleets",
     "digest_secret",
     "fair_excess",
     "follow_limits",
+    "generation_of_object",
     "holder_of",
     "identify_team",
+    "is_address",
+    "is_identifier",
     "lapse_s",
     "ledger_of",
+    "list_items",
+    "load_generation",
     "load_head",
     "longest_work_s",
     "max_min_slots",
     "move_from_free",
-    "note_progress",
     "observer_wait_s",
     "plan_settlement",
     "quarantine_s",
--- a/currantstage/coordination/_allotment_book.py
+++ b/currantstage/coordination/_allotment_book.py
@@ -145,6 +145,10 @@
         """Trade nothing with `peers` any more; a closed peer stays closed."""
         self._closed.update(peers)
 
+    def is_closed(self, peer: IncarnationId) -> bool:
+        """Return whether nothing is traded with `peer` any more."""
+        return peer in self._closed
+
     def net_received(self, peer: IncarnationId) -> dict[ResourceId, int]:
         """Return what came from `peer` less what went to it, without zeros."""
         net = Counter(self._received.get(peer, {}))
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/_allotment_exchange.py
@@ -25,7 +25,7 @@
 
     from currantstage.coordination._allotment_book import AllotmentBook
     from currantstage.coordination._allotment_plan import AllotmentNeeds
-    from currantstage.state import ResourceId, ScopeId
+    from currantstage.state import EntryVmId, ResourceId, ScopeId
 
 #: Peers that are asked at once; the next round asks the ones that follow.
 ASK_FANOUT = 3
@@ -62,7 +62,7 @@
         return self._shortages.current(now_s)
 
     def ask(
-        self, now_s: float, peers: Sequence[Peer], needs: AllotmentNeeds
+        self, now_s: float, peers: Sequence[EntryVmId], needs: AllotmentNeeds
     ) -> list[SendToPeer]:
         """Ask the next few of `peers` for what work lacks."""
         wanted = {
@@ -78,7 +78,9 @@
         self._last_ask_s = now_s
         return self._send_asks(wanted, peers)
 
-    def level(self, peers: Sequence[Peer], needs: AllotmentNeeds) -> list[SendToPeer]:
+    def level(
+        self, peers: Sequence[EntryVmId], needs: AllotmentNeeds
+    ) -> list[SendToPeer]:
         """Ask the next few of `peers` for the even part, while nothing waits.
 
         An entry VM that is cut off later goes on with what it got.
@@ -140,12 +142,15 @@
             served.append(peer)
         return self._transfers(served)
 
-    def repeat(self, alive: Iterable[Peer]) -> list[SendToPeer]:
-        """Repeat the transfers to `alive` peers that were not acknowledged."""
-        return self._transfers(peer for peer in alive if peer in self._acknowledged)
+    def repeat(self) -> list[SendToPeer]:
+        """Repeat the transfers that were not acknowledged."""
+        for peer in tuple(self._acknowledged):
+            if self._book.is_closed(peer.incarnation):
+                del self._acknowledged[peer]
+        return self._transfers(self._acknowledged)
 
     def _send_asks(
-        self, wanted: dict[ResourceId, Need], peers: Sequence[Peer]
+        self, wanted: dict[ResourceId, Need], peers: Sequence[EntryVmId]
     ) -> list[SendToPeer]:
         if not wanted or not peers or not self._book.is_open:
             return []
@@ -154,7 +159,7 @@
         first = self._next_peer % len(peers)
         self._next_peer = first + count
         asked = (peers[(first + step) % len(peers)] for step in range(count))
-        return [SendToPeer(peer.entry_vm, ask) for peer in asked]
+        return [SendToPeer(peer, ask) for peer in asked]
 
     def _answer(
         self,
--- a/currantstage/coordination/_allotment_reclaim.py
+++ b/currantstage/coordination/_allotment_reclaim.py
@@ -43,22 +43,6 @@
 LIST_LAG_S = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class LiveView:
-    """Which entry VMs and which starts of them are alive.
-
-    Parameters
-    ----------
-    listed : collection of EntryVmId
-        Entry VMs on the platform's list.
-    members : mapping
-        The newest start of each entry VM, from its membership row.
-    """
-
-    listed: Collection[EntryVmId]
-    members: Mapping[EntryVmId, IncarnationId]
-
-
 @dataclass(frozen=True, slots=True)
 class ReclaimReport:
     """What a run of the reclaimer did.
@@ -96,15 +80,16 @@
         self._gone_since_s: dict[IncarnationId, float] = {}
 
     def reclaim(
-        self, now_s: float, live: LiveView, guard: TransactionGuard
+        self, now_s: float, listed: Collection[EntryVmId], guard: TransactionGuard
     ) -> Procedure[ReclaimReport]:
         """Take the next step for every dead holder; raises `StoreAwayError`.
 
         Parameters
         ----------
         now_s : float
-            Time at which `live` was known already, in seconds.
-        live : LiveView
+            Time at which `listed` was known already, in seconds.
+        listed : collection of EntryVmId
+            Entry VMs on the platform's list.
         guard : callable
             Adds conditions to the items of each transaction.
         """
@@ -116,7 +101,7 @@
             if isinstance(row.record, HolderRow)
         }
         ledger = ledger_of(ledger_row)
-        dead = self._find_dead(now_s, live, holders, ledger.retired)
+        dead = self._find_dead(now_s, listed, holders, ledger.retired)
         if dead:
             updated = retire_holders(ledger, dead)
             is_applied = yield from self._write(ledger_row, updated, {}, guard)
@@ -128,7 +113,7 @@
     def _find_dead(
         self,
         now_s: float,
-        live: LiveView,
+        listed: Collection[EntryVmId],
         holders: Mapping[IncarnationId, VersionedRow],
         retired: Collection[IncarnationId],
     ) -> tuple[IncarnationId, ...]:
@@ -136,7 +121,7 @@
         gone = {
             record.incarnation: record
             for record in records
-            if record.incarnation not in retired and _is_gone(record, live, holders)
+            if record.incarnation not in retired and _is_gone(record, listed, records)
         }
         self._gone_since_s = {
             holder: self._gone_since_s.get(holder, now_s) for holder in gone
@@ -243,14 +228,16 @@
 
 
 def _is_gone(
-    record: HolderRow, live: LiveView, holders: Collection[IncarnationId]
+    record: HolderRow, listed: Collection[EntryVmId], holders: Iterable[HolderRow]
 ) -> bool:
-    if record.entry_vm not in live.listed:
+    if record.entry_vm not in listed:
         return True
-    # A newer start counts only once it holds allotments: by then it listens at the
-    # addresses of its entry VM, so the process before it has ended.
-    newest = live.members.get(record.entry_vm)
-    return newest != record.incarnation and newest in holders
+    # A later start gets a row only once it listens at the addresses of its entry VM,
+    # so the process before it has ended.
+    return any(
+        other.entry_vm == record.entry_vm and other.start_number > record.start_number
+        for other in holders
+    )
 
 
 def _record_of(row: VersionedRow) -> HolderRow:
--- a/currantstage/coordination/_allotment_settlement.py
+++ b/currantstage/coordination/_allotment_settlement.py
@@ -6,13 +6,18 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination._allotment_ledger import retire_holders
-from currantstage.coordination._allotment_plan import plan_settlement, work_ceilings
+from currantstage.coordination._allotment_plan import (
+    HolderStart,
+    plan_settlement,
+    work_ceilings,
+)
 from currantstage.state import (
     ABSENT,
     HolderRow,
     LedgerRow,
     RowWrite,
     holder_key,
+    holder_prefix,
     ledger_key,
 )
 
@@ -60,7 +65,8 @@
         book: AllotmentBook,
     ) -> None:
         self._store = store
-        self._entry_vm = entry_vm
+        self._scope = scope
+        self._start = HolderStart(entry_vm, number=0)
         self._book = book
         self._ledger_key = ledger_key(scope)
         self._holder_key = holder_key(scope, book.holder)
@@ -119,9 +125,7 @@
         # for dead finds it deleted.
         if not self._is_certain or ledger.reclaims != self._seen_reclaims:
             return True
-        plan = plan_settlement(
-            self._book, self._entry_vm, ledger, self._recorded, needs
-        )
+        plan = plan_settlement(self._book, self._start, ledger, self._recorded, needs)
         return plan.holder != self._recorded or plan.ledger != ledger
 
     def _record(
@@ -134,10 +138,12 @@
         # its answer was lost, or may still do so until the version has moved on.
         holder_row = yield from self._store.read(self._holder_key)
         recorded = holder_of(holder_row)
-        if recorded is None and self._book.max_work_s > 0:
-            self._book.retire()
-            return False
-        plan = plan_settlement(self._book, self._entry_vm, ledger, recorded, needs)
+        if recorded is None:
+            if self._book.max_work_s > 0:
+                self._book.retire()
+                return False
+            yield from self._number_start()
+        plan = plan_settlement(self._book, self._start, ledger, recorded, needs)
         self._book.deduct(plan.given_back)
         self._is_certain = False
         outcome = yield from self._store.transact(
@@ -153,6 +159,18 @@
         )
         return True
 
+    def _number_start(self) -> Procedure[None]:
+        """Give this start a higher number than the earlier ones that have a row."""
+        rows = yield from self._store.scan(holder_prefix(self._scope))
+        numbers = [
+            row.record.start_number
+            for row in rows
+            if isinstance(row.record, HolderRow)
+            and row.record.entry_vm == self._start.entry_vm
+        ]
+        number = max(numbers, default=0) + 1
+        self._start = HolderStart(self._start.entry_vm, number)
+
     def _writes(
         self,
         holder_row: VersionedRow | None,
--- a/currantstage/coordination/_reclaiming_duty.py
+++ b/currantstage/coordination/_reclaiming_duty.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_reclaim import AllotmentReclaimer, LiveView
+from currantstage.coordination._allotment_reclaim import AllotmentReclaimer
 from currantstage.state import (
-    ENTRY_VM_PREFIX,
     FLEET_SCOPE,
     DutyKind,
     EntryVmId,
-    EntryVmRow,
     data_centre_scope,
 )
 
@@ -56,8 +54,10 @@
 
     def step(self, grant: DutyGrant) -> Procedure[None]:
         """Take the next step in every scope; raises `StoreAwayError`."""
-        live = yield from self._look()
-        if live is None:
+        lines = yield from self._store.list_vms()
+        listed = frozenset(EntryVmId(line.vm_id) for line in lines)
+        # A list that lacks the entry VM that reads it can't tell who else is gone.
+        if self._entry_vm not in listed:
             return
         # Read after the list, so that nothing counts as gone before it was seen so.
         now_s = yield from self._store.now_s()
@@ -65,21 +65,7 @@
             reclaimer = self._reclaimers.setdefault(
                 scope, AllotmentReclaimer(self._store, scope)
             )
-            yield from reclaimer.reclaim(now_s, live, grant.guard)
-
-    def _look(self) -> Procedure[LiveView | None]:
-        lines = yield from self._store.list_vms()
-        rows = yield from self._store.scan(ENTRY_VM_PREFIX)
-        listed = frozenset(EntryVmId(line.vm_id) for line in lines)
-        # A list that lacks the entry VM that reads it can't tell who else is gone.
-        if self._entry_vm not in listed:
-            return None
-        members = {
-            row.record.entry_vm: row.record.incarnation
-            for row in rows
-            if isinstance(row.record, EntryVmRow)
-        }
-        return LiveView(listed, members)
+            yield from reclaimer.reclaim(now_s, listed, grant.guard)
 
     def _scopes(self) -> list[ScopeId]:
         pools = self._configuration.fleet.pools.values()
--- a/currantstage/state/__init__.py
+++ b/currantstage/state/__init__.py
@@ -79,10 +79,12 @@
     VmLiveness,
 )
 from currantstage.state._rows import (
+    ACCEPTED_KEY,
     DUTY_PREFIX,
     ENTRY_VM_PREFIX,
     HEAD_KEY,
     NOTE_PREFIX,
+    AcceptedRow,
     DutyFenceRow,
     DutyKind,
     DutyLeaseRow,
@@ -104,7 +106,9 @@
 
 __all__ = [
     "ABSENT",
+    "ACCEPTED_KEY",
     "ALLOTMENT_PREFIX",
+    "AcceptedRow",
     "Additions",
     "AttemptId",
     "Changes",
--- a/tests/allotments.py
+++ b/tests/allotments.py
@@ -14,7 +14,6 @@
     AllotmentReclaimer,
     AllotmentSettlement,
     AllotmentTransfer,
-    LiveView,
     Peer,
     RetryPolicy,
     StoreAccess,
@@ -82,14 +81,13 @@
         )
 
     def repeat(self):
-        self.site.post(self, self.exchange.repeat(self.site.peers_of(self)))
+        self.site.post(self, self.exchange.repeat())
 
     def begin_settle(self):
         return self.settlement.settle(self.needs())
 
     def begin_reclaim(self):
-        live = LiveView(set(self.site.listed), dict(self.site.members))
-        return self.reclaimer.reclaim(self.site.now_s, live, tuple)
+        return self.reclaimer.reclaim(self.site.now_s, set(self.site.listed), tuple)
 
     def settle(self):
         return self.site.store.run(self.begin_settle())
@@ -121,7 +119,7 @@
     def __post_init__(self):
         self.store = FakeStore()
         self.nodes = {}
-        self.members = {}
+        self.members = set()
         self.listed = set()
         #: Messages under way: sender, receiver's entry VM, message.
         self.network = []
@@ -134,8 +132,7 @@
 
     def start(self, name, start=1):
         """Start a process; one that ran there before ends."""
-        incarnation = IncarnationId(f"{name}-{start}")
-        self.members[EntryVmId(name)] = incarnation
+        self.members.add(EntryVmId(name))
         self.listed.add(EntryVmId(name))
         node = self.nodes[name] = Node(self, name, start)
         return node
@@ -159,11 +156,7 @@
             node.apply_limits()
 
     def peers_of(self, node):
-        return tuple(
-            Peer(name, incarnation)
-            for name, incarnation in sorted(self.members.items())
-            if name != node.peer.entry_vm
-        )
+        return tuple(sorted(self.members - {node.peer.entry_vm}))
 
     def post(self, sender, effects):
         self.messages_sent += len(effects)
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -5,18 +5,20 @@
 import pytest
 
 from currantstage.coordination import (
+    LIST_LAG_S,
+    AllotmentLimitCheck,
     AllotmentTransfer,
     Settled,
     StoreAwayError,
     Transact,
     WriteUncertainError,
     allotted_slots,
-    quarantine_s,
+    observer_wait_s,
     resources_above_limit,
 )
-from currantstage.state import FLEET_SCOPE, HolderRow, holder_key
+from currantstage.state import FLEET_SCOPE, Fleet, Team, TeamId, holder_key
 from tests.allotments import TEAM, WORK_S, Site
-from tests.fakes import Fault
+from tests.fakes import Fault, make_store_access
 
 
 def held(node):
@@ -26,9 +28,7 @@
 def wait_out(site, node):
     """Let the quarantine of every dead holder pass, and reclaim."""
     node.reclaim()
-    site.now_s += quarantine_s(
-        HolderRow(incarnation="", entry_vm="", max_work_s=WORK_S)
-    )
+    site.now_s += observer_wait_s(WORK_S + LIST_LAG_S)
     node.reclaim()
 
 
@@ -268,6 +268,44 @@
     assert allotted_slots(site.ledger, TEAM) < 8
 
 
+def test_a_lowered_limit_holds_only_once_the_sum_has_shrunk():
+    site = Site()
+    nodes = site.start_all(2)
+    for node in nodes:
+        while node.acquire():
+            pass
+    team = Team(team_id=TeamId("t"), share=1.0, upper_limit_slots=3)
+    site.set_limit(3)
+    fleet = Fleet(generation=site.generation, teams={team.team_id: team})
+    check = AllotmentLimitCheck(make_store_access())
+    assert site.store.run(check.teams_over_limit(fleet)) == ("t",)
+    for running in range(8, 3, -1):
+        assert site.running() == running
+        assert site.store.run(check.teams_over_limit(fleet)) == ("t",)
+        next(node for node in nodes if node.book.is_busy).release()
+        for node in nodes * 2:
+            node.settle()
+    assert site.store.run(check.teams_over_limit(fleet)) == ()
+    assert site.running() == 3
+
+
+def test_no_late_settlement_brings_back_what_an_accepted_note_lowered():
+    """A settlement of the older generation is under way while the note is checked."""
+    site = Site({TEAM: 8})
+    late = site.start("e0")
+    settlement = late.begin_settle()
+    call = next(settlement)
+    while not isinstance(call, Transact):
+        call = settlement.send(site.store.answer(call))
+    team = Team(team_id=TeamId("t"), share=1.0, upper_limit_slots=3)
+    site.set_limit(3)
+    fleet = Fleet(generation=site.generation, teams={team.team_id: team})
+    check = AllotmentLimitCheck(make_store_access())
+    assert site.store.run(check.teams_over_limit(fleet)) == ()
+    settlement.send(site.store.answer(call))
+    assert allotted_slots(site.ledger, TEAM) == 3
+
+
 def test_work_longer_than_the_row_says_is_refused():
     site = Site()
     (node,) = site.start_all(1)
--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -22,20 +22,20 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from currantstage.coordination import (
+    LIST_LAG_S,
     StoreAwayError,
     StoreFailed,
     Transact,
     WriteUncertainError,
-    quarantine_s,
+    observer_wait_s,
     resources_above_limit,
 )
-from currantstage.state import HolderRow
 from tests.allotments import TEAM, WORK_S, Site
 from tests.fakes import FakeStore, Fault
 
 NAMES = ("e0", "e1", "e2")
 PICKS = st.integers(0, 99)
-QUARANTINE_S = quarantine_s(HolderRow(incarnation="", entry_vm="", max_work_s=WORK_S))
+QUARANTINE_S = observer_wait_s(WORK_S + LIST_LAG_S)
 
 
 class LateStore(FakeStore):
