Retire only holders whose lease has lapsed

Cause: a process that was paused, or that the platform's list lacks by mistake, could be taken for dead and still start work on its old allotments. Change: retiring also needs the holder's configuration lease to have lapsed, and its transaction fails when the lease is renewed meanwhile; a holder whose lease had a gap reads the ledger before it starts keyed work again.

--- a/currantstage/application/_allotment_service.py
+++ b/currantstage/application/_allotment_service.py
@@ -15,11 +15,12 @@
     AllotmentReceipt,
     AllotmentSettlement,
     AllotmentTransfer,
+    LeaseContinuity,
     Peer,
     Settled,
     longest_work_s,
 )
-from currantstage.state import member_scopes
+from currantstage.state import FLEET_SCOPE, member_scopes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -84,6 +85,8 @@
         self._on_change = on_change
         self._exchange = AllotmentExchange(scope, self.book)
         self._settlement = AllotmentSettlement(store, scope, own.entry_vm, self.book)
+        self._continuity = LeaseContinuity()
+        self._needs_lease = scope == FLEET_SCOPE
         self._asking: asyncio.TimerHandle | None = None
         self._fleet: Fleet | None = None
         self._limits: Mapping[ResourceId, int] = {}
@@ -105,7 +108,7 @@
     def try_acquire(self, resource: ResourceId) -> bool:
         """Take one slot; a refusal sets off a search among the peers."""
         self._follow_fleet()
-        if resource not in self._limits:
+        if resource not in self._limits or not self._is_sure():
             return False
         if self.book.try_acquire(resource, self._max_work_s):
             return True
@@ -119,13 +122,16 @@
 
     async def settle(self, runner: ProcedureRunner) -> None:
         """Settle with the table; raises `CoordinationError`."""
+        lapses_s = self._configuration.lease.lapses_s
         settled = await runner.run(self._settlement.settle(self._needs()))
+        self._continuity.settled(lapses_s)
         if settled is Settled.RETIRED:
             log_message("currantstage:allotments-retired", scope=self.scope)
         self._on_change()
 
     def exchange(self) -> None:
         """Repeat unacknowledged transfers and ask for the even part."""
+        self._is_sure()
         peers = self._scope_peers()
         self._send(self._exchange.repeat())
         self._send(self._exchange.level(peers, self._needs()))
@@ -152,6 +158,13 @@
                 return
         self._send(sends)
 
+    def _is_sure(self) -> bool:
+        """Return whether nobody can have reclaimed what this holder has."""
+        lease = self._configuration.lease
+        return not self._needs_lease or self._continuity.is_unbroken(
+            self._clock.now_s(), lease.lapses_s
+        )
+
     def _want(self, resource: ResourceId) -> None:
         self._exchange.note_shortage(resource, self._clock.now_s())
         if self._asking is None:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -48,6 +48,7 @@
 from currantstage.coordination._allotment_reclaim import (
     LIST_LAG_S,
     AllotmentReclaimer,
+    FleetView,
     ReclaimReport,
     quarantine_s,
     reclaimable_slots,
@@ -112,6 +113,9 @@
     digest_secret,
     identify_team,
 )
+from currantstage.coordination._lease_continuity import (
+    LeaseContinuity,
+)
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
     lapse_s,
@@ -269,6 +273,7 @@
     "FAILURES_TO_OPEN",
     "FieldChange",
     "FleetFault",
+    "FleetView",
     "GENERATION_PREFIX",
     "GetObject",
     "Head",
@@ -278,6 +283,7 @@
     "KEPT_GENERATIONS",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
+    "LeaseContinuity",
     "ListObjects",
     "ListVms",
     "LocalTeamLimiter",
--- a/currantstage/coordination/_allotment_reclaim.py
+++ b/currantstage/coordination/_allotment_reclaim.py
@@ -11,11 +11,14 @@
 from currantstage.coordination._allotment_ledger import move_from_free, retire_holders
 from currantstage.coordination._allotment_settlement import ledger_of, version_of
 from currantstage.coordination._lease_time import observer_wait_s
+from currantstage.coordination._row_observer import RowObserver
 from currantstage.state import (
+    EntryVmRow,
     HolderRow,
     IncarnationId,
+    RowCheck,
     RowWrite,
-    holder_key,
+    entry_vm_key,
     holder_prefix,
     ledger_key,
 )
@@ -29,7 +32,6 @@
         EntryVmId,
         LedgerRow,
         ResourceId,
-        RowVersion,
         ScopeId,
         TransactionItem,
         VersionedRow,
@@ -43,6 +45,22 @@
 LIST_LAG_S = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What the platform says of the entry VMs.
+
+    Parameters
+    ----------
+    listed : collection of EntryVmId
+        Entry VMs on the platform's list.
+    memberships : mapping
+        The membership row of each start, which is also its configuration lease.
+    """
+
+    listed: Collection[EntryVmId]
+    memberships: Mapping[IncarnationId, VersionedRow]
+
+
 @dataclass(frozen=True, slots=True)
 class ReclaimReport:
     """What a run of the reclaimer did.
@@ -78,18 +96,18 @@
         self._store = store
         self._scope = scope
         self._gone_since_s: dict[IncarnationId, float] = {}
+        self._leases = RowObserver()
 
     def reclaim(
-        self, now_s: float, listed: Collection[EntryVmId], guard: TransactionGuard
+        self, now_s: float, view: FleetView, guard: TransactionGuard
     ) -> Procedure[ReclaimReport]:
         """Take the next step for every dead holder; raises `StoreAwayError`.
 
         Parameters
         ----------
         now_s : float
-            Time at which `listed` was known already, in seconds.
-        listed : collection of EntryVmId
-            Entry VMs on the platform's list.
+            Time at which `view` was known already, in seconds.
+        view : FleetView
         guard : callable
             Adds conditions to the items of each transaction.
         """
@@ -101,10 +119,11 @@
             if isinstance(row.record, HolderRow)
         }
         ledger = ledger_of(ledger_row)
-        dead = self._find_dead(now_s, listed, holders, ledger.retired)
+        dead = self._find_dead(now_s, view, holders, ledger.retired)
         if dead:
             updated = retire_holders(ledger, dead)
-            is_applied = yield from self._write(ledger_row, updated, {}, guard)
+            checks = [_lease_check(holders[holder], view) for holder in dead]
+            is_applied = yield from self._write(ledger_row, updated, checks, guard)
             return ReclaimReport(retired=dead if is_applied else ())
         if not ledger.retired:
             return ReclaimReport()
@@ -113,15 +132,17 @@
     def _find_dead(
         self,
         now_s: float,
-        listed: Collection[EntryVmId],
+        view: FleetView,
         holders: Mapping[IncarnationId, VersionedRow],
         retired: Collection[IncarnationId],
     ) -> tuple[IncarnationId, ...]:
         records = [_record_of(row) for row in holders.values()]
+        self._leases.forget_all_but(row.key for row in view.memberships.values())
         gone = {
             record.incarnation: record
             for record in records
-            if record.incarnation not in retired and _is_gone(record, listed, records)
+            if record.incarnation not in retired
+            and self._is_gone(record, view, records, now_s)
         }
         self._gone_since_s = {
             holder: self._gone_since_s.get(holder, now_s) for holder in gone
@@ -134,6 +155,22 @@
             )
         )
 
+    def _is_gone(
+        self,
+        record: HolderRow,
+        view: FleetView,
+        holders: Iterable[HolderRow],
+        now_s: float,
+    ) -> bool:
+        """Return whether the holder's process has ended and its lease has lapsed."""
+        row = view.memberships.get(record.incarnation)
+        if row is not None:
+            assert isinstance(row.record, EntryVmRow)
+            lapse_s = observer_wait_s(row.record.config_lease_s)
+            if self._leases.unchanged_s(row, now_s) < lapse_s:
+                return False
+        return _is_ended(record, view, holders)
+
     def _free(
         self,
         ledger_row: VersionedRow | None,
@@ -159,39 +196,34 @@
             retired=(),
             reclaims=ledger.reclaims + 1,
         )
-        doomed = {each.incarnation: holders[each.incarnation].version for each in dead}
-        is_applied = yield from self._write(ledger_row, freed, doomed, guard)
+        deletions = [
+            RowWrite(key=row.key, expected_version=row.version, record=None)
+            for row in (holders[each.incarnation] for each in dead)
+        ]
+        is_applied = yield from self._write(ledger_row, freed, deletions, guard)
         return ReclaimReport(reclaimed=ledger.retired if is_applied else ())
 
     def _write(
         self,
         ledger_row: VersionedRow | None,
         ledger: LedgerRow,
-        doomed: Mapping[IncarnationId, RowVersion],
+        others: Sequence[TransactionItem],
         guard: TransactionGuard,
     ) -> Procedure[bool]:
-        deletions = [
-            RowWrite(
-                key=holder_key(self._scope, holder),
-                expected_version=version,
-                record=None,
-            )
-            for holder, version in doomed.items()
-        ]
         update = RowWrite(
             key=ledger_key(self._scope),
             expected_version=version_of(ledger_row),
             record=ledger,
         )
-        outcome = yield from self._store.transact(guard([update, *deletions]))
+        outcome = yield from self._store.transact(guard([update, *others]))
         return outcome.is_applied
 
 
 def quarantine_s(record: HolderRow) -> float:
     """Return how long a holder must have been gone before it is retired, in seconds.
 
-    The last thing that it may have done is to start its longest work, just before
-    it vanished and at most the list's lag after the list dropped it.
+    The last thing that it may have done is to start its longest work, at most the
+    list's lag after the list dropped it.
     """
     return observer_wait_s(record.max_work_s + LIST_LAG_S)
 
@@ -227,10 +259,9 @@
     return slots
 
 
-def _is_gone(
-    record: HolderRow, listed: Collection[EntryVmId], holders: Iterable[HolderRow]
-) -> bool:
-    if record.entry_vm not in listed:
+def _is_ended(record: HolderRow, view: FleetView, holders: Iterable[HolderRow]) -> bool:
+    """Return whether the holder's process has ended, as far as others tell."""
+    if record.entry_vm not in view.listed:
         return True
     # A later start gets a row only once it listens at the addresses of its entry VM,
     # so the process before it has ended.
@@ -240,6 +271,18 @@
     )
 
 
+def _lease_check(holder: VersionedRow, view: FleetView) -> RowCheck:
+    """Return the condition that the holder has not renewed its lease meanwhile.
+
+    A holder whose lease has lapsed renews it before it looks at the ledger again.
+    """
+    record = _record_of(holder)
+    return RowCheck(
+        key=entry_vm_key(record.entry_vm, record.incarnation),
+        expected_version=version_of(view.memberships.get(record.incarnation)),
+    )
+
+
 def _record_of(row: VersionedRow) -> HolderRow:
     assert isinstance(row.record, HolderRow)
     return row.record
--- a/currantstage/coordination/_reclaiming_duty.py
+++ b/currantstage/coordination/_reclaiming_duty.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_reclaim import AllotmentReclaimer
+from currantstage.coordination._allotment_reclaim import AllotmentReclaimer, FleetView
 from currantstage.state import (
+    ENTRY_VM_PREFIX,
     FLEET_SCOPE,
     DutyKind,
     EntryVmId,
+    EntryVmRow,
     data_centre_scope,
 )
 
@@ -59,13 +61,20 @@
         # A list that lacks the entry VM that reads it can't tell who else is gone.
         if self._entry_vm not in listed:
             return
+        rows = yield from self._store.scan(ENTRY_VM_PREFIX)
+        memberships = {
+            row.record.incarnation: row
+            for row in rows
+            if isinstance(row.record, EntryVmRow)
+        }
         # Read after the list, so that nothing counts as gone before it was seen so.
         now_s = yield from self._store.now_s()
+        view = FleetView(listed, memberships)
         for scope in self._scopes():
             reclaimer = self._reclaimers.setdefault(
                 scope, AllotmentReclaimer(self._store, scope)
             )
-            yield from reclaimer.reclaim(now_s, listed, grant.guard)
+            yield from reclaimer.reclaim(now_s, view, grant.guard)
 
     def _scopes(self) -> list[ScopeId]:
         pools = self._configuration.fleet.pools.values()
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -8,6 +8,8 @@
     LIST_LAG_S,
     AllotmentLimitCheck,
     AllotmentTransfer,
+    LeaseContinuity,
+    ReclaimReport,
     Settled,
     StoreAwayError,
     Transact,
@@ -16,7 +18,17 @@
     observer_wait_s,
     resources_above_limit,
 )
-from currantstage.state import FLEET_SCOPE, Fleet, Team, TeamId, holder_key
+from currantstage.state import (
+    ABSENT,
+    FLEET_SCOPE,
+    EntryVmRow,
+    Fleet,
+    RowWrite,
+    Team,
+    TeamId,
+    entry_vm_key,
+    holder_key,
+)
 from tests.allotments import TEAM, WORK_S, Site
 from tests.fakes import Fault, make_store_access
 
@@ -235,6 +247,63 @@
     assert not zombie.acquire()
 
 
+def write_membership(site, node, generation=0):
+    row = EntryVmRow(
+        entry_vm=node.peer.entry_vm,
+        incarnation=node.peer.incarnation,
+        data_centre="a",
+        http_address="",
+        peer_address="",
+        applied_generation=generation,
+        config_lease_s=10.0,
+    )
+    key = entry_vm_key(row.entry_vm, row.incarnation)
+    version = site.store.rows[key].version if key in site.store.rows else ABSENT
+    write = RowWrite(key=key, expected_version=version, record=row)
+    site.store.run(make_store_access(generation).transact([write]))
+    site.memberships[row.incarnation] = site.store.rows[key]
+
+
+def test_a_holder_that_renews_its_lease_is_not_dead_though_the_list_says_so():
+    site = Site()
+    renewing, other = site.start_all(2)
+    site.listed.discard(renewing.peer.entry_vm)
+    for step in range(12):
+        write_membership(site, renewing, step)
+        site.now_s += 9.0
+        assert other.reclaim() == ReclaimReport()
+
+
+def test_a_holder_that_renews_while_it_is_being_retired_stays():
+    site = Site()
+    paused, other = site.start_all(2)
+    write_membership(site, paused)
+    site.listed.discard(paused.peer.entry_vm)
+    for _ in range(7):
+        other.reclaim()
+        site.now_s += 10.0
+    reclaiming = other.begin_reclaim()
+    call = next(reclaiming)
+    while not isinstance(call, Transact):
+        call = reclaiming.send(site.store.answer(call))
+    write_membership(site, paused, 1)
+    with pytest.raises(StopIteration):
+        reclaiming.send(site.store.answer(call))
+    assert site.ledger.retired == ()
+
+
+def test_a_pause_past_the_lease_asks_for_a_look_at_the_ledger():
+    continuity = LeaseContinuity()
+    assert not continuity.is_unbroken(0.0, 10.0)
+    continuity.settled(10.0)
+    assert continuity.is_unbroken(9.0, 15.0)
+    assert continuity.is_unbroken(14.0, 20.0)
+    # Paused; on waking the lease is renewed before anything else happens.
+    assert not continuity.is_unbroken(21.0, 31.0)
+    continuity.settled(31.0)
+    assert continuity.is_unbroken(30.0, 31.0)
+
+
 def test_a_lowered_limit_takes_idle_slots_first_and_the_rest_as_work_ends():
     site = Site()
     nodes = site.start_all(2)
