--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one command a measure, each with a seed and a baseline."""
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -15,7 +15,8 @@
 )
 from currantstage.coordination._allotment_exchange import (
     ASK_FANOUT,
-    ASK_INTERVAL_S,
+    MAX_ASK_INTERVAL_S,
+    MIN_ASK_INTERVAL_S,
     AllotmentExchange,
 )
 from currantstage.coordination._allotment_ledger import (
@@ -237,7 +238,6 @@
 
 __all__ = [
     "ASK_FANOUT",
-    "ASK_INTERVAL_S",
     "ATTEMPT_ID_BITS",
     "Acceptance",
     "AllotmentAsk",
@@ -288,6 +288,7 @@
     "ListVms",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
+    "MAX_ASK_INTERVAL_S",
     "MAX_CHECK_TRIES",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
@@ -297,6 +298,7 @@
     "MAX_RETRY_TOKENS",
     "MAX_SETTLEMENT_TRIES",
     "MAX_SIGHTINGS",
+    "MIN_ASK_INTERVAL_S",
     "MIN_CONFIG_LEASE_S",
     "Membership",
     "Need",
--- a/currantstage/coordination/_allotment_demand.py
+++ b/currantstage/coordination/_allotment_demand.py
@@ -54,9 +54,13 @@
 @dataclass(slots=True)
 class _Claim:
     peer: Peer
-    slots: int
+    wanted_slots: int
+    fair_slots: int
     until_s: float
 
+    def due_slots(self, is_short: bool) -> int:
+        return self.fair_slots if is_short else self.wanted_slots
+
 
 class ClaimQueue:
     """Slots that peers wanted while there were none idle, oldest first."""
@@ -64,31 +68,46 @@
     def __init__(self) -> None:
         self._claims: dict[ResourceId, list[_Claim]] = {}
 
-    def put(self, resource: ResourceId, peer: Peer, slots: int, now_s: float) -> None:
-        """Set what `peer` has coming; it keeps its place if it had one."""
+    def put(
+        self, resource: ResourceId, peer: Peer, wanted: int, fair: int, now_s: float
+    ) -> None:
+        """Set what `peer` has coming; it keeps its place if it had one.
+
+        Parameters
+        ----------
+        resource : ResourceId
+        peer : Peer
+        wanted : int
+            Slots for the peer while the holder itself is not short.
+        fair : int
+            Slots for the peer in any case.
+        now_s : float
+        """
         claims = self._claims.setdefault(resource, [])
-        until_s = now_s + CLAIM_MEMORY_S
-        for claim in claims:
+        new = _Claim(peer, wanted, fair, now_s + CLAIM_MEMORY_S)
+        for index, claim in enumerate(claims):
             if claim.peer == peer:
-                claim.slots, claim.until_s = slots, until_s
+                claims[index] = new
                 return
-        if slots > 0:
-            claims.append(_Claim(peer, slots, until_s))
+        claims.append(new)
 
-    def take_one(self, resource: ResourceId, now_s: float) -> Peer | None:
+    def take_one(
+        self, resource: ResourceId, is_short: bool, now_s: float
+    ) -> Peer | None:
         """Return the peer that gets the next slot, if any has one coming."""
         claims = [
             claim
             for claim in self._claims.get(resource, ())
-            if claim.slots > 0 and claim.until_s > now_s
+            if claim.wanted_slots > 0 and claim.until_s > now_s
         ]
-        if not claims:
-            self._claims.pop(resource, None)
-            return None
-        claim = claims[0]
-        claim.slots -= 1
-        self._claims[resource] = [*claims[1:], claim]
-        return claim.peer
+        self._claims[resource] = claims
+        for index, claim in enumerate(claims):
+            if claim.due_slots(is_short) > 0:
+                claim.wanted_slots -= 1
+                claim.fair_slots -= 1
+                claims.append(claims.pop(index))
+                return claim.peer
+        return None
 
 
 def fair_excess(held_slots: int, need: Need, may_give_odd: bool) -> int:
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/_allotment_exchange.py
@@ -29,8 +29,10 @@
 
 #: Peers that are asked at once; the next round asks the ones that follow.
 ASK_FANOUT = 3
-#: Shortest time between two rounds of asking, in seconds.
-ASK_INTERVAL_S = 0.02
+#: Bounds of the time between two rounds of asking, in seconds; it doubles with each
+#: round that brings nothing.
+MIN_ASK_INTERVAL_S = 0.02
+MAX_ASK_INTERVAL_S = 0.3
 
 
 class AllotmentExchange:
@@ -51,10 +53,14 @@
         self._acknowledged = defaultdict(Counter)
         self._last_handover_s: dict[ResourceId, float] = {}
         self._next_peer = 0
-        self._last_ask_s = -ASK_INTERVAL_S
+        self._last_giver: EntryVmId | None = None
+        self._last_ask_s = -MAX_ASK_INTERVAL_S
+        self._ask_interval_s = MIN_ASK_INTERVAL_S
 
     def note_shortage(self, resource: ResourceId, now_s: float) -> None:
         """Record that work found no slot of `resource`."""
+        if not self._shortages.is_short(resource, now_s):
+            self._ask_interval_s = MIN_ASK_INTERVAL_S
         self._shortages.note(resource, now_s)
 
     def shortages(self, now_s: float) -> dict[ResourceId, int]:
@@ -65,17 +71,19 @@
         self, now_s: float, peers: Sequence[EntryVmId], needs: AllotmentNeeds
     ) -> list[SendToPeer]:
         """Ask the next few of `peers` for what work lacks."""
-        wanted = {
-            resource: Need(
-                held_slots=self._book.held_slots(resource),
-                wanted_slots=min(count, needs.limits.get(resource, 0)),
-            )
-            for resource, count in self.shortages(now_s).items()
-            if self._book.idle_slots(resource) <= 0
-        }
-        if not wanted or now_s - self._last_ask_s < ASK_INTERVAL_S:
+        wanted = {}
+        for resource, count in self.shortages(now_s).items():
+            held = self._book.held_slots(resource)
+            lacking = needs.limits.get(resource, 0) - held
+            if lacking > 0 and self._book.idle_slots(resource) <= 0:
+                # Doubling what it holds reaches any demand in few rounds.
+                wanted[resource] = Need(
+                    held_slots=held, wanted_slots=min(lacking, max(count, held))
+                )
+        if not wanted or now_s - self._last_ask_s < self._ask_interval_s:
             return []
         self._last_ask_s = now_s
+        self._ask_interval_s = min(2 * self._ask_interval_s, MAX_ASK_INTERVAL_S)
         return self._send_asks(wanted, peers)
 
     def level(
@@ -113,6 +121,8 @@
             return []
         if not self._book.receive(peer.incarnation, transfer.sent_slots):
             return []
+        self._ask_interval_s = MIN_ASK_INTERVAL_S
+        self._last_giver = peer.entry_vm
         for resource in transfer.sent_slots:
             self._last_handover_s[resource] = now_s
             if self._book.idle_slots(resource) > 0:
@@ -136,7 +146,8 @@
         """Hand idle slots to the peers that have been waiting for them."""
         served = []
         while self._book.idle_slots(resource) > 0:
-            peer = self._claims.take_one(resource, now_s)
+            is_short = self._shortages.is_short(resource, now_s)
+            peer = self._claims.take_one(resource, is_short, now_s)
             if peer is None or not self._hand_over(now_s, peer, resource, 1):
                 break
             served.append(peer)
@@ -158,7 +169,11 @@
         count = min(ASK_FANOUT, len(peers))
         first = self._next_peer % len(peers)
         self._next_peer = first + count
-        asked = (peers[(first + step) % len(peers)] for step in range(count))
+        asked = [peers[(first + step) % len(peers)] for step in range(count)]
+        # Who gave last is likely to have more, and is asked in every round.
+        giver = self._last_giver
+        if giver is not None and giver in peers and giver not in asked:
+            asked.append(giver)
         return [SendToPeer(peer, ask) for peer in asked]
 
     def _answer(
@@ -177,8 +192,8 @@
                 held_slots=need.held_slots + slots,
                 wanted_slots=need.wanted_slots - slots,
             )
-            due = self._fair_excess(now_s, resource, left)
-            self._claims.put(resource, peer, due, now_s)
+            fair = self._fair_excess(now_s, resource, left)
+            self._claims.put(resource, peer, left.wanted_slots, fair, now_s)
         return slots > 0
 
     def _spare_for(
