Correct shares by usage that entry VMs tell one another

Change: UsageBoard averages what each team holds and hears the same of the others; TeamLoad.correction_slots (in place of running_elsewhere_slots) carries the result into the choice, bounded by a floor at each entry VM.

--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,217 @@
+"""Measure how close each team comes to its weighted share when the fleet is full.
+
+Example: python -m bench.shares --seed 1
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from dataclasses import dataclass
+
+import click
+
+from currantstage.coordination import (
+    USAGE_INTERVAL_S,
+    TeamDemand,
+    TeamLoad,
+    UsageBoard,
+    WeightedMaxMin,
+    max_min_slots,
+)
+from currantstage.state import EntryVmId, IncarnationId, QueueId, TeamId
+
+#: No share gives a whole number of an entry VM's slots.
+SHARES = {
+    TeamId("t1"): 5.0,
+    TeamId("t2"): 3.0,
+    TeamId("t3"): 2.0,
+    TeamId("t4"): 2.0,
+    TeamId("t5"): 1.0,
+    TeamId("t6"): 0.7,
+}
+QUEUE = QueueId("q")
+DATA_CENTRES = 3
+ENTRY_VMS_EACH = 2
+#: Six workers of eight slots, divided between two entry VMs.
+SLOTS_EACH = 24
+MAX_WAITING = 256
+MEAN_WORK_S = 0.2
+STEP_S = 0.01
+GOSSIP_STEPS = int(USAGE_INTERVAL_S / STEP_S)
+WARM_UP_S = 10.0
+WINDOW_S = 10.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Demand of each team, as a multiple of its share.
+
+    Parameters
+    ----------
+    name : str
+    flooding : TeamId
+        Team that asks for ten times its share.
+    local : TeamId or None
+        Team whose callers all come to the first data centre.
+    """
+
+    name: str
+    flooding: TeamId
+    local: TeamId | None = None
+
+    def demand(self, team: TeamId, data_centre: int) -> float:
+        """Return the slots that `team` asks for at each entry VM."""
+        whole = SLOTS_EACH * SHARES[team] / sum(SHARES.values())
+        factor = 10.0 if team == self.flooding else 1.5
+        if team == self.local:
+            return whole * factor * DATA_CENTRES if data_centre == 0 else 0.0
+        return whole * factor
+
+
+class Site:
+    """The waiting lines and slots of one entry VM."""
+
+    def __init__(self, index: int, is_fair: bool, hears: bool) -> None:
+        self.name = EntryVmId(f"e{index}")
+        self.data_centre = index // ENTRY_VMS_EACH
+        self.lines = {team: deque() for team in SHARES}
+        self.running = Counter()
+        self.ends = []
+        self.board = UsageBoard()
+        self.is_fair = is_fair
+        self.hears = hears
+
+    def arrive(self, team: TeamId, number: int) -> None:
+        """Let a request wait, or shed one when the line is full."""
+        self.lines[team].append(number)
+        if sum(map(len, self.lines.values())) > MAX_WAITING:
+            longest = max(self.lines, key=lambda each: len(self.lines[each]))
+            self.lines[longest if self.is_fair else team].pop()
+
+    def start_waiting(self, now_s: float, rng: random.Random) -> None:
+        """Fill the free slots."""
+        while self.running.total() < SLOTS_EACH and any(self.lines.values()):
+            team = self.choose(now_s)
+            self.lines[team].popleft()
+            self.running[team] += 1
+            self.ends.append((now_s + rng.expovariate(1 / MEAN_WORK_S), team))
+
+    def choose(self, now_s: float) -> TeamId:
+        """Return whose request goes next."""
+        if not self.is_fair:
+            waiting = [team for team in SHARES if self.lines[team]]
+            return min(waiting, key=lambda team: self.lines[team][0])
+        return WeightedMaxMin().choose([self.load(team, now_s) for team in SHARES])
+
+    def load(self, team: TeamId, now_s: float) -> TeamLoad:
+        """Return what the policy sees of one team."""
+        running = self.running[team]
+        correction = 0.0
+        if self.hears:
+            correction = self.board.correction_slots(now_s, QUEUE, team, running)
+        return TeamLoad(team, SHARES[team], running, len(self.lines[team]), correction)
+
+    def finish(self, now_s: float) -> None:
+        """End the work that is due."""
+        for end in [each for each in self.ends if each[0] <= now_s]:
+            self.ends.remove(end)
+            self.running[end[1]] -= 1
+
+
+def run(scenario: Scenario, seed: int, is_fair: bool, hears: bool) -> dict:
+    """Return the mean slots of each team over the window."""
+    rng = random.Random(seed)
+    sites = [
+        Site(index, is_fair, hears) for index in range(DATA_CENTRES * ENTRY_VMS_EACH)
+    ]
+    held, steps = Counter(), 0
+    for step in range(int((WARM_UP_S + WINDOW_S) / STEP_S)):
+        now_s = step * STEP_S
+        for site in sites:
+            site.finish(now_s)
+            for team in SHARES:
+                rate = scenario.demand(team, site.data_centre) / MEAN_WORK_S
+                for _ in range(poisson(rng, rate * STEP_S)):
+                    site.arrive(team, step)
+            site.start_waiting(now_s, rng)
+        if step % GOSSIP_STEPS == 0:
+            gossip(sites, now_s)
+        if now_s >= WARM_UP_S:
+            steps += 1
+            for site in sites:
+                held.update(site.running)
+    return {team: held[team] / steps for team in SHARES}
+
+
+def gossip(sites: list[Site], now_s: float) -> None:
+    """Let every entry VM report to every other."""
+    for site in sites:
+        report = site.board.report(now_s, {QUEUE: site.running})
+        for other in sites:
+            if other is not site:
+                other.board.hear(now_s, site.name, IncarnationId("1"), report)
+
+
+def poisson(rng: random.Random, mean: float) -> int:
+    """Return the number of arrivals in one step."""
+    count, time = 0, rng.expovariate(1.0)
+    while time < mean:
+        count, time = count + 1, time + rng.expovariate(1.0)
+    return count
+
+
+def entitlement(scenario: Scenario) -> dict[TeamId, float]:
+    """Return the weighted max-min allocation of the whole fleet's slots."""
+    demands = [
+        TeamDemand(
+            team,
+            share,
+            sum(
+                ENTRY_VMS_EACH * scenario.demand(team, data_centre)
+                for data_centre in range(DATA_CENTRES)
+            ),
+        )
+        for team, share in SHARES.items()
+    ]
+    return max_min_slots(SLOTS_EACH * ENTRY_VMS_EACH * DATA_CENTRES, demands)
+
+
+def jain_index(values: list[float]) -> float:
+    """Return Jain's fairness index of `values`."""
+    return sum(values) ** 2 / (len(values) * sum(each**2 for each in values))
+
+
+SCENARIOS = (
+    Scenario("t1 floods, ten times its share", TeamId("t1")),
+    Scenario("t6 floods, ten times its share", TeamId("t6")),
+    Scenario("t6 floods, t3 only in one data centre", TeamId("t6"), TeamId("t3")),
+)
+POLICIES = (
+    ("first come, first served", False, False),
+    ("max-min, each entry VM by itself", True, False),
+    ("max-min, corrected by gossip", True, True),
+)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+def main(seed: int) -> None:
+    """Print one row a scenario and policy."""
+    click.echo("| scenario | policy | worst distance | of each team | Jain |")
+    click.echo("|---|---|---|---|---|")
+    for scenario in SCENARIOS:
+        due = entitlement(scenario)
+        for name, is_fair, hears in POLICIES:
+            slots = run(scenario, seed, is_fair, hears)
+            ratios = [slots[team] / due[team] for team in SHARES]
+            each = " ".join(f"{ratio - 1:+.1%}" for ratio in ratios)
+            worst = max(abs(ratio - 1) for ratio in ratios)
+            click.echo(
+                f"| {scenario.name} | {name} | {worst:.1%} | {each} "
+                f"| {jain_index(ratios):.4f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -214,6 +214,7 @@
     RowObserver,
 )
 from currantstage.coordination._shares import (
+    AVERAGED_ROUNDING_SLOTS,
     LOCAL_FLOOR_FRACTION,
     ROUNDING_SLOTS,
     TeamDemand,
@@ -235,10 +236,19 @@
     RetryBudget,
     StoreService,
 )
+from currantstage.coordination._usage import (
+    USAGE_EXPIRY_S,
+    USAGE_INTERVAL_S,
+    USAGE_SMOOTHING_S,
+    UsageBoard,
+    UsageReport,
+    UsageSlots,
+)
 
 __all__ = [
     "ASK_FANOUT",
     "ATTEMPT_ID_BITS",
+    "AVERAGED_ROUNDING_SLOTS",
     "Acceptance",
     "AllotmentAsk",
     "AllotmentBook",
@@ -363,8 +373,14 @@
     "TeamLoad",
     "Transact",
     "Transacted",
+    "USAGE_EXPIRY_S",
+    "USAGE_INTERVAL_S",
+    "USAGE_SMOOTHING_S",
     "Uncertain",
     "UpperLimitCheck",
+    "UsageBoard",
+    "UsageReport",
+    "UsageSlots",
     "VmsListed",
     "WORK_MARGIN_S",
     "WeightedMaxMin",
--- a/currantstage/coordination/_policies.py
+++ b/currantstage/coordination/_policies.py
@@ -23,15 +23,16 @@
     running_slots : float
         Slots that the team holds now, weighted by size.
     waiting_requests : int
-    running_elsewhere_slots : float
-        The same in the other data centres, as far as gossip tells.
+    correction_slots : float
+        Added to `running_slots` where teams are compared: what the team holds at
+        other entry VMs, and what it held here of late beyond what it holds now.
     """
 
     team: TeamId
     share: float
     running_slots: float
     waiting_requests: int
-    running_elsewhere_slots: float = 0.0
+    correction_slots: float = 0.0
 
 
 class TeamLimiter(Protocol):
--- a/currantstage/coordination/_shares.py
+++ b/currantstage/coordination/_shares.py
@@ -11,12 +11,15 @@
     from currantstage.coordination._policies import TeamLoad
     from currantstage.state import TeamId
 
-#: Portion of its entitlement that a waiting team gets in each data centre, however
-#: much it runs in others.
+#: Portion of its entitlement that a waiting team gets at each entry VM, however much
+#: it runs at others.
 LOCAL_FLOOR_FRACTION = 0.5
 #: Added to the slots held before they are divided by the share: rounds to the
 #: nearest whole slot (Webster's method) rather than in favour of small shares.
 ROUNDING_SLOTS = 0.5
+#: The same where usage of late counts for one half, so that one more slot adds one
+#: half at once.
+AVERAGED_ROUNDING_SLOTS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,14 +46,18 @@
     allocation. A team that wants less than its share leaves the rest to the others,
     and is first in line for the next free slots when it wants them back.
 
-    Slots held in other data centres count as well, but only above a floor: a team
-    that waits here and holds less than `LOCAL_FLOOR_FRACTION` of its entitlement
-    here goes before all that hold more.
+    What a team has held of late, here and at the other entry VMs, counts as well. So
+    a team that is served much elsewhere gets less here, and shares that are no whole
+    number of slots come out right over time. A floor bounds both: a team that waits
+    here and holds less than `LOCAL_FLOOR_FRACTION` of its entitlement here goes
+    before all that hold more.
     """
 
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
         """Return the team to serve; `loads` holds at least one that waits."""
         waiting = [load for load in loads if load.waiting_requests > 0]
+        if not any(load.correction_slots for load in loads):
+            return min(waiting, key=_local_rank).team
         below_floor = _below_floor(loads, waiting)
         if below_floor:
             return min(below_floor, key=_local_rank).team
@@ -84,8 +91,6 @@
 def _below_floor(
     loads: Sequence[TeamLoad], waiting: Sequence[TeamLoad]
 ) -> list[TeamLoad]:
-    if not any(load.running_elsewhere_slots for load in loads):
-        return []
     active = [load for load in loads if load.running_slots or load.waiting_requests]
     capacity_slots = sum(load.running_slots for load in active)
     shares = sum(load.share for load in active)
@@ -102,5 +107,5 @@
 
 
 def _fleet_rank(load: TeamLoad) -> tuple[float, str]:
-    held_slots = load.running_slots + load.running_elsewhere_slots
-    return (held_slots + ROUNDING_SLOTS) / load.share, load.team
+    held_slots = load.running_slots + load.correction_slots
+    return (held_slots + AVERAGED_ROUNDING_SLOTS) / load.share, load.team
