--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -33,6 +33,7 @@
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -66,4 +67,5 @@
     "RENEWALS_PER_LEASE",
     "SETTLE_INTERVAL_S",
     "StartError",
+    "TeamAllotment",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -102,6 +102,7 @@
             self._sockets,
             self._clock,
         )
+        self._metrics.watch_allotments(self._limits.team_allotments)
         self._dispatcher = Dispatcher(
             self._configuration,
             settings.entry_vm.data_centre,
--- a/currantstage/application/_limit_path.py
+++ b/currantstage/application/_limit_path.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from currantstage.application._allotment_service import AllotmentService
+from currantstage.application._metrics import TeamAllotment
 from currantstage.coordination import (
     AllotmentAsk,
     AllotmentReceipt,
@@ -99,6 +100,7 @@
         clock: Clock,
     ) -> None:
         self._runner = runner
+        self._configuration = configuration
         self._listeners: list[Callable[[], None]] = []
         build = partial(
             AllotmentService,
@@ -132,10 +134,16 @@
         """Whether other entry VMs took this start for dead and reclaimed its slots."""
         return any(service.book.is_retired for service in self._services.values())
 
-    @property
-    def services(self) -> tuple[AllotmentService, ...]:
-        """The allotments of each scope."""
-        return tuple(self._services.values())
+    def team_allotments(self) -> dict[TeamId, TeamAllotment]:
+        """Return what this entry VM holds and uses of each team's upper limit."""
+        book = self._services[FLEET_SCOPE].book
+        return {
+            team: TeamAllotment(
+                book.held_slots(team_resource(team)),
+                book.running_slots(team_resource(team)),
+            )
+            for team in self._configuration.fleet.teams
+        }
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` when waiting work may find a slot that it did not find."""
--- a/currantstage/application/_metrics.py
+++ b/currantstage/application/_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -11,11 +12,11 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from opentelemetry.metrics import CallbackOptions
 
-    from currantstage.state import QueueId
+    from currantstage.state import QueueId, TeamId
 
 #: Upper bounds of the latency histogram's buckets, in seconds.
 LATENCY_BUCKETS_S = (
@@ -34,6 +35,14 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class TeamAllotment:
+    """What this entry VM has of one team's upper limit."""
+
+    held_slots: int
+    used_slots: int
+
+
 class DaemonMetrics:
     """Instruments of a daemon; reading them starts no thread.
 
@@ -63,6 +72,31 @@
             description="Python threads of the process; more than one is a fault.",
         )
 
+    def watch_allotments(
+        self, read: Callable[[], Mapping[TeamId, TeamAllotment]]
+    ) -> None:
+        """Show what `read` returns whenever the metrics are pulled."""
+        meter = self._provider.get_meter("currantstage")
+
+        def observe_held(_: CallbackOptions) -> Iterable[Observation]:
+            for team, allotment in read().items():
+                yield Observation(allotment.held_slots, {"team": team})
+
+        def observe_used(_: CallbackOptions) -> Iterable[Observation]:
+            for team, allotment in read().items():
+                yield Observation(allotment.used_slots, {"team": team})
+
+        meter.create_observable_gauge(
+            "currantstage_allotment_held_slots",
+            [observe_held],
+            description="Slots of the team's upper limit that this entry VM holds.",
+        )
+        meter.create_observable_gauge(
+            "currantstage_allotment_used_slots",
+            [observe_used],
+            description="Slots of the team's upper limit that its requests use.",
+        )
+
     def count_request(
         self, queue: QueueId, team: str, outcome: str, duration_s: float
     ) -> None:
--- a/tests/application/test_limits.py
+++ b/tests/application/test_limits.py
@@ -66,6 +66,10 @@
                 )
             )
             assert len(backend.bodies) == REQUESTS
+            async with caller.get(f"{urls[0]}/metrics") as response:
+                text = await response.text()
+            assert 'currantstage_allotment_used_slots{team="south"} 0.0' in text
+            assert 'currantstage_allotment_held_slots{team="south"}' in text
             assert backend.most_running <= min(limit, slots)
 
     uvloop.run(check())
--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -1,6 +1,6 @@
 """Fuzz upper limits: never more running than the limit, and no slot is lost.
 
-What holders could start at once counts as running.
+What holders could start at once, or take from the ledger, counts as running.
 
 Verified by hand: the machine fails when any of these guards is taken out.
 
@@ -126,7 +126,7 @@
             if copies > 1:
                 self.site.network.append(message)
 
-    @rule(pick=PICKS, steps=st.integers(1, 6), is_reclaim=st.booleans())
+    @rule(pick=PICKS, steps=st.integers(1, 9), is_reclaim=st.booleans())
     def step_procedure(self, pick, steps, is_reclaim):
         """Take some steps of a settlement or reclaiming; the rest comes later."""
         node = self.node(pick)
@@ -135,13 +135,17 @@
             self.step_once(node, key)
 
     def step_once(self, node, key):
+        """Hand one call to the store, or its reply to the procedure."""
         try:
             if key not in self.procedures:
                 procedure = self.begin(node, key[1])
-                self.procedures[key] = (procedure, next(procedure))
-            procedure, call = self.procedures[key]
-            reply = self.site.store.answer(call)
-            self.procedures[key] = (procedure, procedure.send(reply))
+                self.procedures[key] = (procedure, next(procedure), None)
+            procedure, call, reply = self.procedures[key]
+            if reply is None:
+                reply = self.site.store.answer(call)
+                self.procedures[key] = (procedure, call, reply)
+            else:
+                self.procedures[key] = (procedure, procedure.send(reply), None)
         except (StopIteration, StoreAwayError, WriteUncertainError):
             self.procedures.pop(key, None)
 
@@ -201,6 +205,24 @@
     def lose_vm(self, pick):
         self.site.drop_vm(self.node(pick).peer.entry_vm)
 
+    @precondition(lambda self: len(self.site.nodes) > 1)
+    @rule(pick=PICKS, other=PICKS, is_restart=st.booleans())
+    def crash_while_giving(self, pick, other, is_restart):
+        """End a process whose transfers are still under way."""
+        giver, asker = self.node(pick), self.node(other)
+        if giver is asker:
+            return
+        self.demand(other, is_answered=False)
+        asks = [each for each in self.site.network if each[0] == asker.peer]
+        for sender, receiver, message in asks:
+            if receiver == giver.peer.entry_vm:
+                giver.hear(sender, message)
+        name = giver.peer.entry_vm
+        if is_restart:
+            self.start_process(NAMES.index(name))
+        else:
+            self.site.drop_vm(name)
+
     @rule(pick=PICKS)
     def start_process(self, pick):
         """Restart a process, or start one on a VM that was lost."""
@@ -218,15 +240,14 @@
 
     @invariant()
     def never_above_the_limit(self):
-        limit = self.site.limits[TEAM]
-        is_followed = self.site.ledger.generation == self.site.generation
-        if is_followed and not resources_above_limit(
-            self.site.ledger, self.site.limits
-        ):
+        ledger, limit = self.site.ledger, self.site.limits[TEAM]
+        is_followed = ledger.generation == self.site.generation
+        if is_followed and not resources_above_limit(ledger, self.site.limits):
             self.bound = limit
         self.bound = max(self.bound, limit)
         startable = [n.book.startable_slots(TEAM) for n in self.site.nodes.values()]
-        assert len(self.work) + sum(startable) <= self.bound
+        free = ledger.free_slots.get(TEAM, 0)
+        assert len(self.work) + sum(startable) + free <= self.bound
 
     def teardown(self):
         """Mend everything; then every slot of the limit must be usable again."""
