--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
     QueueService,
 )
@@ -24,9 +28,17 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -45,15 +57,21 @@
 )
 
 __all__ = [
+    "ASK_AGAIN_S",
     "Admitted",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
     "DispatchDriver",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
+    "LimitPath",
     "NoteService",
     "PEER_REFRESH_S",
     "PROBE_INTERVAL_S",
@@ -62,6 +80,8 @@
     "QueueService",
     "RENEWALS_PER_LEASE",
     "RequestPath",
+    "SETTLE_INTERVAL_S",
     "ServerMonitor",
     "StartError",
+    "TeamAllotment",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -11,6 +11,7 @@
 
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
@@ -19,18 +20,18 @@
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
+    AllotmentLimitCheck,
     Cleanup,
     Configuration,
     CoordinationError,
     Duty,
     DutyLeases,
     HeadWatch,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
     Membership,
+    ReclaimingDuty,
     RetryPolicy,
-    RoundRobinShares,
     StoreAccess,
+    WeightedMaxMin,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
 from currantstage.state import (
@@ -93,12 +94,29 @@
         self._runner = ProcedureRunner(
             self._platform, self._platform, self._platform, self._clock
         )
+        self._peers = PeerService(
+            settings.entry_vm.id,
+            self._membership.row.incarnation,
+            settings.peers.secret.encode(),
+        )
+        self._peers.handle(Heartbeat, self._hear_heartbeat)
+        self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._limits = LimitPath(
+            self._membership.row,
+            self._configuration,
+            self._store,
+            self._runner,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
+        self._metrics.watch_allotments(self._limits.team_allotments)
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
-            LocalTeamLimiter(self._configuration),
-            LocalWorkerSlots(self._configuration),
-            RoundRobinShares(),
+            self._limits.limiter,
+            self._limits.slots,
+            WeightedMaxMin(),
             self._metrics,
             self._clock,
             self._random,
@@ -108,16 +126,10 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._limits.on_change(self._path.driver.start_waiting)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
-        self._peers = PeerService(
-            settings.entry_vm.id,
-            self._membership.row.incarnation,
-            settings.peers.secret.encode(),
-        )
-        self._peers.handle(Heartbeat, self._hear_heartbeat)
-        self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -140,14 +152,15 @@
         # The balancer sees the failed health check before anything is refused.
         await asyncio.sleep(serving.balancer_notice_ms / 1000)
         self._path.driver.stop_admission()
-        await self._path.queues.drain(serving.max_drain_ms / 1000)
+        if await self._path.queues.drain(serving.max_drain_ms / 1000):
+            await self._limits.leave()
         await self._leave()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return self._is_ready
+        return self._is_ready and not self._limits.is_retired
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -160,6 +173,10 @@
         await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
+        await self._refresh()
+        # Only now: whoever holds allotments must be the only process of its entry VM,
+        # which the address that it listens on proves.
+        await self._own(self._limits)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
@@ -175,6 +192,7 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -192,7 +210,12 @@
             self._runner,
             self._store,
             self._configuration,
-            Acceptance(self._store, self._configuration, self._watch),
+            Acceptance(
+                self._store,
+                self._configuration,
+                self._watch,
+                AllotmentLimitCheck(self._store),
+            ),
             self._follow.wake,
         )
         add_error_answers(server.app)
@@ -209,7 +232,11 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return [Cleanup(self._store)]
+        entry_vm = self._settings.entry_vm.id
+        return [
+            Cleanup(self._store),
+            ReclaimingDuty(self._store, self._configuration, entry_vm),
+        ]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -229,6 +256,9 @@
         generation = await self._runner.run(self._membership.follow_head())
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            # The limits are divided among those who are there now.
+            await self._refresh()
+            self._limits.follow_limits()
             self._path.apply_fleet()
             await self._send_heartbeats()
 
@@ -246,7 +276,10 @@
         self._peers.broadcast(self._sockets, message)
 
     def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
+        message = frame.message
+        if isinstance(message, Heartbeat) and self._configuration.lacks(
+            message.generation
+        ):
             self._follow.wake()
 
     async def _leave(self) -> None:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -25,12 +25,15 @@
 )
 from currantstage.coordination._allotment_exchange import (
     ASK_FANOUT,
-    ASK_INTERVAL_S,
+    MAX_ASK_INTERVAL_S,
+    MIN_ASK_INTERVAL_S,
     AllotmentExchange,
 )
 from currantstage.coordination._allotment_ledger import (
+    WORK_MARGIN_S,
     allotted_slots,
     follow_limits,
+    longest_work_s,
     move_from_free,
     resources_above_limit,
     retire_holders,
@@ -48,15 +51,15 @@
 )
 from currantstage.coordination._allotment_plan import (
     AllotmentNeeds,
+    HolderStart,
     SettlementPlan,
     plan_settlement,
     work_ceilings,
 )
 from currantstage.coordination._allotment_reclaim import (
-    CLOCK_DRIFT,
     LIST_LAG_S,
     AllotmentReclaimer,
-    LiveView,
+    FleetView,
     ReclaimReport,
     quarantine_s,
     reclaimable_slots,
@@ -167,11 +170,18 @@
     identify_team,
     key_id_of,
 )
+from currantstage.coordination._lease_continuity import (
+    LeaseContinuity,
+)
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
     lapse_s,
     observer_wait_s,
 )
+from currantstage.coordination._limit_check import (
+    MAX_CHECK_TRIES,
+    AllotmentLimitCheck,
+)
 from currantstage.coordination._local_limits import (
     LocalTeamLimiter,
     LocalWorkerSlots,
@@ -270,6 +280,10 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._reclaiming_duty import (
+    RECLAIM_INTERVAL_S,
+    ReclaimingDuty,
+)
 from currantstage.coordination._round_robin import (
     RoundRobinShares,
 )
@@ -277,6 +291,7 @@
     RowObserver,
 )
 from currantstage.coordination._shares import (
+    AVERAGED_ROUNDING_SLOTS,
     LOCAL_FLOOR_FRACTION,
     ROUNDING_SLOTS,
     TeamDemand,
@@ -301,6 +316,14 @@
 from currantstage.coordination._topology import (
     Topology,
 )
+from currantstage.coordination._usage import (
+    USAGE_EXPIRY_S,
+    USAGE_INTERVAL_S,
+    USAGE_SMOOTHING_S,
+    UsageBoard,
+    UsageReport,
+    UsageSlots,
+)
 from currantstage.coordination._waiting import (
     NO_TEAM,
     QueueLine,
@@ -313,12 +336,13 @@
 
 __all__ = [
     "ASK_FANOUT",
-    "ASK_INTERVAL_S",
     "ATTEMPT_ID_BITS",
+    "AVERAGED_ROUNDING_SLOTS",
     "Acceptance",
     "AllotmentAsk",
     "AllotmentBook",
     "AllotmentExchange",
+    "AllotmentLimitCheck",
     "AllotmentMessage",
     "AllotmentNeeds",
     "AllotmentReceipt",
@@ -332,7 +356,6 @@
     "AttributedRing",
     "CLAIM_MEMORY_S",
     "CLEANUP_INTERVAL_S",
-    "CLOCK_DRIFT",
     "CONTENDED_HOLD_S",
     "Candidate",
     "CircuitBreaker",
@@ -360,23 +383,27 @@
     "FieldChange",
     "Finish",
     "FleetFault",
+    "FleetView",
     "GENERATION_PREFIX",
     "GetObject",
     "Head",
     "HeadWatch",
+    "HolderStart",
     "IdT",
     "JobSize",
     "KEPT_GENERATIONS",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
     "LONG_QUANTILE",
+    "LeaseContinuity",
     "LeastLoaded",
     "ListObjects",
     "ListVms",
-    "LiveView",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
+    "MAX_ASK_INTERVAL_S",
     "MAX_CHANCE",
+    "MAX_CHECK_TRIES",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
     "MAX_DELETIONS_PER_RUN",
@@ -391,6 +418,7 @@
     "MAX_SETTLEMENT_TRIES",
     "MAX_SIGHTINGS",
     "MAX_TRIES",
+    "MIN_ASK_INTERVAL_S",
     "MIN_CONFIG_LEASE_S",
     "MIN_FAILURE_RATE",
     "MIN_OBSERVATIONS",
@@ -423,6 +451,7 @@
     "QuantileWindow",
     "QueueLine",
     "RECENT_RESULTS",
+    "RECLAIM_INTERVAL_S",
     "REMOVAL_DELAY_S",
     "RENEWALS_PER_LEASE",
     "RETRIES_PER_REQUEST",
@@ -431,6 +460,7 @@
     "ReadClock",
     "ReadRow",
     "ReclaimReport",
+    "ReclaimingDuty",
     "RecordT",
     "Refusal",
     "RefusalReason",
@@ -482,10 +512,17 @@
     "Transacted",
     "UNKNOWN_SILENCE_S",
     "UNREACHABLE_RETRY_AFTER_S",
+    "USAGE_EXPIRY_S",
+    "USAGE_INTERVAL_S",
+    "USAGE_SMOOTHING_S",
     "Uncertain",
     "UpperLimitCheck",
+    "UsageBoard",
+    "UsageReport",
+    "UsageSlots",
     "VmsListed",
     "WINDOW_OBSERVATIONS",
+    "WORK_MARGIN_S",
     "Wait",
     "WaitingRequest",
     "WeightedMaxMin",
@@ -519,6 +556,7 @@
     "list_items",
     "load_generation",
     "load_head",
+    "longest_work_s",
     "max_min_slots",
     "move_from_free",
     "observer_wait_s",
--- a/currantstage/coordination/_allotment_book.py
+++ b/currantstage/coordination/_allotment_book.py
@@ -51,6 +51,11 @@
         """Whether this holder has given up everything for good."""
         return self._is_retired
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether any work has a slot."""
+        return any(self._running.values())
+
     @property
     def max_work_s(self) -> float:
         """Longest work that the holder's row covers, in seconds."""
@@ -140,6 +145,10 @@
         """Trade nothing with `peers` any more; a closed peer stays closed."""
         self._closed.update(peers)
 
+    def is_closed(self, peer: IncarnationId) -> bool:
+        """Return whether nothing is traded with `peer` any more."""
+        return peer in self._closed
+
     def net_received(self, peer: IncarnationId) -> dict[ResourceId, int]:
         """Return what came from `peer` less what went to it, without zeros."""
         net = Counter(self._received.get(peer, {}))
--- a/currantstage/coordination/_allotment_plan.py
+++ b/currantstage/coordination/_allotment_plan.py
@@ -59,6 +59,14 @@
         return -(-self.limits.get(resource, 0) // self.holders)
 
 
+@dataclass(frozen=True, slots=True)
+class HolderStart:
+    """Which start of which entry VM a holder is."""
+
+    entry_vm: EntryVmId
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class SettlementPlan:
     """The rows as one settlement writes them.
@@ -78,7 +86,7 @@
 
 def plan_settlement(
     book: AllotmentBook,
-    entry_vm: EntryVmId,
+    start: HolderStart,
     ledger: LedgerRow,
     recorded: HolderRow | None,
     needs: AllotmentNeeds,
@@ -89,7 +97,7 @@
     ----------
     book : AllotmentBook
         Already closed to all holders that `ledger` names as retired.
-    entry_vm : EntryVmId
+    start : HolderStart
     ledger : LedgerRow
     recorded : HolderRow or None
     needs : AllotmentNeeds
@@ -107,7 +115,8 @@
     granted.update(_folded_slots(recorded, ledger.retired))
     row = HolderRow(
         incarnation=book.holder,
-        entry_vm=entry_vm,
+        entry_vm=start.entry_vm,
+        start_number=start.number,
         max_work_s=max(needs.max_work_s, book.max_work_s),
         granted_slots={
             name: granted[name] for name in sorted(granted) if granted[name]
