--- a/currantstage/coordination/_note_acceptance.py
+++ b/currantstage/coordination/_note_acceptance.py
@@ -88,6 +88,9 @@
         accepted = yield from self._store.read(ACCEPTED_KEY)
         if _accepted_generation(accepted) >= generation:
             return NoteProgress(generation, is_accepted=True)
+        if self._configuration.lacks(generation):
+            # Upper limits would be judged by an older fleet than the note's.
+            return NoteProgress(generation, is_accepted=False)
         waiting = yield from self._find_waiting(generation)
         if waiting.waiting_for or waiting.waiting_for_teams:
             return waiting
--- /dev/null
+++ b/tests/coordination/test_note_check.py
@@ -0,0 +1,84 @@
+"""Every fault of a note is named with its place."""
+
+from __future__ import annotations
+
+import pytest
+
+from currantstage.coordination import check_note, diff_fleets
+from currantstage.protocol import parse_note
+from currantstage.state import Fleet
+
+BASE = """
+[note]
+id = base
+[add pool p]
+data_centre = a
+[add vm v]
+pool = p
+rack = r
+address = 127.0.0.1:9000
+[add team north]
+share = 1
+upper_limit_slots = 8
+[add queue q]
+pools = p
+"""
+DIGEST = "0" * 64
+
+
+def base_fleet():
+    return check_note(Fleet(), parse_note(BASE)).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("text", "place", "reason"),
+    [
+        ("[withdraw pool p]", "vm v, which the note leaves", "pool p does not exist"),
+        ("[change pool p]\nmax_unavailable = 2", "change pool p", "the pool has 1 VMs"),
+        ("[add key k]\nteam = x\nsalt = s\ndigest = 0", "add key k", "team x does not"),
+        ("[add key k]\nteam = north\nsalt = s\ndigest = 0", "add key k", "SHA-256"),
+        ("[change queue q]\npools = p, p", "change queue q", "named 2 times"),
+        ("[add team a/b]\nshare = 1\nupper_limit_slots = 1", "add team a/b", "letters"),
+        ("[change vm v]\naddress = host:1", "change vm v", "is not IP:port"),
+        ("[change team south]\nshare = 2", "change team south", "does not exist"),
+    ],
+)
+def test_faults_have_their_place(text, place, reason):
+    checked = check_note(base_fleet(), parse_note(f"[note]\nid = n\n{text}\n"))
+    faults = checked.failure()
+    assert any(f.place == place and reason in f.reason for f in faults), faults
+
+
+def test_a_rack_stands_in_one_data_centre():
+    text = """
+[note]
+id = n
+[add pool o]
+data_centre = b
+[add vm w]
+pool = o
+rack = r
+address = 127.0.0.1:9001
+"""
+    faults = check_note(base_fleet(), parse_note(text)).failure()
+    assert [str(each.reason) for each in faults] == ["rack r stands in data centre a"]
+
+
+def test_a_key_is_replaced_under_a_new_identifier():
+    fleet = base_fleet()
+    key = f"team = north\nsalt = s\ndigest = {DIGEST}\n"
+    fleet = check_note(
+        fleet, parse_note(f"[note]\nid = n\n[add key k1]\n{key}")
+    ).unwrap()
+    again = f"[note]\nid = m\n[withdraw key k1]\n[add key k1]\n{key}"
+    assert check_note(fleet, parse_note(again)).failure()
+    replaced = f"[note]\nid = m\n[withdraw key k1]\n[add key k2]\n{key}"
+    assert set(check_note(fleet, parse_note(replaced)).unwrap().keys) == {"k2"}
+
+
+def test_a_diff_names_what_a_note_did():
+    before = base_fleet()
+    note = parse_note("[note]\nid = n\n[change team north]\nshare = 2\n")
+    (change,) = diff_fleets(before, check_note(before, note).unwrap())
+    assert str(change.item) == "change team north"
+    assert (change.name, change.before, change.after) == ("share", "1.0", "2.0")
--- /dev/null
+++ b/tests/fuzz/note_world.py
@@ -0,0 +1,180 @@
+"""Several entry VMs, their clocks, their messages and one platform, for fuzzing."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from currantstage.coordination import (
+    Acceptance,
+    Configuration,
+    GetObject,
+    HeadWatch,
+    Membership,
+    Procedure,
+    PutObject,
+    ReadClock,
+    RenewalOutcome,
+    RenewalRequest,
+    StoreAwayError,
+    StoreFailed,
+    Transact,
+    WriteUncertainError,
+)
+from currantstage.state import (
+    DEFAULT_CONFIG_LEASE_S,
+    FIRST_GENERATION,
+    DataCentreId,
+    EntryVmId,
+    EntryVmRow,
+    IncarnationId,
+)
+from tests.fakes import FakeClock, FakeStore, make_store_access
+
+
+class CallFault(Enum):
+    """What happens to one call of one process."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+    #: The write takes effect later, and its answer is lost.
+    DELAYED = "delayed"
+    #: The write takes effect, and the process is cut off from then on.
+    CUT_OFF = "cut-off"
+
+
+@dataclass
+class Process:
+    """One start of an entry VM's daemon; it is paused while no procedure steps."""
+
+    name: str
+    number: int
+    store: FakeStore
+    clock_rate: float
+    can_reach_table: bool = True
+    clock: FakeClock = field(default_factory=FakeClock)
+
+    def __post_init__(self):
+        self.access = make_store_access(self.number)
+        self.configuration = Configuration()
+        self.watch = HeadWatch()
+        row = EntryVmRow(
+            entry_vm=EntryVmId(self.name),
+            incarnation=IncarnationId(f"start-{self.number}"),
+            data_centre=DataCentreId("a"),
+            http_address="127.0.0.1:1",
+            peer_address="127.0.0.1:2",
+            applied_generation=FIRST_GENERATION,
+            config_lease_s=DEFAULT_CONFIG_LEASE_S,
+        )
+        self.membership = Membership(self.access, self.configuration, self.watch, row)
+        self.acceptance = Acceptance(self.access, self.configuration, self.watch)
+        self.highest_generation = FIRST_GENERATION
+
+    @property
+    def serves_keyed(self):
+        return self.configuration.may_serve_keyed(self.clock.now_s())
+
+
+class Running:
+    """A procedure in progress at a process, stepped one call at a time."""
+
+    def __init__(self, world: NoteWorld, process: Process, procedure: Procedure[Any]):
+        self.process = process
+        self.result: Any = None
+        self.is_done = False
+        self._world = world
+        self._procedure = procedure
+        self._advance(None)
+
+    def step(self, fault: CallFault) -> None:
+        """Let the platform answer the outstanding call, with `fault`."""
+        if not self.is_done:
+            self._advance(self._world.reply(self.process, self._call, fault))
+
+    def finish(self, fault: CallFault = CallFault.NONE) -> Any:
+        """Step to the end, with `fault` at each transaction."""
+        while not self.is_done:
+            is_write = isinstance(self._call, Transact)
+            self.step(fault if is_write else CallFault.NONE)
+        return self.result
+
+    def _advance(self, reply):
+        try:
+            self._call = self._procedure.send(reply)
+        except StopIteration as stop:
+            self.result, self.is_done = stop.value, True
+        except (StoreAwayError, WriteUncertainError):
+            self.is_done = True
+
+
+@dataclass(frozen=True)
+class Message:
+    """A renewal on a peer's behalf, on its way there or back."""
+
+    sender: Process
+    receiver: Process
+    content: RenewalRequest | RenewalOutcome
+
+    @property
+    def is_outcome(self):
+        return isinstance(self.content, RenewalOutcome)
+
+
+class NoteWorld:
+    """The platform, the processes and the messages between them."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.processes: list[Process] = []
+        self.messages: list[Message] = []
+        self.delayed: list[Transact] = []
+        self.is_table_down = False
+        self.are_objects_down = False
+        self._starts = 0
+
+    def start(self, name: str, clock_rate: float) -> Process:
+        self._starts += 1
+        process = Process(name, self._starts, self.store, clock_rate)
+        self.processes.append(process)
+        return process
+
+    def advance(self, duration_s: float) -> None:
+        for process in self.processes:
+            process.clock.time_s += duration_s * process.clock_rate
+
+    def reply(self, process, call, fault):
+        if isinstance(call, ReadClock):
+            return self.store.answer(call, process.clock)
+        is_object = isinstance(call, GetObject | PutObject)
+        is_down = self.are_objects_down if is_object else self.is_table_down
+        if is_down or not process.can_reach_table or fault is CallFault.REFUSED:
+            return StoreFailed(may_have_applied=False)
+        if fault is CallFault.DELAYED and isinstance(call, Transact):
+            self.delayed.append(call)
+            return StoreFailed(may_have_applied=True)
+        reply = self.store.answer(call, process.clock)
+        if fault is CallFault.CUT_OFF:
+            process.can_reach_table = False
+        if fault in (CallFault.ANSWER_LOST, CallFault.CUT_OFF):
+            return StoreFailed(may_have_applied=True)
+        return reply
+
+    def run(self, process, procedure, fault=CallFault.NONE):
+        return Running(self, process, procedure).finish(fault)
+
+    def deliver(self, message: Message) -> None:
+        receiver = message.receiver
+        if isinstance(message.content, RenewalOutcome):
+            receiver.membership.take_outcome(message.content)
+            return
+        outcome = self.run(receiver, receiver.membership.renew_for(message.content))
+        if outcome is not None:
+            self.messages.append(Message(receiver, message.sender, outcome))
+
+    def apply_delayed(self, index: int) -> None:
+        with contextlib.suppress(IndexError):
+            self.store.answer(self.delayed.pop(index))
--- /dev/null
+++ b/tests/fuzz/test_note_machine.py
@@ -0,0 +1,272 @@
+"""Fuzz commit, acceptance and configuration leases against a page of oracle.
+
+The oracle: the keys of each generation are those that the notes so far add and
+withdraw, and a process that serves keyed work does so under no generation older than
+one that was called accepted to anybody.
+"""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from currantstage.coordination import MAX_CLOCK_DRIFT, commit_note
+from currantstage.state import (
+    ACCEPTED_KEY,
+    HEAD_KEY,
+    Additions,
+    Key,
+    KeyId,
+    NoteId,
+    ReleaseNote,
+    Team,
+    TeamId,
+    Withdrawals,
+)
+from tests.fuzz.note_world import CallFault, Message, NoteWorld, Running
+
+NAMES = ("e1", "e2", "e3")
+TEAM = Team(team_id=TeamId("north"), share=1.0, upper_limit_slots=8)
+picks = st.integers(0, 5)
+faults = st.sampled_from((CallFault.NONE, *CallFault))
+waits = st.sampled_from((0.0, 0.5, 2.5, 5.0, 9.95, 10.3, 31.0))
+lease_lengths = st.sampled_from((2.0, 10.0, 30.0))
+step_counts = st.integers(0, 9)
+clock_rates = st.sampled_from((1 - MAX_CLOCK_DRIFT, 1.0, 1 + MAX_CLOCK_DRIFT))
+
+
+class NoteMachine(RuleBasedStateMachine):
+    """Races operators, starts, pauses, partitions, outages and lost answers."""
+
+    @initialize(rates=st.tuples(clock_rates, clock_rates, clock_rates))
+    def set_up(self, rates):
+        self.world = NoteWorld()
+        self.running: list[Running] = []
+        self.notes = 0
+        self.accepted = 0
+        #: The keys that each generation must have.
+        self.keys_of_generation = [frozenset()]
+        first = self.world.start(NAMES[0], rates[0])
+        additions = Additions(teams=(TEAM,))
+        self.commit(first, ReleaseNote(note_id=NoteId("first"), added=additions))
+        for name, rate in zip(NAMES[1:], rates[1:], strict=True):
+            self.world.start(name, rate)
+        for process in self.world.processes:
+            self.world.run(process, process.membership.follow_head())
+
+    def pick(self, index):
+        return self.world.processes[index % len(self.world.processes)]
+
+    def commit(self, process, note, fault=CallFault.NONE):
+        self.world.run(process, self.commit_procedure(process, note), fault)
+
+    def commit_procedure(self, process, note):
+        return commit_note(process.access, note, note.note_id)
+
+    def next_note(self, does_withdraw, lease_s):
+        """Return a note on the keys of the newest generation."""
+        self.notes += 1
+        note_id = NoteId(f"note-{self.notes}")
+        known = sorted(self.keys_of_generation[-1])
+        if does_withdraw and known:
+            return ReleaseNote(
+                note_id=note_id,
+                withdrawn=Withdrawals(keys=(KeyId(known[0]),)),
+                config_lease_s=lease_s,
+            )
+        key = Key(
+            key_id=KeyId(f"key-{self.notes}"),
+            team=TEAM.team_id,
+            salt="s",
+            digest="0" * 64,
+        )
+        return ReleaseNote(
+            note_id=note_id, added=Additions(keys=(key,)), config_lease_s=lease_s
+        )
+
+    @rule(duration_s=waits)
+    def time_passes(self, duration_s):
+        self.world.advance(duration_s)
+
+    @rule(index=picks, fault=faults)
+    def follow(self, index, fault):
+        process = self.pick(index)
+        self.world.run(process, process.membership.follow_head(), fault)
+
+    @rule(index=picks)
+    def begin_to_follow(self, index):
+        process = self.pick(index)
+        procedure = process.membership.follow_head()
+        self.running.append(Running(self.world, process, procedure))
+
+    @rule(index=picks, withdraws=st.booleans())
+    def begin_to_commit(self, index, withdraws):
+        process = self.pick(index)
+        procedure = self.commit_procedure(process, self.next_note(withdraws, 10.0))
+        self.running.append(Running(self.world, process, procedure))
+
+    @precondition(lambda self: self.running)
+    @rule(index=picks, fault=faults, steps=st.integers(1, 6))
+    def step(self, index, fault, steps):
+        running = self.running[index % len(self.running)]
+        for _ in range(steps - 1):
+            running.step(CallFault.NONE)
+        running.step(fault)
+        if running.is_done:
+            self.running.remove(running)
+
+    @rule(
+        index=picks,
+        withdraws=st.booleans(),
+        lease_s=lease_lengths,
+        fault=faults,
+    )
+    def submit(self, index, withdraws, lease_s, fault):
+        self.commit(self.pick(index), self.next_note(withdraws, lease_s), fault)
+
+    @rule(
+        index=picks,
+        late=picks,
+        withdraws=st.booleans(),
+        lease_s=lease_lengths,
+        steps=st.tuples(step_counts, step_counts),
+        waits_s=st.tuples(waits, waits),
+        is_late_asking=st.booleans(),
+    )
+    def roll_out(self, index, late, withdraws, lease_s, steps, waits_s, is_late_asking):
+        """Submit a note and follow it everywhere but at one process that is late.
+
+        The late process follows the head from before the commit, with pauses, and
+        finishes only after the question whether the note is accepted.
+        """
+        process, late_process = self.pick(index), self.pick(late)
+        procedure = late_process.membership.follow_head()
+        following = Running(self.world, late_process, procedure)
+        self.step_often(following, steps[0])
+        self.commit(process, self.next_note(withdraws, lease_s))
+        for each in (process, *self.world.processes):
+            if each is not late_process:
+                self.world.run(each, each.membership.follow_head())
+        self.world.advance(waits_s[0])
+        self.step_often(following, steps[1])
+        self.world.advance(waits_s[1])
+        self.ask_for_acceptance(index, CallFault.NONE)
+        if is_late_asking:
+            self.renew_through_peer(late, index)
+        following.finish()
+
+    def step_often(self, running, count):
+        for _ in range(count):
+            running.step(CallFault.NONE)
+
+    @rule(index=picks, fault=faults)
+    def ask_for_acceptance(self, index, fault):
+        """Ask at one process; an operator may hear an answer that nobody else does."""
+        process = self.pick(index)
+        head = self.world.store.rows[HEAD_KEY].record.generation
+        progress = self.world.run(process, process.acceptance.progress(head), fault)
+        if progress is not None and progress.is_accepted:
+            self.accepted = max(self.accepted, head)
+
+    @rule(index=picks, is_cut_off=st.booleans())
+    def change_partition(self, index, is_cut_off):
+        self.pick(index).can_reach_table = not is_cut_off
+
+    @rule(is_down=st.sampled_from((True, False, False)), is_table=st.booleans())
+    def change_outage(self, is_down, is_table):
+        self.world.is_table_down = is_down and is_table
+        self.world.are_objects_down = is_down and not is_table
+
+    @rule(index=picks, rate=clock_rates, is_crashed=st.booleans())
+    def start_again(self, index, rate, is_crashed):
+        """Start a second process of an entry VM; the first may go on unnoticed."""
+        process = self.pick(index)
+        if is_crashed:
+            self.world.processes.remove(process)
+            self.running = [each for each in self.running if each.process != process]
+        if len(self.world.processes) < 6:
+            self.world.start(process.name, rate)
+
+    @rule(sender=picks, receiver=picks)
+    def renew_through_peer(self, sender, receiver):
+        """Ask a peer to renew, and hear its answer at once."""
+        self.ask_a_peer_to_renew(sender, receiver)
+        self.world.deliver(self.world.messages.pop())
+        if self.world.messages and self.world.messages[-1].is_outcome:
+            self.world.deliver(self.world.messages.pop())
+
+    @rule(sender=picks, receiver=picks)
+    def ask_a_peer_to_renew(self, sender, receiver):
+        process = self.pick(sender)
+        request = process.membership.request_renewal(process.clock.now_s())
+        message = Message(process, self.pick(receiver), request)
+        self.world.messages.append(message)
+
+    @precondition(lambda self: self.world.messages)
+    @rule(index=picks, is_kept=st.booleans())
+    def deliver(self, index, is_kept):
+        """Deliver a message, and keep it to be delivered again."""
+        message = self.world.messages[index % len(self.world.messages)]
+        if not is_kept:
+            self.world.messages.remove(message)
+        self.world.deliver(message)
+
+    @precondition(lambda self: self.world.messages)
+    @rule(index=picks)
+    def lose_message(self, index):
+        del self.world.messages[index % len(self.world.messages)]
+
+    @precondition(lambda self: self.world.delayed)
+    @rule(index=picks)
+    def delayed_write_arrives(self, index):
+        self.world.apply_delayed(index % len(self.world.delayed))
+
+    @invariant()
+    def the_promises_hold(self):
+        self.check_head()
+        self.check_accepted()
+        for process in self.world.processes:
+            self.check_process(process)
+
+    def check_head(self):
+        """Check that generations rise by one and hold what the notes say."""
+        rows = self.world.store.rows
+        if HEAD_KEY not in rows:
+            return
+        head = rows[HEAD_KEY].record
+        stored = self.world.store.objects[head.object_name]
+        newest = len(self.keys_of_generation) - 1
+        assert newest <= head.generation <= newest + 1
+        if head.generation > newest:
+            added = {key.key_id for key in stored.note.added.keys}
+            withdrawn = set(stored.note.withdrawn.keys)
+            keys = (self.keys_of_generation[-1] | added) - withdrawn
+            self.keys_of_generation.append(frozenset(keys))
+        assert stored.fleet.keys.keys() == self.keys_of_generation[-1]
+
+    def check_accepted(self):
+        """Check that what was once called accepted stays so."""
+        row = self.world.store.rows.get(ACCEPTED_KEY)
+        assert self.accepted <= (0 if row is None else row.record.generation)
+        assert self.accepted < len(self.keys_of_generation)
+
+    def check_process(self, process):
+        """Check that no process falls back or serves keyed work on old grounds."""
+        fleet = process.configuration.fleet
+        assert fleet.generation >= process.highest_generation
+        process.highest_generation = fleet.generation
+        assert fleet.keys.keys() == self.keys_of_generation[fleet.generation]
+        assert not process.serves_keyed or fleet.generation >= self.accepted
+
+
+NoteMachine.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestNoteMachine = NoteMachine.TestCase
