Renew leases and fetch fleets through peers when the platform is away

Cause: an entry VM that reaches its peers but not the platform, or not the object store, stopped keyed work after one lease although a peer could vouch for it.

Change: it asks two peers that it heard of last. A peer writes the row on its behalf under the same check of the head, and hands over the newer fleet in frames. Answers name the incarnation that asked. A leaving entry VM gives up its lease before it deletes its row, since nobody waits for one without a row, and makes no row again. Heartbeats go to 8 peers a turn and rows are read less often with many peers, which bounds the traffic of each entry VM.

Conclusion: covered by tests of the relay, the parts of a fleet, leaving, and the state machine.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,7 +7,9 @@
     QueueService,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     Daemon,
 )
@@ -32,20 +34,28 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
 
 __all__ = [
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
     "DutyRunner",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
+    "MAX_RUNNING_RENEWALS",
     "NO_TEAM",
     "NoteService",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
     "StartError",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -15,6 +15,7 @@
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._relay_service import RelayService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
@@ -25,13 +26,15 @@
     Duty,
     DutyLeases,
     HeadWatch,
+    LeaseRelay,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
+    PeerLiveness,
     RetryPolicy,
     StoreAccess,
 )
-from currantstage.protocol import Heartbeat, PeerFrame
+from currantstage.protocol import Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -55,6 +58,10 @@
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
+#: Longer pause between two refreshes for each peer, which bounds their traffic.
+PEER_REFRESH_PER_PEER_S = 0.25
+#: Peers that get a heartbeat at each turn, which bounds their traffic.
+HEARTBEATS_PER_TURN = 8
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -103,8 +110,9 @@
             self._membership.row.incarnation,
             settings.peers.secret.encode(),
         )
-        self._peers.handle(Heartbeat, self._hear_heartbeat)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._relay = self._build_relay()
+        self._next_refresh_s = 0.0
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -143,6 +151,7 @@
         await self._own(self._backends)
         await self._follow_head()
         await self._own(self._sockets)
+        await self._own(self._relay)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
@@ -156,6 +165,7 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
+        | RelayService
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -181,6 +191,20 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_relay(self) -> RelayService:
+        liveness = PeerLiveness()
+        return RelayService(
+            self._peers,
+            self._sockets,
+            self._runner,
+            self._clock,
+            self._configuration,
+            self._membership,
+            liveness,
+            LeaseRelay(self._membership, self._configuration, liveness),
+            self._follow.wake,
+        )
+
     def _build_duty_runner(self) -> DutyRunner:
         row = self._membership.row
         leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
@@ -206,21 +230,28 @@
 
     async def _follow_head(self) -> None:
         before = self._configuration.fleet.generation
-        generation = await self._runner.run(self._membership.follow_head())
+        try:
+            generation = await self._runner.run(self._membership.follow_head())
+        except CoordinationError:
+            self._relay.report_store_away()
+            raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
-            await self._send_heartbeats()
+            self._peers.broadcast(self._sockets, self._heartbeat())
 
     async def _refresh(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s < self._next_refresh_s:
+            return
         await self._peers.refresh(self._runner, self._store, self._sockets)
+        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
 
     async def _send_heartbeats(self) -> None:
-        message = Heartbeat(generation=self._configuration.fleet.generation)
-        self._peers.broadcast(self._sockets, message)
+        for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
+            self._peers.send(self._sockets, peer, self._heartbeat())
 
-    def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
-            self._follow.wake()
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(generation=self._configuration.fleet.generation)
 
     async def _leave(self) -> None:
         try:
--- a/currantstage/application/_peer_service.py
+++ b/currantstage/application/_peer_service.py
@@ -41,6 +41,7 @@
         self._secret = secret
         self._handlers: dict[type[PeerMessage], Callable[[PeerFrame], None]] = {}
         self._peers: frozenset[EntryVmId] = frozenset()
+        self._turn = 0
         self.rejected_frames = 0
 
     @property
@@ -59,9 +60,10 @@
     ) -> None:
         """Connect to the entry VMs that have a row, and forget the others."""
         rows = await runner.run(store.scan(ENTRY_VM_PREFIX))
+        # An entry VM that was started again has two rows; the newer one counts.
         addresses = {
             row.record.entry_vm: row.record.peer_address
-            for row in rows
+            for row in sorted(rows, key=lambda row: row.version)
             if isinstance(row.record, EntryVmRow)
             and row.record.entry_vm != self._entry_vm
         }
@@ -86,6 +88,15 @@
         for peer in sorted(self._peers):
             self.send(link, peer, message)
 
+    def next_peers(self, count: int) -> list[EntryVmId]:
+        """Return up to `count` peers, each peer in its turn."""
+        peers = sorted(self._peers)
+        if len(peers) <= count:
+            return peers
+        turn = self._turn % len(peers)
+        self._turn += count
+        return [*peers, *peers][turn : turn + count]
+
     def receive(self, data: bytes) -> None:
         """Take one frame; a bad one is counted and dropped."""
         try:
--- /dev/null
+++ b/currantstage/application/_relay_service.py
@@ -0,0 +1,168 @@
+"""Exchange renewals and fleets with peers when the platform can't be reached."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from eliot import log_message
+
+from currantstage.coordination import (
+    AskFleet,
+    AskRenewal,
+    CoordinationError,
+    GiveFleet,
+)
+from currantstage.protocol import (
+    DecodeError,
+    FleetAssembly,
+    FleetPart,
+    FleetRequest,
+    Heartbeat,
+    RenewalAnswer,
+    RenewalAsk,
+    split_fleet,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from currantstage.application._peer_service import PeerService
+    from currantstage.application._procedure_runner import ProcedureRunner
+    from currantstage.coordination import (
+        Configuration,
+        LeaseRelay,
+        Membership,
+        PeerLiveness,
+        RelayEffect,
+        RenewalRequest,
+    )
+    from currantstage.protocol import PeerFrame
+    from currantstage.state import Clock, EntryVmId, PeerLink
+
+#: Renewals for peers that may run at once; further ones are dropped.
+MAX_RUNNING_RENEWALS = 32
+
+
+class RelayService:
+    """Passes peers' messages to the relay and carries out what it decides.
+
+    Parameters
+    ----------
+    peers : PeerService
+    link : PeerLink
+    runner : ProcedureRunner
+    clock : Clock
+    configuration : Configuration
+    membership : Membership
+    liveness : PeerLiveness
+    relay : LeaseRelay
+    on_newer_head : callable
+        Called when a peer states a newer generation than the one in force here.
+    """
+
+    def __init__(
+        self,
+        peers: PeerService,
+        link: PeerLink,
+        runner: ProcedureRunner,
+        clock: Clock,
+        configuration: Configuration,
+        membership: Membership,
+        liveness: PeerLiveness,
+        relay: LeaseRelay,
+        on_newer_head: Callable[[], None],
+    ) -> None:
+        self._peers = peers
+        self._link = link
+        self._runner = runner
+        self._clock = clock
+        self._configuration = configuration
+        self._membership = membership
+        self._liveness = liveness
+        self._relay = relay
+        self._on_newer_head = on_newer_head
+        self._assembly = FleetAssembly()
+        self._renewals: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Take peers' messages from now on."""
+        self._peers.handle(Heartbeat, self._hear_heartbeat)
+        self._peers.handle(RenewalAsk, self._hear_renewal_ask)
+        self._peers.handle(RenewalAnswer, self._hear_renewal_answer)
+        self._peers.handle(FleetRequest, self._hear_fleet_request)
+        self._peers.handle(FleetPart, self._hear_fleet_part)
+
+    async def close(self) -> None:
+        """Abandon the renewals in progress."""
+        for task in self._renewals:
+            task.cancel()
+        await asyncio.gather(*self._renewals, return_exceptions=True)
+
+    def report_store_away(self) -> None:
+        """Turn to the peers, since this entry VM could not follow the head."""
+        self._perform(self._relay.on_store_away(self._clock.now_s()))
+
+    def _perform(self, effects: Sequence[RelayEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case AskRenewal(peer, request):
+                    self._send(peer, RenewalAsk(request=request))
+                case AskFleet(peer):
+                    known = self._configuration.fleet.generation
+                    self._send(peer, FleetRequest(known_generation=known))
+                case GiveFleet(peer, fleet):
+                    for part in split_fleet(fleet):
+                        self._send(peer, part)
+
+    def _send(
+        self,
+        peer: EntryVmId,
+        message: RenewalAsk | RenewalAnswer | FleetRequest | FleetPart,
+    ) -> None:
+        self._peers.send(self._link, peer, message)
+
+    def _hear_heartbeat(self, frame: PeerFrame) -> None:
+        message = frame.message
+        assert isinstance(message, Heartbeat)
+        self._liveness.hear(frame.sender, message.generation, self._clock.now_s())
+        if self._configuration.lacks(message.generation):
+            self._on_newer_head()
+
+    def _hear_renewal_ask(self, frame: PeerFrame) -> None:
+        message = frame.message
+        assert isinstance(message, RenewalAsk)
+        if len(self._renewals) >= MAX_RUNNING_RENEWALS:
+            return
+        task = asyncio.create_task(self._renew_for(frame.sender, message.request))
+        self._renewals.add(task)
+        task.add_done_callback(self._renewals.discard)
+
+    async def _renew_for(self, peer: EntryVmId, request: RenewalRequest) -> None:
+        try:
+            outcome = await self._runner.run(self._membership.renew_for(request))
+        except CoordinationError as error:
+            log_message("currantstage:relay-failed", peer=peer, reason=str(error))
+            return
+        self._send(peer, RenewalAnswer(outcome=outcome))
+
+    def _hear_renewal_answer(self, frame: PeerFrame) -> None:
+        message = frame.message
+        assert isinstance(message, RenewalAnswer)
+        self._perform(self._relay.on_outcome(frame.sender, message.outcome))
+
+    def _hear_fleet_request(self, frame: PeerFrame) -> None:
+        message = frame.message
+        assert isinstance(message, FleetRequest)
+        self._perform(self._relay.on_ask_fleet(frame.sender, message.known_generation))
+
+    def _hear_fleet_part(self, frame: PeerFrame) -> None:
+        message = frame.message
+        assert isinstance(message, FleetPart)
+        try:
+            fleet = self._assembly.add(message)
+        except DecodeError as error:
+            log_message("currantstage:bad-fleet", peer=frame.sender, reason=str(error))
+            return
+        if fleet is not None:
+            self._perform(self._relay.on_fleet(fleet, self._clock.now_s()))
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -111,6 +111,14 @@
     digest_secret,
     identify_team,
 )
+from currantstage.coordination._lease_relay import (
+    PEERS_PER_REQUEST,
+    AskFleet,
+    AskRenewal,
+    GiveFleet,
+    LeaseRelay,
+    RelayEffect,
+)
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
     lapse_s,
@@ -165,6 +173,11 @@
     SendFailure,
     Uncertain,
 )
+from currantstage.coordination._peer_liveness import (
+    MAX_SILENCE_S,
+    PeerLiveness,
+    PeerSign,
+)
 from currantstage.coordination._policies import (
     SharePolicy,
     TeamLimiter,
@@ -237,6 +250,8 @@
     "AllotmentSettlement",
     "AllotmentTransfer",
     "Answer",
+    "AskFleet",
+    "AskRenewal",
     "Assignment",
     "CLAIM_MEMORY_S",
     "CLEANUP_INTERVAL_S",
@@ -262,12 +277,14 @@
     "FleetFault",
     "GENERATION_PREFIX",
     "GetObject",
+    "GiveFleet",
     "Head",
     "HeadWatch",
     "IdT",
     "KEPT_GENERATIONS",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
+    "LeaseRelay",
     "ListObjects",
     "ListVms",
     "LiveView",
@@ -281,6 +298,7 @@
     "MAX_RETRY_TOKENS",
     "MAX_SETTLEMENT_TRIES",
     "MAX_SIGHTINGS",
+    "MAX_SILENCE_S",
     "MIN_CONFIG_LEASE_S",
     "Membership",
     "Need",
@@ -296,8 +314,11 @@
     "ObjectFetched",
     "ObjectsListed",
     "Outcome",
+    "PEERS_PER_REQUEST",
     "Pause",
     "Peer",
+    "PeerLiveness",
+    "PeerSign",
     "PlatformCall",
     "Procedure",
     "PutObject",
@@ -311,6 +332,7 @@
     "RecordT",
     "Refusal",
     "RefusalReason",
+    "RelayEffect",
     "Renewal",
     "RenewalNumber",
     "RenewalOutcome",
--- a/currantstage/coordination/_config_lease.py
+++ b/currantstage/coordination/_config_lease.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._lapses_s = float("-inf")
+        self._is_ended = False
         self._last = Renewal(RenewalNumber(0), float("-inf"), 0.0)
         self._confirmed = self._last
         self._open: dict[RenewalNumber, Renewal] = {}
@@ -53,15 +54,24 @@
         """When the lease lapses on this process's clock, in seconds."""
         return self._lapses_s
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the lease was given up for good."""
+        return self._is_ended
+
     def is_held(self, now_s: float) -> bool:
         """Return whether the lease has not lapsed."""
-        return now_s < self._lapses_s
+        return not self._is_ended and now_s < self._lapses_s
 
     def is_due(self, now_s: float) -> bool:
         """Return whether it is time for the next renewal."""
         confirmed = self._confirmed
         return now_s >= confirmed.sent_s + confirmed.lease_s / RENEWALS_PER_LEASE
 
+    def end(self) -> None:
+        """Give the lease up; no renewal extends it any more."""
+        self._is_ended = True
+
     def send(self, now_s: float, lease_s: float) -> Renewal:
         """Note that a renewal is sent now; returns it."""
         number = RenewalNumber(self._last.number + 1)
--- a/currantstage/coordination/_membership.py
+++ b/currantstage/coordination/_membership.py
@@ -16,6 +16,7 @@
     EntryVmRow,
     Generation,
     HeadRow,
+    IncarnationId,
     RowCheck,
     RowWrite,
     entry_vm_key,
@@ -54,12 +55,15 @@
 
     Parameters
     ----------
+    incarnation : IncarnationId
+        Start of the holder's process that asked; numbers are its own.
     number : RenewalNumber
     is_applied : bool
     head_generation : Generation
         The head that the table showed.
     """
 
+    incarnation: IncarnationId
     number: RenewalNumber
     is_applied: bool
     head_generation: Generation
@@ -111,7 +115,7 @@
         for _ in range(MAX_RENEWAL_TRIES):
             head_version = yield from self._apply_head()
             now_s = yield from self._store.now_s()
-            if not self._is_renewal_due(now_s):
+            if self._configuration.lease.is_ended or not self._is_renewal_due(now_s):
                 break
             if (yield from self._renew(head_version)):
                 break
@@ -125,7 +129,8 @@
 
     def take_outcome(self, outcome: RenewalOutcome) -> None:
         """Extend the lease when a peer has renewed it."""
-        if outcome.is_applied:
+        is_own = outcome.incarnation == self._row.incarnation
+        if is_own and outcome.is_applied:
             self._configuration.lease.confirm(outcome.number)
 
     def renew_for(self, request: RenewalRequest) -> Procedure[RenewalOutcome]:
@@ -139,10 +144,16 @@
         is_applied = False
         if generation == request.row.applied_generation:
             is_applied = yield from self._write_row(request.row, _version_of(head))
-        return RenewalOutcome(request.number, is_applied, generation)
+        return RenewalOutcome(
+            request.row.incarnation, request.number, is_applied, generation
+        )
 
     def leave(self) -> Procedure[None]:
-        """Delete this start's row."""
+        """Give up the lease for good, then delete this start's row.
+
+        In this order: nobody waits for an entry VM without a row.
+        """
+        self._configuration.lease.end()
         key = entry_vm_key(self._row.entry_vm, self._row.incarnation)
         current = yield from self._store.read(key)
         if current is not None:
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -18,6 +18,13 @@
     NoteSyntaxError,
     ProtocolError,
 )
+from currantstage.protocol._fleet_parts import (
+    MAX_FLEET_BYTES,
+    MAX_PART_BYTES,
+    FleetAssembly,
+    FleetPart,
+    split_fleet,
+)
 from currantstage.protocol._note_codec import (
     MAX_NOTE_BYTES,
     encode_note,
@@ -36,9 +43,12 @@
 )
 from currantstage.protocol._peers import (
     MAX_FRAME_BYTES,
+    FleetRequest,
     Heartbeat,
     PeerFrame,
     PeerMessage,
+    RenewalAnswer,
+    RenewalAsk,
     decode_frame,
     encode_frame,
 )
@@ -64,11 +74,16 @@
     "CallerAnswer",
     "CallerRequest",
     "DecodeError",
+    "FleetAssembly",
+    "FleetPart",
+    "FleetRequest",
     "Heartbeat",
     "JSON_TYPE",
     "KEY_HEADER",
+    "MAX_FLEET_BYTES",
     "MAX_FRAME_BYTES",
     "MAX_NOTE_BYTES",
+    "MAX_PART_BYTES",
     "NoteReport",
     "NoteState",
     "NoteSyntaxError",
@@ -79,6 +94,8 @@
     "PeerFrame",
     "PeerMessage",
     "ProtocolError",
+    "RenewalAnswer",
+    "RenewalAsk",
     "RequestEnd",
     "UNKNOWN_STATUS",
     "WireCheck",
@@ -105,5 +122,6 @@
     "report_committed",
     "report_progress",
     "report_refusal",
+    "split_fleet",
     "to_caller_answer",
 ]
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,7 +9,9 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.coordination import RenewalOutcome, RenewalRequest
 from currantstage.protocol._errors import DecodeError
+from currantstage.protocol._fleet_parts import FleetPart
 from currantstage.state import EntryVmId, Generation, IncarnationId
 
 #: Longest frame that is sent or read, in bytes.
@@ -23,7 +25,27 @@
     generation: Generation
 
 
-PeerMessage: TypeAlias = Heartbeat
+class RenewalAsk(Struct, frozen=True, kw_only=True, tag="renewal-ask"):
+    """Asks the receiver to renew the sender's configuration lease."""
+
+    request: RenewalRequest
+
+
+class RenewalAnswer(Struct, frozen=True, kw_only=True, tag="renewal-answer"):
+    """Tells what became of a renewal on the receiver's behalf."""
+
+    outcome: RenewalOutcome
+
+
+class FleetRequest(Struct, frozen=True, kw_only=True, tag="fleet-request"):
+    """Asks for the receiver's fleet if it is newer than the sender's."""
+
+    known_generation: Generation
+
+
+PeerMessage: TypeAlias = (
+    Heartbeat | RenewalAsk | RenewalAnswer | FleetRequest | FleetPart
+)
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/application/test_relay.py
@@ -0,0 +1,123 @@
+"""An entry VM that reaches its peers but not the platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+from currantstage.application import PeerService, RelayService
+from currantstage.coordination import LeaseRelay, PeerLiveness, RenewalOutcome
+from currantstage.protocol import Heartbeat
+from currantstage.state import DEFAULT_CONFIG_LEASE_S, IncarnationId
+from tests.coordination.test_config_lease import EntryVm, commit
+from tests.fakes import FakeStore
+
+SECRET = b"secret"
+
+
+class Network:
+    """A link of each entry VM to the others, which delivers at once."""
+
+    def __init__(self):
+        self.services = {}
+        self.sent = 0
+
+    def send(self, receiver, payload):
+        self.sent += 1
+        self.services[receiver].receive(payload)
+
+
+class Node:
+    """An entry VM with its relay; renewals for peers run at once."""
+
+    def __init__(self, vm, network):
+        row = vm.membership.row
+        self.vm = vm
+        self.peers = PeerService(row.entry_vm, row.incarnation, SECRET)
+        network.services[row.entry_vm] = self.peers
+        liveness = PeerLiveness()
+        self.relay = RelayService(
+            self.peers,
+            network,
+            self,
+            vm.clock,
+            vm.configuration,
+            vm.membership,
+            liveness,
+            LeaseRelay(vm.membership, vm.configuration, liveness),
+            lambda: None,
+        )
+
+    async def run(self, procedure):
+        return self.vm.store.run(procedure, self.vm.clock)
+
+    def say_alive(self, network, receiver):
+        generation = self.vm.configuration.fleet.generation
+        self.peers.send(network, receiver, Heartbeat(generation=generation))
+
+
+async def settle(*nodes):
+    for _ in range(20):
+        for node in nodes:
+            for task in tuple(node.relay._renewals):
+                await task
+
+
+def make_nodes():
+    store, network = FakeStore(), Network()
+    cut_off = Node(EntryVm(store, "e1", 7), network)
+    peer = Node(EntryVm(store, "e2", 8), network)
+    return store, network, cut_off, peer
+
+
+def test_a_peer_renews_and_hands_over_the_newer_fleet():
+    async def check():
+        store, network, cut_off, peer = make_nodes()
+        for node in (cut_off, peer):
+            await node.relay.start()
+            node.vm.follow()
+        commit(store, "a")
+        peer.vm.follow()
+        cut_off.vm.clock.time_s = DEFAULT_CONFIG_LEASE_S - 1
+        peer.say_alive(network, "e1")
+        cut_off.relay.report_store_away()
+        await settle(cut_off, peer)
+        assert cut_off.vm.configuration.fleet.generation == 1
+        cut_off.vm.clock.time_s = DEFAULT_CONFIG_LEASE_S + 1
+        assert cut_off.vm.may_serve()
+
+    asyncio.run(check())
+
+
+def test_nobody_is_asked_who_has_not_been_heard_of_lately():
+    async def check():
+        _, network, cut_off, peer = make_nodes()
+        await cut_off.relay.start()
+        peer.say_alive(network, "e1")
+        cut_off.vm.clock.time_s = 1000.0
+        network.sent = 0
+        cut_off.relay.report_store_away()
+        assert network.sent == 0
+
+    asyncio.run(check())
+
+
+def test_an_answer_to_a_former_start_extends_nothing():
+    vm = EntryVm(FakeStore(), "e1", 7)
+    request = vm.membership.request_renewal(0.0)
+    other = IncarnationId("start-6")
+    vm.membership.take_outcome(RenewalOutcome(other, request.number, True, 0))
+    assert not vm.may_serve()
+
+
+def test_an_entry_vm_that_leaves_serves_nothing_keyed_and_gets_no_row_again():
+    store = FakeStore()
+    vm = EntryVm(store, "e1", 7)
+    vm.follow()
+    request = vm.membership.request_renewal(0.0)
+    store.run(vm.membership.leave(), vm.clock)
+    vm.clock.time_s = DEFAULT_CONFIG_LEASE_S / 2
+    vm.follow()
+    assert not store.rows
+    outcome = store.run(vm.membership.renew_for(request), vm.clock)
+    vm.membership.take_outcome(outcome)
+    assert not vm.may_serve()
--- a/tests/fuzz/test_note_machine.py
+++ b/tests/fuzz/test_note_machine.py
@@ -194,6 +194,13 @@
         if len(self.world.processes) < 6:
             self.world.start(process.name, rate)
 
+    @rule(index=picks, fault=faults)
+    def leave(self, index, fault):
+        """Stop as planned; the process may linger, and its row come late."""
+        if len(self.world.processes) > 1:
+            process = self.pick(index)
+            self.world.run(process, process.membership.leave(), fault)
+
     @rule(sender=picks, receiver=picks)
     def renew_through_peer(self, sender, receiver):
         """Ask a peer to renew, and hear its answer at once."""
--- /dev/null
+++ b/tests/protocol/test_fleet_parts.py
@@ -0,0 +1,54 @@
+"""A fleet survives being cut, reordered and doubled; a broken one is an error."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from currantstage.protocol import (
+    MAX_PART_BYTES,
+    DecodeError,
+    FleetAssembly,
+    FleetPart,
+    split_fleet,
+)
+from currantstage.state import Fleet, Generation, Key, KeyId, TeamId
+
+
+def make_fleet(count, generation=3):
+    random_source = random.Random(1)
+    keys = {
+        KeyId(f"k{n}"): Key(
+            key_id=KeyId(f"k{n}"),
+            team=TeamId("t"),
+            salt="s",
+            digest=f"{random_source.getrandbits(256):064x}",
+        )
+        for n in range(count)
+    }
+    return Fleet(generation=Generation(generation), keys=keys)
+
+
+def test_parts_in_any_order_make_the_fleet():
+    fleet = make_fleet(5000)
+    parts = list(split_fleet(fleet))
+    assert len(parts) > 2
+    assert max(len(part.content) for part in parts) <= MAX_PART_BYTES
+    assembly = FleetAssembly()
+    results = [assembly.add(part) for part in (parts[0], *reversed(parts))]
+    assert [each for each in results if each is not None] == [fleet]
+
+
+def test_parts_of_an_older_fleet_are_ignored():
+    assembly = FleetAssembly()
+    (newer,) = split_fleet(make_fleet(1, generation=4))
+    (older,) = split_fleet(make_fleet(1, generation=3))
+    assert assembly.add(newer).generation == 4
+    assert assembly.add(older) is None
+
+
+def test_a_broken_fleet_is_an_error():
+    part = FleetPart(generation=Generation(1), index=0, count=1, content=b"no")
+    with pytest.raises(DecodeError):
+        FleetAssembly().add(part)
