--- a/currantstage/application/_operator_service.py
+++ b/currantstage/application/_operator_service.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from returns.result import Failure
 
-from currantstage.coordination import CoordinationError, commit_note
+from currantstage.coordination import (
+    CoordinationError,
+    check_against_head,
+    commit_note,
+    explain_note,
+)
 from currantstage.protocol import (
+    NoteDiff,
     NoteReport,
     NoteState,
     NoteSyntaxError,
@@ -24,10 +30,18 @@
     from collections.abc import Callable
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Acceptance, Configuration, StoreAccess
+    from currantstage.coordination import (
+        Acceptance,
+        Configuration,
+        Procedure,
+        StoreAccess,
+    )
     from currantstage.state import Fleet, NoteId
 
 
+T = TypeVar("T")
+
+
 class NoteService:
     """Implements `OperatorService`.
 
@@ -61,29 +75,42 @@
             note = parse_note(text)
         except NoteSyntaxError as error:
             return NoteReport(state=NoteState.INVALID, faults=error.faults)
-        try:
-            result = await self._runner.run(
-                commit_note(self._store, note, note_digest(note))
-            )
-        except CoordinationError as error:
-            raise OperatorCallError(f"{type(error).__name__}: {error}") from error
+        result = await self._run(commit_note(self._store, note, note_digest(note)))
         if isinstance(result, Failure):
             return report_refusal(result.failure())
         self._on_commit()
         return report_committed(result.unwrap())
 
+    async def check_note(self, text: str) -> NoteReport:
+        """Check the note in `text` against the head, and change nothing."""
+        try:
+            note = parse_note(text)
+        except NoteSyntaxError as error:
+            return NoteReport(state=NoteState.INVALID, faults=error.faults)
+        result = await self._run(check_against_head(self._store, note))
+        if isinstance(result, Failure):
+            return report_refusal(result.failure())
+        return NoteReport(state=NoteState.VALID, generation=result.unwrap())
+
+    async def note_diff(self, note_id: NoteId | None) -> NoteDiff | None:
+        """Return what a note changed, the newest one if `note_id` is None."""
+        changes = await self._run(explain_note(self._store, note_id))
+        return None if changes is None else NoteDiff(changes=changes)
+
     async def note_status(self, note_id: NoteId) -> NoteReport | None:
         """Return how far a note has come, or None when it is not known."""
-        try:
-            row = await self._runner.run(self._store.read(note_key(note_id)))
-            if row is None or not isinstance(row.record, NoteRow):
-                return None
-            return report_progress(
-                await self._runner.run(self._acceptance.progress(row.record.generation))
-            )
-        except CoordinationError as error:
-            raise OperatorCallError(f"{type(error).__name__}: {error}") from error
+        row = await self._run(self._store.read(note_key(note_id)))
+        if row is None or not isinstance(row.record, NoteRow):
+            return None
+        progress = self._acceptance.progress(row.record.generation)
+        return report_progress(await self._run(progress))
 
     async def fleet_in_force(self) -> Fleet:
         """Return the fleet in force at this entry VM."""
         return self._configuration.fleet
+
+    async def _run(self, procedure: Procedure[T]) -> T:
+        try:
+            return await self._runner.run(procedure)
+        except CoordinationError as error:
+            raise OperatorCallError(f"{type(error).__name__}: {error}") from error
--- a/currantstage/cmd/_main.py
+++ b/currantstage/cmd/_main.py
@@ -7,6 +7,7 @@
 from currantstage import __version__
 from currantstage.cmd._config import config
 from currantstage.cmd._demo import demo
+from currantstage.cmd._key import key
 from currantstage.cmd._note import note
 from currantstage.cmd._serve import serve
 
@@ -19,5 +20,6 @@
 
 main.add_command(serve)
 main.add_command(note)
+main.add_command(key)
 main.add_command(config)
 main.add_command(demo)
--- a/currantstage/cmd/_note.py
+++ b/currantstage/cmd/_note.py
@@ -14,7 +14,13 @@
 
 from currantstage.cmd._config import PATH
 from currantstage.cmd._exit import ExitStatus
-from currantstage.protocol import NoteReport, NoteState, NoteSyntaxError, parse_note
+from currantstage.protocol import (
+    NoteDiff,
+    NoteReport,
+    NoteState,
+    NoteSyntaxError,
+    parse_note,
+)
 from currantstage.state import NoteId
 from currantstage.transport import OperatorCallError, OperatorClient
 
@@ -71,13 +77,33 @@
 
 @note.command()
 @click.argument("path", type=PATH)
-def check(path: Path) -> None:
-    """Read the release note at PATH and name every fault of its text.
+@click.option("--server", help="Check against the fleet in force at this address.")
+@click.option(
+    "--operator-key",
+    envvar="CURRANTSTAGE_OPERATOR_KEY",
+    default="",
+    help="The operators' key, needed with --server.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def check(path: Path, server: str | None, operator_key: str, as_json: bool) -> None:
+    """Name every fault of the release note at PATH, and change nothing.
+
+    Without --server, only the note's text is checked. Exit status 0 means no fault, 1
+    faults against the fleet, 2 a text that can't be read.
 
-    Example: currantstage note check first-note.ini
+    Example: currantstage note check first-note.ini --server http://127.0.0.1:8080
     """
-    parsed = _parse_or_exit(_read_or_exit(path), path)
-    click.echo(f"{path}: note {parsed.note_id} can be read")
+    text = _read_or_exit(path)
+    parsed = _parse_or_exit(text, path)
+    if server is None:
+        report = NoteReport(state=NoteState.VALID)
+    else:
+        report = call_server(
+            server, operator_key, lambda client: client.check_note(text)
+        )
+    if not as_json:
+        click.echo(f"{path}: note {parsed.note_id}: {_describe(report)}")
+    _finish(report, as_json)
 
 
 @note.command()
@@ -118,12 +144,26 @@
 
 
 @note.command()
+@click.argument("note_id", required=False)
+@click.option("--diff", "as_diff", is_flag=True, help="Print what the note changed.")
+@click.option("--json", "as_json", is_flag=True, help="Print the changes as JSON.")
 @server_options
-def show(server: str, operator_key: str) -> None:
-    """Print as JSON the fleet that the last note made.
+def show(
+    note_id: str | None, as_diff: bool, as_json: bool, server: str, operator_key: str
+) -> None:
+    """Print as JSON the fleet in force, or what one note changed.
+
+    With --diff, the changes of NOTE_ID are printed, or those of the newest note.
 
-    Example: currantstage note show --operator-key KEY
+    Example: currantstage note show --diff second-note --operator-key KEY
     """
+    if as_diff or note_id is not None:
+        wanted = None if note_id is None else NoteId(note_id)
+        diff = call_server(
+            server, operator_key, lambda client: client.note_diff(wanted)
+        )
+        click.echo(msgspec.json.encode(diff) if as_json else _describe_diff(diff))
+        return
     fleet = call_server(server, operator_key, lambda client: client.fleet())
     click.echo(msgspec.json.format(msgspec.json.encode(fleet)).decode())
 
@@ -158,11 +198,28 @@
     return "\n".join((text, *(f"  {fault}" for fault in report.faults)))
 
 
+def _describe_diff(diff: NoteDiff) -> str:
+    changes = diff.changes
+    lines = [f"note {changes.note_id}, generation {changes.generation}"]
+    before_s, after_s = changes.config_lease_s
+    if before_s != after_s:
+        lines.append(f"config_lease_s: {before_s:g} -> {after_s:g}")
+    headed = None
+    for change in changes.changes:
+        if change.item != headed:
+            headed = change.item
+            lines.append(f"[{change.item}]")
+        if change.name:
+            before = f"{change.before} -> " if change.before else ""
+            lines.append(f"  {change.name}: {before}{change.after}")
+    return "\n".join(lines)
+
+
 def _finish(report: NoteReport, as_json: bool) -> None:
     if as_json:
         click.echo(msgspec.json.encode(report).decode())
-    is_accepted = report.state is NoteState.ACCEPTED
-    sys.exit(ExitStatus.OK if is_accepted else ExitStatus.REFUSED)
+    is_good = report.state in (NoteState.ACCEPTED, NoteState.VALID)
+    sys.exit(ExitStatus.OK if is_good else ExitStatus.REFUSED)
 
 
 def _read_or_exit(path: Path) -> str:
--- a/currantstage/coordination/_note_commit.py
+++ b/currantstage/coordination/_note_commit.py
@@ -89,12 +89,12 @@
     version : RowVersion
         Version of the head row, ``ABSENT`` before the first note.
     fleet : Fleet
-    note_id : NoteId or None
+    object_name : ObjectName or None
     """
 
     version: RowVersion
     fleet: Fleet
-    note_id: NoteId | None
+    object_name: ObjectName | None
 
 
 def load_generation(
@@ -132,7 +132,8 @@
     if row is None:
         return Head(ABSENT, Fleet(), None)
     stored = yield from load_generation(store, row)
-    return Head(row.version, stored.fleet, stored.note.note_id)
+    assert isinstance(row.record, HeadRow)
+    return Head(row.version, stored.fleet, row.record.object_name)
 
 
 def commit_note(
@@ -160,7 +161,8 @@
     name = ObjectName(
         f"{GENERATION_PREFIX}{fleet.generation:012d}/{store.new_attempt()}"
     )
-    yield from store.put_object(name, StoredGeneration(note=note, fleet=fleet))
+    content = StoredGeneration(note=note, fleet=fleet, previous_object=head.object_name)
+    yield from store.put_object(name, content)
     outcome = yield from store.transact(
         _commit_writes(head.version, fleet.generation, note.note_id, name, digest)
     )
@@ -169,6 +171,17 @@
     return (yield from _explain_conflict(store, note.note_id, digest))
 
 
+def check_against_head(
+    store: StoreAccess, note: ReleaseNote
+) -> Procedure[Result[Generation, NoteInvalid]]:
+    """Return the generation that `note` would make now, and change nothing."""
+    head = yield from load_head(store)
+    checked = check_note(head.fleet, note)
+    if isinstance(checked, Failure):
+        return Failure(NoteInvalid(checked.failure()))
+    return Success(checked.unwrap().generation)
+
+
 def _commit_writes(
     head_version: RowVersion,
     generation: Generation,
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -33,6 +33,7 @@
 )
 from currantstage.protocol._operators import (
     OPERATOR_KEY_HEADER,
+    NoteDiff,
     NoteReport,
     NoteState,
     OperatorError,
@@ -84,6 +85,7 @@
     "MAX_FRAME_BYTES",
     "MAX_NOTE_BYTES",
     "MAX_PART_BYTES",
+    "NoteDiff",
     "NoteReport",
     "NoteState",
     "NoteSyntaxError",
--- a/currantstage/protocol/_operators.py
+++ b/currantstage/protocol/_operators.py
@@ -9,6 +9,7 @@
 
 from currantstage.coordination import (
     Committed,
+    NoteChanges,
     NoteIdTaken,
     NoteInvalid,
     NoteOvertaken,
@@ -24,6 +25,8 @@
 class NoteState(Enum):
     """How far a release note has come."""
 
+    #: A check found no fault; nothing was changed.
+    VALID = "valid"
     INVALID = "invalid"
     OVERTAKEN = "overtaken"
     ID_TAKEN = "id-taken"
@@ -56,6 +59,12 @@
     faults: tuple[str, ...] = ()
 
 
+class NoteDiff(Struct, frozen=True, kw_only=True):
+    """Answer to a question about what a note changed."""
+
+    changes: NoteChanges
+
+
 class OperatorError(Struct, frozen=True, kw_only=True):
     """Body of an operators' call that failed."""
 
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -136,10 +136,19 @@
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
-    """The immutable object of one generation: the note and the snapshot it made."""
+    """The immutable object of one generation: the note and the snapshot it made.
+
+    Parameters
+    ----------
+    note : ReleaseNote
+    fleet : Fleet
+    previous_object : ObjectName or None
+        The object of the generation before; None for the first one.
+    """
 
     note: ReleaseNote
     fleet: Fleet
+    previous_object: ObjectName | None = None
 
 
 class VersionedRow(Struct, frozen=True, kw_only=True):
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -17,6 +17,10 @@
     CALL_TIMEOUT_S,
     OperatorClient,
 )
+from currantstage.transport._operator_routes import (
+    OperatorService,
+    add_operator_routes,
+)
 from currantstage.transport._peers import (
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -29,10 +33,8 @@
 from currantstage.transport._routes import (
     CallerService,
     HealthService,
-    OperatorService,
     add_caller_routes,
     add_health_routes,
-    add_operator_routes,
 )
 
 __all__ = [
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -9,6 +9,7 @@
 from currantstage.protocol import (
     OPERATOR_KEY_HEADER,
     DecodeError,
+    NoteDiff,
     NoteReport,
     OperatorError,
     decode,
@@ -65,6 +66,15 @@
         """Submit the note in `text`; raises `OperatorCallError`."""
         return await self._call("POST", "/v1/notes", NoteReport, text.encode())
 
+    async def check_note(self, text: str) -> NoteReport:
+        """Check the note in `text` against the head; raises `OperatorCallError`."""
+        return await self._call("POST", "/v1/checks", NoteReport, text.encode())
+
+    async def note_diff(self, note_id: NoteId | None) -> NoteDiff:
+        """Ask what a note changed; raises `OperatorCallError`."""
+        path = "/v1/changes" if note_id is None else f"/v1/changes/{note_id}"
+        return await self._call("GET", path, NoteDiff)
+
     async def note_status(self, note_id: NoteId) -> NoteReport:
         """Ask how far a note has come; raises `OperatorCallError`."""
         return await self._call("GET", f"/v1/notes/{note_id}", NoteReport)
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -1,43 +1,23 @@
-"""HTTP routes of the daemon: callers, operators, metrics and health."""
+"""HTTP routes for callers, metrics and health."""
 
 from __future__ import annotations
 
-import hmac
 from typing import TYPE_CHECKING, Any, Protocol
 
 from sanic import HTTPResponse
 
-from currantstage.protocol import (
-    JSON_TYPE,
-    KEY_HEADER,
-    OPERATOR_KEY_HEADER,
-    OUTCOME_HEADER,
-    CallerRequest,
-    NoteReport,
-    NoteState,
-    OperatorError,
-    encode_message,
-)
-from currantstage.state import NoteId, QueueId
+from currantstage.protocol import KEY_HEADER, OUTCOME_HEADER, CallerRequest
+from currantstage.state import QueueId
 
 if TYPE_CHECKING:
-    from msgspec import Struct
     from sanic import Request, Sanic
 
     from currantstage.protocol import CallerAnswer
-    from currantstage.state import Fleet
 
 _OK = 200
 _STOPPING = 503
 _DEFAULT_TYPE = "application/octet-stream"
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-_STATUS_OF_NOTE_STATE = {
-    NoteState.INVALID: 422,
-    NoteState.OVERTAKEN: 409,
-    NoteState.ID_TAKEN: 409,
-    NoteState.COMMITTED: 202,
-    NoteState.ACCEPTED: 200,
-}
 
 
 class CallerService(Protocol):
@@ -47,19 +27,6 @@
         """Return the answer to `request`."""
 
 
-class OperatorService(Protocol):
-    """Serves operators' calls; each raises `OperatorCallError` when it can't."""
-
-    async def submit_note(self, text: str) -> NoteReport:
-        """Commit the note in `text`, or say why nothing was changed."""
-
-    async def note_status(self, note_id: NoteId) -> NoteReport | None:
-        """Return how far a note has come, or None when it is not known."""
-
-    async def fleet_in_force(self) -> Fleet:
-        """Return the fleet in force at this entry VM."""
-
-
 class HealthService(Protocol):
     """Tells the platform's balancer and its monitoring how the daemon does."""
 
@@ -92,41 +59,6 @@
     app.add_route(serve, "/v1/queues/<queue>", methods=["POST"], name="serve")
 
 
-def add_operator_routes(
-    app: Sanic[Any, Any], service: OperatorService, key: str
-) -> None:
-    """Serve operators' calls under ``/v1/``, for those who present `key`."""
-
-    def refuse(request: Request) -> HTTPResponse | None:
-        presented = request.headers.get(OPERATOR_KEY_HEADER, "")
-        if hmac.compare_digest(presented.encode(), key.encode()):
-            return None
-        return _message(OperatorError(error="the operators' key is wrong"), 403)
-
-    async def submit(request: Request) -> HTTPResponse:
-        refused = refuse(request)
-        if refused is not None:
-            return refused
-        text = request.body.decode("utf-8", errors="replace")
-        return _note_response(await service.submit_note(text))
-
-    async def status(request: Request, note_id: str) -> HTTPResponse:
-        refused = refuse(request)
-        if refused is not None:
-            return refused
-        report = await service.note_status(NoteId(note_id))
-        if report is None:
-            return _message(OperatorError(error=f"no note {note_id}"), 404)
-        return _note_response(report)
-
-    async def fleet(request: Request) -> HTTPResponse:
-        return refuse(request) or _message(await service.fleet_in_force(), 200)
-
-    app.add_route(submit, "/v1/notes", methods=["POST"], name="submit_note")
-    app.add_route(status, "/v1/notes/<note_id>", methods=["GET"], name="note_status")
-    app.add_route(fleet, "/v1/fleet", methods=["GET"], name="fleet")
-
-
 def add_health_routes(app: Sanic[Any, Any], service: HealthService) -> None:
     """Serve ``/healthz`` and ``/metrics``."""
 
@@ -140,11 +72,3 @@
 
     app.add_route(healthz, "/healthz", methods=["GET"], name="healthz")
     app.add_route(metrics, "/metrics", methods=["GET"], name="metrics")
-
-
-def _message(message: Struct, status: int) -> HTTPResponse:
-    return HTTPResponse(encode_message(message), status, content_type=JSON_TYPE)
-
-
-def _note_response(report: NoteReport) -> HTTPResponse:
-    return _message(report, _STATUS_OF_NOTE_STATE[report.state])
