--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -10,8 +10,10 @@
     QueueService,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
     LISTING_INTERVAL_S,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     PROBE_INTERVAL_S,
     Daemon,
@@ -49,6 +51,10 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
 from currantstage.application._request_path import (
     RequestPath,
 )
@@ -68,17 +74,21 @@
     "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
     "LimitPath",
+    "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
     "ServerMonitor",
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -16,6 +16,7 @@
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     DUTY_LEASE_S,
@@ -27,13 +28,15 @@
     Duty,
     DutyLeases,
     HeadWatch,
+    LeaseRelay,
     Membership,
+    PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
     WeightedMaxMin,
 )
-from currantstage.protocol import Heartbeat, PeerFrame
+from currantstage.protocol import Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -63,6 +66,10 @@
 PROBE_INTERVAL_S = 0.25
 #: How often the platform's list of VMs is read, in seconds.
 LISTING_INTERVAL_S = 1.0
+#: Longer pause between two refreshes for each peer, which bounds their traffic.
+PEER_REFRESH_PER_PEER_S = 0.25
+#: Peers that get a heartbeat at each turn, which bounds their traffic.
+HEARTBEATS_PER_TURN = 8
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -99,7 +106,6 @@
             self._membership.row.incarnation,
             settings.peers.secret.encode(),
         )
-        self._peers.handle(Heartbeat, self._hear_heartbeat)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
         self._limits = LimitPath(
             self._membership.row,
@@ -130,6 +136,8 @@
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._relay = self._build_relay()
+        self._next_refresh_s = 0.0
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -173,10 +181,11 @@
         await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
-        await self._refresh()
+        await self._refresh_now()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
         await self._own(self._limits)
+        await self._own(self._relay)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
@@ -193,6 +202,7 @@
         | DutyLoop
         | DutyRunner
         | LimitPath
+        | RelayService
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -224,6 +234,20 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_relay(self) -> RelayService:
+        liveness = PeerLiveness()
+        return RelayService(
+            self._peers,
+            self._sockets,
+            self._runner,
+            self._clock,
+            self._configuration,
+            self._membership,
+            liveness,
+            LeaseRelay(self._membership, self._configuration, liveness),
+            self._follow.wake,
+        )
+
     def _build_duty_runner(self) -> DutyRunner:
         row = self._membership.row
         leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
@@ -253,14 +277,18 @@
 
     async def _follow_head(self) -> None:
         before = self._configuration.fleet.generation
-        generation = await self._runner.run(self._membership.follow_head())
+        try:
+            generation = await self._runner.run(self._membership.follow_head())
+        except CoordinationError:
+            self._relay.report_store_away()
+            raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
             # The limits are divided among those who are there now.
-            await self._refresh()
+            await self._refresh_now()
             self._limits.follow_limits()
             self._path.apply_fleet()
-            await self._send_heartbeats()
+            self._peers.broadcast(self._sockets, self._heartbeat())
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -269,18 +297,21 @@
         )
 
     async def _refresh(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s < self._next_refresh_s:
+            return
+        await self._refresh_now()
+        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+
+    async def _refresh_now(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
     async def _send_heartbeats(self) -> None:
-        message = Heartbeat(generation=self._configuration.fleet.generation)
-        self._peers.broadcast(self._sockets, message)
+        for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
+            self._peers.send(self._sockets, peer, self._heartbeat())
 
-    def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        message = frame.message
-        if isinstance(message, Heartbeat) and self._configuration.lacks(
-            message.generation
-        ):
-            self._follow.wake()
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(generation=self._configuration.fleet.generation)
 
     async def _leave(self) -> None:
         try:
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -24,6 +24,13 @@
     NoteSyntaxError,
     ProtocolError,
 )
+from currantstage.protocol._fleet_parts import (
+    MAX_FLEET_BYTES,
+    MAX_PART_BYTES,
+    FleetAssembly,
+    FleetPart,
+    split_fleet,
+)
 from currantstage.protocol._note_codec import (
     MAX_NOTE_BYTES,
     encode_note,
@@ -32,6 +39,7 @@
 )
 from currantstage.protocol._operators import (
     OPERATOR_KEY_HEADER,
+    NoteDiff,
     NoteReport,
     NoteState,
     OperatorError,
@@ -42,9 +50,12 @@
 )
 from currantstage.protocol._peers import (
     MAX_FRAME_BYTES,
+    FleetRequest,
     Heartbeat,
     PeerFrame,
     PeerMessage,
+    RenewalAnswer,
+    RenewalAsk,
     decode_frame,
     encode_frame,
 )
@@ -72,13 +83,19 @@
     "CallerRequest",
     "DEFAULT_TYPE",
     "DecodeError",
+    "FleetAssembly",
+    "FleetPart",
+    "FleetRequest",
     "Heartbeat",
     "JSON_TYPE",
     "KEY_HEADER",
+    "MAX_FLEET_BYTES",
     "MAX_FRAME_BYTES",
     "MAX_NOTE_BYTES",
+    "MAX_PART_BYTES",
     "MAX_SIZE",
     "MAX_TIMEOUT_MS",
+    "NoteDiff",
     "NoteReport",
     "NoteState",
     "NoteSyntaxError",
@@ -90,6 +107,8 @@
     "PeerFrame",
     "PeerMessage",
     "ProtocolError",
+    "RenewalAnswer",
+    "RenewalAsk",
     "TIMEOUT_HEADER",
     "UNKNOWN_STATUS",
     "WireCheck",
@@ -117,5 +136,6 @@
     "report_committed",
     "report_progress",
     "report_refusal",
+    "split_fleet",
     "to_caller_answer",
 ]
