--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
     EndObserver,
     QueueService,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
     LISTING_INTERVAL_S,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     PROBE_INTERVAL_S,
     Daemon,
@@ -25,9 +31,17 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -38,6 +52,10 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
 from currantstage.application._request_path import (
     RequestPath,
 )
@@ -49,25 +67,37 @@
 )
 
 __all__ = [
+    "ASK_AGAIN_S",
     "Admitted",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
     "DispatchDriver",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
     "EndObserver",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
+    "LimitPath",
+    "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
     "RequestPath",
+    "SETTLE_INTERVAL_S",
     "ServerMonitor",
     "ServiceLevelService",
     "StartError",
+    "TeamAllotment",
 ]
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -25,12 +25,15 @@
 )
 from currantstage.coordination._allotment_exchange import (
     ASK_FANOUT,
-    ASK_INTERVAL_S,
+    MAX_ASK_INTERVAL_S,
+    MIN_ASK_INTERVAL_S,
     AllotmentExchange,
 )
 from currantstage.coordination._allotment_ledger import (
+    WORK_MARGIN_S,
     allotted_slots,
     follow_limits,
+    longest_work_s,
     move_from_free,
     resources_above_limit,
     retire_holders,
@@ -48,15 +51,15 @@
 )
 from currantstage.coordination._allotment_plan import (
     AllotmentNeeds,
+    HolderStart,
     SettlementPlan,
     plan_settlement,
     work_ceilings,
 )
 from currantstage.coordination._allotment_reclaim import (
-    CLOCK_DRIFT,
     LIST_LAG_S,
     AllotmentReclaimer,
-    LiveView,
+    FleetView,
     ReclaimReport,
     quarantine_s,
     reclaimable_slots,
@@ -178,11 +181,26 @@
     identify_team,
     key_id_of,
 )
+from currantstage.coordination._lease_continuity import (
+    LeaseContinuity,
+)
+from currantstage.coordination._lease_relay import (
+    PEERS_PER_REQUEST,
+    AskFleet,
+    AskRenewal,
+    GiveFleet,
+    LeaseRelay,
+    RelayEffect,
+)
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
     lapse_s,
     observer_wait_s,
 )
+from currantstage.coordination._limit_check import (
+    MAX_CHECK_TRIES,
+    AllotmentLimitCheck,
+)
 from currantstage.coordination._local_limits import (
     LocalTeamLimiter,
     LocalWorkerSlots,
@@ -212,11 +230,16 @@
     NoteInvalid,
     NoteOvertaken,
     NoteRefusal,
+    check_against_head,
     commit_note,
     generation_of_object,
     load_generation,
     load_head,
 )
+from currantstage.coordination._note_history import (
+    NoteChanges,
+    explain_note,
+)
 from currantstage.coordination._note_items import (
     FieldChange,
     NoteItem,
@@ -243,6 +266,11 @@
     RECENT_RESULTS,
     OutlierDetector,
 )
+from currantstage.coordination._peer_liveness import (
+    MAX_SILENCE_S,
+    PeerLiveness,
+    PeerSign,
+)
 from currantstage.coordination._placement import (
     AttributedRing,
     Candidate,
@@ -281,6 +309,10 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._reclaiming_duty import (
+    RECLAIM_INTERVAL_S,
+    ReclaimingDuty,
+)
 from currantstage.coordination._round_robin import (
     RoundRobinShares,
 )
@@ -299,6 +331,7 @@
     judge,
 )
 from currantstage.coordination._shares import (
+    AVERAGED_ROUNDING_SLOTS,
     LOCAL_FLOOR_FRACTION,
     ROUNDING_SLOTS,
     TeamDemand,
@@ -323,6 +356,14 @@
 from currantstage.coordination._topology import (
     Topology,
 )
+from currantstage.coordination._usage import (
+    USAGE_EXPIRY_S,
+    USAGE_INTERVAL_S,
+    USAGE_SMOOTHING_S,
+    UsageBoard,
+    UsageReport,
+    UsageSlots,
+)
 from currantstage.coordination._waiting import (
     NO_TEAM,
     QueueLine,
@@ -336,14 +377,15 @@
 __all__ = [
     "ALERT_RULES",
     "ASK_FANOUT",
-    "ASK_INTERVAL_S",
     "ATTEMPT_ID_BITS",
+    "AVERAGED_ROUNDING_SLOTS",
     "Acceptance",
     "Alert",
     "AlertRule",
     "AllotmentAsk",
     "AllotmentBook",
     "AllotmentExchange",
+    "AllotmentLimitCheck",
     "AllotmentMessage",
     "AllotmentNeeds",
     "AllotmentReceipt",
@@ -351,6 +393,8 @@
     "AllotmentSettlement",
     "AllotmentTransfer",
     "Answer",
+    "AskFleet",
+    "AskRenewal",
     "Assignment",
     "AttemptBudget",
     "Attempts",
@@ -360,7 +404,6 @@
     "CALLER_REFUSALS",
     "CLAIM_MEMORY_S",
     "CLEANUP_INTERVAL_S",
-    "CLOCK_DRIFT",
     "CONTENDED_HOLD_S",
     "Candidate",
     "CircuitBreaker",
@@ -389,23 +432,29 @@
     "FieldChange",
     "Finish",
     "FleetFault",
+    "FleetView",
     "GENERATION_PREFIX",
     "GetObject",
+    "GiveFleet",
     "Head",
     "HeadWatch",
+    "HolderStart",
     "IdT",
     "JobSize",
     "KEPT_GENERATIONS",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
     "LONG_QUANTILE",
+    "LeaseContinuity",
+    "LeaseRelay",
     "LeastLoaded",
     "ListObjects",
     "ListVms",
-    "LiveView",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
+    "MAX_ASK_INTERVAL_S",
     "MAX_CHANCE",
+    "MAX_CHECK_TRIES",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
     "MAX_DELETIONS_PER_RUN",
@@ -420,7 +469,9 @@
     "MAX_SERIES",
     "MAX_SETTLEMENT_TRIES",
     "MAX_SIGHTINGS",
+    "MAX_SILENCE_S",
     "MAX_TRIES",
+    "MIN_ASK_INTERVAL_S",
     "MIN_CONFIG_LEASE_S",
     "MIN_FAILURE_RATE",
     "MIN_OBSERVATIONS",
@@ -430,6 +481,7 @@
     "NO_SIZE",
     "NO_TEAM",
     "Need",
+    "NoteChanges",
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
@@ -444,8 +496,11 @@
     "ObjectsListed",
     "Outcome",
     "OutlierDetector",
+    "PEERS_PER_REQUEST",
     "Pause",
     "Peer",
+    "PeerLiveness",
+    "PeerSign",
     "Placement",
     "PlatformCall",
     "PowerOfTwoChoices",
@@ -454,6 +509,7 @@
     "QuantileWindow",
     "QueueLine",
     "RECENT_RESULTS",
+    "RECLAIM_INTERVAL_S",
     "REMOVAL_DELAY_S",
     "RENEWALS_PER_LEASE",
     "RETRIES_PER_REQUEST",
@@ -462,10 +518,12 @@
     "ReadClock",
     "ReadRow",
     "ReclaimReport",
+    "ReclaimingDuty",
     "RecordT",
     "Refusal",
     "RefusalReason",
     "Refuse",
+    "RelayEffect",
     "ReleaseAt",
     "Renewal",
     "RenewalNumber",
@@ -515,12 +573,19 @@
     "Transacted",
     "UNKNOWN_SILENCE_S",
     "UNREACHABLE_RETRY_AFTER_S",
+    "USAGE_EXPIRY_S",
+    "USAGE_INTERVAL_S",
+    "USAGE_SMOOTHING_S",
     "Uncertain",
     "UpperLimitCheck",
+    "UsageBoard",
+    "UsageReport",
+    "UsageSlots",
     "Verdict",
     "VmsListed",
     "WINDOWS_S",
     "WINDOW_OBSERVATIONS",
+    "WORK_MARGIN_S",
     "Wait",
     "WaitingRequest",
     "WeightedMaxMin",
@@ -532,6 +597,7 @@
     "allotted_slots",
     "burn_budgets",
     "capacity_of",
+    "check_against_head",
     "check_fleet",
     "check_note",
     "check_still_allowed",
@@ -540,6 +606,7 @@
     "diff_fleets",
     "digest_secret",
     "estimate_wait_s",
+    "explain_note",
     "fair_excess",
     "find_longest_line",
     "follow_limits",
@@ -558,6 +625,7 @@
     "list_items",
     "load_generation",
     "load_head",
+    "longest_work_s",
     "max_min_slots",
     "merge_counts",
     "move_from_free",
--- a/currantstage/coordination/_allotment_reclaim.py
+++ b/currantstage/coordination/_allotment_reclaim.py
@@ -4,23 +4,27 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from msgspec.structs import replace
 
 from currantstage.coordination._allotment_ledger import move_from_free, retire_holders
 from currantstage.coordination._allotment_settlement import ledger_of, version_of
+from currantstage.coordination._lease_time import observer_wait_s
+from currantstage.coordination._row_observer import RowObserver
 from currantstage.state import (
+    EntryVmRow,
     HolderRow,
     IncarnationId,
+    RowCheck,
     RowWrite,
-    holder_key,
+    entry_vm_key,
     holder_prefix,
     ledger_key,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
     from currantstage.coordination._procedures import Procedure
     from currantstage.coordination._store_access import StoreAccess
@@ -28,31 +32,33 @@
         EntryVmId,
         LedgerRow,
         ResourceId,
-        RowVersion,
         ScopeId,
+        TransactionItem,
         VersionedRow,
     )
 
+    TransactionGuard: TypeAlias = Callable[
+        [Sequence[TransactionItem]], Sequence[TransactionItem]
+    ]
+
 #: Longest time that the platform's list may lag behind, in seconds.
 LIST_LAG_S = 15.0
-#: Bound on how much faster one clock runs than another, as a fraction.
-CLOCK_DRIFT = 0.01
 
 
 @dataclass(frozen=True, slots=True)
-class LiveView:
-    """Which entry VMs and which starts of them are alive.
+class FleetView:
+    """What the platform says of the entry VMs.
 
     Parameters
     ----------
     listed : collection of EntryVmId
         Entry VMs on the platform's list.
-    members : mapping
-        The newest start of each entry VM, from its membership row.
+    memberships : mapping
+        The membership row of each start, which is also its configuration lease.
     """
 
     listed: Collection[EntryVmId]
-    members: Mapping[EntryVmId, IncarnationId]
+    memberships: Mapping[IncarnationId, VersionedRow]
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,9 +96,21 @@
         self._store = store
         self._scope = scope
         self._gone_since_s: dict[IncarnationId, float] = {}
+        self._leases = RowObserver()
 
-    def reclaim(self, now_s: float, live: LiveView) -> Procedure[ReclaimReport]:
-        """Take the next step for every dead holder; raises `StoreAwayError`."""
+    def reclaim(
+        self, now_s: float, view: FleetView, guard: TransactionGuard
+    ) -> Procedure[ReclaimReport]:
+        """Take the next step for every dead holder; raises `StoreAwayError`.
+
+        Parameters
+        ----------
+        now_s : float
+            Time at which `view` was known already, in seconds.
+        view : FleetView
+        guard : callable
+            Adds conditions to the items of each transaction.
+        """
         ledger_row = yield from self._store.read(ledger_key(self._scope))
         rows = yield from self._store.scan(holder_prefix(self._scope))
         holders = {
@@ -101,27 +119,30 @@
             if isinstance(row.record, HolderRow)
         }
         ledger = ledger_of(ledger_row)
-        dead = self._find_dead(now_s, live, holders, ledger.retired)
+        dead = self._find_dead(now_s, view, holders, ledger.retired)
         if dead:
             updated = retire_holders(ledger, dead)
-            is_applied = yield from self._write(ledger_row, updated, {})
+            checks = [_lease_check(holders[holder], view) for holder in dead]
+            is_applied = yield from self._write(ledger_row, updated, checks, guard)
             return ReclaimReport(retired=dead if is_applied else ())
         if not ledger.retired:
             return ReclaimReport()
-        return (yield from self._free(ledger_row, ledger, holders))
+        return (yield from self._free(ledger_row, ledger, holders, guard))
 
     def _find_dead(
         self,
         now_s: float,
-        live: LiveView,
+        view: FleetView,
         holders: Mapping[IncarnationId, VersionedRow],
         retired: Collection[IncarnationId],
     ) -> tuple[IncarnationId, ...]:
         records = [_record_of(row) for row in holders.values()]
+        self._leases.forget_all_but(row.key for row in view.memberships.values())
         gone = {
             record.incarnation: record
             for record in records
-            if record.incarnation not in retired and _is_gone(record, live, holders)
+            if record.incarnation not in retired
+            and self._is_gone(record, view, records, now_s)
         }
         self._gone_since_s = {
             holder: self._gone_since_s.get(holder, now_s) for holder in gone
@@ -134,11 +155,28 @@
             )
         )
 
+    def _is_gone(
+        self,
+        record: HolderRow,
+        view: FleetView,
+        holders: Iterable[HolderRow],
+        now_s: float,
+    ) -> bool:
+        """Return whether the holder's process has ended and its lease has lapsed."""
+        row = view.memberships.get(record.incarnation)
+        if row is not None:
+            assert isinstance(row.record, EntryVmRow)
+            lapse_s = observer_wait_s(row.record.config_lease_s)
+            if self._leases.unchanged_s(row, now_s) < lapse_s:
+                return False
+        return _is_ended(record, view, holders)
+
     def _free(
         self,
         ledger_row: VersionedRow | None,
         ledger: LedgerRow,
         holders: Mapping[IncarnationId, VersionedRow],
+        guard: TransactionGuard,
     ) -> Procedure[ReclaimReport]:
         records = [_record_of(row) for row in holders.values()]
         dead = [each for each in records if each.incarnation in ledger.retired]
@@ -158,40 +196,36 @@
             retired=(),
             reclaims=ledger.reclaims + 1,
         )
-        doomed = {each.incarnation: holders[each.incarnation].version for each in dead}
-        is_applied = yield from self._write(ledger_row, freed, doomed)
+        deletions = [
+            RowWrite(key=row.key, expected_version=row.version, record=None)
+            for row in (holders[each.incarnation] for each in dead)
+        ]
+        is_applied = yield from self._write(ledger_row, freed, deletions, guard)
         return ReclaimReport(reclaimed=ledger.retired if is_applied else ())
 
     def _write(
         self,
         ledger_row: VersionedRow | None,
         ledger: LedgerRow,
-        doomed: Mapping[IncarnationId, RowVersion],
+        others: Sequence[TransactionItem],
+        guard: TransactionGuard,
     ) -> Procedure[bool]:
-        deletions = [
-            RowWrite(
-                key=holder_key(self._scope, holder),
-                expected_version=version,
-                record=None,
-            )
-            for holder, version in doomed.items()
-        ]
         update = RowWrite(
             key=ledger_key(self._scope),
             expected_version=version_of(ledger_row),
             record=ledger,
         )
-        outcome = yield from self._store.transact([update, *deletions])
+        outcome = yield from self._store.transact(guard([update, *others]))
         return outcome.is_applied
 
 
 def quarantine_s(record: HolderRow) -> float:
     """Return how long a holder must have been gone before it is retired, in seconds.
 
-    The last thing that it may have done is to start its longest work, just before
-    it vanished and at most the list's lag after the list dropped it.
+    The last thing that it may have done is to start its longest work, at most the
+    list's lag after the list dropped it.
     """
-    return (record.max_work_s + LIST_LAG_S) * (1 + CLOCK_DRIFT)
+    return observer_wait_s(record.max_work_s + LIST_LAG_S)
 
 
 def reclaimable_slots(
@@ -225,15 +259,28 @@
     return slots
 
 
-def _is_gone(
-    record: HolderRow, live: LiveView, holders: Collection[IncarnationId]
-) -> bool:
-    if record.entry_vm not in live.listed:
+def _is_ended(record: HolderRow, view: FleetView, holders: Iterable[HolderRow]) -> bool:
+    """Return whether the holder's process has ended, as far as others tell."""
+    if record.entry_vm not in view.listed:
         return True
-    # A newer start counts only once it holds allotments: by then it listens at the
-    # addresses of its entry VM, so the process before it has ended.
-    newest = live.members.get(record.entry_vm)
-    return newest != record.incarnation and newest in holders
+    # A later start gets a row only once it listens at the addresses of its entry VM,
+    # so the process before it has ended.
+    return any(
+        other.entry_vm == record.entry_vm and other.start_number > record.start_number
+        for other in holders
+    )
+
+
+def _lease_check(holder: VersionedRow, view: FleetView) -> RowCheck:
+    """Return the condition that the holder has not renewed its lease meanwhile.
+
+    A holder whose lease has lapsed renews it before it looks at the ledger again.
+    """
+    record = _record_of(holder)
+    return RowCheck(
+        key=entry_vm_key(record.entry_vm, record.incarnation),
+        expected_version=version_of(view.memberships.get(record.incarnation)),
+    )
 
 
 def _record_of(row: VersionedRow) -> HolderRow:
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -23,6 +23,12 @@
     CALL_TIMEOUT_S,
     OperatorClient,
 )
+from currantstage.transport._operator_routes import (
+    OperatorService,
+    add_operator_routes,
+    json_response,
+    require_key,
+)
 from currantstage.transport._peers import (
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -35,12 +41,12 @@
 from currantstage.transport._routes import (
     CallerService,
     HealthService,
-    OperatorService,
-    ServiceLevelSource,
     add_caller_routes,
     add_error_answers,
     add_health_routes,
-    add_operator_routes,
+)
+from currantstage.transport._service_level_routes import (
+    ServiceLevelSource,
     add_service_level_routes,
 )
 
@@ -72,4 +78,6 @@
     "add_health_routes",
     "add_operator_routes",
     "add_service_level_routes",
+    "json_response",
+    "require_key",
 ]
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -5,18 +5,32 @@
 import pytest
 
 from currantstage.coordination import (
+    LIST_LAG_S,
+    AllotmentLimitCheck,
     AllotmentTransfer,
+    LeaseContinuity,
+    ReclaimReport,
     Settled,
     StoreAwayError,
     Transact,
     WriteUncertainError,
     allotted_slots,
-    quarantine_s,
+    observer_wait_s,
     resources_above_limit,
 )
-from currantstage.state import FLEET_SCOPE, HolderRow, holder_key
+from currantstage.state import (
+    ABSENT,
+    FLEET_SCOPE,
+    EntryVmRow,
+    Fleet,
+    RowWrite,
+    Team,
+    TeamId,
+    entry_vm_key,
+    holder_key,
+)
 from tests.allotments import TEAM, WORK_S, Site
-from tests.fakes import Fault
+from tests.fakes import Fault, make_store_access
 
 
 def held(node):
@@ -26,9 +40,7 @@
 def wait_out(site, node):
     """Let the quarantine of every dead holder pass, and reclaim."""
     node.reclaim()
-    site.now_s += quarantine_s(
-        HolderRow(incarnation="", entry_vm="", max_work_s=WORK_S)
-    )
+    site.now_s += observer_wait_s(WORK_S + LIST_LAG_S)
     node.reclaim()
 
 
@@ -99,8 +111,8 @@
     assert [held(node) for node in nodes] == [2, 2, 2, 2]
 
 
-def move_one(site, giver, taker):
-    """Make `giver` send one slot; return the transfer, not yet delivered."""
+def move_some(site, giver, taker):
+    """Make `giver` send some slots; return the transfer, not yet delivered."""
     for _ in range(held(taker) + 1):
         taker.acquire()
     taker.ask()
@@ -112,35 +124,42 @@
 def test_lost_transfer_is_repeated_and_a_doubled_one_counts_once():
     site = Site()
     giver, taker = site.start_all(2)
-    transfer = move_one(site, giver, taker)
+    transfer = move_some(site, giver, taker)
+    moved = transfer[2].sent_slots[TEAM]
     before = held(giver), held(taker)
     site.network.clear()
-    assert sum(before) == 7
+    assert sum(before) == 8 - moved
     giver.repeat()
     assert site.network == [transfer]
     site.network *= 3
     site.deliver_all()
-    assert (held(giver), held(taker)) == (before[0], before[1] + 1)
+    assert (held(giver), held(taker)) == (before[0], before[1] + moved)
     giver.repeat()
     assert not site.network
 
 
 def test_reordered_transfers_end_with_the_same_totals():
-    site = Site()
+    site = Site({TEAM: 64})
     giver, taker = site.start_all(2)
-    first = move_one(site, giver, taker)
-    site.network.clear()
-    site.now_s += 1
-    second = move_one(site, giver, taker)
-    site.network[:] = [second, first]
+    for _ in range(32):
+        assert giver.acquire()
+    transfers = []
+    for _ in range(3):
+        giver.release()
+        move_some(site, giver, taker)
+        transfers.append(site.network.pop())
+        site.network.clear()
+        site.now_s += 1
+    assert held(giver) + held(taker) < 64
+    site.network[:] = [transfers[2], transfers[0], transfers[1]]
     site.deliver_all()
-    assert held(giver) + held(taker) == 8
+    assert held(giver) + held(taker) == 64
 
 
 def test_a_restarted_receiver_takes_nothing_meant_for_its_earlier_start():
     site = Site()
     giver, taker = site.start_all(2)
-    move_one(site, giver, taker)
+    move_some(site, giver, taker)
     restarted = site.start("e1", start=2)
     restarted.settle()
     site.deliver_all()
@@ -152,7 +171,7 @@
     """The hazard: the table still shows what the dead sender had handed over."""
     site = Site()
     giver, taker = site.start_all(2)
-    move_one(site, giver, taker)
+    move_some(site, giver, taker)
     if is_delivered:
         site.deliver_all()
     late = list(site.network)
@@ -167,7 +186,7 @@
 def test_crash_of_the_receiver_loses_and_doubles_nothing(is_delivered):
     site = Site()
     giver, taker = site.start_all(2)
-    move_one(site, giver, taker)
+    move_some(site, giver, taker)
     if is_delivered:
         site.deliver_all()
     site.drop_vm(taker.peer.entry_vm)
@@ -179,7 +198,7 @@
 def test_two_that_traded_and_died_together_are_reclaimed_together():
     site = Site()
     giver, taker, third = site.start_all(3)
-    move_one(site, giver, taker)
+    move_some(site, giver, taker)
     site.deliver_all()
     site.drop_vm(giver.peer.entry_vm)
     site.drop_vm(taker.peer.entry_vm)
@@ -235,6 +254,63 @@
     assert not zombie.acquire()
 
 
+def write_membership(site, node, generation=0):
+    row = EntryVmRow(
+        entry_vm=node.peer.entry_vm,
+        incarnation=node.peer.incarnation,
+        data_centre="a",
+        http_address="",
+        peer_address="",
+        applied_generation=generation,
+        config_lease_s=10.0,
+    )
+    key = entry_vm_key(row.entry_vm, row.incarnation)
+    version = site.store.rows[key].version if key in site.store.rows else ABSENT
+    write = RowWrite(key=key, expected_version=version, record=row)
+    site.store.run(make_store_access(generation).transact([write]))
+    site.memberships[row.incarnation] = site.store.rows[key]
+
+
+def test_a_holder_that_renews_its_lease_is_not_dead_though_the_list_says_so():
+    site = Site()
+    renewing, other = site.start_all(2)
+    site.listed.discard(renewing.peer.entry_vm)
+    for step in range(12):
+        write_membership(site, renewing, step)
+        site.now_s += 9.0
+        assert other.reclaim() == ReclaimReport()
+
+
+def test_a_holder_that_renews_while_it_is_being_retired_stays():
+    site = Site()
+    paused, other = site.start_all(2)
+    write_membership(site, paused)
+    site.listed.discard(paused.peer.entry_vm)
+    for _ in range(7):
+        other.reclaim()
+        site.now_s += 10.0
+    reclaiming = other.begin_reclaim()
+    call = next(reclaiming)
+    while not isinstance(call, Transact):
+        call = reclaiming.send(site.store.answer(call))
+    write_membership(site, paused, 1)
+    with pytest.raises(StopIteration):
+        reclaiming.send(site.store.answer(call))
+    assert site.ledger.retired == ()
+
+
+def test_a_pause_past_the_lease_asks_for_a_look_at_the_ledger():
+    continuity = LeaseContinuity()
+    assert not continuity.is_unbroken(0.0, 10.0)
+    continuity.settled(10.0)
+    assert continuity.is_unbroken(9.0, 15.0)
+    assert continuity.is_unbroken(14.0, 20.0)
+    # Paused; on waking the lease is renewed before anything else happens.
+    assert not continuity.is_unbroken(21.0, 31.0)
+    continuity.settled(31.0)
+    assert continuity.is_unbroken(30.0, 31.0)
+
+
 def test_a_lowered_limit_takes_idle_slots_first_and_the_rest_as_work_ends():
     site = Site()
     nodes = site.start_all(2)
@@ -268,6 +344,44 @@
     assert allotted_slots(site.ledger, TEAM) < 8
 
 
+def test_a_lowered_limit_holds_only_once_the_sum_has_shrunk():
+    site = Site()
+    nodes = site.start_all(2)
+    for node in nodes:
+        while node.acquire():
+            pass
+    team = Team(team_id=TeamId("t"), share=1.0, upper_limit_slots=3)
+    site.set_limit(3)
+    fleet = Fleet(generation=site.generation, teams={team.team_id: team})
+    check = AllotmentLimitCheck(make_store_access())
+    assert site.store.run(check.teams_over_limit(fleet)) == ("t",)
+    for running in range(8, 3, -1):
+        assert site.running() == running
+        assert site.store.run(check.teams_over_limit(fleet)) == ("t",)
+        next(node for node in nodes if node.book.is_busy).release()
+        for node in nodes * 2:
+            node.settle()
+    assert site.store.run(check.teams_over_limit(fleet)) == ()
+    assert site.running() == 3
+
+
+def test_no_late_settlement_brings_back_what_an_accepted_note_lowered():
+    """A settlement of the older generation is under way while the note is checked."""
+    site = Site({TEAM: 8})
+    late = site.start("e0")
+    settlement = late.begin_settle()
+    call = next(settlement)
+    while not isinstance(call, Transact):
+        call = settlement.send(site.store.answer(call))
+    team = Team(team_id=TeamId("t"), share=1.0, upper_limit_slots=3)
+    site.set_limit(3)
+    fleet = Fleet(generation=site.generation, teams={team.team_id: team})
+    check = AllotmentLimitCheck(make_store_access())
+    assert site.store.run(check.teams_over_limit(fleet)) == ()
+    settlement.send(site.store.answer(call))
+    assert allotted_slots(site.ledger, TEAM) == 3
+
+
 def test_work_longer_than_the_row_says_is_refused():
     site = Site()
     (node,) = site.start_all(1)
@@ -316,7 +430,7 @@
     site.store.choose_fault = lambda call: Fault.REFUSED
     with pytest.raises(StoreAwayError):
         taker.settle()
-    move_one(site, giver, taker)
+    move_some(site, giver, taker)
     site.deliver_all()
     assert taker.acquire()
 
@@ -336,7 +450,7 @@
 def test_nothing_is_written_while_nothing_changes():
     site = Site()
     nodes = site.start_all(3)
-    move_one(site, nodes[0], nodes[1])
+    move_some(site, nodes[0], nodes[1])
     site.deliver_all()
     site.store.calls.clear()
     assert [node.settle() for node in nodes] == [Settled.UNCHANGED] * 3
