--- /dev/null
+++ b/bench/guards.py
@@ -0,0 +1,284 @@
+"""Take out one guard at a time in a copy, and see which check fails."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).parent.parent
+_CODE = Path("currantstage/coordination")
+_COPIED = ("currantstage", "tests", "spec", "bench", "examples", "pyproject.toml")
+_TIMEOUT_S = 300.0
+#: Lets a found failure end the run, instead of being made smaller first.
+_CONFTEST = """
+from hypothesis import Phase, settings
+
+settings.register_profile("unshrunk", phases=(Phase.explicit, Phase.generate))
+settings.load_profile("unshrunk")
+"""
+_ALLOTMENTS = "tests/fuzz/test_allotment_machine.py"
+_NOTES = "tests/fuzz/test_note_machine.py"
+_REPLAY = "tests/spec/test_note_replay.py"
+_REQUESTS = "tests/fuzz/test_request_machine.py"
+_FLEET = "tests/fuzz/test_fleet_machine.py"
+_DUTIES = "tests/coordination/test_duty_lease.py"
+_STORE = "tests/coordination/test_store_access.py"
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A guard, how to take it out, and the check that should fail.
+
+    Parameters
+    ----------
+    guard : str
+    module : str
+        File of the coordination layer.
+    old, new : str
+        Text that stands there once, and what replaces it.
+    check : str
+        Path of the test.
+    """
+
+    guard: str
+    module: str
+    old: str
+    new: str
+    check: str
+
+
+REMOVALS = (
+    Removal(
+        "limit: work starts inside the allotment",
+        "_allotment_book.py",
+        " or self.startable_slots(resource) <= 0:",
+        # One slot more: without any bound some tests would start work for ever.
+        " or not self._is_open or self.idle_slots(resource) < 0:",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "limit: only idle slots are sent",
+        "_allotment_book.py",
+        "not 0 < slots <= self.idle_slots(resource)",
+        "slots <= 0",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "limit: a doubled transfer adds once",
+        "_allotment_book.py",
+        "max(received[resource], slots)",
+        "received[resource] + slots",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "limit: nothing is taken from a retired holder",
+        "_allotment_book.py",
+        "if not self._is_open or peer in self._closed:",
+        "if not self._is_open:",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "limit: reclaiming waits for the last deadline",
+        "_allotment_reclaim.py",
+        ">= quarantine_s(record)",
+        ">= 0",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "limit: no raise by an older configuration",
+        "_allotment_ledger.py",
+        "if generation < ledger.generation:",
+        "if False:",
+        _ALLOTMENTS,
+    ),
+    Removal(
+        "notes: keyed work only under the lease",
+        "_configuration.py",
+        "return self.lease.is_held(now_s)",
+        "return True",
+        _NOTES,
+    ),
+    Removal(
+        "notes: generations never fall",
+        "_configuration.py",
+        "if not self.lacks(fleet.generation):",
+        "if False:",
+        _NOTES,
+    ),
+    Removal(
+        "notes: generations never fall (test)",
+        "_configuration.py",
+        "if not self.lacks(fleet.generation):",
+        "if False:",
+        "tests/coordination/test_configuration.py",
+    ),
+    Removal(
+        "notes: a renewal states the head",
+        "_membership.py",
+        "                RowCheck(key=HEAD_KEY, expected_version=head_version),\n",
+        "",
+        _NOTES,
+    ),
+    Removal(
+        "notes: a renewal states the head (walk)",
+        "_membership.py",
+        "                RowCheck(key=HEAD_KEY, expected_version=head_version),\n",
+        "",
+        _REPLAY,
+    ),
+    Removal(
+        "notes: acceptance outwaits the lease",
+        "_head_watch.py",
+        "return self.wait_s(row, now_s) <= 0",
+        "return True",
+        _NOTES,
+    ),
+    Removal(
+        "notes: the lease counts from before sending",
+        "_config_lease.py",
+        "self._lapses_s = max(self._lapses_s, end_s)",
+        "self._lapses_s = max(self._lapses_s, end_s) + 60.0",
+        _NOTES,
+    ),
+    Removal(
+        "notes: a shorter lease binds when it is sent",
+        "_config_lease.py",
+        "self._lapses_s = min(self._lapses_s, lapse_s(now_s, lease_s))",
+        "pass",
+        _NOTES,
+    ),
+    Removal(
+        "store: a lost answer is read back",
+        "_store_access.py",
+        "if row is not None and row.attempt == attempt:",
+        "if False:",
+        _STORE,
+    ),
+    Removal(
+        "requests: a request that may have run is sent once",
+        "_attempts.py",
+        "is_safe = self._is_idempotent or not self._may_have_run",
+        "is_safe = True",
+        _REQUESTS,
+    ),
+    Removal(
+        "requests: 'not run' only where certain",
+        "_attempts.py",
+        "if self._may_have_run:\n            return Uncertain",
+        "if False:\n            return Uncertain",
+        _REQUESTS,
+    ),
+    Removal(
+        "requests: a withdrawn key stops who waits",
+        "_admission.py",
+        "if key is None or key.team != request.team or key.team not in fleet.teams:",
+        "if False:",
+        _REQUESTS,
+    ),
+    Removal(
+        "requests: a withdrawn key stops who waits (test)",
+        "_admission.py",
+        "if key is None or key.team != request.team or key.team not in fleet.teams:",
+        "if False:",
+        "tests/coordination/test_dispatch.py",
+    ),
+    Removal(
+        "duties: every write states the fence",
+        "_duty_lease.py",
+        "return (*items, check)",
+        "return tuple(items)",
+        _DUTIES,
+    ),
+    Removal(
+        "fleet: every write states the fence",
+        "_duty_lease.py",
+        "return (*items, check)",
+        "return tuple(items)",
+        _FLEET,
+    ),
+    Removal(
+        "fleet: a disruption needs room in the budget",
+        "_vm_transitions.py",
+        "if not has_room(pool, records.budget, vm.vm_id, vm.rack):",
+        "if False:",
+        _FLEET,
+    ),
+    Removal(
+        "fleet: a disruption is reserved",
+        "_vm_transitions.py",
+        "budget = reserve(records.budget, vm.vm_id, vm.rack)",
+        "budget = records.budget",
+        _FLEET,
+    ),
+    Removal(
+        "fleet: a VM drains before it moves",
+        "_reconcile_plan.py",
+        "if not snapshot.entry_vms_holding(row):",
+        "if True:",
+        _FLEET,
+    ),
+)
+
+
+def is_caught(removal: Removal) -> bool:
+    """Return whether the check fails on a copy without the guard."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in _COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name)
+            else:
+                shutil.copy(source, copy / name)
+        (copy / "conftest.py").write_text(_CONFTEST, encoding="utf-8")
+        path = copy / _CODE / removal.module
+        text = path.read_text(encoding="utf-8")
+        if text.count(removal.old) != 1:
+            raise click.ClickException(f"{removal.guard}: its text is not there once")
+        path.write_text(text.replace(removal.old, removal.new), encoding="utf-8")
+        return _run_check(copy, removal.check) != 0
+
+
+def _run_check(folder: Path, check: str) -> int:
+    command = (sys.executable, "-m", "pytest", "-x", "-q", check)
+    environment = {**os.environ, "PYTHONPATH": str(folder)}
+    done = subprocess.run(
+        command,
+        cwd=folder,
+        env=environment,
+        capture_output=True,
+        timeout=_TIMEOUT_S,
+        check=False,
+    )
+    # Status 1 says that tests failed; any other one that they did not run.
+    if done.returncode not in (0, 1):
+        raise click.ClickException(f"{check}: {done.stdout.decode()[-500:]}")
+    return done.returncode
+
+
+@click.command()
+@click.option("--only", default="", help="Only guards whose name has this text.")
+def main(only: str) -> None:
+    """Print a table of the guards and whether a check misses them."""
+    is_every_one_caught = True
+    click.echo("| guard | check | without it |")
+    click.echo("|---|---|---|")
+    for removal in REMOVALS:
+        if only not in removal.guard or not (ROOT / removal.check).exists():
+            continue
+        caught = is_caught(removal)
+        is_every_one_caught = is_every_one_caught and caught
+        verdict = "fails" if caught else "PASSES"
+        click.echo(f"| {removal.guard} | `{removal.check}` | {verdict} |")
+    sys.exit(0 if is_every_one_caught else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -103,10 +103,10 @@
         path.write_text(_SETTINGS.format(http=http, peer=peer, platform=platform))
         stand_ins = ("bench.servers", "--platform-port", str(platform))
         options = ("--duration-s", str(duration_s), *map(str, backends))
-        await _spawn(resources, *stand_ins, *options)
-        await _wait_until_open(platform)
-        daemon = await _spawn(resources, "currantstage", "serve", "--config", str(path))
-        await _wait_until_open(http)
+        await spawn(resources, *stand_ins, *options)
+        await wait_until_open(platform)
+        daemon = await spawn(resources, "currantstage", "serve", "--config", str(path))
+        await wait_until_open(http)
         await _submit(url, note)
         direct = tuple(f"http://127.0.0.1:{port}/run/q" for port in backends)
         yield ServingSite(daemon.pid, f"{url}/v1/queues/q", direct)
@@ -118,9 +118,10 @@
     return ordered[min(int(fraction * len(ordered)), len(ordered) - 1)]
 
 
-async def _spawn(
+async def spawn(
     resources: contextlib.AsyncExitStack, module: str, *arguments: str
 ) -> asyncio.subprocess.Process:
+    """Run a module as a process that ends with `resources`."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -133,7 +134,8 @@
     return process
 
 
-async def _wait_until_open(port: int) -> None:
+async def wait_until_open(port: int) -> None:
+    """Wait until something listens at `port` of loopback."""
     async with asyncio.timeout(_START_TIMEOUT_S):
         while True:
             try:
