--- a/bench/guards.py
+++ b/bench/guards.py
@@ -26,6 +26,7 @@
 _ALLOTMENTS = "tests/fuzz/test_allotment_machine.py"
 _NOTES = "tests/fuzz/test_note_machine.py"
 _REPLAY = "tests/spec/test_note_replay.py"
+_WALK = "tests/spec/test_allotment_replay.py"
 _REQUESTS = "tests/fuzz/test_request_machine.py"
 _FLEET = "tests/fuzz/test_fleet_machine.py"
 _DUTIES = "tests/coordination/test_duty_lease.py"
@@ -98,6 +99,27 @@
         "if False:",
         _ALLOTMENTS,
     ),
+    Removal(
+        "limit: only idle slots are sent (walk)",
+        "_allotment_book.py",
+        "not 0 < slots <= self.idle_slots(resource)",
+        "slots <= 0",
+        _WALK,
+    ),
+    Removal(
+        "limit: nothing is taken from a retired holder (walk)",
+        "_allotment_book.py",
+        "if not self._is_open or peer in self._closed:",
+        "if not self._is_open:",
+        _WALK,
+    ),
+    Removal(
+        "limit: no raise by an older configuration (walk)",
+        "_allotment_ledger.py",
+        "if generation < ledger.generation:",
+        "if False:",
+        _WALK,
+    ),
     Removal(
         "notes: keyed work only under the lease",
         "_configuration.py",
--- a/spec/_allotments.py
+++ b/spec/_allotments.py
@@ -139,7 +139,8 @@
     Parameters
     ----------
     limit, older_limit : z3.ArithRef
-        Upper limit of the newest committed note, and of any one before it.
+        Upper limit of the newest committed note, and the largest of those before it
+        that the ledger may still follow.
     is_followed : z3.BoolRef
         Whether the ledger has taken over the newest limit's generation.
     ceiling : z3.ArithRef
@@ -400,7 +401,11 @@
         replace(
             state,
             limit=slots,
-            older_limit=state.limit,
+            older_limit=z3.If(
+                z3.Or(state.is_followed, state.limit > state.older_limit),
+                state.limit,
+                state.older_limit,
+            ),
             is_followed=_FALSE,
             ceiling=ceiling,
         ),
@@ -427,15 +432,18 @@
         created,
         when=z3.And(slots > 0, state.total + slots <= state.older_limit),
     )
+    destroyed = replace(state, total=state.total - slots, free=state.free - slots)
+    is_free = {"destroy only what is free": slots <= state.free}
     yield Step(
         "the ledger destroys free slots",
-        {"destroy only what is free": slots <= state.free},
-        replace(
-            state,
-            total=state.total - slots,
-            free=state.free - slots,
-            is_followed=_TRUE,
-        ),
+        is_free,
+        replace(destroyed, is_followed=_TRUE),
+        when=slots >= 0,
+    )
+    yield Step(
+        "the ledger destroys free slots by an older limit",
+        is_free,
+        destroyed,
         when=slots >= 0,
     )
 
--- a/tests/spec/test_allotment_replay.py
+++ b/tests/spec/test_allotment_replay.py
@@ -65,8 +65,10 @@
     def _mirror_rows(self, name, is_heard, granted_before, before) -> None:
         after = self.site.ledger
         created = after.total_slots.get(TEAM, 0) - before.total_slots.get(TEAM, 0)
+        is_current = self.site.nodes[name].generation == self.site.generation
+        by = "" if is_current else " by an older limit"
         if created > 0:
-            self.walk.take("the ledger creates slots", slots=created)
+            self.walk.take(f"the ledger creates slots{by}", slots=created)
         folded = sum(
             value_of(trade.recorded_net)
             for peer, trade in self.spec(name).trades.items()
@@ -78,8 +80,8 @@
             self.walk.take(f"{name} gives slots back", slots=-taken)
         suffix = "" if is_heard else ", and the answer is lost"
         self.walk.take(f"{name} takes slots{suffix}", slots=max(taken, 0))
-        if created <= 0 and after.generation == self.site.generation:
-            self.walk.take("the ledger destroys free slots", slots=-created)
+        if created <= 0:
+            self.walk.take(f"the ledger destroys free slots{by}", slots=-created)
 
     def send(self, name: str, peer: str, slots: int) -> None:
         sender = self.site.nodes.get(name)
@@ -133,9 +135,16 @@
             self.walk.take("the slots of the retired become free")
 
     def set_limit(self, slots: int) -> None:
+        """Commit a limit that each holder applies only later."""
+        nodes, self.site.nodes = self.site.nodes, {}
         self.site.set_limit(slots)
+        self.site.nodes = nodes
         self.walk.take("a note commits a limit", slots=slots)
 
+    def apply(self, name: str) -> None:
+        if name in self.site.nodes:
+            self.site.nodes[name].apply_limits()
+
     def accept(self) -> None:
         ledger = self.site.ledger
         is_followed = ledger.generation == self.site.generation
@@ -186,7 +195,7 @@
     st.tuples(st.just("settle"), NAME, st.booleans()),
     st.tuples(st.just("send"), NAME, NAME, st.integers(1, 3)),
     st.tuples(st.just("receive"), NAME, NAME, st.integers(0, 9)),
-    st.tuples(st.just("acquire"), NAME),
+    st.tuples(st.sampled_from(["acquire", "apply"]), NAME),
     st.tuples(st.just("end"), NAME),
     st.tuples(st.sampled_from(["reclaim", "accept"])),
     st.tuples(st.just("set_limit"), st.integers(0, 8)),
