Move, drain and maintain VMs within availability budgets

Cause: VMs had no record of their own; a note's change of a pool took effect at each entry VM at another moment, and nothing held maintenance to a budget.

Change: one row a VM with its one pool and its state; a budget row a pool that counts reservations and outages; a placement row a data centre that sums both up for the entry VMs, written in the same transaction. A drain ends when every entry VM of the data centre has acknowledged its number. Moves and maintenance share one duty lease, as they spend the same budgets.

--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -40,7 +40,7 @@
     add_health_routes,
     add_operator_routes,
 )
-from currantstage.util import DutyLoop, MonotonicClock
+from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
@@ -80,7 +80,12 @@
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
         self._runner = ProcedureRunner(
-            self._platform, self._platform, self._platform, self._clock
+            table=self._platform,
+            objects=self._platform,
+            directory=self._platform,
+            rebooter=self._platform,
+            clock=self._clock,
+            unix_clock=UnixClock(),
         )
         self._backends = BackendClient()
         self._queues = QueueService(
--- a/currantstage/application/_procedure_runner.py
+++ b/currantstage/application/_procedure_runner.py
@@ -18,6 +18,9 @@
     PutObject,
     ReadClock,
     ReadRow,
+    ReadUnixTime,
+    RebootAnswered,
+    RebootVm,
     RowRead,
     RowsScanned,
     ScanRows,
@@ -30,7 +33,13 @@
 
 if TYPE_CHECKING:
     from currantstage.coordination import PlatformCall, Procedure, StoreCall, StoreReply
-    from currantstage.state import Clock, ObjectStore, TableService, VmDirectory
+    from currantstage.state import (
+        Clock,
+        ObjectStore,
+        TableService,
+        VmDirectory,
+        VmRebooter,
+    )
 
 T = TypeVar("T")
 
@@ -43,7 +52,11 @@
     table : TableService
     objects : ObjectStore
     directory : VmDirectory
+    rebooter : VmRebooter
     clock : Clock
+        The monotonic clock.
+    unix_clock : Clock
+        The time of day.
     """
 
     def __init__(
@@ -51,12 +64,16 @@
         table: TableService,
         objects: ObjectStore,
         directory: VmDirectory,
+        rebooter: VmRebooter,
         clock: Clock,
+        unix_clock: Clock,
     ) -> None:
         self._table = table
         self._objects = objects
         self._directory = directory
+        self._rebooter = rebooter
         self._clock = clock
+        self._unix_clock = unix_clock
 
     async def run(self, procedure: Procedure[T]) -> T:
         """Return the procedure's result, or raise what it raises."""
@@ -71,6 +88,8 @@
     async def _answer(self, call: StoreCall) -> StoreReply:
         if isinstance(call, ReadClock):
             return ClockRead(self._clock.now_s())
+        if isinstance(call, ReadUnixTime):
+            return ClockRead(self._unix_clock.now_s())
         if isinstance(call, Pause):
             await asyncio.sleep(call.duration_s)
             return Done()
@@ -101,3 +120,5 @@
                 return Done()
             case ListVms():
                 return VmsListed(tuple(await self._directory.list_vms()))
+            case RebootVm(vm, ticket):
+                return RebootAnswered(await self._rebooter.reboot(vm, ticket))
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from currantstage.coordination._budgets import (
+    add_outage,
+    has_room,
+    release,
+    reserve,
+)
 from currantstage.coordination._configuration import (
     Configuration,
     Membership,
@@ -13,6 +19,9 @@
     RequestEnd,
     conclude,
 )
+from currantstage.coordination._drain_follower import (
+    DrainFollower,
+)
 from currantstage.coordination._duty_lease import (
     DUTY_LEASE_S,
     Duty,
@@ -25,6 +34,36 @@
     StoreContentError,
     WriteUncertainError,
 )
+from currantstage.coordination._fleet_actions import (
+    AbandonDrain,
+    Action,
+    BeginMaintenance,
+    BeginMove,
+    BeginWithdrawal,
+    CompleteDrain,
+    FinishMaintenance,
+    ForgetAcks,
+    MarkServing,
+    MarkUnavailable,
+    RegisterVms,
+    Rehome,
+    StartRound,
+    VmAction,
+)
+from currantstage.coordination._fleet_duty import (
+    FLEET_INTERVAL_S,
+    HOLD_BACK_S,
+    LISTING_MAX_AGE_S,
+    FleetDuty,
+    load_fleet_rows,
+)
+from currantstage.coordination._fleet_snapshot import (
+    FleetRows,
+    FleetSnapshot,
+)
+from currantstage.coordination._fleet_writer import (
+    FleetWriter,
+)
 from currantstage.coordination._keys import (
     digest_secret,
     identify_team,
@@ -68,6 +107,11 @@
     SendFailure,
     Uncertain,
 )
+from currantstage.coordination._placement_rows import (
+    clear_vm,
+    next_drain,
+    place_vm,
+)
 from currantstage.coordination._policies import (
     SharePolicy,
     TeamLimiter,
@@ -89,6 +133,9 @@
     PutObject,
     ReadClock,
     ReadRow,
+    ReadUnixTime,
+    RebootAnswered,
+    RebootVm,
     RowRead,
     RowsScanned,
     ScanRows,
@@ -99,38 +146,85 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._reconcile_plan import (
+    MAX_DRAIN_S,
+    REGISTER_BATCH_SIZE,
+    is_overdue,
+    plan_reconciliation,
+)
+from currantstage.coordination._row_batch import (
+    Fence,
+    RowBatch,
+    RowT,
+)
 from currantstage.coordination._store_access import (
     ATTEMPT_ID_BITS,
     ReplyT,
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.coordination._vm_listing import (
+    UNLISTED_GRACE_S,
+    VmListing,
+)
+from currantstage.coordination._vm_transitions import (
+    MOVE_WINDOW_S,
+    TransitionRefusal,
+    TransitionResult,
+    VmRecords,
+    make_transition,
+)
+from currantstage.coordination._wave_plan import (
+    plan_waves,
+    unfinished_vms,
+)
 
 __all__ = [
     "ATTEMPT_ID_BITS",
+    "AbandonDrain",
+    "Action",
     "Answer",
     "Assignment",
+    "BeginMaintenance",
+    "BeginMove",
+    "BeginWithdrawal",
     "ClockRead",
     "Committed",
+    "CompleteDrain",
     "Configuration",
     "CoordinationError",
     "DUTY_LEASE_S",
     "DeleteObject",
     "Dispatcher",
     "Done",
+    "DrainFollower",
     "Duty",
     "DutyGrant",
     "DutyLeases",
+    "FLEET_INTERVAL_S",
+    "Fence",
+    "FinishMaintenance",
+    "FleetDuty",
+    "FleetRows",
+    "FleetSnapshot",
+    "FleetWriter",
+    "ForgetAcks",
     "GetObject",
+    "HOLD_BACK_S",
     "Head",
     "IdT",
+    "LISTING_MAX_AGE_S",
     "ListObjects",
     "ListVms",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
+    "MAX_DRAIN_S",
     "MIN_CONFIG_LEASE_S",
+    "MOVE_WINDOW_S",
+    "MarkServing",
+    "MarkUnavailable",
     "Membership",
     "NoteFault",
     "NoteIdTaken",
@@ -145,20 +239,29 @@
     "PlatformCall",
     "Procedure",
     "PutObject",
+    "REGISTER_BATCH_SIZE",
     "RETRY_AFTER_S",
     "ReadClock",
     "ReadRow",
+    "ReadUnixTime",
+    "RebootAnswered",
+    "RebootVm",
     "RecordT",
     "Refusal",
     "RefusalReason",
+    "RegisterVms",
+    "Rehome",
     "ReplyT",
     "RequestEnd",
     "RetryPolicy",
+    "RowBatch",
     "RowRead",
+    "RowT",
     "RowsScanned",
     "ScanRows",
     "SendFailure",
     "SharePolicy",
+    "StartRound",
     "StoreAccess",
     "StoreAwayError",
     "StoreCall",
@@ -169,17 +272,36 @@
     "TeamLoad",
     "Transact",
     "Transacted",
+    "TransitionRefusal",
+    "TransitionResult",
+    "UNLISTED_GRACE_S",
     "Uncertain",
+    "VmAction",
+    "VmListing",
+    "VmRecords",
     "VmsListed",
     "WorkerSlots",
     "WriteUncertainError",
+    "add_outage",
     "check_note",
+    "clear_vm",
     "commit_note",
     "conclude",
     "digest_secret",
+    "has_room",
     "identify_team",
+    "is_overdue",
     "lapse_s",
+    "load_fleet_rows",
     "load_head",
+    "make_transition",
+    "next_drain",
     "note_progress",
     "observer_wait_s",
+    "place_vm",
+    "plan_reconciliation",
+    "plan_waves",
+    "release",
+    "reserve",
+    "unfinished_vms",
 ]
--- /dev/null
+++ b/currantstage/coordination/_fleet_duty.py
@@ -0,0 +1,189 @@
+"""The fleet duty: moves, maintenance and what the platform's list brings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
+from currantstage.coordination._fleet_actions import AbandonDrain
+from currantstage.coordination._fleet_snapshot import FleetRows, FleetSnapshot
+from currantstage.coordination._fleet_writer import FleetWriter
+from currantstage.coordination._note_commit import load_head
+from currantstage.coordination._reconcile_plan import plan_reconciliation
+from currantstage.coordination._vm_listing import VmListing
+from currantstage.coordination._wave_plan import plan_waves
+from currantstage.state import (
+    BUDGET_PREFIX,
+    DRAIN_ACK_PREFIX,
+    ENTRY_VM_PREFIX,
+    HEAD_KEY,
+    PLACEMENT_PREFIX,
+    VM_PREFIX,
+    WAVE_PREFIX,
+    BudgetRow,
+    DrainAckRow,
+    DutyKind,
+    EntryVmRow,
+    FencingNumber,
+    PlacementRow,
+    RebootStatus,
+    VmRow,
+    VmState,
+    WaveRow,
+    reboot_ticket,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from currantstage.coordination._duty_lease import DutyGrant
+    from currantstage.coordination._fleet_actions import Action
+    from currantstage.coordination._note_commit import Head
+    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import IncarnationId, VersionedRow, VmId
+
+    Planner: TypeAlias = Callable[[FleetSnapshot], tuple[Action, ...]]
+
+#: Pause between two steps of the duty, in seconds.
+FLEET_INTERVAL_S = 2.0
+#: Age at which the platform's list is read anew, in seconds.
+LISTING_MAX_AGE_S = 5.0
+#: Time for which a VM whose drain was abandoned is left alone, in seconds.
+HOLD_BACK_S = 600.0
+
+
+class FleetDuty:
+    """Implements `Duty` for all that changes the rows of the fleet.
+
+    Moves and maintenance share one lease: both spend the same budgets, and a VM has
+    one purpose at a time.
+
+    Parameters
+    ----------
+    store : StoreAccess
+    planners : iterable of callable
+        Asked in turn for actions that take VMs out of service, after what the note
+        and the platform demand at once.
+    """
+
+    kind = DutyKind.MAINTENANCE
+    interval_s = FLEET_INTERVAL_S
+
+    def __init__(
+        self, store: StoreAccess, planners: Iterable[Planner] = (plan_waves,)
+    ) -> None:
+        self._store = store
+        self._planners = (plan_reconciliation, *planners)
+        self._listing = VmListing()
+        self._listed_at_s: float | None = None
+        self._head: Head | None = None
+        self._rows: FleetRows | None = None
+        self._rows_fencing: FencingNumber | None = None
+        self._held_back_until_s: dict[VmId, float] = {}
+
+    def step(self, grant: DutyGrant) -> Procedure[None]:
+        """Do what is due now, from what the rows say."""
+        snapshot = yield from self._load(grant)
+        for plan in self._planners:
+            for action in plan(snapshot):
+                yield from self._apply(grant, snapshot, action)
+
+    def _apply(
+        self, grant: DutyGrant, snapshot: FleetSnapshot, action: Action
+    ) -> Procedure[None]:
+        writer = FleetWriter(self._store, grant, snapshot)
+        try:
+            is_applied = yield from writer.apply(action)
+        except (StoreAwayError, WriteUncertainError):
+            self._rows = None
+            raise
+        if not is_applied:
+            # The rows are not what the plan took them for.
+            self._rows = None
+        elif isinstance(action, AbandonDrain):
+            now_s = yield from self._store.now_s()
+            self._held_back_until_s[action.vm] = now_s + HOLD_BACK_S
+
+    def _load(self, grant: DutyGrant) -> Procedure[FleetSnapshot]:
+        head = yield from self._load_head()
+        if self._rows is None or self._rows_fencing != grant.fencing:
+            self._rows = yield from load_fleet_rows(self._store)
+            self._rows_fencing = grant.fencing
+        now_s = yield from self._store.now_s()
+        yield from self._observe_listing(now_s)
+        entry_vms: tuple[EntryVmRow, ...] = ()
+        acks: dict[IncarnationId, DrainAckRow] = {}
+        if any(row.state is VmState.DRAINING for row in self._rows.vms.values()):
+            # In this order: an entry VM that starts later reads the drain first.
+            acks = yield from self._load_acks()
+            entry_vms = yield from self._load_entry_vms()
+        return FleetSnapshot(
+            now_s=(yield from self._store.unix_time_s()),
+            fleet=head.fleet,
+            head_version=head.version,
+            rows=self._rows,
+            liveness=self._listing.liveness(
+                {**head.fleet.vms, **self._rows.vms}, now_s
+            ),
+            entry_vms=entry_vms,
+            drain_acks=acks,
+            reboots=(yield from self._ask_reboots(self._rows)),
+            held_back=frozenset(
+                vm for vm, until_s in self._held_back_until_s.items() if now_s < until_s
+            ),
+        )
+
+    def _load_head(self) -> Procedure[Head]:
+        """Return the newest head; its snapshot is fetched only when it has moved."""
+        if self._head is not None:
+            row = yield from self._store.read(HEAD_KEY)
+            if row is not None and row.version == self._head.version:
+                return self._head
+        self._head = yield from load_head(self._store)
+        return self._head
+
+    def _observe_listing(self, now_s: float) -> Procedure[None]:
+        age_s = None if self._listed_at_s is None else now_s - self._listed_at_s
+        if age_s is None or age_s >= LISTING_MAX_AGE_S:
+            self._listing.observe((yield from self._store.list_vms()))
+            self._listed_at_s = now_s
+
+    def _load_acks(self) -> Procedure[dict[IncarnationId, DrainAckRow]]:
+        rows = yield from self._store.scan(DRAIN_ACK_PREFIX)
+        acks = (row.record for row in rows if isinstance(row.record, DrainAckRow))
+        return {ack.incarnation: ack for ack in acks}
+
+    def _load_entry_vms(self) -> Procedure[tuple[EntryVmRow, ...]]:
+        rows = yield from self._store.scan(ENTRY_VM_PREFIX)
+        return tuple(row.record for row in rows if isinstance(row.record, EntryVmRow))
+
+    def _ask_reboots(self, rows: FleetRows) -> Procedure[dict[VmId, RebootStatus]]:
+        answers: dict[VmId, RebootStatus] = {}
+        for row in rows.vms.values():
+            if row.state is VmState.IN_MAINTENANCE:
+                assert row.disruption is not None
+                ticket = reboot_ticket(row.vm_id, row.disruption.drain)
+                answers[row.vm_id] = yield from self._store.reboot(row.vm_id, ticket)
+        return answers
+
+
+def load_fleet_rows(store: StoreAccess) -> Procedure[FleetRows]:
+    """Return the rows of the fleet; raises `StoreAwayError`."""
+    rows = FleetRows()
+    for prefix in (VM_PREFIX, BUDGET_PREFIX, PLACEMENT_PREFIX, WAVE_PREFIX):
+        for row in (yield from store.scan(prefix)):
+            _add_row(rows, row)
+    return rows
+
+
+def _add_row(rows: FleetRows, row: VersionedRow) -> None:
+    match row.record:
+        case VmRow() as vm:
+            rows.vms[vm.vm_id] = vm
+        case BudgetRow() as budget:
+            rows.budgets[budget.pool] = budget
+        case PlacementRow() as placement:
+            rows.placements[placement.data_centre] = placement
+        case WaveRow() as wave:
+            rows.waves[wave.wave] = wave
--- a/currantstage/coordination/_procedures.py
+++ b/currantstage/coordination/_procedures.py
@@ -16,11 +16,14 @@
     AttemptId,
     ListedVm,
     ObjectName,
+    RebootStatus,
+    RebootTicket,
     RowKey,
     StoredGeneration,
     TransactionItem,
     TransactionOutcome,
     VersionedRow,
+    VmId,
 )
 
 T = TypeVar("T")
@@ -82,6 +85,19 @@
     """Read the platform's lagging list; the reply is `VmsListed`."""
 
 
+@dataclass(frozen=True, slots=True)
+class RebootVm:
+    """Have the platform reboot a VM once a ticket; the reply is `RebootAnswered`."""
+
+    vm: VmId
+    ticket: RebootTicket
+
+
+@dataclass(frozen=True, slots=True)
+class ReadUnixTime:
+    """Read the time of day; the reply is `ClockRead`."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadClock:
     """Read the monotonic clock between two calls; the reply is `ClockRead`."""
@@ -136,9 +152,16 @@
     vms: tuple[ListedVm, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RebootAnswered:
+    """How far the platform has come with a reboot."""
+
+    status: RebootStatus
+
+
 @dataclass(frozen=True, slots=True)
 class ClockRead:
-    """The time on this process's monotonic clock, in seconds."""
+    """The time on the clock that was read, in seconds."""
 
     now_s: float
 
@@ -171,8 +194,9 @@
     | ListObjects
     | DeleteObject
     | ListVms
+    | RebootVm
 )
-StoreCall: TypeAlias = PlatformCall | ReadClock | Pause
+StoreCall: TypeAlias = PlatformCall | ReadClock | ReadUnixTime | Pause
 StoreReply: TypeAlias = (
     RowRead
     | RowsScanned
@@ -180,6 +204,7 @@
     | ObjectFetched
     | ObjectsListed
     | VmsListed
+    | RebootAnswered
     | ClockRead
     | Done
     | StoreFailed
--- a/currantstage/coordination/_store_access.py
+++ b/currantstage/coordination/_store_access.py
@@ -20,6 +20,9 @@
     PutObject,
     ReadClock,
     ReadRow,
+    ReadUnixTime,
+    RebootAnswered,
+    RebootVm,
     RowRead,
     RowsScanned,
     ScanRows,
@@ -39,9 +42,12 @@
         ListedVm,
         ObjectName,
         Random,
+        RebootStatus,
+        RebootTicket,
         RowKey,
         StoredGeneration,
         VersionedRow,
+        VmId,
     )
 
 ReplyT = TypeVar("ReplyT")
@@ -126,6 +132,17 @@
         reply = yield from self._repeat(ListVms(), VmsListed)
         return reply.vms
 
+    def reboot(self, vm: VmId, ticket: RebootTicket) -> Procedure[RebootStatus]:
+        """Have the platform reboot `vm` once for `ticket`; raises `StoreAwayError`."""
+        reply = yield from self._repeat(RebootVm(vm, ticket), RebootAnswered)
+        return reply.status
+
+    def unix_time_s(self) -> Procedure[float]:
+        """Return the time of day, in seconds; for records, never for leases."""
+        reply = yield ReadUnixTime()
+        assert isinstance(reply, ClockRead)
+        return reply.now_s
+
     def now_s(self) -> Procedure[float]:
         """Return the time on this process's monotonic clock, in seconds."""
         reply = yield ReadClock()
--- /dev/null
+++ b/currantstage/coordination/_vm_listing.py
@@ -0,0 +1,59 @@
+"""Make sense of the platform's lagging list of VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.state import VmLiveness
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from currantstage.state import ListedVm, VmId
+
+#: Time for which a VM that was never listed is taken as live, in seconds: the list
+#: lags behind the note that adds the VM.
+UNLISTED_GRACE_S = 60.0
+
+
+class VmListing:
+    """Remembers what the list has shown, to tell late VMs from gone ones."""
+
+    def __init__(self) -> None:
+        self._liveness: dict[VmId, VmLiveness] = {}
+        self._was_listed: set[VmId] = set()
+        self._awaited_since_s: dict[VmId, float] = {}
+
+    def observe(self, listed: Iterable[ListedVm]) -> None:
+        """Take what the list shows now.
+
+        An empty list is no evidence that the whole fleet is gone, and is ignored.
+        """
+        liveness = {line.vm_id: line.liveness for line in listed}
+        if liveness:
+            self._liveness = liveness
+            self._was_listed.update(liveness)
+
+    def liveness(
+        self, expected: Iterable[VmId], now_s: float
+    ) -> Mapping[VmId, VmLiveness]:
+        """Return the liveness of the `expected` VMs; those that are gone are missing.
+
+        Parameters
+        ----------
+        expected : iterable of VmId
+            The VMs of the fleet.
+        now_s : float
+            Monotonic time, in seconds.
+        """
+        known = dict(self._liveness)
+        for vm in expected:
+            if vm not in self._was_listed and self._is_awaited(vm, now_s):
+                known[vm] = VmLiveness.LIVE
+        return known
+
+    def _is_awaited(self, vm: VmId, now_s: float) -> bool:
+        if not self._liveness:
+            return True
+        since_s = self._awaited_since_s.setdefault(vm, now_s)
+        return now_s - since_s < UNLISTED_GRACE_S
--- /dev/null
+++ b/currantstage/coordination/_vm_transitions.py
@@ -0,0 +1,260 @@
+"""State transitions of a VM, each with its entry in the pool's budget."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, TypeAlias
+
+from msgspec.structs import replace
+from returns.result import Failure, Result, Success
+
+from currantstage.coordination._budgets import add_outage, has_room, release, reserve
+from currantstage.coordination._fleet_actions import (
+    AbandonDrain,
+    BeginMaintenance,
+    BeginMove,
+    BeginWithdrawal,
+    CompleteDrain,
+    FinishMaintenance,
+    MarkServing,
+    MarkUnavailable,
+    Rehome,
+)
+from currantstage.coordination._placement_rows import clear_vm, next_drain, place_vm
+from currantstage.state import Disruption, DisruptionKind, VmState
+
+if TYPE_CHECKING:
+    from currantstage.coordination._fleet_actions import VmAction
+    from currantstage.coordination._fleet_snapshot import FleetSnapshot
+    from currantstage.state import (
+        BudgetRow,
+        DrainNumber,
+        PlacementRow,
+        PoolId,
+        VmRow,
+    )
+
+#: Time over which moves are counted against their bound, in seconds.
+MOVE_WINDOW_S = 3600.0
+
+
+class TransitionRefusal(Enum):
+    """Why a planned transition is not made."""
+
+    #: The VM is no longer in the state that was planned for.
+    STATE_CHANGED = "state-changed"
+    BUDGET_SPENT = "budget-spent"
+    NOT_LIVE = "not-live"
+
+
+@dataclass(frozen=True, slots=True)
+class VmRecords:
+    """The rows that change together when a VM changes its state.
+
+    Parameters
+    ----------
+    vm : VmRow or None
+        None once the VM is removed.
+    budget : BudgetRow
+        Budget of the pool that the VM was in.
+    placement : PlacementRow
+        Placement of the VM's data centre.
+    """
+
+    vm: VmRow | None
+    budget: BudgetRow
+    placement: PlacementRow
+
+
+TransitionResult: TypeAlias = Result[VmRecords, TransitionRefusal]
+_STATE_CHANGED: TransitionResult = Failure(TransitionRefusal.STATE_CHANGED)
+_NOT_LIVE: TransitionResult = Failure(TransitionRefusal.NOT_LIVE)
+
+
+def make_transition(
+    records: VmRecords, snapshot: FleetSnapshot, action: VmAction
+) -> TransitionResult:
+    """Return the records after `action`, or why it is not done.
+
+    Parameters
+    ----------
+    records : VmRecords
+        The rows as they were just read; `action` may have been planned on older ones.
+    snapshot : FleetSnapshot
+    action : VmAction
+    """
+    vm = records.vm
+    if vm is None:
+        return _STATE_CHANGED
+    match action:
+        case Rehome():
+            return _rehome(records, vm, snapshot)
+        case MarkUnavailable():
+            return _mark_unavailable(records, vm)
+        case MarkServing():
+            return _mark_serving(records, vm, snapshot)
+        case BeginMove() | BeginMaintenance():
+            return _begin_disruption(records, vm, snapshot, action)
+        case BeginWithdrawal():
+            return _begin_withdrawal(records, vm, snapshot)
+        case AbandonDrain() | CompleteDrain():
+            return _end_drain(records, vm, snapshot, action)
+        case FinishMaintenance(drain=drain):
+            return _finish_maintenance(records, vm, snapshot, drain)
+
+
+def _rehome(records: VmRecords, vm: VmRow, snapshot: FleetSnapshot) -> TransitionResult:
+    assigned = snapshot.fleet.vms.get(vm.vm_id)
+    if assigned is None:
+        return _STATE_CHANGED
+    return Success(_changed(records, replace(vm, home=assigned.pool), records.budget))
+
+
+def _mark_unavailable(records: VmRecords, vm: VmRow) -> TransitionResult:
+    if vm.state is not VmState.SERVING:
+        return _STATE_CHANGED
+    budget = add_outage(records.budget, vm.vm_id, vm.rack)
+    return Success(_changed(records, replace(vm, state=VmState.UNAVAILABLE), budget))
+
+
+def _mark_serving(
+    records: VmRecords, vm: VmRow, snapshot: FleetSnapshot
+) -> TransitionResult:
+    if vm.state is not VmState.UNAVAILABLE:
+        return _STATE_CHANGED
+    if not snapshot.is_live(vm.vm_id):
+        return _NOT_LIVE
+    return Success(_put_back(records, vm, snapshot))
+
+
+def _begin_disruption(
+    records: VmRecords,
+    vm: VmRow,
+    snapshot: FleetSnapshot,
+    action: BeginMove | BeginMaintenance,
+) -> TransitionResult:
+    if vm.state is not VmState.SERVING:
+        return _STATE_CHANGED
+    if not snapshot.is_live(vm.vm_id):
+        return _NOT_LIVE
+    pool = snapshot.fleet.pools.get(vm.pool)
+    if not has_room(pool, records.budget, vm.vm_id, vm.rack):
+        return Failure(TransitionRefusal.BUDGET_SPENT)
+    drain = next_drain(records.placement)
+    if isinstance(action, BeginMove):
+        disruption = Disruption(
+            kind=DisruptionKind.MOVE,
+            drain=drain,
+            started_at_s=snapshot.now_s,
+            target=action.target,
+        )
+    else:
+        disruption = Disruption(
+            kind=DisruptionKind.MAINTENANCE,
+            drain=drain,
+            started_at_s=snapshot.now_s,
+            wave=action.wave,
+            wave_round=action.wave_round,
+        )
+    draining = replace(vm, state=VmState.DRAINING, disruption=disruption)
+    budget = reserve(records.budget, vm.vm_id, vm.rack)
+    return Success(_changed(records, draining, budget))
+
+
+def _begin_withdrawal(
+    records: VmRecords, vm: VmRow, snapshot: FleetSnapshot
+) -> TransitionResult:
+    # A withdrawn VM is no part of its pool's capacity any more, so it neither
+    # needs budget nor holds any, whatever was planned for it before.
+    disruption = Disruption(
+        kind=DisruptionKind.WITHDRAWAL,
+        drain=next_drain(records.placement),
+        started_at_s=snapshot.now_s,
+    )
+    draining = replace(vm, state=VmState.DRAINING, disruption=disruption)
+    return Success(_changed(records, draining, release(records.budget, vm.vm_id)))
+
+
+def _end_drain(
+    records: VmRecords,
+    vm: VmRow,
+    snapshot: FleetSnapshot,
+    action: AbandonDrain | CompleteDrain,
+) -> TransitionResult:
+    disruption = vm.disruption
+    is_expected = disruption is not None and disruption.drain == action.drain
+    if vm.state is not VmState.DRAINING or not is_expected:
+        return _STATE_CHANGED
+    if isinstance(action, AbandonDrain):
+        return Success(_put_back(records, vm, snapshot))
+    return _complete_drain(records, vm, snapshot)
+
+
+def _complete_drain(
+    records: VmRecords, vm: VmRow, snapshot: FleetSnapshot
+) -> TransitionResult:
+    assert vm.disruption is not None
+    match vm.disruption.kind:
+        case DisruptionKind.MAINTENANCE:
+            maintained = replace(vm, state=VmState.IN_MAINTENANCE)
+            return Success(_changed(records, maintained, records.budget))
+        case DisruptionKind.WITHDRAWAL:
+            budget = release(records.budget, vm.vm_id)
+            return Success(VmRecords(None, budget, clear_vm(records.placement, vm)))
+        case DisruptionKind.MOVE:
+            assert vm.disruption.target is not None
+            return Success(_land(records, vm, vm.disruption.target, snapshot))
+
+
+def _land(
+    records: VmRecords, vm: VmRow, target: PoolId, snapshot: FleetSnapshot
+) -> VmRecords:
+    """Put a drained VM into `target`, or back when either of them is gone."""
+    if target not in snapshot.fleet.pools or not snapshot.is_live(vm.vm_id):
+        return _put_back(records, vm, snapshot)
+    assigned = snapshot.fleet.vms.get(vm.vm_id)
+    # The note may have assigned yet another pool by now; the old home then stays on
+    # record, so that the difference leads to the next move.
+    is_home = assigned is not None and assigned.pool == target
+    moved = replace(
+        vm,
+        pool=target,
+        home=target if is_home else vm.home,
+        state=VmState.SERVING,
+        disruption=None,
+    )
+    after = _changed(records, moved, release(records.budget, vm.vm_id))
+    oldest_s = snapshot.now_s - MOVE_WINDOW_S
+    recent = tuple(at_s for at_s in after.placement.moves_at_s if at_s > oldest_s)
+    placement = replace(after.placement, moves_at_s=(*recent, snapshot.now_s))
+    return VmRecords(moved, after.budget, placement)
+
+
+def _put_back(records: VmRecords, vm: VmRow, snapshot: FleetSnapshot) -> VmRecords:
+    """Let the VM serve in the pool that it is in, if it is live."""
+    budget = release(records.budget, vm.vm_id)
+    if snapshot.is_live(vm.vm_id):
+        back = replace(vm, state=VmState.SERVING, disruption=None)
+        return _changed(records, back, budget)
+    gone = replace(vm, state=VmState.UNAVAILABLE, disruption=None)
+    return _changed(records, gone, add_outage(budget, vm.vm_id, vm.rack))
+
+
+def _finish_maintenance(
+    records: VmRecords, vm: VmRow, snapshot: FleetSnapshot, drain: DrainNumber
+) -> TransitionResult:
+    disruption = vm.disruption
+    is_expected = disruption is not None and disruption.drain == drain
+    if vm.state is not VmState.IN_MAINTENANCE or not is_expected:
+        return _STATE_CHANGED
+    if not snapshot.is_live(vm.vm_id):
+        return _NOT_LIVE
+    assert disruption is not None
+    assert disruption.wave is not None
+    rounds = {**vm.completed_rounds, disruption.wave: disruption.wave_round}
+    return Success(_put_back(records, replace(vm, completed_rounds=rounds), snapshot))
+
+
+def _changed(records: VmRecords, vm: VmRow, budget: BudgetRow) -> VmRecords:
+    return VmRecords(vm, budget, place_vm(records.placement, vm))
--- a/currantstage/protocol/_store_codec.py
+++ b/currantstage/protocol/_store_codec.py
@@ -12,6 +12,7 @@
     AttemptId,
     ListedVm,
     ObjectName,
+    RebootStatus,
     Record,
     RowCheck,
     RowKey,
@@ -74,6 +75,12 @@
     vms: tuple[ListedVm, ...]
 
 
+class WireReboot(Struct, frozen=True, kw_only=True):
+    """Answer of the platform about a reboot."""
+
+    status: RebootStatus
+
+
 class _RowBody(Struct, frozen=True, kw_only=True):
     attempt: AttemptId
     record: Record
@@ -147,6 +154,11 @@
     return decode(body, WireListing).vms
 
 
+def decode_reboot(body: bytes) -> RebootStatus:
+    """Return how far a reboot has come; raises `DecodeError`."""
+    return decode(body, WireReboot).status
+
+
 def decode(body: bytes, expected: type[T]) -> T:
     """Return the JSON message in `body`; raises `DecodeError`."""
     try:
--- a/currantstage/standin/_platform.py
+++ b/currantstage/standin/_platform.py
@@ -9,8 +9,9 @@
 import msgspec
 from aiohttp import web
 
-from currantstage.protocol import WireTransaction
+from currantstage.protocol import WireReboot, WireTransaction
 from currantstage.standin._table import PlatformContent
+from currantstage.state import RebootTicket, VmId
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -61,6 +62,7 @@
                 web.get("/objects", self._list_names),
                 web.delete("/objects/{name:.+}", self._delete_object),
                 web.get("/vms", self._vms),
+                web.put("/vms/{vm}/reboots/{ticket:.+}", self._reboot),
             ]
         )
         self._runner = await start_site(app, self._address)
@@ -114,6 +116,11 @@
         self.content.delete_object(request.match_info["name"])
         return web.Response()
 
+    async def _reboot(self, request: web.Request) -> web.Response:
+        ticket = RebootTicket(request.match_info["ticket"])
+        status = self.content.reboot(VmId(request.match_info["vm"]), ticket)
+        return _json(WireReboot(status=status))
+
     async def _vms(self, _: web.Request) -> web.Response:
         return _json(self.content.list_vms())
 
--- a/currantstage/standin/_table.py
+++ b/currantstage/standin/_table.py
@@ -13,7 +13,16 @@
     WireTransaction,
     WireWrite,
 )
-from currantstage.state import ABSENT, ListedVm, ObjectName, RowKey, TransactionOutcome
+from currantstage.state import (
+    ABSENT,
+    ListedVm,
+    ObjectName,
+    RebootStatus,
+    RebootTicket,
+    RowKey,
+    TransactionOutcome,
+    VmId,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -30,6 +39,8 @@
         self._last_version = 0
         self._objects: dict[str, bytes] = {}
         self._vms: tuple[ListedVm, ...] = ()
+        #: VM of each ticket for which a reboot was asked.
+        self.reboots: dict[RebootTicket, VmId] = {}
 
     def read(self, key: str) -> WireRows:
         """Return the row under `key`, if any."""
@@ -79,6 +90,13 @@
         """Delete an object, if there is one."""
         self._objects.pop(name, None)
 
+    def reboot(self, vm: VmId, ticket: RebootTicket) -> RebootStatus:
+        """Count one reboot a ticket; the second question finds it done."""
+        if ticket in self.reboots:
+            return RebootStatus.DONE
+        self.reboots[ticket] = vm
+        return RebootStatus.PENDING
+
     def list_vms(self) -> WireListing:
         """Return the list as it shows now."""
         return WireListing(vms=self._vms)
--- a/currantstage/state/_ids.py
+++ b/currantstage/state/_ids.py
@@ -25,6 +25,10 @@
 AttemptId = NewType("AttemptId", str)
 #: Rises with each holder of a duty's lease.
 FencingNumber = NewType("FencingNumber", int)
+#: Names one drain of a VM; rises with each change in the VM's data centre.
+DrainNumber = NewType("DrainNumber", int)
+#: Names one reboot, so that the platform does it once however often it is asked.
+RebootTicket = NewType("RebootTicket", str)
 RowKey = NewType("RowKey", str)
 #: Version of a row in the table service; zero means that the row is absent.
 RowVersion = NewType("RowVersion", int)
--- a/currantstage/state/_ports.py
+++ b/currantstage/state/_ports.py
@@ -12,7 +12,13 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.state._ids import AttemptId, EntryVmId, ObjectName, RowKey
+    from currantstage.state._ids import (
+        AttemptId,
+        EntryVmId,
+        ObjectName,
+        RebootTicket,
+        RowKey,
+    )
     from currantstage.state._rows import (
         StoredGeneration,
         TransactionItem,
@@ -77,6 +83,20 @@
         """Return what the list shows now, which may be several seconds old."""
 
 
+class RebootStatus(Enum):
+    """How far the platform has come with a reboot."""
+
+    PENDING = "pending"
+    DONE = "done"
+
+
+class VmRebooter(Protocol):
+    """The platform's reboot of drained VMs."""
+
+    async def reboot(self, vm: VmId, ticket: RebootTicket) -> RebootStatus:
+        """Reboot `vm` once for this `ticket`, and tell how far that has come."""
+
+
 class PeerLink(Protocol):
     """Sends messages to the other entry VMs, without promise of delivery."""
 
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -21,6 +21,13 @@
     RowVersion,
 )
 from currantstage.state._notes import ReleaseNote
+from currantstage.state._vm_rows import (
+    BudgetRow,
+    DrainAckRow,
+    PlacementRow,
+    VmRow,
+    WaveRow,
+)
 
 HEAD_KEY = RowKey("head")
 ENTRY_VM_PREFIX = RowKey("entry-vm/")
@@ -100,7 +107,10 @@
     fencing: FencingNumber
 
 
-Record: TypeAlias = HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
+FleetRecord: TypeAlias = VmRow | BudgetRow | PlacementRow | DrainAckRow | WaveRow
+Record: TypeAlias = (
+    HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow | FleetRecord
+)
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
--- a/currantstage/transport/_platform.py
+++ b/currantstage/transport/_platform.py
@@ -12,6 +12,7 @@
     decode_listing,
     decode_names,
     decode_outcome,
+    decode_reboot,
     decode_rows,
     encode_generation,
     encode_transaction,
@@ -26,11 +27,14 @@
         AttemptId,
         ListedVm,
         ObjectName,
+        RebootStatus,
+        RebootTicket,
         RowKey,
         StoredGeneration,
         TransactionItem,
         TransactionOutcome,
         VersionedRow,
+        VmId,
     )
 
 T = TypeVar("T")
@@ -40,7 +44,7 @@
 
 
 class PlatformClient:
-    """Implements `TableService`, `ObjectStore` and `VmDirectory` over HTTP.
+    """Implements the ports to the platform's service over HTTP.
 
     Parameters
     ----------
@@ -114,6 +118,11 @@
         """Return what the platform's list shows now."""
         return _decoded(decode_listing, await self._call("GET", "/vms"))
 
+    async def reboot(self, vm: VmId, ticket: RebootTicket) -> RebootStatus:
+        """Reboot `vm` once for this `ticket`, and tell how far that has come."""
+        body = await self._call("PUT", f"/vms/{vm}/reboots/{ticket}")
+        return _decoded(decode_reboot, body)
+
     async def _call(
         self,
         method: str,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,6 +21,9 @@
     PutObject,
     ReadClock,
     ReadRow,
+    ReadUnixTime,
+    RebootAnswered,
+    RebootVm,
     RetryPolicy,
     RowRead,
     RowsScanned,
@@ -37,12 +40,15 @@
     ABSENT,
     ListedVm,
     ObjectName,
+    RebootStatus,
+    RebootTicket,
     RowCheck,
     RowKey,
     RowVersion,
     StoredGeneration,
     TransactionOutcome,
     VersionedRow,
+    VmId,
 )
 
 T = TypeVar("T")
@@ -77,6 +83,13 @@
         #: Decides about each call; replaced by tests.
         self.choose_fault: Callable[[StoreCall], Fault] = lambda call: Fault.NONE
         self._last_version = 0
+        #: VM of each ticket for which a reboot was asked.
+        self.reboots: dict[RebootTicket, VmId] = {}
+        #: Tells how far a reboot has come; replaced by tests.
+        self.reboot_status: Callable[[RebootTicket], RebootStatus] = lambda ticket: (
+            RebootStatus.DONE
+        )
+        self.unix_clock = FakeClock()
         #: Clock of the processes that have none of their own.
         self.clock = FakeClock()
 
@@ -85,6 +98,8 @@
         self.calls.append(call)
         if isinstance(call, ReadClock):
             return ClockRead((clock or self.clock).now_s())
+        if isinstance(call, ReadUnixTime):
+            return ClockRead(self.unix_clock.now_s())
         if isinstance(call, Pause):
             return Done()
         fault = self.choose_fault(call)
@@ -126,6 +141,9 @@
                 return Done()
             case ListVms():
                 return VmsListed(self.vms)
+            case RebootVm(vm, ticket):
+                self.reboots.setdefault(ticket, vm)
+                return RebootAnswered(self.reboot_status(ticket))
         raise AssertionError(call)
 
     def _transact(self, call: Transact) -> TransactionOutcome:
