--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -2,6 +2,29 @@
 
 from __future__ import annotations
 
+from currantstage.coordination._admission import (
+    MAX_RETRY_AFTER_S,
+    RETRY_AFTER_S,
+    check_still_allowed,
+    check_submission,
+    estimate_wait_s,
+    find_longest_line,
+    is_hopeless,
+    retry_after_s,
+)
+from currantstage.coordination._attempts import (
+    FIRST_RETRY_PAUSE_S,
+    MAX_SAVED_RETRIES,
+    MAX_TRIES,
+    RETRIES_PER_REQUEST,
+    UNREACHABLE_RETRY_AFTER_S,
+    Attempts,
+    Finish,
+    Retry,
+    RetryBudget,
+    Step,
+    is_server_error,
+)
 from currantstage.coordination._budgets import (
     add_outage,
     has_room,
@@ -12,6 +35,12 @@
     Configuration,
     Membership,
 )
+from currantstage.coordination._connection_health import (
+    FIRST_PROBE_PAUSE_S,
+    MAX_PROBE_PAUSE_S,
+    ServerHealth,
+    ServerState,
+)
 from currantstage.coordination._demand import (
     MIN_OBSERVED,
     NO_NEED,
@@ -23,11 +52,17 @@
     VmNeed,
 )
 from currantstage.coordination._dispatch import (
-    RETRY_AFTER_S,
-    Assignment,
+    END_MARGIN_S,
     Dispatcher,
-    RequestEnd,
-    conclude,
+)
+from currantstage.coordination._dispatch_effects import (
+    MIN_WEIGHT_SLOTS,
+    Assignment,
+    DispatchEffect,
+    Refuse,
+    ReleaseAt,
+    Start,
+    Wait,
 )
 from currantstage.coordination._drain_follower import (
     DrainFollower,
@@ -44,6 +79,19 @@
     StoreContentError,
     WriteUncertainError,
 )
+from currantstage.coordination._estimates import (
+    MIN_OBSERVATIONS,
+    WINDOW_OBSERVATIONS,
+    QuantileWindow,
+    RunTimeEstimates,
+)
+from currantstage.coordination._fault_tracking import (
+    LONG_QUANTILE,
+    MIN_SILENCE_S,
+    SILENCE_FACTOR,
+    UNKNOWN_SILENCE_S,
+    FaultTracker,
+)
 from currantstage.coordination._fleet_actions import (
     AbandonDrain,
     Action,
@@ -74,9 +122,17 @@
 from currantstage.coordination._fleet_writer import (
     FleetWriter,
 )
+from currantstage.coordination._jobs import (
+    NO_SIZE,
+    JobSize,
+    Submission,
+    capacity_of,
+    largest_capacity,
+)
 from currantstage.coordination._keys import (
     digest_secret,
     identify_team,
+    key_id_of,
 )
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
@@ -118,9 +174,27 @@
     Outcome,
     Refusal,
     RefusalReason,
+    RequestEnd,
     SendFailure,
+    SizeShortage,
     Uncertain,
 )
+from currantstage.coordination._outliers import (
+    FIRST_EJECTION_S,
+    MAX_CHANCE,
+    MAX_EJECTED_FRACTION,
+    MAX_EJECTION_S,
+    MIN_FAILURE_RATE,
+    RECENT_RESULTS,
+    OutlierDetector,
+)
+from currantstage.coordination._placement import (
+    AttributedRing,
+    Candidate,
+    LeastLoaded,
+    Placement,
+    PowerOfTwoChoices,
+)
 from currantstage.coordination._placement_rows import (
     clear_vm,
     next_drain,
@@ -166,6 +240,9 @@
     is_overdue,
     plan_reconciliation,
 )
+from currantstage.coordination._round_robin import (
+    RoundRobinShares,
+)
 from currantstage.coordination._row_batch import (
     Fence,
     RowBatch,
@@ -177,6 +254,9 @@
     RetryPolicy,
     StoreAccess,
 )
+from currantstage.coordination._topology import (
+    Topology,
+)
 from currantstage.coordination._vm_listing import (
     UNLISTED_GRACE_S,
     VmListing,
@@ -188,10 +268,19 @@
     VmRecords,
     make_transition,
 )
+from currantstage.coordination._waiting import (
+    NO_TEAM,
+    QueueLine,
+    TeamLine,
+    WaitingRequest,
+)
 from currantstage.coordination._wave_plan import (
     plan_waves,
     unfinished_vms,
 )
+from currantstage.coordination._worker_room import (
+    WorkerRoom,
+)
 
 __all__ = [
     "ATTEMPT_ID_BITS",
@@ -199,9 +288,12 @@
     "Action",
     "Answer",
     "Assignment",
+    "Attempts",
+    "AttributedRing",
     "BeginMaintenance",
     "BeginMove",
     "BeginWithdrawal",
+    "Candidate",
     "ClockRead",
     "Committed",
     "CompleteDrain",
@@ -210,14 +302,21 @@
     "DUTY_LEASE_S",
     "DeleteObject",
     "DemandEstimator",
+    "DispatchEffect",
     "Dispatcher",
     "Done",
     "DrainFollower",
     "Duty",
     "DutyGrant",
     "DutyLeases",
+    "END_MARGIN_S",
+    "FIRST_EJECTION_S",
+    "FIRST_PROBE_PAUSE_S",
+    "FIRST_RETRY_PAUSE_S",
     "FLEET_INTERVAL_S",
+    "FaultTracker",
     "Fence",
+    "Finish",
     "FinishMaintenance",
     "FleetDuty",
     "FleetRows",
@@ -228,22 +327,38 @@
     "HOLD_BACK_S",
     "Head",
     "IdT",
+    "JobSize",
     "LISTING_MAX_AGE_S",
+    "LONG_QUANTILE",
+    "LeastLoaded",
     "ListObjects",
     "ListVms",
     "LocalTeamLimiter",
     "LocalWorkerSlots",
+    "MAX_CHANCE",
     "MAX_CLOCK_DRIFT",
     "MAX_CONFIG_LEASE_S",
     "MAX_DRAIN_S",
+    "MAX_EJECTED_FRACTION",
+    "MAX_EJECTION_S",
+    "MAX_PROBE_PAUSE_S",
+    "MAX_RETRY_AFTER_S",
+    "MAX_SAVED_RETRIES",
+    "MAX_TRIES",
     "MIN_CONFIG_LEASE_S",
+    "MIN_FAILURE_RATE",
+    "MIN_OBSERVATIONS",
     "MIN_OBSERVED",
+    "MIN_SILENCE_S",
+    "MIN_WEIGHT_SLOTS",
     "MOVE_WINDOW_S",
     "MarkServing",
     "MarkUnavailable",
     "Membership",
     "MovePolicy",
     "NO_NEED",
+    "NO_SIZE",
+    "NO_TEAM",
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
@@ -253,11 +368,18 @@
     "ObjectFetched",
     "ObjectsListed",
     "Outcome",
+    "OutlierDetector",
     "Pause",
+    "Placement",
     "PlatformCall",
+    "PowerOfTwoChoices",
     "Procedure",
     "PutObject",
+    "QuantileWindow",
+    "QueueLine",
+    "RECENT_RESULTS",
     "REGISTER_BATCH_SIZE",
+    "RETRIES_PER_REQUEST",
     "RETRY_AFTER_S",
     "ReadClock",
     "ReadRow",
@@ -267,34 +389,51 @@
     "RecordT",
     "Refusal",
     "RefusalReason",
+    "Refuse",
     "RegisterVms",
     "Rehome",
+    "ReleaseAt",
     "ReplyT",
     "RequestEnd",
+    "Retry",
+    "RetryBudget",
     "RetryPolicy",
+    "RoundRobinShares",
     "RowBatch",
     "RowRead",
     "RowT",
     "RowsScanned",
+    "RunTimeEstimates",
     "SHARE_TIME_S",
+    "SILENCE_FACTOR",
     "SPELL_WEIGHT",
     "ScanRows",
     "SendFailure",
+    "ServerHealth",
+    "ServerState",
     "SharePolicy",
+    "SizeShortage",
+    "Start",
     "StartRound",
+    "Step",
     "StoreAccess",
     "StoreAwayError",
     "StoreCall",
     "StoreContentError",
     "StoreFailed",
     "StoreReply",
+    "Submission",
     "TeamLimiter",
+    "TeamLine",
     "TeamLoad",
+    "Topology",
     "Transact",
     "Transacted",
     "TransitionRefusal",
     "TransitionResult",
+    "UNKNOWN_SILENCE_S",
     "UNLISTED_GRACE_S",
+    "UNREACHABLE_RETRY_AFTER_S",
     "UNWANTED_BELOW",
     "Uncertain",
     "VmAction",
@@ -303,18 +442,30 @@
     "VmRecords",
     "VmsListed",
     "WANTED_ABOVE",
+    "WINDOW_OBSERVATIONS",
+    "Wait",
+    "WaitingRequest",
+    "WorkerRoom",
     "WorkerSlots",
     "WriteUncertainError",
     "add_outage",
+    "capacity_of",
     "check_note",
+    "check_still_allowed",
+    "check_submission",
     "clear_vm",
     "commit_note",
-    "conclude",
     "digest_secret",
+    "estimate_wait_s",
+    "find_longest_line",
     "has_room",
     "identify_team",
+    "is_hopeless",
     "is_overdue",
+    "is_server_error",
+    "key_id_of",
     "lapse_s",
+    "largest_capacity",
     "load_fleet_rows",
     "load_head",
     "make_transition",
@@ -327,5 +478,6 @@
     "plan_waves",
     "release",
     "reserve",
+    "retry_after_s",
     "unfinished_vms",
 ]
