Carry out moves and maintenance as a duty of the daemon

Cause: the planners and rows stood alone; entry VMs took a VM's pool from the note, so that two entry VMs could use it for two pools.

Change: an entry VM takes work for a VM only in the pool that the placement names, acknowledges a drain once no request holds a slot there, those in doubt included, and reads the placement after its own row stands and before it serves. The fleet duty runs under its lease with waves and moves; demand goes round by a peer message.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -12,6 +12,10 @@
     PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
 from currantstage.application._dispatch_driver import (
     Admitted,
     DispatchDriver,
@@ -24,6 +28,10 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
@@ -47,15 +55,19 @@
 __all__ = [
     "Admitted",
     "ApplicationError",
+    "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
+    "DemandService",
     "DispatchDriver",
     "DutyRunner",
+    "FleetFollower",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
     "NoteService",
     "PEER_REFRESH_S",
+    "PLACEMENT_POLL_S",
     "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,8 +9,16 @@
 
 from eliot import log_message
 
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
@@ -20,16 +28,19 @@
     DUTY_LEASE_S,
     Configuration,
     CoordinationError,
+    DrainFollower,
     Duty,
     DutyLeases,
+    FleetDuty,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Membership,
     RetryPolicy,
     RoundRobinShares,
     StoreAccess,
+    plan_waves,
 )
-from currantstage.protocol import Heartbeat, PeerFrame
+from currantstage.protocol import DemandMessage, Heartbeat, PeerFrame
 from currantstage.state import FIRST_GENERATION, EntryVmRow, IncarnationId, VmLiveness
 from currantstage.transport import (
     BackendClient,
@@ -111,6 +122,15 @@
             settings.peers.secret.encode(),
         )
         self._peers.handle(Heartbeat, self._hear_heartbeat)
+        self._placed = self._build_fleet_follower()
+        self._demand = DemandService(
+            settings.entry_vm.id,
+            settings.entry_vm.data_centre,
+            self._configuration,
+            self._path,
+            self._clock,
+        )
+        self._peers.handle(DemandMessage, self._demand.hear)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
 
     @classmethod
@@ -153,11 +173,20 @@
         await self._own(self._platform)
         await self._own(self._path.backends)
         await self._follow_head()
+        # After this entry VM's row stands, and before it serves: so it knows of every
+        # drain whose end was decided without its acknowledgement.
+        await self._placed.follow()
         await self._own(self._sockets)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(self._probes)
+        await self._own(
+            DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
+        )
+        await self._own(
+            DutyLoop("exchange-demand", self._exchange_demand, DEMAND_INTERVAL_S)
+        )
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
@@ -198,7 +227,7 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return []
+        return [FleetDuty(self._store, (plan_waves, self._demand.plan))]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -233,8 +262,20 @@
         message = Heartbeat(generation=self._configuration.fleet.generation)
         self._peers.broadcast(self._sockets, message)
 
+    async def _exchange_demand(self) -> None:
+        self._demand.exchange(self._peers, self._sockets)
+
+    def _build_fleet_follower(self) -> FleetFollower:
+        row = self._membership.row
+        drains = DrainFollower(
+            self._store, row.data_centre, row.entry_vm, row.incarnation
+        )
+        return FleetFollower(self._runner, drains, self._configuration, self._path)
+
     def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
+        message = frame.message
+        assert isinstance(message, Heartbeat)
+        if self._configuration.lacks(message.generation):
             self._follow.wake()
 
     async def _leave(self) -> None:
--- /dev/null
+++ b/currantstage/application/_demand_service.py
@@ -0,0 +1,83 @@
+"""Exchange demand between entry VMs, and learn from it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination import (
+    DemandBoard,
+    DemandEstimator,
+    DemandReport,
+    MovePolicy,
+    most_vms_per_pool,
+    plan_moves,
+)
+from currantstage.protocol import DemandMessage
+
+if TYPE_CHECKING:
+    from currantstage.application._peer_service import PeerService
+    from currantstage.application._request_path import RequestPath
+    from currantstage.coordination import Action, Configuration, FleetSnapshot
+    from currantstage.protocol import PeerFrame
+    from currantstage.state import Clock, DataCentreId, EntryVmId, PeerLink
+
+#: Pause between two reports, in seconds.
+DEMAND_INTERVAL_S = 2.0
+
+
+class DemandService:
+    """Reports this entry VM's demand to its peers, and plans moves from theirs.
+
+    Every entry VM learns, so that whoever takes the fleet duty over knows the demand.
+
+    Parameters
+    ----------
+    entry_vm : EntryVmId
+    data_centre : DataCentreId
+    configuration : Configuration
+    path : RequestPath
+    clock : Clock
+    policy : MovePolicy, optional
+    """
+
+    def __init__(
+        self,
+        entry_vm: EntryVmId,
+        data_centre: DataCentreId,
+        configuration: Configuration,
+        path: RequestPath,
+        clock: Clock,
+        policy: MovePolicy | None = None,
+    ) -> None:
+        self._entry_vm = entry_vm
+        self._data_centre = data_centre
+        self._configuration = configuration
+        self._path = path
+        self._clock = clock
+        self._policy = policy or MovePolicy()
+        self._board = DemandBoard()
+        self._estimator = DemandEstimator()
+
+    def exchange(self, peers: PeerService, link: PeerLink) -> None:
+        """Report to all peers, and learn from the newest reports."""
+        now_s = self._clock.now_s()
+        slots = self._path.driver.demand_slots()
+        report = DemandReport(self._data_centre, slots)
+        self._board.receive(self._entry_vm, report, now_s)
+        message = DemandMessage(data_centre=self._data_centre, slots_of_queue=slots)
+        peers.broadcast(link, message)
+        fleet = self._configuration.fleet
+        self._estimator.observe(
+            now_s, self._board.demand_vms(fleet, now_s), most_vms_per_pool(fleet)
+        )
+
+    def hear(self, frame: PeerFrame) -> None:
+        """Take a peer's report."""
+        message = frame.message
+        assert isinstance(message, DemandMessage)
+        report = DemandReport(message.data_centre, message.slots_of_queue)
+        self._board.receive(frame.sender, report, self._clock.now_s())
+
+    def plan(self, snapshot: FleetSnapshot) -> tuple[Action, ...]:
+        """Return the moves that the demand learnt so far makes worthwhile."""
+        return plan_moves(snapshot, self._estimator, self._policy)
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -25,7 +25,7 @@
         Submission,
         WaitingRequest,
     )
-    from currantstage.state import Clock, RequestId, VmId
+    from currantstage.state import Clock, QueueId, RequestId, VmId
 
 Admitted: TypeAlias = Assignment | Refusal
 
@@ -75,6 +75,14 @@
         """Give nothing new to the servers `vms`."""
         self._apply(self._dispatcher.set_leaving(vms, self._clock.now_s()))
 
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`, those in doubt included."""
+        return self._dispatcher.held_requests(vm)
+
+    def demand_slots(self) -> dict[QueueId, int]:
+        """Return the running and waiting requests of each queue that has any."""
+        return self._dispatcher.demand_slots()
+
     def stop_admission(self) -> None:
         """Refuse new and waiting requests from now on."""
         self._apply(self._dispatcher.stop_admission())
--- /dev/null
+++ b/currantstage/application/_fleet_follower.py
@@ -0,0 +1,54 @@
+"""Keep one entry VM in line with the placement of its data centre."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from eliot import log_message
+
+if TYPE_CHECKING:
+    from currantstage.application._procedure_runner import ProcedureRunner
+    from currantstage.application._request_path import RequestPath
+    from currantstage.coordination import Configuration, DrainFollower
+
+#: Pause between two reads of the placement, in seconds.
+PLACEMENT_POLL_S = 1.0
+
+
+class FleetFollower:
+    """Puts placements in force, and acknowledges drains.
+
+    Parameters
+    ----------
+    runner : ProcedureRunner
+    drains : DrainFollower
+    configuration : Configuration
+    path : RequestPath
+    """
+
+    def __init__(
+        self,
+        runner: ProcedureRunner,
+        drains: DrainFollower,
+        configuration: Configuration,
+        path: RequestPath,
+    ) -> None:
+        self._runner = runner
+        self._drains = drains
+        self._configuration = configuration
+        self._path = path
+
+    async def follow(self) -> None:
+        """Put a newer placement in force, then acknowledge finished drains."""
+        if await self._runner.run(self._drains.follow()):
+            self.apply()
+            assert self._drains.placement is not None
+            log_message("currantstage:placed", number=self._drains.placement.number)
+        await self._runner.run(
+            self._drains.acknowledge(self._path.driver.held_requests)
+        )
+
+    def apply(self) -> None:
+        """Bring the request path in line with the placement."""
+        self._configuration.place(self._drains.pools())
+        self._path.driver.start_waiting()
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -51,6 +51,12 @@
     DemandEstimator,
     VmNeed,
 )
+from currantstage.coordination._demand_board import (
+    REPORT_MAX_AGE_S,
+    DemandBoard,
+    DemandReport,
+    most_vms_per_pool,
+)
 from currantstage.coordination._dispatch import (
     END_MARGIN_S,
     Dispatcher,
@@ -301,7 +307,9 @@
     "CoordinationError",
     "DUTY_LEASE_S",
     "DeleteObject",
+    "DemandBoard",
     "DemandEstimator",
+    "DemandReport",
     "DispatchEffect",
     "Dispatcher",
     "Done",
@@ -379,6 +387,7 @@
     "QueueLine",
     "RECENT_RESULTS",
     "REGISTER_BATCH_SIZE",
+    "REPORT_MAX_AGE_S",
     "RETRIES_PER_REQUEST",
     "RETRY_AFTER_S",
     "ReadClock",
@@ -469,6 +478,7 @@
     "load_fleet_rows",
     "load_head",
     "make_transition",
+    "most_vms_per_pool",
     "next_drain",
     "note_progress",
     "observer_wait_s",
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from currantstage.coordination._note_commit import load_head
 from currantstage.state import (
     ABSENT,
@@ -18,8 +20,11 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from currantstage.coordination._procedures import Procedure
     from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import PoolId, Vm, VmId
 
 
 class Configuration:
@@ -30,12 +35,35 @@
 
     def __init__(self) -> None:
         self._fleet = Fleet()
+        self._pools: Mapping[VmId, PoolId] | None = None
+        self._serving_fleet = self._fleet
 
     @property
     def fleet(self) -> Fleet:
         """The fleet in force."""
         return self._fleet
 
+    @property
+    def serving_fleet(self) -> Fleet:
+        """The fleet in force, with each VM in the pool in which it takes work.
+
+        A VM changes its pool when it has been drained, not when a note says so.
+        """
+        return self._serving_fleet
+
+    def takes_work(self, vm: VmId) -> bool:
+        """Return whether `vm` may get new work, as far as its placement goes.
+
+        Before the data centre has its first placement, every VM of the note may.
+        """
+        return self._pools is None or vm in self._pools
+
+    def place(self, pools: Mapping[VmId, PoolId] | None) -> None:
+        """Take note of the pools in which VMs of this data centre take work now."""
+        self._pools = pools
+        vms = {vm.vm_id: _placed(vm, pools or {}) for vm in self._fleet.vms.values()}
+        self._serving_fleet = replace(self._fleet, vms=vms)
+
     def lacks(self, generation: Generation) -> bool:
         """Return whether `generation` is newer than the one in force."""
         return generation > self._fleet.generation
@@ -45,9 +73,15 @@
         if not self.lacks(fleet.generation):
             return False
         self._fleet = fleet
+        self.place(self._pools)
         return True
 
 
+def _placed(vm: Vm, pools: Mapping[VmId, PoolId]) -> Vm:
+    pool = pools.get(vm.vm_id, vm.pool)
+    return vm if pool == vm.pool else replace(vm, pool=pool)
+
+
 class Membership:
     """Keeps this entry VM's row at the generation that it has applied.
 
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -97,6 +97,17 @@
         """Requests that hold a slot, those in doubt included."""
         return self._running_of_queue.total()
 
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`, those in doubt included."""
+        return self._room.held_requests(vm)
+
+    def demand_slots(self) -> dict[QueueId, int]:
+        """Return the running and waiting requests of each queue that has any."""
+        demand = Counter(self._running_of_queue)
+        for queue, line in self._lines.items():
+            demand[queue] += len(line)
+        return dict(+demand)
+
     def submit(
         self, request_id: RequestId, submission: Submission, now_s: float
     ) -> list[DispatchEffect]:
--- a/currantstage/coordination/_drain_follower.py
+++ b/currantstage/coordination/_drain_follower.py
@@ -21,7 +21,6 @@
         DataCentreId,
         DrainNumber,
         EntryVmId,
-        Fleet,
         IncarnationId,
         PoolId,
         VmId,
@@ -69,24 +68,12 @@
         self._placement = row.record
         return True
 
-    def pools(self) -> dict[VmId, PoolId]:
-        """Return the pool of each VM that takes work, as the placement has it."""
+    def pools(self) -> dict[VmId, PoolId] | None:
+        """Return the pool of each VM that takes work; None without a placement."""
         if self._placement is None:
-            return {}
+            return None
         return {vm: pool for pool, vms in self._placement.serving.items() for vm in vms}
 
-    def leaving(self, fleet: Fleet) -> frozenset[VmId]:
-        """Return the VMs of this data centre that get no new work."""
-        if self._placement is None:
-            return frozenset()
-        serving = self.pools()
-        return frozenset(
-            vm.vm_id
-            for vm in fleet.vms.values()
-            if fleet.pools[vm.pool].data_centre == self._data_centre
-            and vm.vm_id not in serving
-        )
-
     def acknowledge(self, held_requests: Callable[[VmId], int]) -> Procedure[None]:
         """Record the drains of VMs at which this entry VM holds no request.
 
--- a/currantstage/coordination/_topology.py
+++ b/currantstage/coordination/_topology.py
@@ -28,8 +28,12 @@
 
     @property
     def fleet(self) -> Fleet:
-        """The fleet in force."""
-        return self._configuration.fleet
+        """The fleet in force, with each VM in the pool in which it takes work."""
+        return self._configuration.serving_fleet
+
+    def takes_work(self, vm: VmId) -> bool:
+        """Return whether `vm` may get new work, as far as its placement goes."""
+        return self._configuration.takes_work(vm)
 
     def vms_of_queue(self, queue: QueueId) -> tuple[Vm, ...]:
         """Return the workers of this data centre that serve `queue`."""
@@ -47,7 +51,7 @@
         return self._queues_of_pool.get(pool, ())
 
     def _refresh(self) -> None:
-        fleet = self._configuration.fleet
+        fleet = self._configuration.serving_fleet
         if fleet is self._indexed:
             return
         members: dict[PoolId, list[Vm]] = {
--- a/currantstage/coordination/_worker_room.py
+++ b/currantstage/coordination/_worker_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from currantstage.coordination._connection_health import ServerState
@@ -43,11 +44,16 @@
         self._outliers = outliers
         self._leaving: frozenset[VmId] = frozenset()
         self._used: dict[VmId, JobSize] = {}
+        self._held: Counter[VmId] = Counter()
 
     def set_leaving(self, vms: Iterable[VmId]) -> None:
         """Give nothing new to `vms`, and to them only."""
         self._leaving = frozenset(vms)
 
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`."""
+        return self._held[vm]
+
     def has_free_slot(self, queue: QueueId, now_s: float) -> bool:
         """Return whether any usable worker of `queue` has a free slot."""
         return any(
@@ -82,6 +88,7 @@
         """Take a slot and room for `size`; return False when no slot is left."""
         if not self._slots.try_acquire(vm.vm_id):
             return False
+        self._held[vm.vm_id] += 1
         if size != NO_SIZE:
             self._used[vm.vm_id] = _add(self._used.get(vm.vm_id, NO_SIZE), size, 1)
         return True
@@ -89,6 +96,9 @@
     def give_back(self, vm: Vm, size: JobSize) -> None:
         """Give back what `try_take` took."""
         self._slots.release(vm.vm_id)
+        self._held[vm.vm_id] -= 1
+        if not self._held[vm.vm_id]:
+            del self._held[vm.vm_id]
         if size == NO_SIZE:
             return
         left = _add(self._used[vm.vm_id], size, -1)
@@ -100,6 +110,7 @@
     def _is_usable(self, vm: VmId, now_s: float) -> bool:
         return (
             vm not in self._leaving
+            and self._topology.takes_work(vm)
             and self._health.state_of(vm) is not ServerState.DOWN
             and not self._outliers.is_ejected(vm, now_s)
         )
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -42,6 +42,7 @@
 )
 from currantstage.protocol._peers import (
     MAX_FRAME_BYTES,
+    DemandMessage,
     Heartbeat,
     PeerFrame,
     PeerMessage,
@@ -74,6 +75,7 @@
     "CallerRequest",
     "DEFAULT_TYPE",
     "DecodeError",
+    "DemandMessage",
     "Heartbeat",
     "JSON_TYPE",
     "KEY_HEADER",
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -10,7 +10,13 @@
 from msgspec import Struct
 
 from currantstage.protocol._errors import DecodeError
-from currantstage.state import EntryVmId, Generation, IncarnationId
+from currantstage.state import (
+    DataCentreId,
+    EntryVmId,
+    Generation,
+    IncarnationId,
+    QueueId,
+)
 
 #: Longest frame that is sent or read, in bytes.
 MAX_FRAME_BYTES = 64 * 1024
@@ -23,7 +29,14 @@
     generation: Generation
 
 
-PeerMessage: TypeAlias = Heartbeat
+class DemandMessage(Struct, frozen=True, kw_only=True, tag="demand"):
+    """Running and waiting requests of the sender, by queue."""
+
+    data_centre: DataCentreId
+    slots_of_queue: dict[QueueId, int]
+
+
+PeerMessage: TypeAlias = Heartbeat | DemandMessage
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
--- a/currantstage/standin/_cluster.py
+++ b/currantstage/standin/_cluster.py
@@ -19,7 +19,13 @@
 )
 from currantstage.standin._backend import BackendStandIn
 from currantstage.standin._platform import PlatformStandIn
-from currantstage.state import DataCentreId, EntryVmId
+from currantstage.state import (
+    DataCentreId,
+    EntryVmId,
+    ListedVm,
+    VmId,
+    VmLiveness,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -97,6 +103,9 @@
         for part in stand_ins:
             self._resources.push_async_callback(part.close)
             await part.start()
+        self.platform.content.set_listing(
+            ListedVm(vm_id=VmId(name), liveness=VmLiveness.LIVE) for name in VM_NAMES
+        )
         for settings in self.settings:
             daemon = Daemon.from_config(settings)
             await daemon.start()
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -111,7 +111,7 @@
         self.store.run(self.follower.acknowledge(lambda vm: self.held[vm]))
 
     def start_request(self, vm: VmId) -> bool:
-        if vm not in self.follower.pools():
+        if vm not in (self.follower.pools() or {}):
             return False
         self.held[vm] += 1
         return True
