--- a/currantstage/coordination/_fleet_actions.py
+++ b/currantstage/coordination/_fleet_actions.py
@@ -48,10 +48,20 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginMove:
-    """Reserve budget and drain the VM, to move it to `target`."""
+    """Reserve budget and drain the VM, to move it to `target`.
+
+    Parameters
+    ----------
+    vm : VmId
+    target : PoolId
+    is_loan : bool
+        Whether the planner lends the VM, or takes it back; otherwise the move follows
+        the note, and `target` becomes the VM's home.
+    """
 
     vm: VmId
     target: PoolId
+    is_loan: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantstage/coordination/_move_plan.py
+++ b/currantstage/coordination/_move_plan.py
@@ -125,7 +125,7 @@
             self._givers.add(row.pool)
             self._size[row.pool] -= 1
             self._size[target] += 1
-            yield BeginMove(row.vm_id, target)
+            yield BeginMove(row.vm_id, target, is_loan=True)
 
     def _worthwhile(self) -> Iterable[tuple[float, VmRow, PoolId]]:
         givers = [
--- a/currantstage/coordination/_vm_transitions.py
+++ b/currantstage/coordination/_vm_transitions.py
@@ -148,6 +148,7 @@
             drain=drain,
             started_at_s=snapshot.now_s,
             target=action.target,
+            is_loan=action.is_loan,
         )
     else:
         disruption = Disruption(
@@ -213,14 +214,13 @@
     """Put a drained VM into `target`, or back when either of them is gone."""
     if target not in snapshot.fleet.pools or not snapshot.is_live(vm.vm_id):
         return _put_back(records, vm, snapshot)
-    assigned = snapshot.fleet.vms.get(vm.vm_id)
-    # The note may have assigned yet another pool by now; the old home then stays on
-    # record, so that the difference leads to the next move.
-    is_home = assigned is not None and assigned.pool == target
+    assert vm.disruption is not None
+    # A later note may assign yet another pool by now: the difference between that and
+    # the home recorded here then leads to the next move.
     moved = replace(
         vm,
         pool=target,
-        home=target if is_home else vm.home,
+        home=vm.home if vm.disruption.is_loan else target,
         state=VmState.SERVING,
         disruption=None,
     )
--- a/currantstage/state/_vm_rows.py
+++ b/currantstage/state/_vm_rows.py
@@ -59,6 +59,8 @@
         a VM is reported as overdue.
     target : PoolId or None
         Where a move leads.
+    is_loan : bool
+        Whether the move leaves the VM's home as it is.
     wave : WaveId or None
     wave_round : int
         Round of the wave that the maintenance counts for.
@@ -68,6 +70,7 @@
     drain: DrainNumber
     started_at_s: float
     target: PoolId | None = None
+    is_loan: bool = False
     wave: WaveId | None = None
     wave_round: int = 0
 
--- a/tests/coordination/test_fleet_duty.py
+++ b/tests/coordination/test_fleet_duty.py
@@ -164,6 +164,18 @@
     assert world.vms[V1].pool == PoolId("c")
 
 
+def test_a_move_that_a_later_note_takes_back_is_undone():
+    world = make_world()
+    world.turn(2)
+    world.entry_vms[0].start_request(V1)
+    move_by_note(world, V1, B)
+    world.turn()
+    move_by_note(world, V1, A)
+    world.entry_vms[0].finish_requests()
+    world.turn(6)
+    assert (world.vms[V1].pool, world.vms[V1].home) == (A, A)
+
+
 def test_a_vm_that_dies_while_it_drains_for_a_move_stays_and_counts_as_an_outage():
     world = make_world()
     world.turn(2)
--- a/tests/coordination/test_move_plan.py
+++ b/tests/coordination/test_move_plan.py
@@ -85,9 +85,9 @@
 
 def test_lasting_demand_brings_as_many_vms_as_it_fills():
     actions = plan_moves(make_snapshot(), learn(a=3.9), POLICY)
-    assert actions == (BeginMove(VmId("spare1"), A),)
+    assert actions == (BeginMove(VmId("spare1"), A, is_loan=True),)
     actions = plan_moves(make_snapshot(spare1="a"), learn(a=4.9), POLICY)
-    assert actions == (BeginMove(VmId("spare2"), A),)
+    assert actions == (BeginMove(VmId("spare2"), A, is_loan=True),)
 
 
 def test_a_burst_shorter_than_the_price_moves_nothing():
@@ -110,7 +110,9 @@
     demand = learn(a=5.0)
     observe(demand, 600, 1200, 0.0, 4.9)
     lent = make_snapshot(spare1="a", spare2="a")
-    assert plan_moves(lent, demand, POLICY) == (BeginMove(VmId("spare1"), B),)
+    assert plan_moves(lent, demand, POLICY) == (
+        BeginMove(VmId("spare1"), B, is_loan=True),
+    )
 
 
 def test_hovering_demand_does_not_flap():
@@ -129,7 +131,9 @@
     assert plan_moves(make_snapshot(), demand, policy) == ()
     idle = learn(a=0.0)
     lent = make_snapshot(spare1="a")
-    assert plan_moves(lent, idle, policy) == (BeginMove(VmId("spare1"), SPARE),)
+    assert plan_moves(lent, idle, policy) == (
+        BeginMove(VmId("spare1"), SPARE, is_loan=True),
+    )
 
 
 def test_only_vms_of_spare_pools_are_lent():
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -154,9 +154,13 @@
     """The store, the platform's list, entry VMs and one or more holders."""
 
     def __init__(
-        self, pools: Iterable[Pool], vms: Iterable[Vm], waves: Iterable[Wave] = ()
+        self,
+        pools: Iterable[Pool],
+        vms: Iterable[Vm],
+        waves: Iterable[Wave] = (),
+        store: FakeStore | None = None,
     ) -> None:
-        self.store = FakeStore()
+        self.store = store or FakeStore()
         self._notes = 0
         vms = tuple(vms)
         self.down: set[VmId] = set()
