--- a/currantstage/coordination/_fleet_check.py
+++ b/currantstage/coordination/_fleet_check.py
@@ -84,7 +84,7 @@
         yield "an identifier has 1 to 64 letters, digits, '-' and '_'"
     match kind:
         case ItemKind.POOL:
-            yield from _check_pool(fleet, record)
+            yield from _check_pool(record)
         case ItemKind.VM:
             yield from _check_vm(fleet, record)
         case ItemKind.TEAM:
@@ -97,12 +97,9 @@
             yield from _check_wave(fleet, record)
 
 
-def _check_pool(fleet: Fleet, pool: Pool) -> Iterable[str]:
+def _check_pool(pool: Pool) -> Iterable[str]:
     if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 0:
         yield "a budget must not be negative"
-    size = len(fleet.vms_of_pool(pool.pool_id))
-    if size and pool.max_unavailable > size:
-        yield f"max_unavailable is {pool.max_unavailable}, the pool has {size} VMs"
 
 
 def _check_vm(fleet: Fleet, vm: Vm) -> Iterable[str]:
