--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -19,6 +19,10 @@
     PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
 from currantstage.application._dispatch_driver import (
     Admitted,
     DispatchDriver,
@@ -31,6 +35,10 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
 from currantstage.application._limit_path import (
     EXCHANGE_INTERVAL_S,
     SETTLE_INTERVAL_S,
@@ -73,12 +81,15 @@
     "AllottedTeamLimiter",
     "AllottedWorkerSlots",
     "ApplicationError",
+    "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
+    "DemandService",
     "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
     "EndObserver",
+    "FleetFollower",
     "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
@@ -88,6 +99,7 @@
     "NoteService",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
+    "PLACEMENT_POLL_S",
     "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,8 +9,16 @@
 
 from eliot import log_message
 
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -26,8 +34,10 @@
     Cleanup,
     Configuration,
     CoordinationError,
+    DrainFollower,
     Duty,
     DutyLeases,
+    FleetDuty,
     HeadWatch,
     LeaseRelay,
     Membership,
@@ -37,8 +47,9 @@
     ServiceLevelRecorder,
     StoreAccess,
     WeightedMaxMin,
+    plan_waves,
 )
-from currantstage.protocol import Heartbeat
+from currantstage.protocol import DemandMessage, Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -58,7 +69,7 @@
     add_operator_routes,
     add_service_level_routes,
 )
-from currantstage.util import DutyLoop, MonotonicClock
+from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
@@ -102,7 +113,12 @@
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
         self._runner = ProcedureRunner(
-            self._platform, self._platform, self._platform, self._clock
+            table=self._platform,
+            objects=self._platform,
+            directory=self._platform,
+            rebooter=self._platform,
+            clock=self._clock,
+            unix_clock=UnixClock(),
         )
         self._peers = PeerService(
             settings.entry_vm.id,
@@ -150,6 +166,15 @@
         )
         self._relay = self._build_relay()
         self._next_refresh_s = 0.0
+        self._placed = self._build_fleet_follower()
+        self._demand = DemandService(
+            settings.entry_vm.id,
+            settings.entry_vm.data_centre,
+            self._configuration,
+            self._path,
+            self._clock,
+        )
+        self._peers.handle(DemandMessage, self._demand.hear)
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -192,6 +217,9 @@
         await self._own(self._platform)
         await self._own(self._path.backends)
         await self._follow_head()
+        # After this entry VM's row stands, and before it serves: so it knows of every
+        # drain whose end was decided without its acknowledgement.
+        await self._placed.follow()
         await self._own(self._sockets)
         await self._refresh_now()
         # Only now: whoever holds allotments must be the only process of its entry VM,
@@ -202,6 +230,12 @@
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(self._probes)
+        await self._own(
+            DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
+        )
+        await self._own(
+            DutyLoop("exchange-demand", self._exchange_demand, DEMAND_INTERVAL_S)
+        )
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
@@ -275,6 +309,7 @@
         return [
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
@@ -328,6 +363,16 @@
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(generation=self._configuration.fleet.generation)
 
+    async def _exchange_demand(self) -> None:
+        self._demand.exchange(self._peers, self._sockets)
+
+    def _build_fleet_follower(self) -> FleetFollower:
+        row = self._membership.row
+        drains = DrainFollower(
+            self._store, row.data_centre, row.entry_vm, row.incarnation
+        )
+        return FleetFollower(self._runner, drains, self._configuration, self._path)
+
     async def _leave(self) -> None:
         try:
             await self._runner.run(self._membership.leave())
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
 from currantstage.coordination._config_lease import ConfigLease
 from currantstage.state import Fleet, Generation
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from currantstage.state import PoolId, Vm, VmId
+
 
 class Configuration:
     """Holds the newest fleet that this entry VM has applied, under its lease.
@@ -15,6 +24,8 @@
     def __init__(self) -> None:
         self._fleet = Fleet()
         self.lease = ConfigLease()
+        self._pools: Mapping[VmId, PoolId] | None = None
+        self._serving_fleet = self._fleet
 
     @property
     def fleet(self) -> Fleet:
@@ -29,6 +40,27 @@
         """
         return self.lease.is_held(now_s)
 
+    @property
+    def serving_fleet(self) -> Fleet:
+        """The fleet in force, with each VM in the pool in which it takes work.
+
+        A VM changes its pool when it has been drained, not when a note says so.
+        """
+        return self._serving_fleet
+
+    def takes_work(self, vm: VmId) -> bool:
+        """Return whether `vm` may get new work, as far as its placement goes.
+
+        Before the data centre has its first placement, every VM of the note may.
+        """
+        return self._pools is None or vm in self._pools
+
+    def place(self, pools: Mapping[VmId, PoolId] | None) -> None:
+        """Take note of the pools in which VMs of this data centre take work now."""
+        self._pools = pools
+        vms = {vm.vm_id: _placed(vm, pools or {}) for vm in self._fleet.vms.values()}
+        self._serving_fleet = replace(self._fleet, vms=vms)
+
     def lacks(self, generation: Generation) -> bool:
         """Return whether `generation` is newer than the one in force."""
         return generation > self._fleet.generation
@@ -38,4 +70,10 @@
         if not self.lacks(fleet.generation):
             return False
         self._fleet = fleet
+        self.place(self._pools)
         return True
+
+
+def _placed(vm: Vm, pools: Mapping[VmId, PoolId]) -> Vm:
+    pool = pools.get(vm.vm_id, vm.pool)
+    return vm if pool == vm.pool else replace(vm, pool=pool)
--- a/tests/spec/test_allotment_replay.py
+++ b/tests/spec/test_allotment_replay.py
@@ -228,3 +228,34 @@
     replay.compare()
     assert not replay.has_row("a")
     assert replay.site.held_or_free() == LIMIT
+
+
+def test_a_holder_sends_only_what_is_idle():
+    replay = AllotmentReplay()
+    replay.start("a")
+    replay.start("b")
+    for _ in range(LIMIT):
+        replay.acquire("a")
+    replay.send("a", "b", 1)
+    replay.compare()
+    assert not replay.messages["a", "b"]
+
+
+def test_an_older_limit_never_comes_back():
+    replay = AllotmentReplay()
+    replay.start("a")
+    replay.start("b")
+    replay.set_limit(2)
+    for name in ("a", "b", "a"):
+        replay.apply(name)
+        replay.settle(name, is_heard=True)
+    replay.accept()
+    replay.set_limit(8)
+    replay.apply("a")
+    replay.settle("a", is_heard=True)
+    replay.set_limit(2)
+    replay.apply("b")
+    replay.settle("b", is_heard=True)
+    replay.settle("a", is_heard=True)
+    replay.compare()
+    assert replay.site.ledger.total_slots[TEAM] < 8
