--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, one command a measure."""
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -55,6 +55,7 @@
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
+    from currantstage.state import Generation
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
@@ -136,6 +137,11 @@
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
+    @property
+    def generation(self) -> Generation:
+        """The generation in force here."""
+        return self._configuration.fleet.generation
+
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
         return not self._dispatcher.is_stopping
--- a/currantstage/cmd/_note.py
+++ b/currantstage/cmd/_note.py
@@ -22,7 +22,11 @@
     parse_note,
 )
 from currantstage.state import NoteId
-from currantstage.transport import OperatorCallError, OperatorClient
+from currantstage.transport import (
+    OperatorCallError,
+    OperatorClient,
+    OperatorRefusedError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -173,7 +177,8 @@
 ) -> NoteReport:
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + wait_s
-    report = await client.submit_note(text)
+    # The note's identifier makes it safe to submit again after a lost answer.
+    report = await _persist(lambda: client.submit_note(text), deadline_s)
     shown = ""
     while True:
         if is_shown and _describe(report) != shown:
@@ -182,7 +187,21 @@
         if report.state is not NoteState.COMMITTED or loop.time() > deadline_s:
             return report
         await asyncio.sleep(PROGRESS_POLL_S)
-        report = await client.note_status(note_id)
+        report = await _persist(lambda: client.note_status(note_id), deadline_s)
+
+
+async def _persist(call: Callable[[], Awaitable[T]], deadline_s: float) -> T:
+    """Repeat a call without an answer until `deadline_s` on the loop's clock."""
+    loop = asyncio.get_running_loop()
+    while True:
+        try:
+            return await call()
+        except OperatorRefusedError:
+            raise
+        except OperatorCallError:
+            if loop.time() > deadline_s:
+                raise
+        await asyncio.sleep(PROGRESS_POLL_S)
 
 
 def _describe(report: NoteReport) -> str:
--- a/currantstage/coordination/_lease_relay.py
+++ b/currantstage/coordination/_lease_relay.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantstage.coordination._configuration import Configuration
     from currantstage.coordination._membership import (
         Membership,
@@ -72,10 +74,9 @@
         if ahead:
             # A renewal states the head, so the newer fleet has to come first.
             return [AskFleet(ahead[0])]
-        if not peers or not self._configuration.lease.is_due(now_s):
+        if not self._configuration.lease.is_due(now_s):
             return []
-        request = self._membership.request_renewal(now_s)
-        return [AskRenewal(peer, request) for peer in peers[:PEERS_PER_REQUEST]]
+        return self._ask_renewal(peers, now_s)
 
     def on_outcome(self, peer: EntryVmId, outcome: RenewalOutcome) -> list[RelayEffect]:
         """Take a peer's answer to a renewal."""
@@ -93,7 +94,15 @@
         """Apply a fleet that came from a peer, and ask for a renewal under it."""
         if not self._configuration.apply(fleet):
             return []
-        return self.on_store_away(now_s)
+        return self._ask_renewal(self._liveness.latest(now_s), now_s)
+
+    def _ask_renewal(
+        self, peers: Sequence[EntryVmId], now_s: float
+    ) -> list[RelayEffect]:
+        if not peers:
+            return []
+        request = self._membership.request_renewal(now_s)
+        return [AskRenewal(peer, request) for peer in peers[:PEERS_PER_REQUEST]]
 
     def _is_ahead(self, peer: EntryVmId) -> bool:
         return self._configuration.lacks(self._liveness.generation_of(peer))
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -8,6 +8,7 @@
 from currantstage.transport._errors import (
     ListenError,
     OperatorCallError,
+    OperatorRefusedError,
     TransportError,
 )
 from currantstage.transport._http_server import (
@@ -46,6 +47,7 @@
     "ListenError",
     "OperatorCallError",
     "OperatorClient",
+    "OperatorRefusedError",
     "OperatorService",
     "PeerSockets",
     "PlatformClient",
--- a/currantstage/transport/_errors.py
+++ b/currantstage/transport/_errors.py
@@ -15,3 +15,7 @@
 
 class OperatorCallError(TransportError):
     """An operators' call that got no usable answer."""
+
+
+class OperatorRefusedError(OperatorCallError):
+    """An operators' call that repeating does not help: a wrong key, no such note."""
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -15,7 +15,7 @@
     decode,
 )
 from currantstage.state import Fleet
-from currantstage.transport._errors import OperatorCallError
+from currantstage.transport._errors import OperatorCallError, OperatorRefusedError
 
 if TYPE_CHECKING:
     from currantstage.state import NoteId
@@ -25,7 +25,8 @@
 #: Deadline of one operators' call, in seconds.
 CALL_TIMEOUT_S = 30.0
 #: Statuses whose body is an `OperatorError`; other ones carry a report.
-_FAILURE_STATUSES = frozenset({403, 404, 500, 503})
+_REFUSED_STATUSES = frozenset({403, 404})
+_FAILURE_STATUSES = frozenset({500, 503})
 
 
 class OperatorClient:
@@ -94,6 +95,8 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise OperatorCallError(f"{self._url}: {error!r}") from error
+        if response.status in _REFUSED_STATUSES:
+            raise OperatorRefusedError(_error_text(body))
         if response.status in _FAILURE_STATUSES:
             raise OperatorCallError(_error_text(body))
         try:
