--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks, one command a measure."""
+"""Benchmarks: one command a measure, each with a seed and a baseline."""
--- a/bench/notes.py
+++ b/bench/notes.py
@@ -116,8 +116,8 @@
         started_s = loop.time()
         client, report, note_id = await self.submit()
         assert report.generation is not None, report
-        while not all(daemon.generation >= report.generation for daemon in daemons):
-            await asyncio.sleep(LOOK_S)  # noqa: ASYNC110
+        while not all(daemon.generation >= report.generation for daemon in daemons):  # noqa: ASYNC110
+            await asyncio.sleep(LOOK_S)
         in_force_s = loop.time() - started_s
         while report.state is NoteState.COMMITTED:
             await asyncio.sleep(0.02)
--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
-    NO_TEAM,
     QueueService,
 )
 from currantstage.application._daemon import (
     HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
+    LISTING_INTERVAL_S,
     PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
+    PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._dispatch_driver import (
+    Admitted,
+    DispatchDriver,
+)
 from currantstage.application._duty_runner import (
     RENEWALS_PER_LEASE,
     DutyRunner,
@@ -21,9 +30,17 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -38,24 +55,43 @@
     MAX_RUNNING_RENEWALS,
     RelayService,
 )
+from currantstage.application._request_path import (
+    RequestPath,
+)
+from currantstage.application._server_monitor import (
+    ServerMonitor,
+)
 
 __all__ = [
+    "ASK_AGAIN_S",
+    "Admitted",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
+    "DispatchDriver",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
     "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
+    "LISTING_INTERVAL_S",
+    "LimitPath",
     "MAX_RUNNING_RENEWALS",
-    "NO_TEAM",
     "NoteService",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
+    "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
     "RelayService",
+    "RequestPath",
+    "SETTLE_INTERVAL_S",
+    "ServerMonitor",
     "StartError",
+    "TeamAllotment",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -2,37 +2,39 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
 from eliot import log_message
 
-from currantstage.application._caller_service import QueueService
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._relay_service import RelayService
+from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
+    AllotmentLimitCheck,
     Cleanup,
     Configuration,
     CoordinationError,
-    Dispatcher,
     Duty,
     DutyLeases,
     HeadWatch,
     LeaseRelay,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
     Membership,
     PeerLiveness,
+    ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
+    WeightedMaxMin,
 )
 from currantstage.protocol import Heartbeat
 from currantstage.state import (
@@ -40,6 +42,7 @@
     FIRST_GENERATION,
     EntryVmRow,
     IncarnationId,
+    VmLiveness,
 )
 from currantstage.transport import (
     BackendClient,
@@ -48,6 +51,7 @@
     PlatformClient,
     TransportError,
     add_caller_routes,
+    add_error_answers,
     add_health_routes,
     add_operator_routes,
 )
@@ -63,6 +67,10 @@
 PEER_REFRESH_PER_PEER_S = 0.25
 #: Peers that get a heartbeat at each turn, which bounds their traffic.
 HEARTBEATS_PER_TURN = 8
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -82,37 +90,55 @@
         self._random = random.Random(seed)
         self._clock = MonotonicClock()
         self._resources = AsyncExitStack()
+        self._is_ready = True
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
         self._watch = HeadWatch()
         self._membership = Membership(
             self._store, self._configuration, self._watch, self._first_row()
         )
-        self._dispatcher = Dispatcher(
-            self._configuration,
-            settings.entry_vm.data_centre,
-            LocalTeamLimiter(self._configuration),
-            LocalWorkerSlots(self._configuration),
-        )
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
         self._runner = ProcedureRunner(
             self._platform, self._platform, self._platform, self._clock
         )
-        self._backends = BackendClient()
-        self._queues = QueueService(
-            self._dispatcher, self._backends, self._metrics, self._clock
-        )
-        self._follow = DutyLoop(
-            "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
-        )
         self._peers = PeerService(
             settings.entry_vm.id,
             self._membership.row.incarnation,
             settings.peers.secret.encode(),
         )
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._limits = LimitPath(
+            self._membership.row,
+            self._configuration,
+            self._store,
+            self._runner,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
+        self._metrics.watch_allotments(self._limits.team_allotments)
+        self._path = RequestPath.build(
+            self._configuration,
+            settings.entry_vm.data_centre,
+            self._limits.limiter,
+            self._limits.slots,
+            WeightedMaxMin(),
+            self._metrics,
+            self._clock,
+            self._random,
+            self._membership.row.incarnation,
+        )
+        self._probes = DutyLoop(
+            "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
+        )
+        self._path.monitor.on_doubt(self._probes.wake)
+        self._limits.on_change(self._path.driver.start_waiting)
+        self._follow = DutyLoop(
+            "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
+        )
         self._relay = self._build_relay()
+        self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
 
     @classmethod
@@ -131,8 +157,13 @@
 
     async def close(self) -> None:
         """Stop gracefully: refuse new requests, let the running ones finish, leave."""
-        self._dispatcher.stop_admission()
-        await self._queues.drain(self._settings.serving.max_drain_ms / 1000)
+        self._is_ready = False
+        serving = self._settings.serving
+        # The balancer sees the failed health check before anything is refused.
+        await asyncio.sleep(serving.balancer_notice_ms / 1000)
+        self._path.driver.stop_admission()
+        if await self._path.queues.drain(serving.max_drain_ms / 1000):
+            await self._limits.leave()
         await self._leave()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
@@ -144,7 +175,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return not self._dispatcher.is_stopping
+        return self._is_ready and not self._limits.is_retired
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -154,13 +185,19 @@
         self._resources.callback(self._metrics.close)
         heartbeat_s = self._settings.peers.heartbeat_ms / 1000
         await self._own(self._platform)
-        await self._own(self._backends)
+        await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
         await self._own(self._relay)
+        await self._refresh()
+        # Only now: whoever holds allotments must be the only process of its entry VM,
+        # which the address that it listens on proves.
+        await self._own(self._limits)
         await self._own(self._follow)
-        await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
+        await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(self._probes)
+        await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
 
@@ -172,6 +209,7 @@
         | DutyLoop
         | DutyRunner
         | RelayService
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -189,10 +227,16 @@
             self._runner,
             self._store,
             self._configuration,
-            Acceptance(self._store, self._configuration, self._watch),
+            Acceptance(
+                self._store,
+                self._configuration,
+                self._watch,
+                AllotmentLimitCheck(self._store),
+            ),
             self._follow.wake,
         )
-        add_caller_routes(server.app, self._queues)
+        add_error_answers(server.app)
+        add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
         add_health_routes(server.app, self)
         return server
@@ -219,7 +263,11 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return [Cleanup(self._store)]
+        entry_vm = self._settings.entry_vm.id
+        return [
+            Cleanup(self._store),
+            ReclaimingDuty(self._store, self._configuration, entry_vm),
+        ]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -244,13 +292,29 @@
         if generation > before:
             log_message("currantstage:applied", generation=generation)
             self._peers.broadcast(self._sockets, self._heartbeat())
+            # The limits are divided among those who are there now.
+            await self._refresh()
+            self._limits.follow_limits()
+
+    def _adopt_fleet(self) -> None:
+        """Let every part follow a fleet before the entry VM's row states it."""
+        self._path.apply_fleet()
+        self._limits.follow_limits()
+
+    async def _list_vms(self) -> None:
+        listed = await self._platform.list_vms()
+        self._path.driver.set_leaving(
+            each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
+        )
+
+    async def _refresh_if_due(self) -> None:
+        if self._clock.now_s() >= self._next_refresh_s:
+            await self._refresh()
 
     async def _refresh(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s < self._next_refresh_s:
-            return
         await self._peers.refresh(self._runner, self._store, self._sockets)
-        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+        pause_s = PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+        self._next_refresh_s = self._clock.now_s() + pause_s
 
     async def _send_heartbeats(self) -> None:
         for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/_allotment_exchange.py
@@ -25,12 +25,14 @@
 
     from currantstage.coordination._allotment_book import AllotmentBook
     from currantstage.coordination._allotment_plan import AllotmentNeeds
-    from currantstage.state import ResourceId, ScopeId
+    from currantstage.state import EntryVmId, ResourceId, ScopeId
 
 #: Peers that are asked at once; the next round asks the ones that follow.
 ASK_FANOUT = 3
-#: Shortest time between two rounds of asking, in seconds.
-ASK_INTERVAL_S = 0.02
+#: Bounds of the time between two rounds of asking, in seconds; it doubles with each
+#: round that brings nothing.
+MIN_ASK_INTERVAL_S = 0.02
+MAX_ASK_INTERVAL_S = 0.3
 
 
 class AllotmentExchange:
@@ -51,10 +53,14 @@
         self._acknowledged = defaultdict(Counter)
         self._last_handover_s: dict[ResourceId, float] = {}
         self._next_peer = 0
-        self._last_ask_s = -ASK_INTERVAL_S
+        self._last_giver: EntryVmId | None = None
+        self._last_ask_s = -MAX_ASK_INTERVAL_S
+        self._ask_interval_s = MIN_ASK_INTERVAL_S
 
     def note_shortage(self, resource: ResourceId, now_s: float) -> None:
         """Record that work found no slot of `resource`."""
+        if not self._shortages.is_short(resource, now_s):
+            self._ask_interval_s = MIN_ASK_INTERVAL_S
         self._shortages.note(resource, now_s)
 
     def shortages(self, now_s: float) -> dict[ResourceId, int]:
@@ -62,23 +68,27 @@
         return self._shortages.current(now_s)
 
     def ask(
-        self, now_s: float, peers: Sequence[Peer], needs: AllotmentNeeds
+        self, now_s: float, peers: Sequence[EntryVmId], needs: AllotmentNeeds
     ) -> list[SendToPeer]:
         """Ask the next few of `peers` for what work lacks."""
-        wanted = {
-            resource: Need(
-                held_slots=self._book.held_slots(resource),
-                wanted_slots=min(count, needs.limits.get(resource, 0)),
-            )
-            for resource, count in self.shortages(now_s).items()
-            if self._book.idle_slots(resource) <= 0
-        }
-        if not wanted or now_s - self._last_ask_s < ASK_INTERVAL_S:
+        wanted = {}
+        for resource, count in self.shortages(now_s).items():
+            held = self._book.held_slots(resource)
+            lacking = needs.limits.get(resource, 0) - held
+            if lacking > 0 and self._book.idle_slots(resource) <= 0:
+                # Doubling what it holds reaches any demand in few rounds.
+                wanted[resource] = Need(
+                    held_slots=held, wanted_slots=min(lacking, max(count, held))
+                )
+        if not wanted or now_s - self._last_ask_s < self._ask_interval_s:
             return []
         self._last_ask_s = now_s
+        self._ask_interval_s = min(2 * self._ask_interval_s, MAX_ASK_INTERVAL_S)
         return self._send_asks(wanted, peers)
 
-    def level(self, peers: Sequence[Peer], needs: AllotmentNeeds) -> list[SendToPeer]:
+    def level(
+        self, peers: Sequence[EntryVmId], needs: AllotmentNeeds
+    ) -> list[SendToPeer]:
         """Ask the next few of `peers` for the even part, while nothing waits.
 
         An entry VM that is cut off later goes on with what it got.
@@ -111,6 +121,8 @@
             return []
         if not self._book.receive(peer.incarnation, transfer.sent_slots):
             return []
+        self._ask_interval_s = MIN_ASK_INTERVAL_S
+        self._last_giver = peer.entry_vm
         for resource in transfer.sent_slots:
             self._last_handover_s[resource] = now_s
             if self._book.idle_slots(resource) > 0:
@@ -134,18 +146,22 @@
         """Hand idle slots to the peers that have been waiting for them."""
         served = []
         while self._book.idle_slots(resource) > 0:
-            peer = self._claims.take_one(resource, now_s)
+            is_short = self._shortages.is_short(resource, now_s)
+            peer = self._claims.take_one(resource, is_short, now_s)
             if peer is None or not self._hand_over(now_s, peer, resource, 1):
                 break
             served.append(peer)
         return self._transfers(served)
 
-    def repeat(self, alive: Iterable[Peer]) -> list[SendToPeer]:
-        """Repeat the transfers to `alive` peers that were not acknowledged."""
-        return self._transfers(peer for peer in alive if peer in self._acknowledged)
+    def repeat(self) -> list[SendToPeer]:
+        """Repeat the transfers that were not acknowledged."""
+        for peer in tuple(self._acknowledged):
+            if self._book.is_closed(peer.incarnation):
+                del self._acknowledged[peer]
+        return self._transfers(self._acknowledged)
 
     def _send_asks(
-        self, wanted: dict[ResourceId, Need], peers: Sequence[Peer]
+        self, wanted: dict[ResourceId, Need], peers: Sequence[EntryVmId]
     ) -> list[SendToPeer]:
         if not wanted or not peers or not self._book.is_open:
             return []
@@ -153,8 +169,12 @@
         count = min(ASK_FANOUT, len(peers))
         first = self._next_peer % len(peers)
         self._next_peer = first + count
-        asked = (peers[(first + step) % len(peers)] for step in range(count))
-        return [SendToPeer(peer.entry_vm, ask) for peer in asked]
+        asked = [peers[(first + step) % len(peers)] for step in range(count)]
+        # Who gave last is likely to have more, and is asked in every round.
+        giver = self._last_giver
+        if giver is not None and giver in peers and giver not in asked:
+            asked.append(giver)
+        return [SendToPeer(peer, ask) for peer in asked]
 
     def _answer(
         self,
@@ -172,8 +192,8 @@
                 held_slots=need.held_slots + slots,
                 wanted_slots=need.wanted_slots - slots,
             )
-            due = self._fair_excess(now_s, resource, left)
-            self._claims.put(resource, peer, due, now_s)
+            fair = self._fair_excess(now_s, resource, left)
+            self._claims.put(resource, peer, left.wanted_slots, fair, now_s)
         return slots > 0
 
     def _spare_for(
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from currantstage.coordination._config_lease import ConfigLease
 from currantstage.state import Fleet, Generation
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class Configuration:
     """Holds the newest fleet that this entry VM has applied, under its lease.
@@ -14,6 +19,7 @@
 
     def __init__(self) -> None:
         self._fleet = Fleet()
+        self._listeners: list[Callable[[], None]] = []
         self.lease = ConfigLease()
 
     @property
@@ -21,6 +27,13 @@
         """The fleet in force."""
         return self._fleet
 
+    def on_apply(self, listener: Callable[[], None]) -> None:
+        """Call `listener` as part of each `apply`.
+
+        The entry VM's row says only afterwards that the fleet is in force here.
+        """
+        self._listeners.append(listener)
+
     def may_serve_keyed(self, now_s: float) -> bool:
         """Return whether work that needs a key may be admitted or started.
 
@@ -38,4 +51,6 @@
         if not self.lacks(fleet.generation):
             return False
         self._fleet = fleet
+        for listener in self._listeners:
+            listener()
         return True
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 from currantstage.protocol._callers import (
+    DEFAULT_TYPE,
     JSON_TYPE,
     KEY_HEADER,
+    MAX_SIZE,
+    MAX_TIMEOUT_MS,
+    OPTION_PREFIX,
     OUTCOME_HEADER,
+    TIMEOUT_HEADER,
     UNKNOWN_STATUS,
     CallerAnswer,
+    CallerOptions,
     CallerRequest,
     OutcomeBody,
-    RequestEnd,
+    read_caller_request,
     to_caller_answer,
 )
 from currantstage.protocol._errors import (
@@ -73,7 +79,9 @@
 
 __all__ = [
     "CallerAnswer",
+    "CallerOptions",
     "CallerRequest",
+    "DEFAULT_TYPE",
     "DecodeError",
     "FleetAssembly",
     "FleetPart",
@@ -85,11 +93,14 @@
     "MAX_FRAME_BYTES",
     "MAX_NOTE_BYTES",
     "MAX_PART_BYTES",
+    "MAX_SIZE",
+    "MAX_TIMEOUT_MS",
     "NoteDiff",
     "NoteReport",
     "NoteState",
     "NoteSyntaxError",
     "OPERATOR_KEY_HEADER",
+    "OPTION_PREFIX",
     "OUTCOME_HEADER",
     "OperatorError",
     "OutcomeBody",
@@ -98,7 +109,7 @@
     "ProtocolError",
     "RenewalAnswer",
     "RenewalAsk",
-    "RequestEnd",
+    "TIMEOUT_HEADER",
     "UNKNOWN_STATUS",
     "WireCheck",
     "WireListing",
@@ -121,6 +132,7 @@
     "encode_transaction",
     "note_digest",
     "parse_note",
+    "read_caller_request",
     "report_committed",
     "report_progress",
     "report_refusal",
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,7 +9,13 @@
 import msgspec
 from msgspec import Struct
 
-from currantstage.coordination import RenewalOutcome, RenewalRequest
+from currantstage.coordination import (
+    AllotmentAsk,
+    AllotmentReceipt,
+    AllotmentTransfer,
+    RenewalOutcome,
+    RenewalRequest,
+)
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol._fleet_parts import FleetPart
 from currantstage.state import EntryVmId, Generation, IncarnationId
@@ -44,7 +50,14 @@
 
 
 PeerMessage: TypeAlias = (
-    Heartbeat | RenewalAsk | RenewalAnswer | FleetRequest | FleetPart
+    Heartbeat
+    | RenewalAsk
+    | RenewalAnswer
+    | FleetRequest
+    | FleetPart
+    | AllotmentAsk
+    | AllotmentTransfer
+    | AllotmentReceipt
 )
 
 
