--- a/tests/coordination/test_config_lease.py
+++ b/tests/coordination/test_config_lease.py
@@ -25,6 +25,7 @@
     IncarnationId,
     NoteId,
     ReleaseNote,
+    entry_vm_key,
 )
 from tests.coordination.test_note_commit import make_note
 from tests.fakes import FakeClock, FakeStore, Fault, make_store_access
@@ -189,3 +190,18 @@
     assert vm.may_serve()
     vm.clock.time_s = LEASE_S
     assert not vm.may_serve()
+
+
+def test_every_part_follows_a_fleet_before_the_row_states_it():
+    store = FakeStore()
+    vm = EntryVm(store)
+    vm.follow()
+    commit(store, "a")
+    stated = []
+    key = entry_vm_key(vm.membership.row.entry_vm, vm.membership.row.incarnation)
+    vm.configuration.on_apply(
+        lambda: stated.append(store.rows[key].record.applied_generation)
+    )
+    vm.follow()
+    assert stated == [0]
+    assert store.rows[key].record.applied_generation == 1
