--- a/currantstage/transport/_operator_routes.py
+++ b/currantstage/transport/_operator_routes.py
@@ -115,7 +115,9 @@
     @wraps(handler)
     async def guarded(request: Request, **parameters: str) -> HTTPResponse:
         presented = request.headers.get(OPERATOR_KEY_HEADER, "")
-        if not hmac.compare_digest(presented.encode(), key.encode()):
+        if not hmac.compare_digest(
+            presented.encode(errors="surrogatepass"), key.encode()
+        ):
             return _message(
                 OperatorError(error="the operators' key is wrong"), _FORBIDDEN
             )
