--- a/tests/coordination/test_config_lease.py
+++ b/tests/coordination/test_config_lease.py
@@ -205,3 +205,22 @@
     vm.follow()
     assert stated == [0]
     assert store.rows[key].record.applied_generation == 1
+
+
+def test_a_slow_read_of_the_head_does_not_shorten_the_wait():
+    store = FakeStore()
+    late, observer = EntryVm(store, "e1", 7), EntryVm(store, "e2", 8)
+    late.follow()
+    commit(store, "a")
+    following = observer.membership.follow_head()
+    call = next(following)
+    while not isinstance(call, ReadRow):
+        call = following.send(store.answer(call, observer.clock))
+    reply = store.answer(call, observer.clock)
+    observer.clock.time_s = 5.0
+    call = following.send(reply)
+    with pytest.raises(StopIteration):
+        while True:
+            call = following.send(store.answer(call, observer.clock))
+    wait_s = observer.watch.wait_s(late.membership.row, 5.0)
+    assert wait_s == observer_wait_s(LEASE_S)
--- a/tests/coordination/test_duty_lease.py
+++ b/tests/coordination/test_duty_lease.py
@@ -115,6 +115,22 @@
     assert second.grant() is None
 
 
+def test_the_lease_counts_from_before_the_renewal_was_sent():
+    store, first, _ = make_contenders()
+    first.tend()
+    tending = first.leases.tend([DUTY])
+    call = next(tending)
+    while not isinstance(call, Transact):
+        call = tending.send(store.answer(call, first.clock))
+    reply = store.answer(call, first.clock)
+    first.clock.time_s = 5.0
+    with contextlib.suppress(StopIteration):
+        call = tending.send(reply)
+        while True:
+            call = tending.send(store.answer(call, first.clock))
+    assert first.grant().lapses_s == DUTY_LEASE_S
+
+
 def test_a_holder_paused_past_its_lease_changes_nothing():
     _, first, second = make_contenders()
     first.tend()
