--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -13,6 +13,7 @@
 from currantstage.transport._errors import (
     ListenError,
     OperatorCallError,
+    OperatorRefusedError,
     TransportError,
 )
 from currantstage.transport._http_server import (
@@ -57,6 +58,7 @@
     "MAX_IDLE_S",
     "OperatorCallError",
     "OperatorClient",
+    "OperatorRefusedError",
     "OperatorService",
     "PROBE_TIMEOUT_S",
     "PeerSockets",
