--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
     QueueService,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
     LISTING_INTERVAL_S,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     PROBE_INTERVAL_S,
     Daemon,
@@ -32,9 +38,17 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -45,6 +59,10 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
 from currantstage.application._request_path import (
     RequestPath,
 )
@@ -53,7 +71,11 @@
 )
 
 __all__ = [
+    "ASK_AGAIN_S",
     "Admitted",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "DEMAND_INTERVAL_S",
     "Daemon",
@@ -61,11 +83,16 @@
     "DemandService",
     "DispatchDriver",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
     "FleetFollower",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
+    "LimitPath",
+    "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PLACEMENT_POLL_S",
     "PROBE_INTERVAL_S",
@@ -73,7 +100,10 @@
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
     "RequestPath",
+    "SETTLE_INTERVAL_S",
     "ServerMonitor",
     "StartError",
+    "TeamAllotment",
 ]
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -25,7 +25,7 @@
     from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.application._server_monitor import ServerMonitor
-    from currantstage.coordination import Assignment, RequestEnd, RetryBudget
+    from currantstage.coordination import Assignment, AttemptBudget, RequestEnd
     from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import Clock, IncarnationId, Random
     from currantstage.transport import BackendClient
@@ -39,7 +39,7 @@
     driver : DispatchDriver
     backends : BackendClient
     monitor : ServerMonitor
-    budget : RetryBudget
+    budget : AttemptBudget
     metrics : DaemonMetrics
     clock : Clock
     random : Random
@@ -52,7 +52,7 @@
         driver: DispatchDriver,
         backends: BackendClient,
         monitor: ServerMonitor,
-        budget: RetryBudget,
+        budget: AttemptBudget,
         metrics: DaemonMetrics,
         clock: Clock,
         random: Random,
--- a/currantstage/application/_request_path.py
+++ b/currantstage/application/_request_path.py
@@ -8,11 +8,11 @@
 from currantstage.application._dispatch_driver import DispatchDriver
 from currantstage.application._server_monitor import ServerMonitor
 from currantstage.coordination import (
+    AttemptBudget,
     Dispatcher,
     FaultTracker,
     LeastLoaded,
     OutlierDetector,
-    RetryBudget,
     RunTimeEstimates,
     ServerHealth,
     Topology,
@@ -103,7 +103,7 @@
             driver,
             backends,
             monitor,
-            RetryBudget(),
+            AttemptBudget(),
             metrics,
             clock,
             random,
--- a/currantstage/coordination/_admission.py
+++ b/currantstage/coordination/_admission.py
@@ -10,6 +10,7 @@
 from currantstage.coordination._keys import identify_team, key_id_of
 from currantstage.coordination._outcomes import Refusal, RefusalReason, SizeShortage
 from currantstage.coordination._waiting import NO_TEAM, WaitingRequest
+from currantstage.state import QueueAccess
 
 if TYPE_CHECKING:
     from currantstage.coordination._estimates import RunTimeEstimates
@@ -33,7 +34,12 @@
     queue = fleet.queues.get(submission.queue)
     if queue is None:
         return Failure(Refusal(RefusalReason.QUEUE_UNKNOWN))
-    identified = identify_team(fleet, queue, submission.presented_key)
+    presented = submission.presented_key
+    if not topology.may_serve_keyed(now_s):
+        if queue.access is not QueueAccess.OPEN:
+            return Failure(_LEASE_LAPSED)
+        presented = None
+    identified = identify_team(fleet, queue, presented)
     if isinstance(identified, Failure):
         return identified
     refusal = _check_size(topology, queue.queue_id, submission.size)
@@ -41,8 +47,8 @@
         return Failure(refusal)
     team = identified.unwrap()
     key = None
-    if team is not None and submission.presented_key is not None:
-        key = key_id_of(submission.presented_key)
+    if team is not None and presented is not None:
+        key = key_id_of(presented)
     return Success(
         WaitingRequest(
             request_id=request_id,
@@ -56,13 +62,17 @@
     )
 
 
-def check_still_allowed(topology: Topology, request: WaitingRequest) -> Refusal | None:
+def check_still_allowed(
+    topology: Topology, request: WaitingRequest, now_s: float
+) -> Refusal | None:
     """Return why `request` may no longer start, after notes that came since."""
     fleet = topology.fleet
     if request.queue not in fleet.queues:
         return Refusal(RefusalReason.QUEUE_UNKNOWN)
     if request.key is None:
         return None
+    if not topology.may_serve_keyed(now_s):
+        return _LEASE_LAPSED
     key = fleet.keys.get(request.key)
     if key is None or key.team != request.team or key.team not in fleet.teams:
         return Refusal(RefusalReason.KEY_REFUSED)
@@ -126,6 +136,9 @@
     return max(line, key=excess)[1].newest()
 
 
+_LEASE_LAPSED = Refusal(RefusalReason.CONFIG_LEASE_LAPSED, RETRY_AFTER_S)
+
+
 def _check_size(topology: Topology, queue: QueueId, size: JobSize) -> Refusal | None:
     vms = topology.vms_of_queue(queue)
     if not vms:
--- a/currantstage/coordination/_topology.py
+++ b/currantstage/coordination/_topology.py
@@ -35,6 +35,10 @@
         """Return whether `vm` may get new work, as far as its placement goes."""
         return self._configuration.takes_work(vm)
 
+    def may_serve_keyed(self, now_s: float) -> bool:
+        """Return whether work that needs a key may be admitted or started."""
+        return self._configuration.may_serve_keyed(now_s)
+
     def vms_of_queue(self, queue: QueueId) -> tuple[Vm, ...]:
         """Return the workers of this data centre that serve `queue`."""
         self._refresh()
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -44,6 +44,7 @@
     RefusalReason.MALFORMED: 400,
     RefusalReason.JOB_TOO_LARGE: 422,
     RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.CONFIG_LEASE_LAPSED: 503,
     RefusalReason.TEAM_AT_LIMIT: 429,
     RefusalReason.NO_CAPACITY: 429,
     RefusalReason.DEADLINE_UNMEETABLE: 503,
@@ -158,7 +159,8 @@
     if declared:
         try:
             options = msgspec.convert(declared, CallerOptions, strict=False)
-        except msgspec.ValidationError:
+        # A header that is not UTF-8 can't be encoded for conversion.
+        except (msgspec.ValidationError, UnicodeError):
             return Failure(Refusal(RefusalReason.MALFORMED))
     return Success(
         CallerRequest(
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,7 +9,15 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.coordination import (
+    AllotmentAsk,
+    AllotmentReceipt,
+    AllotmentTransfer,
+    RenewalOutcome,
+    RenewalRequest,
+)
 from currantstage.protocol._errors import DecodeError
+from currantstage.protocol._fleet_parts import FleetPart
 from currantstage.state import (
     DataCentreId,
     EntryVmId,
@@ -29,6 +37,24 @@
     generation: Generation
 
 
+class RenewalAsk(Struct, frozen=True, kw_only=True, tag="renewal-ask"):
+    """Asks the receiver to renew the sender's configuration lease."""
+
+    request: RenewalRequest
+
+
+class RenewalAnswer(Struct, frozen=True, kw_only=True, tag="renewal-answer"):
+    """Tells what became of a renewal on the receiver's behalf."""
+
+    outcome: RenewalOutcome
+
+
+class FleetRequest(Struct, frozen=True, kw_only=True, tag="fleet-request"):
+    """Asks for the receiver's fleet if it is newer than the sender's."""
+
+    known_generation: Generation
+
+
 class DemandMessage(Struct, frozen=True, kw_only=True, tag="demand"):
     """Running and waiting requests of the sender, by queue."""
 
@@ -36,7 +62,17 @@
     slots_of_queue: dict[QueueId, int]
 
 
-PeerMessage: TypeAlias = Heartbeat | DemandMessage
+PeerMessage: TypeAlias = (
+    Heartbeat
+    | RenewalAsk
+    | RenewalAnswer
+    | FleetRequest
+    | FleetPart
+    | AllotmentAsk
+    | AllotmentTransfer
+    | AllotmentReceipt
+    | DemandMessage
+)
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from currantstage.state._allotment_rows import HolderRow, LedgerRow
 from currantstage.state._fleet import Fleet
 from currantstage.state._ids import (
     AttemptId,
@@ -30,6 +31,7 @@
 )
 
 HEAD_KEY = RowKey("head")
+ACCEPTED_KEY = RowKey("accepted")
 ENTRY_VM_PREFIX = RowKey("entry-vm/")
 NOTE_PREFIX = RowKey("note/")
 DUTY_PREFIX = RowKey("duty/")
@@ -62,8 +64,28 @@
     digest: str
 
 
+class AcceptedRow(Struct, frozen=True, kw_only=True, tag="accepted"):
+    """The newest generation known to be in force everywhere; it never falls."""
+
+    generation: Generation
+
+
 class EntryVmRow(Struct, frozen=True, kw_only=True, tag="entry-vm"):
-    """Membership of an entry VM and the generation that it has applied."""
+    """Membership of one start of an entry VM, and its configuration lease.
+
+    Every write of this row is a renewal of the lease, and takes effect only while
+    `applied_generation` is the head.
+
+    Parameters
+    ----------
+    entry_vm : EntryVmId
+    incarnation : IncarnationId
+    data_centre : DataCentreId
+    http_address, peer_address : str
+    applied_generation : Generation
+    config_lease_s : float
+        Length of the lease that this renewal started, in seconds.
+    """
 
     entry_vm: EntryVmId
     incarnation: IncarnationId
@@ -71,6 +93,7 @@
     http_address: str
     peer_address: str
     applied_generation: Generation
+    config_lease_s: float
 
 
 class DutyLeaseRow(Struct, frozen=True, kw_only=True, tag="duty-lease"):
@@ -109,15 +132,32 @@
 
 FleetRecord: TypeAlias = VmRow | BudgetRow | PlacementRow | DrainAckRow | WaveRow
 Record: TypeAlias = (
-    HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow | FleetRecord
+    HeadRow
+    | AcceptedRow
+    | NoteRow
+    | EntryVmRow
+    | DutyLeaseRow
+    | DutyFenceRow
+    | LedgerRow
+    | HolderRow
+    | FleetRecord
 )
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
-    """The immutable object of one generation: the note and the snapshot it made."""
+    """The immutable object of one generation: the note and the snapshot it made.
+
+    Parameters
+    ----------
+    note : ReleaseNote
+    fleet : Fleet
+    previous_object : ObjectName or None
+        The object of the generation before; None for the first one.
+    """
 
     note: ReleaseNote
     fleet: Fleet
+    previous_object: ObjectName | None = None
 
 
 class VersionedRow(Struct, frozen=True, kw_only=True):
@@ -170,13 +210,15 @@
     conflicting_key: RowKey | None = None
 
 
-def entry_vm_key(entry_vm: EntryVmId) -> RowKey:
-    """Return the key of the membership row of `entry_vm`.
+def entry_vm_key(entry_vm: EntryVmId, incarnation: IncarnationId) -> RowKey:
+    """Return the key of the membership row of one start of `entry_vm`.
+
+    Each start has a row of its own, since the process before it may still run.
 
-    >>> entry_vm_key(EntryVmId("a1"))
-    'entry-vm/a1'
+    >>> entry_vm_key(EntryVmId("a1"), IncarnationId("5f"))
+    'entry-vm/a1/5f'
     """
-    return RowKey(f"{ENTRY_VM_PREFIX}{entry_vm}")
+    return RowKey(f"{ENTRY_VM_PREFIX}{entry_vm}/{incarnation}")
 
 
 def note_key(note_id: NoteId) -> RowKey:
