--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -19,6 +19,7 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -63,6 +64,7 @@
     TransportError,
     add_caller_routes,
     add_error_answers,
+    add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
 )
@@ -265,6 +267,11 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_fleet_status_route(
+            server.app,
+            FleetReporter(self._runner, self._store, self._configuration),
+            self._settings.operators.key,
+        )
         add_health_routes(server.app, self)
         return server
 
--- a/currantstage/cmd/_key.py
+++ b/currantstage/cmd/_key.py
@@ -38,7 +38,7 @@
 
 @click.group()
 def key() -> None:
-    """Make callers' keys."""
+    """Make and show callers' keys."""
 
 
 @key.command()
--- a/currantstage/cmd/_main.py
+++ b/currantstage/cmd/_main.py
@@ -10,6 +10,7 @@
 from currantstage.cmd._key import key
 from currantstage.cmd._note import note
 from currantstage.cmd._serve import serve
+from currantstage.cmd._show import fleet, pool, show_key, team, vm, wave
 
 
 @click.group()
@@ -20,6 +21,12 @@
 
 main.add_command(serve)
 main.add_command(note)
+key.add_command(show_key)
 main.add_command(key)
+main.add_command(fleet)
+main.add_command(pool)
+main.add_command(vm)
+main.add_command(team)
+main.add_command(wave)
 main.add_command(config)
 main.add_command(demo)
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -200,6 +200,8 @@
     HOLD_BACK_S,
     LISTING_MAX_AGE_S,
     FleetDuty,
+    load_drain_acks,
+    load_entry_vms,
     load_fleet_rows,
 )
 from currantstage.coordination._fleet_snapshot import (
@@ -729,6 +731,8 @@
     "largest_capacity",
     "ledger_of",
     "list_items",
+    "load_drain_acks",
+    "load_entry_vms",
     "load_fleet_rows",
     "load_generation",
     "load_head",
--- a/currantstage/coordination/_fleet_duty.py
+++ b/currantstage/coordination/_fleet_duty.py
@@ -116,8 +116,8 @@
         acks: dict[IncarnationId, DrainAckRow] = {}
         if any(row.state is VmState.DRAINING for row in self._rows.vms.values()):
             # In this order: an entry VM that starts later reads the drain first.
-            acks = yield from self._load_acks()
-            entry_vms = yield from self._load_entry_vms()
+            acks = yield from load_drain_acks(self._store)
+            entry_vms = yield from load_entry_vms(self._store)
         return FleetSnapshot(
             now_s=(yield from self._store.unix_time_s()),
             fleet=head.fleet,
@@ -149,15 +149,6 @@
             self._listing.observe((yield from self._store.list_vms()))
             self._listed_at_s = now_s
 
-    def _load_acks(self) -> Procedure[dict[IncarnationId, DrainAckRow]]:
-        rows = yield from self._store.scan(DRAIN_ACK_PREFIX)
-        acks = (row.record for row in rows if isinstance(row.record, DrainAckRow))
-        return {ack.incarnation: ack for ack in acks}
-
-    def _load_entry_vms(self) -> Procedure[tuple[EntryVmRow, ...]]:
-        rows = yield from self._store.scan(ENTRY_VM_PREFIX)
-        return tuple(row.record for row in rows if isinstance(row.record, EntryVmRow))
-
     def _ask_reboots(self, rows: FleetRows) -> Procedure[dict[VmId, RebootStatus]]:
         answers: dict[VmId, RebootStatus] = {}
         for row in rows.vms.values():
@@ -168,6 +159,21 @@
         return answers
 
 
+def load_drain_acks(
+    store: StoreAccess,
+) -> Procedure[dict[IncarnationId, DrainAckRow]]:
+    """Return the acknowledgements of each entry VM; raises `StoreAwayError`."""
+    rows = yield from store.scan(DRAIN_ACK_PREFIX)
+    acks = (row.record for row in rows if isinstance(row.record, DrainAckRow))
+    return {ack.incarnation: ack for ack in acks}
+
+
+def load_entry_vms(store: StoreAccess) -> Procedure[tuple[EntryVmRow, ...]]:
+    """Return the rows of the entry VMs; raises `StoreAwayError`."""
+    rows = yield from store.scan(ENTRY_VM_PREFIX)
+    return tuple(row.record for row in rows if isinstance(row.record, EntryVmRow))
+
+
 def load_fleet_rows(store: StoreAccess) -> Procedure[FleetRows]:
     """Return the rows of the fleet; raises `StoreAwayError`."""
     rows = FleetRows()
--- /dev/null
+++ b/currantstage/protocol/_fleet_status.py
@@ -0,0 +1,204 @@
+"""What operators are shown of the fleet as it is now."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from currantstage.coordination import is_overdue, unfinished_vms
+from currantstage.state import (
+    DataCentreId,
+    EntryVmId,
+    Generation,
+    KeyId,
+    PoolId,
+    RackId,
+    TeamId,
+    VmId,
+    VmState,
+    WaveId,
+)
+
+if TYPE_CHECKING:
+    from currantstage.coordination import FleetSnapshot
+    from currantstage.state import Pool, VmRow, Wave
+
+#: Time out of service after which a VM is reported as overdue, in seconds.
+OVERDUE_S = 1800.0
+
+
+class VmStatus(Struct, frozen=True, kw_only=True):
+    """One VM.
+
+    Parameters
+    ----------
+    vm : VmId
+    pool, home : PoolId
+        Where the VM is, and where the note has it.
+    data_centre : DataCentreId
+    rack : RackId
+    state : VmState
+    purpose : str
+        Why it is out of service on purpose; empty otherwise.
+    waiting_for : tuple of EntryVmId
+        Entry VMs that have not acknowledged its drain.
+    is_overdue : bool
+        Whether it has been out of service for too long and needs an operator.
+    """
+
+    vm: VmId
+    pool: PoolId
+    home: PoolId
+    data_centre: DataCentreId
+    rack: RackId
+    state: VmState
+    purpose: str
+    waiting_for: tuple[EntryVmId, ...]
+    is_overdue: bool
+
+
+class PoolStatus(Struct, frozen=True, kw_only=True):
+    """One pool: its VMs, and what of them is out of service."""
+
+    pool: PoolId
+    data_centre: DataCentreId
+    is_spare: bool
+    vms: int
+    serving: int
+    borrowed: int
+    lent: int
+    unavailable: int
+    max_unavailable: int
+    max_unavailable_per_rack: int
+
+
+class WaveStatus(Struct, frozen=True, kw_only=True):
+    """One maintenance wave.
+
+    Parameters
+    ----------
+    wave : WaveId
+    round : int
+    age_s, period_s : float
+        Age of the round, and the time within which it should be done, in seconds.
+    done, left : int
+        VMs that the round has maintained, and those that it has not.
+    overdue : tuple of VmId
+        VMs that did not come back.
+    """
+
+    wave: WaveId
+    round: int
+    age_s: float
+    period_s: float
+    done: int
+    left: int
+    overdue: tuple[VmId, ...]
+
+
+class TeamStatus(Struct, frozen=True, kw_only=True):
+    """One team."""
+
+    team: TeamId
+    share: float
+    upper_limit_slots: int
+    keys: int
+
+
+class KeyStatus(Struct, frozen=True, kw_only=True):
+    """One key, without anything that helps to guess its secret."""
+
+    key: KeyId
+    team: TeamId
+
+
+class FleetStatus(Struct, frozen=True, kw_only=True):
+    """The fleet at one moment, as one entry VM reads it from the platform."""
+
+    generation: Generation
+    pools: tuple[PoolStatus, ...]
+    vms: tuple[VmStatus, ...]
+    teams: tuple[TeamStatus, ...]
+    keys: tuple[KeyStatus, ...]
+    waves: tuple[WaveStatus, ...]
+
+
+def report_fleet(snapshot: FleetSnapshot) -> FleetStatus:
+    """Return what operators are shown of `snapshot`, ordered by identifier."""
+    fleet = snapshot.fleet
+    rows = sorted(snapshot.rows.vms.values(), key=lambda row: row.vm_id)
+    keys_of_team = Counter(key.team for key in fleet.keys.values())
+    return FleetStatus(
+        generation=fleet.generation,
+        pools=tuple(
+            _report_pool(snapshot, fleet.pools[pool], rows)
+            for pool in sorted(fleet.pools)
+        ),
+        vms=tuple(_report_vm(snapshot, row) for row in rows),
+        teams=tuple(
+            TeamStatus(
+                team=team.team_id,
+                share=team.share,
+                upper_limit_slots=team.upper_limit_slots,
+                keys=keys_of_team[team.team_id],
+            )
+            for _, team in sorted(fleet.teams.items())
+        ),
+        keys=tuple(
+            KeyStatus(key=key.key_id, team=key.team)
+            for _, key in sorted(fleet.keys.items())
+        ),
+        waves=tuple(
+            _report_wave(snapshot, wave) for _, wave in sorted(fleet.waves.items())
+        ),
+    )
+
+
+def _report_vm(snapshot: FleetSnapshot, row: VmRow) -> VmStatus:
+    is_draining = row.state is VmState.DRAINING
+    return VmStatus(
+        vm=row.vm_id,
+        pool=row.pool,
+        home=row.home,
+        data_centre=row.data_centre,
+        rack=row.rack,
+        state=row.state,
+        purpose="" if row.disruption is None else row.disruption.kind.value,
+        waiting_for=snapshot.entry_vms_holding(row) if is_draining else (),
+        is_overdue=is_overdue(snapshot, row, OVERDUE_S),
+    )
+
+
+def _report_pool(snapshot: FleetSnapshot, pool: Pool, rows: list[VmRow]) -> PoolStatus:
+    members = [row for row in rows if row.pool == pool.pool_id]
+    lent = [row for row in rows if row.home == pool.pool_id and row.is_borrowed]
+    return PoolStatus(
+        pool=pool.pool_id,
+        data_centre=pool.data_centre,
+        is_spare=pool.is_spare,
+        vms=len(members),
+        serving=sum(1 for row in members if row.state is VmState.SERVING),
+        borrowed=sum(1 for row in members if row.is_borrowed),
+        lent=len(lent),
+        unavailable=len(snapshot.rows.budget(pool.pool_id).unavailable),
+        max_unavailable=pool.max_unavailable,
+        max_unavailable_per_rack=pool.max_unavailable_per_rack,
+    )
+
+
+def _report_wave(snapshot: FleetSnapshot, wave: Wave) -> WaveStatus:
+    row = snapshot.rows.waves.get(wave.wave_id)
+    left = unfinished_vms(snapshot, wave)
+    members = [row for row in snapshot.rows.vms.values() if row.home in wave.pools]
+    overdue = [vm.vm_id for vm in left if is_overdue(snapshot, vm, OVERDUE_S)]
+    return WaveStatus(
+        wave=wave.wave_id,
+        round=0 if row is None else row.round,
+        age_s=0.0 if row is None else snapshot.now_s - row.started_at_s,
+        period_s=wave.period_s,
+        done=len(members) - len(left),
+        left=len(left),
+        overdue=tuple(overdue),
+    )
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -24,7 +24,9 @@
     OperatorClient,
 )
 from currantstage.transport._operator_routes import (
+    FleetStatusService,
     OperatorService,
+    add_fleet_status_route,
     add_operator_routes,
 )
 from currantstage.transport._peers import (
@@ -50,6 +52,7 @@
     "CALL_TIMEOUT_S",
     "CONNECT_TIMEOUT_S",
     "CallerService",
+    "FleetStatusService",
     "HealthService",
     "HttpServer",
     "ListenError",
@@ -68,6 +71,7 @@
     "TransportError",
     "add_caller_routes",
     "add_error_answers",
+    "add_fleet_status_route",
     "add_health_routes",
     "add_operator_routes",
 ]
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -9,6 +9,7 @@
 from currantstage.protocol import (
     OPERATOR_KEY_HEADER,
     DecodeError,
+    FleetStatus,
     NoteDiff,
     NoteReport,
     OperatorError,
@@ -83,6 +84,10 @@
         """Return the fleet in force; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/fleet", Fleet)
 
+    async def fleet_status(self) -> FleetStatus:
+        """Ask how the fleet is now; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/fleet/status", FleetStatus)
+
     async def _call(
         self, method: str, path: str, expected: type[T], data: bytes | None = None
     ) -> T:
--- a/currantstage/transport/_operator_routes.py
+++ b/currantstage/transport/_operator_routes.py
@@ -11,6 +11,7 @@
 from currantstage.protocol import (
     JSON_TYPE,
     OPERATOR_KEY_HEADER,
+    FleetStatus,
     NoteDiff,
     NoteReport,
     NoteState,
@@ -79,6 +80,29 @@
     app.error_handler.add(OperatorCallError, _explain)
 
 
+class FleetStatusService(Protocol):
+    """Tells operators how the fleet is; raises `OperatorCallError` when it can't."""
+
+    async def fleet_status(self) -> FleetStatus:
+        """Return the fleet as the platform's rows have it now."""
+
+
+def add_fleet_status_route(
+    app: Sanic[Any, Any], service: FleetStatusService, key: str
+) -> None:
+    """Serve ``GET /v1/fleet/status`` for those who present `key`."""
+
+    async def fleet_status(_: Request) -> HTTPResponse:
+        return _message(await service.fleet_status(), _OK)
+
+    app.add_route(
+        _guard(fleet_status, key),
+        "/v1/fleet/status",
+        methods=["GET"],
+        name=fleet_status.__name__,
+    )
+
+
 class _OperatorRoutes:
     """Turns HTTP requests into calls of the service, and reports into answers."""
 
--- a/tests/coordination/test_fleet_duty.py
+++ b/tests/coordination/test_fleet_duty.py
@@ -106,10 +106,26 @@
     entry_vm.follow()
     entry_vm.start_request(V1)
     move_by_note(world, V1, A)
-    world.holder.step()
     # The acknowledgements of the first drain are still in the table.
+    for _ in range(3):
+        world.pass_time(6.0)
+        world.holder.step()
+    assert (world.vms[V1].state, world.vms[V1].pool) == (VmState.DRAINING, B)
+
+
+def test_two_moves_at_once_wait_for_each_other_in_the_budget():
+    world = make_world()
+    world.turn(2)
+    world.entry_vms[0].start_request(V1)
+    world.entry_vms[0].start_request(V2)
+    changes = tuple(VmChange(vm_id=vm, pool=B) for vm in (V1, V2))
+    world.note(changed=Changes(vms=changes))
     world.turn(3)
-    assert world.vms[V1].state is VmState.DRAINING
+    assert unavailable(world, A) == {V1}
+    assert world.vms[V2].state is VmState.SERVING
+    world.entry_vms[0].finish_requests()
+    world.turn(6)
+    assert world.placement.serving == {B: (V1, V2, V3)}
 
 
 def test_a_drain_that_does_not_end_is_given_up_and_left_alone_for_a_while():
