--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -19,7 +19,6 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
-from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -154,6 +153,8 @@
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._relay = self._build_relay()
+        self._next_refresh_s = 0.0
         self._placed = self._build_fleet_follower()
         self._demand = DemandService(
             settings.entry_vm.id,
@@ -163,8 +164,6 @@
             self._clock,
         )
         self._peers.handle(DemandMessage, self._demand.hear)
-        self._relay = self._build_relay()
-        self._next_refresh_s = 0.0
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -302,6 +301,7 @@
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
@@ -352,6 +352,9 @@
         for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
             self._peers.send(self._sockets, peer, self._heartbeat())
 
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(generation=self._configuration.fleet.generation)
+
     async def _exchange_demand(self) -> None:
         self._demand.exchange(self._peers, self._sockets)
 
@@ -362,9 +365,6 @@
         )
         return FleetFollower(self._runner, drains, self._configuration, self._path)
 
-    def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(generation=self._configuration.fleet.generation)
-
     async def _leave(self) -> None:
         try:
             await self._runner.run(self._membership.leave())
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -23,15 +23,23 @@
 
     def __init__(self) -> None:
         self._fleet = Fleet()
+        self.lease = ConfigLease()
         self._pools: Mapping[VmId, PoolId] | None = None
         self._serving_fleet = self._fleet
-        self.lease = ConfigLease()
 
     @property
     def fleet(self) -> Fleet:
         """The fleet in force."""
         return self._fleet
 
+    def may_serve_keyed(self, now_s: float) -> bool:
+        """Return whether work that needs a key may be admitted or started.
+
+        Once the lease has lapsed, a newer generation may have been accepted without
+        this entry VM, and keys that it still knows may be withdrawn.
+        """
+        return self.lease.is_held(now_s)
+
     @property
     def serving_fleet(self) -> Fleet:
         """The fleet in force, with each VM in the pool in which it takes work.
@@ -53,14 +61,6 @@
         vms = {vm.vm_id: _placed(vm, pools or {}) for vm in self._fleet.vms.values()}
         self._serving_fleet = replace(self._fleet, vms=vms)
 
-    def may_serve_keyed(self, now_s: float) -> bool:
-        """Return whether work that needs a key may be admitted or started.
-
-        Once the lease has lapsed, a newer generation may have been accepted without
-        this entry VM, and keys that it still knows may be withdrawn.
-        """
-        return self.lease.is_held(now_s)
-
     def lacks(self, generation: Generation) -> bool:
         """Return whether `generation` is newer than the one in force."""
         return generation > self._fleet.generation
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -100,7 +100,6 @@
     "FleetAssembly",
     "FleetPart",
     "FleetRequest",
-    "FleetStatus",
     "Heartbeat",
     "JSON_TYPE",
     "KEY_HEADER",
