--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -63,6 +63,7 @@
     TransportError,
     add_caller_routes,
     add_error_answers,
+    add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
 )
@@ -272,6 +273,11 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_fleet_status_route(
+            server.app,
+            FleetReporter(self._runner, self._store, self._configuration),
+            self._settings.operators.key,
+        )
         add_health_routes(server.app, self)
         return server
 
@@ -299,6 +305,7 @@
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -200,6 +200,8 @@
     HOLD_BACK_S,
     LISTING_MAX_AGE_S,
     FleetDuty,
+    load_drain_acks,
+    load_entry_vms,
     load_fleet_rows,
 )
 from currantstage.coordination._fleet_snapshot import (
