Start waiting requests by weighted max-min shares

Cause: teams took turns without regard to their shares; and on a tie the policy always chose the same team, so that with one slot the other never ran.

Change: the daemon uses WeightedMaxMin. The dispatcher shows it every team that waits or runs, the team served longest ago first, and ties go to the first. Further tests: an answer without a length, and a caller that goes away at the moment of its start.

--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -29,8 +29,8 @@
     LocalWorkerSlots,
     Membership,
     RetryPolicy,
-    RoundRobinShares,
     StoreAccess,
+    WeightedMaxMin,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
 from currantstage.state import (
@@ -98,7 +98,7 @@
             settings.entry_vm.data_centre,
             LocalTeamLimiter(self._configuration),
             LocalWorkerSlots(self._configuration),
-            RoundRobinShares(),
+            WeightedMaxMin(),
             self._metrics,
             self._clock,
             self._random,
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -270,9 +270,6 @@
     Transacted,
     VmsListed,
 )
-from currantstage.coordination._round_robin import (
-    RoundRobinShares,
-)
 from currantstage.coordination._row_observer import (
     RowObserver,
 )
@@ -445,7 +442,6 @@
     "Retry",
     "RetryBudget",
     "RetryPolicy",
-    "RoundRobinShares",
     "RowObserver",
     "RowRead",
     "RowsScanned",
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -78,7 +78,7 @@
         self._estimates = estimates
         self._waiting: dict[RequestId, WaitingRequest] = {}
         self._lines: dict[QueueId, QueueLine] = {}
-        self._running: dict[tuple[QueueId, TeamId], float] = {}
+        self._running: dict[QueueId, dict[TeamId, float]] = {}
         self._running_of_queue: Counter[QueueId] = Counter()
         self._is_stopping = False
 
@@ -215,7 +215,7 @@
         blocked: set[TeamId] = set()
         while self._room.has_free_slot(queue, now_s):
             loads = self._loads(queue, line, blocked)
-            if not loads:
+            if not any(load.waiting_requests for load in loads):
                 return
             team = self._shares.choose(loads)
             request = line.first_of(team)
@@ -228,21 +228,25 @@
                 blocked.add(team)
                 continue
             self._remove(request)
+            line.end_turn(team)
             effects.append(Start(request.request_id, assignment))
 
     def _loads(
         self, queue: QueueId, line: QueueLine, blocked: set[TeamId]
     ) -> list[TeamLoad]:
         teams = self._topology.fleet.teams
+        running = self._running.get(queue, _NOTHING)
+        waiting = {
+            team: 0 if team in blocked else len(requests) for team, requests in line
+        }
         return [
             TeamLoad(
                 team=team,
                 share=teams[team].share if team in teams else 1.0,
-                running_slots=self._running.get((queue, team), 0.0),
-                waiting_requests=len(requests),
+                running_slots=running.get(team, 0.0),
+                waiting_requests=waiting.get(team, 0),
             )
-            for team, requests in line
-            if team not in blocked
+            for team in waiting | running
         ]
 
     def _try_assign(self, request: WaitingRequest, now_s: float) -> Assignment | None:
@@ -257,18 +261,18 @@
                 self._limiter.release(request.team)
             return None
         assignment = Assignment(request, vm, now_s)
-        held = self._running.get((request.queue, request.team), 0.0)
-        self._running[request.queue, request.team] = held + assignment.weight_slots
+        running = self._running.setdefault(request.queue, {})
+        held = running.get(request.team, 0.0)
+        running[request.team] = held + assignment.weight_slots
         self._running_of_queue[request.queue] += 1
         return assignment
 
     def _give_up_weight(self, assignment: Assignment) -> None:
-        key = (assignment.request.queue, assignment.request.team)
-        left = self._running[key] - assignment.weight_slots
-        if left < MIN_WEIGHT_SLOTS:
-            del self._running[key]
-        else:
-            self._running[key] = left
+        request = assignment.request
+        running = self._running[request.queue]
+        running[request.team] -= assignment.weight_slots
+        if running[request.team] < MIN_WEIGHT_SLOTS:
+            del running[request.team]
 
     def _refuse(
         self, request: WaitingRequest, refusal: Refusal
@@ -284,4 +288,5 @@
             del self._lines[request.queue]
 
 
+_NOTHING: dict[TeamId, float] = {}
 _STOPPING = Refusal(RefusalReason.STOPPING, RETRY_AFTER_S)
--- a/currantstage/coordination/_policies.py
+++ b/currantstage/coordination/_policies.py
@@ -61,4 +61,8 @@
     """Decides whose waiting request goes next when a slot is free."""
 
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
-        """Return the team to serve; `loads` holds at least one that waits."""
+        """Return the team to serve; `loads` holds at least one that waits.
+
+        `loads` starts with the team that was served longest ago, and holds the teams
+        that run without waiting as well.
+        """
--- a/currantstage/coordination/_shares.py
+++ b/currantstage/coordination/_shares.py
@@ -49,7 +49,10 @@
     """
 
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
-        """Return the team to serve; `loads` holds at least one that waits."""
+        """Return the team to serve; `loads` holds at least one that waits.
+
+        On a tie the first of `loads` is served.
+        """
         waiting = [load for load in loads if load.waiting_requests > 0]
         below_floor = _below_floor(loads, waiting)
         if below_floor:
@@ -97,10 +100,10 @@
     ]
 
 
-def _local_rank(load: TeamLoad) -> tuple[float, str]:
-    return (load.running_slots + ROUNDING_SLOTS) / load.share, load.team
+def _local_rank(load: TeamLoad) -> float:
+    return (load.running_slots + ROUNDING_SLOTS) / load.share
 
 
-def _fleet_rank(load: TeamLoad) -> tuple[float, str]:
+def _fleet_rank(load: TeamLoad) -> float:
     held_slots = load.running_slots + load.running_elsewhere_slots
-    return (held_slots + ROUNDING_SLOTS) / load.share, load.team
+    return (held_slots + ROUNDING_SLOTS) / load.share
--- a/currantstage/coordination/_waiting.py
+++ b/currantstage/coordination/_waiting.py
@@ -109,6 +109,12 @@
         """Return the request of `team` to start next."""
         return self._teams[team].first()
 
+    def end_turn(self, team: TeamId) -> None:
+        """Put `team`, if it still waits, after the others."""
+        line = self._teams.pop(team, None)
+        if line is not None:
+            self._teams[team] = line
+
     def waiting_of(self, team: TeamId) -> int:
         """Return how many requests of `team` wait."""
         line = self._teams.get(team)
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -12,15 +12,17 @@
 
 from currantstage.application import DaemonMetrics, RequestPath
 from currantstage.coordination import (
+    Assignment,
     Configuration,
     LocalTeamLimiter,
     LocalWorkerSlots,
     Outcome,
-    RoundRobinShares,
+    Submission,
+    WeightedMaxMin,
 )
 from currantstage.protocol import CallerOptions, CallerRequest, OutcomeBody
 from currantstage.standin import BackendMode, BackendStandIn, free_ports
-from currantstage.state import DataCentreId, IncarnationId, VmId
+from currantstage.state import DataCentreId, IncarnationId, RequestId, VmId
 from currantstage.util import MonotonicClock
 from tests.request_fakes import QUEUE, make_fleet, renew_lease
 
@@ -71,7 +73,7 @@
         DataCentreId("a"),
         LocalTeamLimiter(configuration),
         LocalWorkerSlots(configuration),
-        RoundRobinShares(),
+        WeightedMaxMin(),
         metrics,
         clock,
         random.Random(4),
@@ -196,6 +198,40 @@
     run_on_site(check, max_waiting=300)
 
 
+def test_an_answer_without_a_length_is_not_passed_on():
+    async def check(site):
+        await site.backends["w0"].close()
+
+        async def answer_half(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf")
+            writer.close()
+
+        port = site.configuration.fleet.vms[VmId("w0")].address.rpartition(":")[2]
+        async with await asyncio.start_server(answer_half, "127.0.0.1", port):
+            answer = await site.serve(b"x")
+        assert answer.outcome is Outcome.UNKNOWN
+
+    run_on_site(check, workers=1)
+
+
+def test_a_caller_gone_at_the_moment_of_its_start_leaves_the_slot_free():
+    async def check(site):
+        driver = site.path.driver
+        submission = Submission(QUEUE, "north.secret")
+        held = await driver.enter(RequestId("first"), submission)
+        waits = asyncio.create_task(driver.enter(RequestId("second"), submission))
+        await asyncio.sleep(0)
+        driver.finish(held, is_end_certain=True)
+        waits.cancel()
+        await asyncio.gather(waits, return_exceptions=True)
+        assert isinstance(
+            await driver.enter(RequestId("third"), submission), Assignment
+        )
+
+    run_on_site(check, workers=1, slots=1)
+
+
 def test_a_deadline_passes_while_a_request_waits():
     async def check(site):
         site.backends["w0"].duration_s = 0.2
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -12,11 +12,11 @@
     LocalTeamLimiter,
     LocalWorkerSlots,
     OutlierDetector,
-    RoundRobinShares,
     RunTimeEstimates,
     ServerHealth,
     Submission,
     Topology,
+    WeightedMaxMin,
     WorkerRoom,
     digest_secret,
 )
@@ -108,7 +108,7 @@
         self.dispatcher = Dispatcher(
             topology,
             self.limiter,
-            RoundRobinShares(),
+            WeightedMaxMin(),
             LeastLoaded(random.Random(3)),
             WorkerRoom(
                 topology,
