Refuse a waiting request whose time is too short to run

Cause: under overload a request could be started with less time left than its queue's median run time: its answer came too late (outcome unknown) and its slot stayed in doubt. A burst of callers overflowed the listening socket's queue of 100, and each connection attempt lost there came back only after one, three or seven seconds.

Change: when its turn comes, a request that has waited is refused as deadline-unmeetable if the median run time no longer fits. The listening queue holds 4096.

--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -5,6 +5,7 @@
 from currantstage.coordination._admission import (
     MAX_RETRY_AFTER_S,
     RETRY_AFTER_S,
+    check_start,
     check_still_allowed,
     check_submission,
     estimate_wait_s,
@@ -492,6 +493,7 @@
     "capacity_of",
     "check_fleet",
     "check_note",
+    "check_start",
     "check_still_allowed",
     "check_submission",
     "commit_note",
--- a/currantstage/coordination/_admission.py
+++ b/currantstage/coordination/_admission.py
@@ -57,6 +57,7 @@
             key=key,
             is_urgent=submission.is_urgent,
             size=submission.size,
+            entered_s=now_s,
             deadline_s=now_s + _timeout_s(queue, submission),
         )
     )
@@ -112,6 +113,27 @@
     return now_s + wait_s + median_s > request.deadline_s
 
 
+def check_start(
+    topology: Topology,
+    estimates: RunTimeEstimates,
+    request: WaitingRequest,
+    now_s: float,
+) -> Refusal | None:
+    """Return why a request whose turn has come is refused rather than started.
+
+    After a wait, too little time may be left: its answer would come too late, and its
+    slot would be in doubt. A request that did not wait always starts, so that run
+    times go on being learnt.
+    """
+    refusal = check_still_allowed(topology, request, now_s)
+    if refusal is not None:
+        return refusal
+    has_waited = now_s > request.entered_s
+    if has_waited and is_hopeless(estimates, request, 0.0, now_s):
+        return Refusal(RefusalReason.DEADLINE_UNMEETABLE, RETRY_AFTER_S)
+    return None
+
+
 def retry_after_s(wait_s: float | None) -> float:
     """Return the advice to a caller who would wait for `wait_s`.
 
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -9,6 +9,7 @@
 
 from currantstage.coordination._admission import (
     RETRY_AFTER_S,
+    check_start,
     check_still_allowed,
     check_submission,
     estimate_wait_s,
@@ -219,7 +220,7 @@
                 return
             team = self._shares.choose(loads)
             request = line.first_of(team)
-            refusal = check_still_allowed(self._topology, request, now_s)
+            refusal = check_start(self._topology, self._estimates, request, now_s)
             if refusal is not None:
                 effects.extend(self._refuse(request, refusal))
                 continue
--- a/currantstage/coordination/_waiting.py
+++ b/currantstage/coordination/_waiting.py
@@ -31,6 +31,8 @@
         The key that let it in; it has to be in force when the request starts.
     is_urgent : bool
     size : JobSize
+    entered_s : float
+        When it was let in, on the daemon's clock.
     deadline_s : float
         When its answer is due, on the daemon's clock.
     avoided : frozenset of VmId
@@ -43,6 +45,7 @@
     key: KeyId | None
     is_urgent: bool
     size: JobSize
+    entered_s: float
     deadline_s: float
     avoided: frozenset[VmId] = frozenset()
 
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -16,6 +16,7 @@
     TransportError,
 )
 from currantstage.transport._http_server import (
+    LISTEN_BACKLOG,
     MAX_ANSWER_S,
     HttpServer,
 )
@@ -50,6 +51,7 @@
     "CallerService",
     "HealthService",
     "HttpServer",
+    "LISTEN_BACKLOG",
     "ListenError",
     "MAX_ANSWER_S",
     "MAX_IDLE_S",
--- a/currantstage/transport/_http_server.py
+++ b/currantstage/transport/_http_server.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from sanic.server import AsyncioServer
 
+#: Connections that may wait to be taken; beyond it a caller's connection attempt is
+#: dropped, and repeated only after a second.
+LISTEN_BACKLOG = 4096
 #: Longest that a connection waits for its answer, in seconds.
 MAX_ANSWER_S = 25 * 3600
 
@@ -43,7 +46,11 @@
         host, _, port = self._address.rpartition(":")
         try:
             server = await self.app.create_server(
-                host=host, port=int(port), return_asyncio_server=True, access_log=False
+                host=host,
+                port=int(port),
+                return_asyncio_server=True,
+                access_log=False,
+                backlog=LISTEN_BACKLOG,
             )
         except OSError as error:
             raise ListenError(f"{self._address}: {error}") from error
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -90,6 +90,17 @@
     assert effects[0].refusal.retry_after_s >= 1.0
 
 
+def test_a_request_that_waited_too_long_is_refused_rather_than_started():
+    path = FakePath(make_fleet(workers=1, slots=1))
+    (held,) = fill(path, 1)
+    path.submit("second")
+    for _ in range(20):
+        path.estimates.observe(QUEUE, 2.0)
+    effects = path.dispatcher.finish(held, True, 8.5)
+    assert refused(effects) == [("second", RefusalReason.DEADLINE_UNMEETABLE)]
+    assert started(path.submit("third", now_s=9.0, timeout_s=1.0)) == ["third"]
+
+
 def test_a_job_that_fits_no_worker_is_refused_with_what_there_is():
     path = FakePath(make_fleet())
     asked = JobSize(accelerators=2, memory_mb=1)
