--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -11,28 +11,32 @@
 
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
+    AllotmentLimitCheck,
     Cleanup,
     Configuration,
     CoordinationError,
     Duty,
     DutyLeases,
     HeadWatch,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
+    LeaseRelay,
     Membership,
+    PeerLiveness,
+    ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
     WeightedMaxMin,
 )
-from currantstage.protocol import Heartbeat, PeerFrame
+from currantstage.protocol import Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -62,6 +66,10 @@
 PROBE_INTERVAL_S = 0.25
 #: How often the platform's list of VMs is read, in seconds.
 LISTING_INTERVAL_S = 1.0
+#: Longer pause between two refreshes for each peer, which bounds their traffic.
+PEER_REFRESH_PER_PEER_S = 0.25
+#: Peers that get a heartbeat at each turn, which bounds their traffic.
+HEARTBEATS_PER_TURN = 8
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -93,11 +101,27 @@
         self._runner = ProcedureRunner(
             self._platform, self._platform, self._platform, self._clock
         )
+        self._peers = PeerService(
+            settings.entry_vm.id,
+            self._membership.row.incarnation,
+            settings.peers.secret.encode(),
+        )
+        self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._limits = LimitPath(
+            self._membership.row,
+            self._configuration,
+            self._store,
+            self._runner,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
+        self._metrics.watch_allotments(self._limits.team_allotments)
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
-            LocalTeamLimiter(self._configuration),
-            LocalWorkerSlots(self._configuration),
+            self._limits.limiter,
+            self._limits.slots,
             WeightedMaxMin(),
             self._metrics,
             self._clock,
@@ -108,16 +132,12 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._limits.on_change(self._path.driver.start_waiting)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
-        self._peers = PeerService(
-            settings.entry_vm.id,
-            self._membership.row.incarnation,
-            settings.peers.secret.encode(),
-        )
-        self._peers.handle(Heartbeat, self._hear_heartbeat)
-        self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
+        self._relay = self._build_relay()
+        self._next_refresh_s = 0.0
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -140,14 +160,15 @@
         # The balancer sees the failed health check before anything is refused.
         await asyncio.sleep(serving.balancer_notice_ms / 1000)
         self._path.driver.stop_admission()
-        await self._path.queues.drain(serving.max_drain_ms / 1000)
+        if await self._path.queues.drain(serving.max_drain_ms / 1000):
+            await self._limits.leave()
         await self._leave()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return self._is_ready
+        return self._is_ready and not self._limits.is_retired
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -160,6 +181,11 @@
         await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
+        await self._refresh_now()
+        # Only now: whoever holds allotments must be the only process of its entry VM,
+        # which the address that it listens on proves.
+        await self._own(self._limits)
+        await self._own(self._relay)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
@@ -175,6 +201,8 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
+        | LimitPath
+        | RelayService
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -192,7 +220,12 @@
             self._runner,
             self._store,
             self._configuration,
-            Acceptance(self._store, self._configuration, self._watch),
+            Acceptance(
+                self._store,
+                self._configuration,
+                self._watch,
+                AllotmentLimitCheck(self._store),
+            ),
             self._follow.wake,
         )
         add_error_answers(server.app)
@@ -201,6 +234,20 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_relay(self) -> RelayService:
+        liveness = PeerLiveness()
+        return RelayService(
+            self._peers,
+            self._sockets,
+            self._runner,
+            self._clock,
+            self._configuration,
+            self._membership,
+            liveness,
+            LeaseRelay(self._membership, self._configuration, liveness),
+            self._follow.wake,
+        )
+
     def _build_duty_runner(self) -> DutyRunner:
         row = self._membership.row
         leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
@@ -209,7 +256,11 @@
         )
 
     def _build_duties(self) -> list[Duty]:
-        return [Cleanup(self._store)]
+        entry_vm = self._settings.entry_vm.id
+        return [
+            Cleanup(self._store),
+            ReclaimingDuty(self._store, self._configuration, entry_vm),
+        ]
 
     def _first_row(self) -> EntryVmRow:
         entry_vm = self._settings.entry_vm
@@ -226,11 +277,18 @@
 
     async def _follow_head(self) -> None:
         before = self._configuration.fleet.generation
-        generation = await self._runner.run(self._membership.follow_head())
+        try:
+            generation = await self._runner.run(self._membership.follow_head())
+        except CoordinationError:
+            self._relay.report_store_away()
+            raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            # The limits are divided among those who are there now.
+            await self._refresh_now()
+            self._limits.follow_limits()
             self._path.apply_fleet()
-            await self._send_heartbeats()
+            self._peers.broadcast(self._sockets, self._heartbeat())
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -239,15 +297,21 @@
         )
 
     async def _refresh(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s < self._next_refresh_s:
+            return
+        await self._refresh_now()
+        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+
+    async def _refresh_now(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
     async def _send_heartbeats(self) -> None:
-        message = Heartbeat(generation=self._configuration.fleet.generation)
-        self._peers.broadcast(self._sockets, message)
+        for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
+            self._peers.send(self._sockets, peer, self._heartbeat())
 
-    def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
-            self._follow.wake()
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(generation=self._configuration.fleet.generation)
 
     async def _leave(self) -> None:
         try:
--- a/currantstage/application/_peer_service.py
+++ b/currantstage/application/_peer_service.py
@@ -14,7 +14,7 @@
 from currantstage.state import ENTRY_VM_PREFIX, EntryVmRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from currantstage.application._procedure_runner import ProcedureRunner
     from currantstage.coordination import StoreAccess
@@ -40,13 +40,19 @@
         self._incarnation = incarnation
         self._secret = secret
         self._handlers: dict[type[PeerMessage], Callable[[PeerFrame], None]] = {}
-        self._peers: frozenset[EntryVmId] = frozenset()
+        self._members: dict[EntryVmId, EntryVmRow] = {}
+        self._turn = 0
         self.rejected_frames = 0
 
     @property
     def peers(self) -> frozenset[EntryVmId]:
         """The other entry VMs that had a row at the last refresh."""
-        return self._peers
+        return frozenset(self._members)
+
+    @property
+    def members(self) -> Mapping[EntryVmId, EntryVmRow]:
+        """The rows of the other entry VMs at the last refresh."""
+        return self._members
 
     def handle(
         self, message_type: type[PeerMessage], handler: Callable[[PeerFrame], None]
@@ -59,17 +65,18 @@
     ) -> None:
         """Connect to the entry VMs that have a row, and forget the others."""
         rows = await runner.run(store.scan(ENTRY_VM_PREFIX))
-        addresses = {
-            row.record.entry_vm: row.record.peer_address
-            for row in rows
+        # An entry VM that was started again has two rows; the newer one counts.
+        members = {
+            row.record.entry_vm: row.record
+            for row in sorted(rows, key=lambda row: row.version)
             if isinstance(row.record, EntryVmRow)
             and row.record.entry_vm != self._entry_vm
         }
-        for gone in self._peers - addresses.keys():
+        for gone in self._members.keys() - members.keys():
             sockets.disconnect(gone)
-        for peer, address in addresses.items():
-            sockets.connect(peer, address)
-        self._peers = frozenset(addresses)
+        for peer, record in members.items():
+            sockets.connect(peer, record.peer_address)
+        self._members = members
 
     def send(self, link: PeerLink, receiver: EntryVmId, message: PeerMessage) -> None:
         """Send `message` to one peer, without promise of delivery."""
@@ -83,9 +90,18 @@
 
     def broadcast(self, link: PeerLink, message: PeerMessage) -> None:
         """Send `message` to every peer, without promise of delivery."""
-        for peer in sorted(self._peers):
+        for peer in sorted(self._members):
             self.send(link, peer, message)
 
+    def next_peers(self, count: int) -> list[EntryVmId]:
+        """Return up to `count` peers, each peer in its turn."""
+        peers = sorted(self._members)
+        if len(peers) <= count:
+            return peers
+        turn = self._turn % len(peers)
+        self._turn += count
+        return [*peers, *peers][turn : turn + count]
+
     def receive(self, data: bytes) -> None:
         """Take one frame; a bad one is counted and dropped."""
         try:
--- a/currantstage/state/_allotment_rows.py
+++ b/currantstage/state/_allotment_rows.py
@@ -60,6 +60,8 @@
     ----------
     incarnation : IncarnationId
     entry_vm : EntryVmId
+    start_number : int
+        Rises with each start of the entry VM that has a row here at the same time.
     max_work_s : float
         Longest time that work started by this holder may still run, in seconds.
     granted_slots : dict
@@ -72,6 +74,7 @@
 
     incarnation: IncarnationId
     entry_vm: EntryVmId
+    start_number: int
     max_work_s: float
     granted_slots: dict[ResourceId, int] = field(default_factory=dict)
     closed_slots: dict[IncarnationId, dict[ResourceId, int]] = field(
@@ -98,6 +101,15 @@
     return ScopeId(f"data-centre-{data_centre}")
 
 
+def member_scopes(data_centre: DataCentreId) -> tuple[ScopeId, ...]:
+    """Return the scopes that an entry VM of `data_centre` belongs to.
+
+    >>> member_scopes(DataCentreId("a"))
+    ('fleet', 'data-centre-a')
+    """
+    return (FLEET_SCOPE, data_centre_scope(data_centre))
+
+
 def ledger_key(scope: ScopeId) -> RowKey:
     """Return the key of the ledger of `scope`."""
     return RowKey(f"{ALLOTMENT_PREFIX}{scope}/ledger")
