Spend less on each request

Cause: a profile of the daemon showed two log messages a request, and workers looked over twice for each start.

Change: one log message at the end of a request; a worker without a free slot is left out before its health is looked up, and a line that has emptied is not looked at again.

--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from eliot import start_action
+from eliot import log_message
 
 from currantstage.coordination import (
     NO_TEAM,
@@ -96,18 +96,22 @@
     async def _serve(self, request: CallerRequest) -> CallerAnswer:
         started_s = self._clock.now_s()
         request_id = self._next_id()
-        with start_action(
-            action_type="currantstage:request", request=request_id, queue=request.queue
-        ) as action:
-            team, end = await self._run_once_admitted(request_id, request)
-            answer = to_caller_answer(end)
-            action.add_success_fields(outcome=answer.outcome.value, team=team)
+        team, end = await self._run_once_admitted(request_id, request)
+        answer = to_caller_answer(end)
         duration_s = self._clock.now_s() - started_s
         self._metrics.count_request(
             request.queue, team, answer.outcome.value, duration_s
         )
         if isinstance(end, Refusal):
             self._metrics.count_refusal(request.queue, end.reason)
+        log_message(
+            "currantstage:request",
+            request=request_id,
+            queue=request.queue,
+            team=team,
+            outcome=answer.outcome.value,
+            duration_s=round(duration_s, 6),
+        )
         return answer
 
     async def _run_once_admitted(
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -214,7 +214,7 @@
     ) -> None:
         line = self._lines[queue]
         blocked: set[TeamId] = set()
-        while self._room.has_free_slot(queue, now_s):
+        while len(line) and self._room.has_free_slot(queue, now_s):
             loads = self._loads(queue, line, blocked)
             if not any(load.waiting_requests for load in loads):
                 return
--- a/currantstage/coordination/_worker_room.py
+++ b/currantstage/coordination/_worker_room.py
@@ -61,20 +61,15 @@
         Workers that failed it before are returned only when no other worker could
         ever take it.
         """
-        usable = [
-            vm
-            for vm in self._topology.vms_of_queue(request.queue)
-            if self._is_usable(vm.vm_id, now_s)
-        ]
-        if request.avoided:
-            fresh = [vm for vm in usable if vm.vm_id not in request.avoided]
-            usable = fresh or usable
+        skipped = self._skipped(request, now_s)
         candidates = []
-        for vm in usable:
-            free = self._slots.free_slots(vm.vm_id)
-            if free > 0 and self._has_room(vm, request.size):
-                state = self._health.state_of(vm.vm_id)
-                is_suspect = state is ServerState.SUSPECT
+        for vm in self._topology.vms_of_queue(request.queue):
+            vm_id = vm.vm_id
+            free = self._slots.free_slots(vm_id)
+            if free <= 0 or vm_id in skipped or not self._is_usable(vm_id, now_s):
+                continue
+            if self._has_room(vm, request.size):
+                is_suspect = self._health.state_of(vm_id) is ServerState.SUSPECT
                 candidates.append(Candidate(vm, free, is_suspect))
         return candidates
 
@@ -97,6 +92,16 @@
         else:
             self._used[vm.vm_id] = left
 
+    def _skipped(self, request: WaitingRequest, now_s: float) -> frozenset[VmId]:
+        """Return the workers to avoid, or none when no other could be used."""
+        avoided = request.avoided
+        if avoided and any(
+            vm.vm_id not in avoided and self._is_usable(vm.vm_id, now_s)
+            for vm in self._topology.vms_of_queue(request.queue)
+        ):
+            return avoided
+        return frozenset()
+
     def _is_usable(self, vm: VmId, now_s: float) -> bool:
         return (
             vm not in self._leaving
