--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -5,6 +5,7 @@
 from currantstage.coordination._admission import (
     MAX_RETRY_AFTER_S,
     RETRY_AFTER_S,
+    check_start,
     check_still_allowed,
     check_submission,
     estimate_wait_s,
@@ -377,9 +378,6 @@
     is_overdue,
     plan_reconciliation,
 )
-from currantstage.coordination._round_robin import (
-    RoundRobinShares,
-)
 from currantstage.coordination._row_batch import (
     Fence,
     RowBatch,
@@ -632,7 +630,6 @@
     "Retry",
     "RetryBudget",
     "RetryPolicy",
-    "RoundRobinShares",
     "RowBatch",
     "RowObserver",
     "RowRead",
@@ -706,6 +703,7 @@
     "check_against_head",
     "check_fleet",
     "check_note",
+    "check_start",
     "check_still_allowed",
     "check_submission",
     "clear_vm",
@@ -731,6 +729,8 @@
     "largest_capacity",
     "ledger_of",
     "list_items",
+    "load_drain_acks",
+    "load_entry_vms",
     "load_fleet_rows",
     "load_generation",
     "load_head",
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -17,6 +17,7 @@
     TransportError,
 )
 from currantstage.transport._http_server import (
+    LISTEN_BACKLOG,
     MAX_ANSWER_S,
     HttpServer,
 )
@@ -56,6 +57,7 @@
     "FleetStatusService",
     "HealthService",
     "HttpServer",
+    "LISTEN_BACKLOG",
     "ListenError",
     "MAX_ANSWER_S",
     "MAX_IDLE_S",
