--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -19,6 +19,7 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
