--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -27,6 +27,7 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
+from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
@@ -44,6 +45,7 @@
     PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
+    ServiceLevelRecorder,
     StoreAccess,
     WeightedMaxMin,
     plan_waves,
@@ -67,6 +69,7 @@
     add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
@@ -151,6 +154,15 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._service_levels = ServiceLevelService(
+            self._runner,
+            self._store,
+            self._configuration,
+            ServiceLevelRecorder(self._clock.now_s()),
+            self._membership.row,
+            self._clock,
+        )
+        self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
@@ -279,6 +291,9 @@
             FleetReporter(self._runner, self._store, self._configuration),
             self._settings.operators.key,
         )
+        add_service_level_routes(
+            server.app, self._service_levels, self._settings.operators.key
+        )
         add_health_routes(server.app, self)
         return server
 
