--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -39,6 +39,9 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import (
+    FleetReporter,
+)
 from currantstage.application._limit_path import (
     EXCHANGE_INTERVAL_S,
     SETTLE_INTERVAL_S,
@@ -90,6 +93,7 @@
     "EXCHANGE_INTERVAL_S",
     "EndObserver",
     "FleetFollower",
+    "FleetReporter",
     "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -5,6 +5,7 @@
 from currantstage.coordination._admission import (
     MAX_RETRY_AFTER_S,
     RETRY_AFTER_S,
+    check_start,
     check_still_allowed,
     check_submission,
     estimate_wait_s,
@@ -211,6 +212,8 @@
     HOLD_BACK_S,
     LISTING_MAX_AGE_S,
     FleetDuty,
+    load_drain_acks,
+    load_entry_vms,
     load_fleet_rows,
 )
 from currantstage.coordination._fleet_snapshot import (
@@ -386,9 +389,6 @@
     is_overdue,
     plan_reconciliation,
 )
-from currantstage.coordination._round_robin import (
-    RoundRobinShares,
-)
 from currantstage.coordination._row_batch import (
     Fence,
     RowBatch,
@@ -661,7 +661,6 @@
     "Retry",
     "RetryBudget",
     "RetryPolicy",
-    "RoundRobinShares",
     "RowBatch",
     "RowObserver",
     "RowRead",
@@ -742,6 +741,7 @@
     "check_against_head",
     "check_fleet",
     "check_note",
+    "check_start",
     "check_still_allowed",
     "check_submission",
     "clear_vm",
@@ -768,6 +768,8 @@
     "largest_capacity",
     "ledger_of",
     "list_items",
+    "load_drain_acks",
+    "load_entry_vms",
     "load_fleet_rows",
     "load_generation",
     "load_head",
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -9,6 +9,7 @@
 from currantstage.protocol import (
     OPERATOR_KEY_HEADER,
     DecodeError,
+    FleetStatus,
     Members,
     NoteDiff,
     NoteReport,
@@ -17,7 +18,7 @@
     decode,
 )
 from currantstage.state import Fleet
-from currantstage.transport._errors import OperatorCallError
+from currantstage.transport._errors import OperatorCallError, OperatorRefusedError
 
 if TYPE_CHECKING:
     from currantstage.state import NoteId
@@ -27,7 +28,8 @@
 #: Deadline of one operators' call, in seconds.
 CALL_TIMEOUT_S = 30.0
 #: Statuses whose body is an `OperatorError`; other ones carry a report.
-_FAILURE_STATUSES = frozenset({403, 404, 500, 503})
+_REFUSED_STATUSES = frozenset({403, 404})
+_FAILURE_STATUSES = frozenset({500, 503})
 
 
 class OperatorClient:
@@ -85,6 +87,10 @@
         """Return the fleet in force; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/fleet", Fleet)
 
+    async def fleet_status(self) -> FleetStatus:
+        """Ask how the fleet is now; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/fleet/status", FleetStatus)
+
     async def service_levels(self) -> ServiceLevelReport:
         """Return what the entry VM has counted; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/service-levels", ServiceLevelReport)
@@ -104,6 +110,8 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise OperatorCallError(f"{self._url}: {error!r}") from error
+        if response.status in _REFUSED_STATUSES:
+            raise OperatorRefusedError(_error_text(body))
         if response.status in _FAILURE_STATUSES:
             raise OperatorCallError(_error_text(body))
         try:
