--- a/spec/_engine.py
+++ b/spec/_engine.py
@@ -42,13 +42,21 @@
 class Model(Protocol[StateT]):
     """A specification: its states, steps and invariants."""
 
-    name: str
-    #: Depth to which a removed guard's counterexample is searched, in steps.
-    search_depth: int
-    #: Steps with which each searched run begins, to keep the search short.
-    opening: tuple[str, ...]
-    #: Steps that follow the opening when the named guard is removed.
-    hints: Mapping[str, tuple[str, ...]]
+    @property
+    def name(self) -> str:
+        """What the report calls it."""
+
+    @property
+    def search_depth(self) -> int:
+        """Depth to which a removed guard's counterexample is searched, in steps."""
+
+    @property
+    def opening(self) -> tuple[str, ...]:
+        """Steps with which each searched run begins, to keep the search short."""
+
+    @property
+    def hints(self) -> Mapping[str, tuple[str, ...]]:
+        """Steps that follow the opening when the named guard is removed."""
 
     def fresh(self, label: str) -> StateT:
         """Return a state of unknowns whose names start with `label`."""
--- a/tests/cmd/test_burn.py
+++ b/tests/cmd/test_burn.py
@@ -7,7 +7,9 @@
 
 import aiohttp
 import uvloop
+from click.testing import CliRunner
 
+from currantstage.cmd import ExitStatus, main
 from currantstage.cmd._burn_gathering import gather_burn
 from currantstage.cmd._burn_page import render_page
 from currantstage.cmd._burn_table import render_table
@@ -24,6 +26,7 @@
     BurnReport,
     NoteState,
     SilentMember,
+    decode,
 )
 from currantstage.standin import OPERATOR_KEY, BackendMode, LoopbackCluster
 from currantstage.state import EntryVmId, Generation, NoteId, QueueId, TeamId
@@ -121,3 +124,23 @@
             assert burn.alert is Alert.PAGE
 
     uvloop.run(check())
+
+
+def test_without_any_answer_the_command_says_so():
+    options = ("--server", "http://127.0.0.1:1", "--operator-key", "k")
+    result = CliRunner().invoke(main, ["report", "burn", *options])
+    assert result.exit_code == ExitStatus.UNAVAILABLE
+    assert "http://127.0.0.1:1" in result.output
+
+
+def test_the_command_prints_json_and_writes_the_page(tmp_path, monkeypatch):
+    async def gather(servers, key):
+        return make_report("parcels")
+
+    monkeypatch.setattr("currantstage.cmd._report.gather_burn", gather)
+    page = tmp_path / "burn.html"
+    options = ("--operator-key", "k", "--json", "--html", str(page))
+    result = CliRunner().invoke(main, ["report", "burn", *options])
+    assert result.exit_code == ExitStatus.REFUSED
+    assert decode(result.output.encode(), BurnReport) == make_report("parcels")
+    assert page.read_text().startswith("<!doctype html>")
