Run the fleet duty once

A merge had left FleetDuty twice in the daemon's duties, and test_a_noted_move_waits_for_the_running_request_and_then_serves_the_new_pool timed out after 60 s (three runs of three).

--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -321,7 +321,6 @@
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
-            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
