--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -23,7 +23,6 @@
     DispatchDriver,
 )
 from currantstage.application._duty_runner import (
-    RENEWALS_PER_LEASE,
     DutyRunner,
 )
 from currantstage.application._errors import (
@@ -87,7 +86,6 @@
     "PeerService",
     "ProcedureRunner",
     "QueueService",
-    "RENEWALS_PER_LEASE",
     "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
--- a/currantstage/application/_duty_runner.py
+++ b/currantstage/application/_duty_runner.py
@@ -8,7 +8,7 @@
 
 from eliot import log_message
 
-from currantstage.coordination import CoordinationError
+from currantstage.coordination import RENEWALS_PER_LEASE, CoordinationError
 from currantstage.util import DutyLoop
 
 if TYPE_CHECKING:
@@ -18,9 +18,6 @@
     from currantstage.coordination import Duty, DutyLeases
     from currantstage.state import Clock
 
-#: Renewals that fit into one lease, so that one may be lost.
-RENEWALS_PER_LEASE = 3
-
 
 class DutyRunner:
     """Tends the leases of the registered duties and steps those that are held.
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -94,7 +94,6 @@
 )
 from currantstage.coordination._config_lease import (
     MAX_OPEN_RENEWALS,
-    RENEWALS_PER_LEASE,
     ConfigLease,
     Renewal,
     RenewalNumber,
@@ -183,6 +182,7 @@
 )
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
+    RENEWALS_PER_LEASE,
     lapse_s,
     observer_wait_s,
 )
--- a/currantstage/coordination/_config_lease.py
+++ b/currantstage/coordination/_config_lease.py
@@ -5,13 +5,11 @@
 from dataclasses import dataclass
 from typing import NewType
 
-from currantstage.coordination._lease_time import lapse_s
+from currantstage.coordination._lease_time import RENEWALS_PER_LEASE, lapse_s
 
 #: Numbers the renewals of one process.
 RenewalNumber = NewType("RenewalNumber", int)
 
-#: Renewals that are due within one lease, so that one or two may fail.
-RENEWALS_PER_LEASE = 3
 #: Renewals whose answers may be outstanding at once.
 MAX_OPEN_RENEWALS = 16
 
--- a/currantstage/coordination/_lease_time.py
+++ b/currantstage/coordination/_lease_time.py
@@ -4,6 +4,8 @@
 
 #: Bound on the error of any process's monotonic clock, as a part of the time.
 MAX_CLOCK_DRIFT = 0.01
+#: Renewals that are due within one lease, so that one or two may fail.
+RENEWALS_PER_LEASE = 3
 
 
 def lapse_s(renewal_sent_s: float, lease_s: float) -> float:
--- a/tests/fuzz/test_note_machine.py
+++ b/tests/fuzz/test_note_machine.py
@@ -17,9 +17,14 @@
     rule,
 )
 
-from currantstage.coordination import MAX_CLOCK_DRIFT, commit_note
+from currantstage.coordination import (
+    MAX_CLOCK_DRIFT,
+    RENEWALS_PER_LEASE,
+    commit_note,
+)
 from currantstage.state import (
     ACCEPTED_KEY,
+    DEFAULT_CONFIG_LEASE_S,
     HEAD_KEY,
     Additions,
     Key,
@@ -33,12 +38,15 @@
 from tests.fuzz.note_world import CallFault, Message, NoteWorld, Running
 
 NAMES = ("e1", "e2", "e3")
+#: Time after which a renewal is due under the default lease, in seconds.
+RENEWAL_DUE_S = DEFAULT_CONFIG_LEASE_S / RENEWALS_PER_LEASE + 0.1
+#: Processes that exist at once, former starts included.
+MAX_PROCESSES = 6
 TEAM = Team(team_id=TeamId("north"), share=1.0, upper_limit_slots=8)
 picks = st.integers(0, 5)
 faults = st.sampled_from((CallFault.NONE, *CallFault))
 waits = st.sampled_from((0.0, 0.5, 2.5, 5.0, 9.95, 10.3, 31.0))
 lease_lengths = st.sampled_from((2.0, 10.0, 30.0))
-step_counts = st.integers(0, 9)
 clock_rates = st.sampled_from((1 - MAX_CLOCK_DRIFT, 1.0, 1 + MAX_CLOCK_DRIFT))
 
 
@@ -136,7 +144,7 @@
         late=picks,
         withdraws=st.booleans(),
         lease_s=lease_lengths,
-        steps=st.tuples(step_counts, step_counts),
+        steps=st.tuples(st.integers(0, 7), st.sampled_from((0, 0, 1, 2, 4))),
         waits_s=st.tuples(waits, waits),
         is_late_asking=st.booleans(),
     )
@@ -147,6 +155,7 @@
         finishes only after the question whether the note is accepted.
         """
         process, late_process = self.pick(index), self.pick(late)
+        self.world.advance(RENEWAL_DUE_S)
         procedure = late_process.membership.follow_head()
         following = Running(self.world, late_process, procedure)
         self.step_often(following, steps[0])
@@ -191,15 +200,18 @@
         if is_crashed:
             self.world.processes.remove(process)
             self.running = [each for each in self.running if each.process != process]
-        if len(self.world.processes) < 6:
+        if len(self.world.processes) < MAX_PROCESSES:
             self.world.start(process.name, rate)
 
     @rule(index=picks, fault=faults)
     def leave(self, index, fault):
-        """Stop as planned; the process may linger, and its row come late."""
-        if len(self.world.processes) > 1:
-            process = self.pick(index)
-            self.world.run(process, process.membership.leave(), fault)
+        """Stop as planned, with a successor; the process lingers for a while."""
+        process = self.pick(index)
+        self.world.run(process, process.membership.leave(), fault)
+        successor = self.world.start(process.name, process.clock_rate)
+        self.world.run(successor, successor.membership.follow_head())
+        if len(self.world.processes) > MAX_PROCESSES:
+            self.world.processes.pop(0)
 
     @rule(sender=picks, receiver=picks)
     def renew_through_peer(self, sender, receiver):
@@ -274,6 +286,6 @@
 
 
 NoteMachine.TestCase.settings = settings(
-    max_examples=250, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=350, stateful_step_count=40, derandomize=True, deadline=None
 )
 TestNoteMachine = NoteMachine.TestCase
