--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -4,11 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from currantstage.coordination._config_lease import ConfigLease
 from currantstage.state import Fleet, Generation
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
+
+    from currantstage.state import PoolId, Vm, VmId
 
 
 class Configuration:
@@ -21,6 +25,8 @@
         self._fleet = Fleet()
         self._listeners: list[Callable[[], None]] = []
         self.lease = ConfigLease()
+        self._pools: Mapping[VmId, PoolId] | None = None
+        self._serving_fleet = self._fleet
 
     @property
     def fleet(self) -> Fleet:
@@ -42,6 +48,27 @@
         """
         return self.lease.is_held(now_s)
 
+    @property
+    def serving_fleet(self) -> Fleet:
+        """The fleet in force, with each VM in the pool in which it takes work.
+
+        A VM changes its pool when it has been drained, not when a note says so.
+        """
+        return self._serving_fleet
+
+    def takes_work(self, vm: VmId) -> bool:
+        """Return whether `vm` may get new work, as far as its placement goes.
+
+        Before the data centre has its first placement, every VM of the note may.
+        """
+        return self._pools is None or vm in self._pools
+
+    def place(self, pools: Mapping[VmId, PoolId] | None) -> None:
+        """Take note of the pools in which VMs of this data centre take work now."""
+        self._pools = pools
+        vms = {vm.vm_id: _placed(vm, pools or {}) for vm in self._fleet.vms.values()}
+        self._serving_fleet = replace(self._fleet, vms=vms)
+
     def lacks(self, generation: Generation) -> bool:
         """Return whether `generation` is newer than the one in force."""
         return generation > self._fleet.generation
@@ -51,6 +78,12 @@
         if not self.lacks(fleet.generation):
             return False
         self._fleet = fleet
+        self.place(self._pools)
         for listener in self._listeners:
             listener()
         return True
+
+
+def _placed(vm: Vm, pools: Mapping[VmId, PoolId]) -> Vm:
+    pool = pools.get(vm.vm_id, vm.pool)
+    return vm if pool == vm.pool else replace(vm, pool=pool)
