--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,6 +7,7 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
+    EndObserver,
     QueueService,
 )
 from currantstage.application._daemon import (
@@ -37,6 +38,9 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import (
+    FleetReporter,
+)
 from currantstage.application._limit_path import (
     EXCHANGE_INTERVAL_S,
     SETTLE_INTERVAL_S,
@@ -68,6 +72,9 @@
 from currantstage.application._server_monitor import (
     ServerMonitor,
 )
+from currantstage.application._service_level_service import (
+    ServiceLevelService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -83,7 +90,9 @@
     "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
+    "EndObserver",
     "FleetFollower",
+    "FleetReporter",
     "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
@@ -102,6 +111,7 @@
     "RequestPath",
     "SETTLE_INTERVAL_S",
     "ServerMonitor",
+    "ServiceLevelService",
     "StartError",
     "TeamAllotment",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -19,6 +19,7 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -26,6 +27,7 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
+from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
@@ -43,6 +45,7 @@
     PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
+    ServiceLevelRecorder,
     StoreAccess,
     WeightedMaxMin,
     plan_waves,
@@ -63,8 +66,10 @@
     TransportError,
     add_caller_routes,
     add_error_answers,
+    add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
@@ -149,6 +154,15 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._service_levels = ServiceLevelService(
+            self._runner,
+            self._store,
+            self._configuration,
+            ServiceLevelRecorder(self._clock.now_s()),
+            self._membership.row,
+            self._clock,
+        )
+        self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
@@ -272,6 +286,14 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_fleet_status_route(
+            server.app,
+            FleetReporter(self._runner, self._store, self._configuration),
+            self._settings.operators.key,
+        )
+        add_service_level_routes(
+            server.app, self._service_levels, self._settings.operators.key
+        )
         add_health_routes(server.app, self)
         return server
 
@@ -299,6 +321,7 @@
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -17,6 +17,7 @@
     TransportError,
 )
 from currantstage.transport._http_server import (
+    LISTEN_BACKLOG,
     MAX_ANSWER_S,
     HttpServer,
 )
@@ -25,8 +26,12 @@
     OperatorClient,
 )
 from currantstage.transport._operator_routes import (
+    FleetStatusService,
     OperatorService,
+    add_fleet_status_route,
     add_operator_routes,
+    json_response,
+    require_key,
 )
 from currantstage.transport._peers import (
     RECONNECT_MAX_MS,
@@ -44,6 +49,10 @@
     add_error_answers,
     add_health_routes,
 )
+from currantstage.transport._service_level_routes import (
+    ServiceLevelSource,
+    add_service_level_routes,
+)
 
 __all__ = [
     "BackendCall",
@@ -51,8 +60,10 @@
     "CALL_TIMEOUT_S",
     "CONNECT_TIMEOUT_S",
     "CallerService",
+    "FleetStatusService",
     "HealthService",
     "HttpServer",
+    "LISTEN_BACKLOG",
     "ListenError",
     "MAX_ANSWER_S",
     "MAX_IDLE_S",
@@ -67,9 +78,14 @@
     "RECONNECT_MIN_MS",
     "SEND_BUFFER_FRAMES",
     "ServerConnections",
+    "ServiceLevelSource",
     "TransportError",
     "add_caller_routes",
     "add_error_answers",
+    "add_fleet_status_route",
     "add_health_routes",
     "add_operator_routes",
+    "add_service_level_routes",
+    "json_response",
+    "require_key",
 ]
