--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -324,7 +324,6 @@
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
-            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
--- a/currantstage/application/_duty_runner.py
+++ b/currantstage/application/_duty_runner.py
@@ -44,6 +44,8 @@
         self._leases = leases
         self._clock = clock
         self._duties = tuple(duties)
+        if len({duty.kind for duty in self._duties}) < len(self._duties):
+            raise ValueError("two duties under one lease")
         self._tend_interval_s = lease_s / RENEWALS_PER_LEASE
         self._resources = AsyncExitStack()
 
--- /dev/null
+++ b/tests/application/test_duty_runner.py
@@ -0,0 +1,18 @@
+"""Each duty has a lease of its own."""
+
+from __future__ import annotations
+
+import pytest
+
+from currantstage.application import DutyRunner
+from currantstage.coordination import DUTY_LEASE_S, Cleanup, DutyLeases
+from currantstage.state import EntryVmId, IncarnationId
+from tests.fakes import FakeClock, make_store_access
+
+
+def test_two_duties_under_one_lease_are_refused():
+    access = make_store_access()
+    leases = DutyLeases(access, EntryVmId("e1"), IncarnationId("i1"))
+    duties = [Cleanup(access), Cleanup(access)]
+    with pytest.raises(ValueError, match="two duties under one lease"):
+        DutyRunner(None, leases, FakeClock(), duties, DUTY_LEASE_S)
