--- a/currantstage/coordination/_note_check.py
+++ b/currantstage/coordination/_note_check.py
@@ -11,7 +11,7 @@
 
 from currantstage.coordination._fleet_check import check_fleet, is_identifier
 from currantstage.coordination._note_items import list_items
-from currantstage.state import Fleet, Generation, ItemKind, ReleaseNote
+from currantstage.state import Fleet, Generation, ItemKind, PoolId, ReleaseNote
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -84,6 +84,7 @@
         waves=tables[ItemKind.WAVE],
     )
     faults.extend(_place_faults(note, check_fleet(after)))
+    faults.extend(_check_named_budgets(note, after))
     return Failure(tuple(faults)) if faults else Success(after)
 
 
@@ -153,3 +154,21 @@
         otherwise = f"{fault.kind.value} {fault.item_id}, which the note leaves"
         place = items.get((fault.kind, fault.item_id), otherwise)
         yield NoteFault(place, fault.reason)
+
+
+def _check_named_budgets(note: ReleaseNote, after: Fleet) -> Iterable[NoteFault]:
+    """Return the budgets of the note that are larger than their pools.
+
+    Only pools that the note names count: withdrawing a VM from a small pool must not
+    fail for a budget that was set when the pool was larger.
+    """
+    for item in list_items(note):
+        pool = after.pools.get(PoolId(item.item_id))
+        if item.kind is not ItemKind.POOL or pool is None:
+            continue
+        size = len(after.vms_of_pool(pool.pool_id))
+        if size and pool.max_unavailable > size:
+            reason = (
+                f"max_unavailable is {pool.max_unavailable}, the pool has {size} VMs"
+            )
+            yield NoteFault(str(item), reason)
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -18,7 +18,13 @@
 )
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol._fleet_parts import FleetPart
-from currantstage.state import EntryVmId, Generation, IncarnationId
+from currantstage.state import (
+    DataCentreId,
+    EntryVmId,
+    Generation,
+    IncarnationId,
+    QueueId,
+)
 
 #: Longest frame that is sent or read, in bytes.
 MAX_FRAME_BYTES = 64 * 1024
@@ -49,6 +55,13 @@
     known_generation: Generation
 
 
+class DemandMessage(Struct, frozen=True, kw_only=True, tag="demand"):
+    """Running and waiting requests of the sender, by queue."""
+
+    data_centre: DataCentreId
+    slots_of_queue: dict[QueueId, int]
+
+
 PeerMessage: TypeAlias = (
     Heartbeat
     | RenewalAsk
@@ -58,6 +71,7 @@
     | AllotmentAsk
     | AllotmentTransfer
     | AllotmentReceipt
+    | DemandMessage
 )
 
 
--- a/tests/fuzz/__init__.py
+++ b/tests/fuzz/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the package."""
+"""Stateful fuzzing of the coordination layer against simple oracles."""
