--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -19,6 +19,7 @@
     PLACEMENT_POLL_S,
     FleetFollower,
 )
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -63,6 +64,7 @@
     TransportError,
     add_caller_routes,
     add_error_answers,
+    add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
 )
@@ -70,17 +72,18 @@
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
+    from currantstage.state import Generation
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
-#: How often servers in doubt are looked for, in seconds.
-PROBE_INTERVAL_S = 0.25
-#: How often the platform's list of VMs is read, in seconds.
-LISTING_INTERVAL_S = 1.0
 #: Longer pause between two refreshes for each peer, which bounds their traffic.
 PEER_REFRESH_PER_PEER_S = 0.25
 #: Peers that get a heartbeat at each turn, which bounds their traffic.
 HEARTBEATS_PER_TURN = 8
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -153,6 +156,7 @@
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
         self._relay = self._build_relay()
+        self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
         self._placed = self._build_fleet_follower()
         self._demand = DemandService(
@@ -191,6 +195,11 @@
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
+    @property
+    def generation(self) -> Generation:
+        """The generation in force here."""
+        return self._configuration.fleet.generation
+
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
         return self._is_ready and not self._limits.is_retired
@@ -209,13 +218,13 @@
         # drain whose end was decided without its acknowledgement.
         await self._placed.follow()
         await self._own(self._sockets)
-        await self._refresh_now()
+        await self._own(self._relay)
+        await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
         await self._own(self._limits)
-        await self._own(self._relay)
         await self._own(self._follow)
-        await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
+        await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(self._probes)
         await self._own(
@@ -235,8 +244,8 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
-        | LimitPath
         | RelayService
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -265,6 +274,11 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_fleet_status_route(
+            server.app,
+            FleetReporter(self._runner, self._store, self._configuration),
+            self._settings.operators.key,
+        )
         add_health_routes(server.app, self)
         return server
 
@@ -292,6 +306,7 @@
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
             FleetDuty(self._store, (plan_waves, self._demand.plan)),
@@ -319,11 +334,15 @@
             raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            self._peers.broadcast(self._sockets, self._heartbeat())
             # The limits are divided among those who are there now.
-            await self._refresh_now()
+            await self._refresh()
             self._limits.follow_limits()
-            self._path.apply_fleet()
-            self._peers.broadcast(self._sockets, self._heartbeat())
+
+    def _adopt_fleet(self) -> None:
+        """Let every part follow a fleet before the entry VM's row states it."""
+        self._path.apply_fleet()
+        self._limits.follow_limits()
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -331,15 +350,14 @@
             each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
         )
 
-    async def _refresh(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s < self._next_refresh_s:
-            return
-        await self._refresh_now()
-        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+    async def _refresh_if_due(self) -> None:
+        if self._clock.now_s() >= self._next_refresh_s:
+            await self._refresh()
 
-    async def _refresh_now(self) -> None:
+    async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
+        pause_s = PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+        self._next_refresh_s = self._clock.now_s() + pause_s
 
     async def _send_heartbeats(self) -> None:
         for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/_configuration.py
@@ -10,7 +10,7 @@
 from currantstage.state import Fleet, Generation
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from currantstage.state import PoolId, Vm, VmId
 
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self._fleet = Fleet()
+        self._listeners: list[Callable[[], None]] = []
         self.lease = ConfigLease()
         self._pools: Mapping[VmId, PoolId] | None = None
         self._serving_fleet = self._fleet
@@ -32,6 +33,13 @@
         """The fleet in force."""
         return self._fleet
 
+    def on_apply(self, listener: Callable[[], None]) -> None:
+        """Call `listener` as part of each `apply`.
+
+        The entry VM's row says only afterwards that the fleet is in force here.
+        """
+        self._listeners.append(listener)
+
     def may_serve_keyed(self, now_s: float) -> bool:
         """Return whether work that needs a key may be admitted or started.
 
@@ -71,6 +79,8 @@
             return False
         self._fleet = fleet
         self.place(self._pools)
+        for listener in self._listeners:
+            listener()
         return True
 
 
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -13,6 +13,7 @@
 from currantstage.transport._errors import (
     ListenError,
     OperatorCallError,
+    OperatorRefusedError,
     TransportError,
 )
 from currantstage.transport._http_server import (
@@ -25,7 +26,9 @@
     OperatorClient,
 )
 from currantstage.transport._operator_routes import (
+    FleetStatusService,
     OperatorService,
+    add_fleet_status_route,
     add_operator_routes,
 )
 from currantstage.transport._peers import (
@@ -51,6 +54,7 @@
     "CALL_TIMEOUT_S",
     "CONNECT_TIMEOUT_S",
     "CallerService",
+    "FleetStatusService",
     "HealthService",
     "HttpServer",
     "LISTEN_BACKLOG",
@@ -59,6 +63,7 @@
     "MAX_IDLE_S",
     "OperatorCallError",
     "OperatorClient",
+    "OperatorRefusedError",
     "OperatorService",
     "PROBE_TIMEOUT_S",
     "PeerSockets",
@@ -70,6 +75,7 @@
     "TransportError",
     "add_caller_routes",
     "add_error_answers",
+    "add_fleet_status_route",
     "add_health_routes",
     "add_operator_routes",
 ]
