--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -224,6 +224,11 @@
         self, queue: QueueId, now_s: float, effects: list[DispatchEffect]
     ) -> None:
         line = self._lines[queue]
+        if queue not in self._topology.fleet.queues:
+            withdrawn = Refusal(RefusalReason.QUEUE_UNKNOWN)
+            for request in line.requests():
+                effects.extend(self._refuse(request, withdrawn))
+            return
         blocked: set[TeamId] = set()
         while len(line) and self._room.has_free_slot(queue, now_s):
             loads = self._loads(queue, line, blocked)
--- a/currantstage/coordination/_waiting.py
+++ b/currantstage/coordination/_waiting.py
@@ -63,6 +63,10 @@
     def __len__(self) -> int:
         return len(self._urgent) + len(self._normal)
 
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        yield from self._urgent.values()
+        yield from self._normal.values()
+
     def append(self, request: WaitingRequest) -> None:
         """Add `request` at the end of its class."""
         line = self._urgent if request.is_urgent else self._normal
@@ -95,6 +99,10 @@
     def __iter__(self) -> Iterator[tuple[TeamId, TeamLine]]:
         return iter(self._teams.items())
 
+    def requests(self) -> list[WaitingRequest]:
+        """Return all requests, team by team."""
+        return [request for line in self._teams.values() for request in line]
+
     def append(self, request: WaitingRequest) -> None:
         """Add `request` at the end of its team's line."""
         self._teams.setdefault(request.team, TeamLine()).append(request)
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from msgspec import structs
 
 from currantstage.coordination import (
     JobSize,
@@ -156,6 +157,18 @@
     assert refused(effects) == [("second", RefusalReason.KEY_REFUSED)]
 
 
+def test_a_withdrawn_queue_refuses_all_that_wait():
+    path = FakePath(make_fleet(workers=1, slots=1))
+    fill(path, 1)
+    for name in ("second", "third"):
+        path.submit(name)
+    fleet = make_fleet(generation=2)
+    path.configuration.apply(structs.replace(fleet, queues={}))
+    unknown = RefusalReason.QUEUE_UNKNOWN
+    effects = path.dispatcher.start_waiting(1.0)
+    assert refused(effects) == [("second", unknown), ("third", unknown)]
+
+
 def test_a_lapsed_lease_starts_nothing_that_waits():
     path = FakePath(make_fleet(workers=1, slots=1))
     (held,) = fill(path, 1)
