--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -10,9 +10,11 @@
     OPERATOR_KEY_HEADER,
     DecodeError,
     FleetStatus,
+    Members,
     NoteDiff,
     NoteReport,
     OperatorError,
+    ServiceLevelReport,
     decode,
 )
 from currantstage.state import Fleet
@@ -89,6 +91,14 @@
         """Ask how the fleet is now; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/fleet/status", FleetStatus)
 
+    async def service_levels(self) -> ServiceLevelReport:
+        """Return what the entry VM has counted; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/service-levels", ServiceLevelReport)
+
+    async def members(self) -> Members:
+        """Return the entry VMs that have a row; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/members", Members)
+
     async def _call(
         self, method: str, path: str, expected: type[T], data: bytes | None = None
     ) -> T:
