--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -27,6 +27,7 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
+from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     Acceptance,
@@ -44,6 +45,7 @@
     PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
+    ServiceLevelRecorder,
     StoreAccess,
     WeightedMaxMin,
     plan_waves,
@@ -67,22 +69,24 @@
     add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
+    from currantstage.state import Generation
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
-#: How often servers in doubt are looked for, in seconds.
-PROBE_INTERVAL_S = 0.25
-#: How often the platform's list of VMs is read, in seconds.
-LISTING_INTERVAL_S = 1.0
 #: Longer pause between two refreshes for each peer, which bounds their traffic.
 PEER_REFRESH_PER_PEER_S = 0.25
 #: Peers that get a heartbeat at each turn, which bounds their traffic.
 HEARTBEATS_PER_TURN = 8
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -150,11 +154,21 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._service_levels = ServiceLevelService(
+            self._runner,
+            self._store,
+            self._configuration,
+            ServiceLevelRecorder(self._clock.now_s()),
+            self._membership.row,
+            self._clock,
+        )
+        self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
         self._relay = self._build_relay()
+        self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
         self._leases = DutyLeases(
             self._store, settings.entry_vm.id, self._membership.row.incarnation
@@ -197,6 +211,11 @@
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
+    @property
+    def generation(self) -> Generation:
+        """The generation in force here."""
+        return self._configuration.fleet.generation
+
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
         return self._is_ready and not self._limits.is_retired
@@ -215,13 +234,13 @@
         # drain whose end was decided without its acknowledgement.
         await self._placed.follow()
         await self._own(self._sockets)
-        await self._refresh_now()
+        await self._own(self._relay)
+        await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
         await self._own(self._limits)
-        await self._own(self._relay)
         await self._own(self._follow)
-        await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
+        await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(self._probes)
         await self._own(
@@ -241,8 +260,8 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
-        | LimitPath
         | RelayService
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -276,6 +295,9 @@
             FleetReporter(self._runner, self._store, self._configuration),
             self._settings.operators.key,
         )
+        add_service_level_routes(
+            server.app, self._service_levels, self._settings.operators.key
+        )
         add_health_routes(server.app, self)
         return server
 
@@ -328,11 +350,15 @@
             raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            self._peers.broadcast(self._sockets, self._heartbeat())
             # The limits are divided among those who are there now.
-            await self._refresh_now()
+            await self._refresh()
             self._limits.follow_limits()
-            self._path.apply_fleet()
-            self._peers.broadcast(self._sockets, self._heartbeat())
+
+    def _adopt_fleet(self) -> None:
+        """Let every part follow a fleet before the entry VM's row states it."""
+        self._path.apply_fleet()
+        self._limits.follow_limits()
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -340,15 +366,14 @@
             each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
         )
 
-    async def _refresh(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s < self._next_refresh_s:
-            return
-        await self._refresh_now()
-        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+    async def _refresh_if_due(self) -> None:
+        if self._clock.now_s() >= self._next_refresh_s:
+            await self._refresh()
 
-    async def _refresh_now(self) -> None:
+    async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
+        pause_s = PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+        self._next_refresh_s = self._clock.now_s() + pause_s
 
     async def _send_heartbeats(self) -> None:
         for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
--- a/currantstage/application/_relay_service.py
+++ b/currantstage/application/_relay_service.py
@@ -58,7 +58,7 @@
     liveness : PeerLiveness
     relay : LeaseRelay
     on_newer_head : callable
-        Called when a peer states a newer generation than the one in force here.
+        Called when a peer states or hands over a newer generation.
     """
 
     def __init__(
@@ -166,3 +166,4 @@
             return
         if fleet is not None:
             self._perform(self._relay.on_fleet(fleet, self._clock.now_s()))
+            self._on_newer_head()
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -70,6 +70,14 @@
     decode_frame,
     encode_frame,
 )
+from currantstage.protocol._service_levels import (
+    AnsweredMember,
+    BurnReport,
+    MemberAddress,
+    Members,
+    ServiceLevelReport,
+    SilentMember,
+)
 from currantstage.protocol._store_codec import (
     WireCheck,
     WireListing,
@@ -91,6 +99,8 @@
 )
 
 __all__ = [
+    "AnsweredMember",
+    "BurnReport",
     "CallerAnswer",
     "CallerOptions",
     "CallerRequest",
@@ -111,6 +121,8 @@
     "MAX_PART_BYTES",
     "MAX_SIZE",
     "MAX_TIMEOUT_MS",
+    "MemberAddress",
+    "Members",
     "NoteDiff",
     "NoteReport",
     "NoteState",
@@ -127,6 +139,8 @@
     "ProtocolError",
     "RenewalAnswer",
     "RenewalAsk",
+    "ServiceLevelReport",
+    "SilentMember",
     "TIMEOUT_HEADER",
     "TeamStatus",
     "UNKNOWN_STATUS",
