Let maintenance run all through the fleet's state machine

Cause: with outages left out of the budgets the machine still passed, since a wave's round came up once an hour of its time.

Change: rounds of 300 s.

--- a/tests/fuzz/test_fleet_machine.py
+++ b/tests/fuzz/test_fleet_machine.py
@@ -119,7 +119,7 @@
         self.store = Oracle()
         members = [make_pool(name, max_unavailable=2) for name in POOLS]
         self.world = FleetWorld(
-            members, map(first_vm, VMS), [make_wave(POOLS)], self.store
+            members, map(first_vm, VMS), [make_wave(POOLS, 300)], self.store
         )
         self.store.world = self.world
         self.store.reboot_status = self._reboot_status
