Show buffer and moves of each data centre

Cause: nobody could see how many VMs are lent and how many moves were made.

Change: `fleet show` has spare VMs at home, lent VMs and the moves of the last hour for each data centre, from the placement rows.

--- a/currantstage/cmd/_show.py
+++ b/currantstage/cmd/_show.py
@@ -68,6 +68,8 @@
         click.echo(msgspec.json.encode(status).decode())
     else:
         click.echo(f"generation {status.generation}, {len(status.vms)} VMs")
+        click.echo(_render(status.data_centres))
+        click.echo()
         click.echo(_render(status.pools))
         for each in overdue:
             click.echo(f"overdue: {each.vm} ({each.purpose})")
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -33,6 +33,7 @@
 )
 from currantstage.protocol._fleet_status import (
     OVERDUE_S,
+    DataCentreStatus,
     FleetStatus,
     KeyStatus,
     PoolStatus,
@@ -105,6 +106,7 @@
     "CallerOptions",
     "CallerRequest",
     "DEFAULT_TYPE",
+    "DataCentreStatus",
     "DecodeError",
     "DemandMessage",
     "FleetAssembly",
--- a/currantstage/protocol/_fleet_status.py
+++ b/currantstage/protocol/_fleet_status.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination import is_overdue, unfinished_vms
+from currantstage.coordination import MOVE_WINDOW_S, is_overdue, unfinished_vms
 from currantstage.state import (
     DataCentreId,
     EntryVmId,
@@ -74,6 +74,27 @@
     max_unavailable_per_rack: int
 
 
+class DataCentreStatus(Struct, frozen=True, kw_only=True):
+    """One data centre: what its buffer is doing.
+
+    Parameters
+    ----------
+    data_centre : DataCentreId
+    vms, serving : int
+    spare, lent : int
+        Spare VMs that serve at home, and those that other pools have borrowed.
+    moves_last_hour : int
+        Moves between pools, by notes and by lending.
+    """
+
+    data_centre: DataCentreId
+    vms: int
+    serving: int
+    spare: int
+    lent: int
+    moves_last_hour: int
+
+
 class WaveStatus(Struct, frozen=True, kw_only=True):
     """One maintenance wave.
 
@@ -118,6 +139,7 @@
     """The fleet at one moment, as one entry VM reads it from the platform."""
 
     generation: Generation
+    data_centres: tuple[DataCentreStatus, ...]
     pools: tuple[PoolStatus, ...]
     vms: tuple[VmStatus, ...]
     teams: tuple[TeamStatus, ...]
@@ -132,6 +154,10 @@
     keys_of_team = Counter(key.team for key in fleet.keys.values())
     return FleetStatus(
         generation=fleet.generation,
+        data_centres=tuple(
+            _report_data_centre(snapshot, data_centre, rows)
+            for data_centre in sorted({row.data_centre for row in rows})
+        ),
         pools=tuple(
             _report_pool(snapshot, fleet.pools[pool], rows)
             for pool in sorted(fleet.pools)
@@ -171,6 +197,26 @@
     )
 
 
+def _report_data_centre(
+    snapshot: FleetSnapshot, data_centre: DataCentreId, rows: list[VmRow]
+) -> DataCentreStatus:
+    members = [row for row in rows if row.data_centre == data_centre]
+    serving = [row for row in members if row.state is VmState.SERVING]
+    spare_pools = {
+        pool.pool_id for pool in snapshot.fleet.pools.values() if pool.is_spare
+    }
+    oldest_s = snapshot.now_s - MOVE_WINDOW_S
+    moves_at_s = snapshot.rows.placement(data_centre).moves_at_s
+    return DataCentreStatus(
+        data_centre=data_centre,
+        vms=len(members),
+        serving=len(serving),
+        spare=sum(1 for row in serving if row.pool in spare_pools),
+        lent=sum(1 for row in members if row.is_borrowed and row.home in spare_pools),
+        moves_last_hour=sum(1 for at_s in moves_at_s if at_s > oldest_s),
+    )
+
+
 def _report_pool(snapshot: FleetSnapshot, pool: Pool, rows: list[VmRow]) -> PoolStatus:
     members = [row for row in rows if row.pool == pool.pool_id]
     lent = [row for row in rows if row.home == pool.pool_id and row.is_borrowed]
