--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,14 +7,19 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
-    NO_TEAM,
     QueueService,
 )
 from currantstage.application._daemon import (
     INCARNATION_BITS,
+    LISTING_INTERVAL_S,
     PEER_REFRESH_S,
+    PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._dispatch_driver import (
+    Admitted,
+    DispatchDriver,
+)
 from currantstage.application._duty_runner import (
     RENEWALS_PER_LEASE,
     DutyRunner,
@@ -44,28 +49,39 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._request_path import (
+    RequestPath,
+)
+from currantstage.application._server_monitor import (
+    ServerMonitor,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
+    "Admitted",
     "AllotmentService",
     "AllottedTeamLimiter",
     "AllottedWorkerSlots",
     "ApplicationError",
     "Daemon",
     "DaemonMetrics",
+    "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
+    "LISTING_INTERVAL_S",
     "LimitPath",
-    "NO_TEAM",
     "NoteService",
     "PEER_REFRESH_S",
+    "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RequestPath",
     "SETTLE_INTERVAL_S",
+    "ServerMonitor",
     "StartError",
     "TeamAllotment",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
 from eliot import log_message
 
-from currantstage.application._caller_service import QueueService
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
 from currantstage.application._limit_path import LimitPath
@@ -16,14 +16,15 @@
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._request_path import RequestPath
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    USAGE_INTERVAL_S,
     Acceptance,
     AllotmentLimitCheck,
     Cleanup,
     Configuration,
     CoordinationError,
-    Dispatcher,
     Duty,
     DutyLeases,
     HeadWatch,
@@ -31,6 +32,9 @@
     ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
+    UsageBoard,
+    UsageReport,
+    WeightedMaxMin,
 )
 from currantstage.protocol import Heartbeat, PeerFrame
 from currantstage.state import (
@@ -38,6 +42,7 @@
     FIRST_GENERATION,
     EntryVmRow,
     IncarnationId,
+    VmLiveness,
 )
 from currantstage.transport import (
     BackendClient,
@@ -46,6 +51,7 @@
     PlatformClient,
     TransportError,
     add_caller_routes,
+    add_error_answers,
     add_health_routes,
     add_operator_routes,
 )
@@ -56,6 +62,10 @@
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -75,6 +85,7 @@
         self._random = random.Random(seed)
         self._clock = MonotonicClock()
         self._resources = AsyncExitStack()
+        self._is_ready = True
         self._configuration = Configuration()
         self._store = StoreAccess(self._random, RetryPolicy())
         self._watch = HeadWatch()
@@ -103,16 +114,25 @@
             self._clock,
         )
         self._metrics.watch_allotments(self._limits.team_allotments)
-        self._dispatcher = Dispatcher(
+        self._usage = UsageBoard()
+        self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
             self._limits.limiter,
             self._limits.slots,
+            WeightedMaxMin(),
+            self._usage,
+            self._metrics,
+            self._clock,
+            self._random,
+            self._membership.row.incarnation,
         )
-        self._backends = BackendClient()
-        self._queues = QueueService(
-            self._dispatcher, self._backends, self._metrics, self._clock
+        self._limits.on_change(self._path.driver.start_waiting)
+        self._peers.handle(UsageReport, self._hear_usage)
+        self._probes = DutyLoop(
+            "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
+        self._path.monitor.on_doubt(self._probes.wake)
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
@@ -133,8 +153,12 @@
 
     async def close(self) -> None:
         """Stop gracefully: refuse new requests, let the running ones finish, leave."""
-        self._dispatcher.stop_admission()
-        if await self._queues.drain(self._settings.serving.max_drain_ms / 1000):
+        self._is_ready = False
+        serving = self._settings.serving
+        # The balancer sees the failed health check before anything is refused.
+        await asyncio.sleep(serving.balancer_notice_ms / 1000)
+        self._path.driver.stop_admission()
+        if await self._path.queues.drain(serving.max_drain_ms / 1000):
             await self._limits.leave()
         await self._leave()
         await self._resources.aclose()
@@ -142,7 +166,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
-        return not (self._dispatcher.is_stopping or self._limits.is_retired)
+        return self._is_ready and not self._limits.is_retired
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -152,7 +176,7 @@
         self._resources.callback(self._metrics.close)
         heartbeat_s = self._settings.peers.heartbeat_ms / 1000
         await self._own(self._platform)
-        await self._own(self._backends)
+        await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
         await self._refresh()
@@ -162,6 +186,9 @@
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(DutyLoop("report-usage", self._send_usage, USAGE_INTERVAL_S))
+        await self._own(self._probes)
+        await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
 
@@ -198,7 +225,8 @@
             ),
             self._follow.wake,
         )
-        add_caller_routes(server.app, self._queues)
+        add_error_answers(server.app)
+        add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
         add_health_routes(server.app, self)
         return server
@@ -235,11 +263,18 @@
         generation = await self._runner.run(self._membership.follow_head())
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            self._path.apply_fleet()
             # The limits are divided among those who are there now.
             await self._refresh()
             self._limits.follow_limits()
             await self._send_heartbeats()
 
+    async def _list_vms(self) -> None:
+        listed = await self._platform.list_vms()
+        self._path.driver.set_leaving(
+            each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
+        )
+
     async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
@@ -254,6 +289,16 @@
         ):
             self._follow.wake()
 
+    async def _send_usage(self) -> None:
+        running_slots = self._path.driver.running_slots()
+        report = self._usage.report(self._clock.now_s(), running_slots)
+        self._peers.broadcast(self._sockets, report)
+
+    def _hear_usage(self, frame: PeerFrame) -> None:
+        if isinstance(frame.message, UsageReport):
+            now_s = self._clock.now_s()
+            self._usage.hear(now_s, frame.sender, frame.incarnation, frame.message)
+
     async def _leave(self) -> None:
         try:
             await self._runner.run(self._membership.leave())
--- a/currantstage/coordination/_policies.py
+++ b/currantstage/coordination/_policies.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.state import TeamId, VmId
+    from currantstage.state import QueueId, TeamId, VmId
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +58,15 @@
         """Give one slot back."""
 
 
+class UsageView(Protocol):
+    """Knows what teams hold at other entry VMs, and have held here of late."""
+
+    def correction_slots(
+        self, now_s: float, queue: QueueId, team: TeamId, running_slots: float
+    ) -> float:
+        """Return what to add to `running_slots` when teams are compared."""
+
+
 class SharePolicy(Protocol):
     """Decides whose waiting request goes next when a slot is free."""
 
--- a/currantstage/coordination/_shares.py
+++ b/currantstage/coordination/_shares.py
@@ -53,15 +53,21 @@
     before all that hold more.
     """
 
+    def __init__(self) -> None:
+        self._turns = 0
+        self._last_turn: dict[TeamId, int] = {}
+
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
-        """Return the team to serve; `loads` holds at least one that waits."""
+        """Return the team to serve; `loads` holds at least one that waits.
+
+        Of teams with equal claims, the one that was served longest ago goes next.
+        """
         waiting = [load for load in loads if load.waiting_requests > 0]
-        if not any(load.correction_slots for load in loads):
-            return min(waiting, key=_local_rank).team
-        below_floor = _below_floor(loads, waiting)
-        if below_floor:
-            return min(below_floor, key=_local_rank).team
-        return min(waiting, key=_fleet_rank).team
+        waiting.sort(key=lambda load: (self._last_turn.get(load.team, 0), load.team))
+        team = _first_of(loads, waiting).team
+        self._turns += 1
+        self._last_turn[team] = self._turns
+        return team
 
 
 def max_min_slots(
@@ -88,6 +94,15 @@
     return allocation
 
 
+def _first_of(loads: Sequence[TeamLoad], waiting: Sequence[TeamLoad]) -> TeamLoad:
+    if not any(load.correction_slots for load in loads):
+        return min(waiting, key=_local_rank)
+    below_floor = _below_floor(loads, waiting)
+    if below_floor:
+        return min(below_floor, key=_local_rank)
+    return min(waiting, key=_fleet_rank)
+
+
 def _below_floor(
     loads: Sequence[TeamLoad], waiting: Sequence[TeamLoad]
 ) -> list[TeamLoad]:
@@ -102,10 +117,10 @@
     ]
 
 
-def _local_rank(load: TeamLoad) -> tuple[float, str]:
-    return (load.running_slots + ROUNDING_SLOTS) / load.share, load.team
+def _local_rank(load: TeamLoad) -> float:
+    return (load.running_slots + ROUNDING_SLOTS) / load.share
 
 
-def _fleet_rank(load: TeamLoad) -> tuple[float, str]:
+def _fleet_rank(load: TeamLoad) -> float:
     held_slots = load.running_slots + load.correction_slots
-    return (held_slots + AVERAGED_ROUNDING_SLOTS) / load.share, load.team
+    return (held_slots + AVERAGED_ROUNDING_SLOTS) / load.share
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -13,6 +13,7 @@
     AllotmentAsk,
     AllotmentReceipt,
     AllotmentTransfer,
+    UsageReport,
 )
 from currantstage.protocol._errors import DecodeError
 from currantstage.state import EntryVmId, Generation, IncarnationId
@@ -28,7 +29,9 @@
     generation: Generation
 
 
-PeerMessage: TypeAlias = Heartbeat | AllotmentAsk | AllotmentTransfer | AllotmentReceipt
+PeerMessage: TypeAlias = (
+    Heartbeat | AllotmentAsk | AllotmentTransfer | AllotmentReceipt | UsageReport
+)
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
