--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the system, one command each."""
+"""Benchmarks: one command a measure, each with a seed and a baseline."""
--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -10,8 +10,10 @@
     QueueService,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
     LISTING_INTERVAL_S,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     PROBE_INTERVAL_S,
     Daemon,
@@ -49,12 +51,19 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
 from currantstage.application._request_path import (
     RequestPath,
 )
 from currantstage.application._server_monitor import (
     ServerMonitor,
 )
+from currantstage.application._usage_service import (
+    UsageService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -68,20 +77,25 @@
     "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
     "LimitPath",
+    "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
     "ServerMonitor",
     "StartError",
     "TeamAllotment",
+    "UsageService",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -16,7 +16,9 @@
 from currantstage.application._operator_service import NoteService
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
+from currantstage.application._usage_service import UsageService
 from currantstage.coordination import (
     DUTY_LEASE_S,
     USAGE_INTERVAL_S,
@@ -28,15 +30,16 @@
     Duty,
     DutyLeases,
     HeadWatch,
+    LeaseRelay,
     Membership,
+    PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
     StoreAccess,
     UsageBoard,
-    UsageReport,
     WeightedMaxMin,
 )
-from currantstage.protocol import Heartbeat, PeerFrame
+from currantstage.protocol import Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -66,6 +69,10 @@
 PROBE_INTERVAL_S = 0.25
 #: How often the platform's list of VMs is read, in seconds.
 LISTING_INTERVAL_S = 1.0
+#: Longer pause between two refreshes for each peer, which bounds their traffic.
+PEER_REFRESH_PER_PEER_S = 0.25
+#: Peers that get a heartbeat at each turn, which bounds their traffic.
+HEARTBEATS_PER_TURN = 8
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -102,7 +109,6 @@
             self._membership.row.incarnation,
             settings.peers.secret.encode(),
         )
-        self._peers.handle(Heartbeat, self._hear_heartbeat)
         self._sockets = PeerSockets(settings.entry_vm.peer_address, self._peers.receive)
         self._limits = LimitPath(
             self._membership.row,
@@ -114,28 +120,36 @@
             self._clock,
         )
         self._metrics.watch_allotments(self._limits.team_allotments)
-        self._usage = UsageBoard()
+        usage = UsageBoard()
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
             self._limits.limiter,
             self._limits.slots,
             WeightedMaxMin(),
-            self._usage,
+            usage,
             self._metrics,
             self._clock,
             self._random,
             self._membership.row.incarnation,
         )
-        self._limits.on_change(self._path.driver.start_waiting)
-        self._peers.handle(UsageReport, self._hear_usage)
         self._probes = DutyLoop(
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._limits.on_change(self._path.driver.start_waiting)
+        self._usage = UsageService(
+            usage,
+            self._path.driver.running_slots,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._relay = self._build_relay()
+        self._next_refresh_s = 0.0
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -179,14 +193,15 @@
         await self._own(self._path.backends)
         await self._follow_head()
         await self._own(self._sockets)
-        await self._refresh()
+        await self._refresh_now()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
         await self._own(self._limits)
+        await self._own(self._relay)
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
-        await self._own(DutyLoop("report-usage", self._send_usage, USAGE_INTERVAL_S))
+        await self._own(DutyLoop("report-usage", self._usage.tell, USAGE_INTERVAL_S))
         await self._own(self._probes)
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
@@ -200,6 +215,7 @@
         | DutyLoop
         | DutyRunner
         | LimitPath
+        | RelayService
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -231,6 +247,20 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_relay(self) -> RelayService:
+        liveness = PeerLiveness()
+        return RelayService(
+            self._peers,
+            self._sockets,
+            self._runner,
+            self._clock,
+            self._configuration,
+            self._membership,
+            liveness,
+            LeaseRelay(self._membership, self._configuration, liveness),
+            self._follow.wake,
+        )
+
     def _build_duty_runner(self) -> DutyRunner:
         row = self._membership.row
         leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
@@ -260,14 +290,18 @@
 
     async def _follow_head(self) -> None:
         before = self._configuration.fleet.generation
-        generation = await self._runner.run(self._membership.follow_head())
+        try:
+            generation = await self._runner.run(self._membership.follow_head())
+        except CoordinationError:
+            self._relay.report_store_away()
+            raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
-            self._path.apply_fleet()
             # The limits are divided among those who are there now.
-            await self._refresh()
+            await self._refresh_now()
             self._limits.follow_limits()
-            await self._send_heartbeats()
+            self._path.apply_fleet()
+            self._peers.broadcast(self._sockets, self._heartbeat())
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -276,28 +310,21 @@
         )
 
     async def _refresh(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s < self._next_refresh_s:
+            return
+        await self._refresh_now()
+        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+
+    async def _refresh_now(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
 
     async def _send_heartbeats(self) -> None:
-        message = Heartbeat(generation=self._configuration.fleet.generation)
-        self._peers.broadcast(self._sockets, message)
-
-    def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        message = frame.message
-        if isinstance(message, Heartbeat) and self._configuration.lacks(
-            message.generation
-        ):
-            self._follow.wake()
-
-    async def _send_usage(self) -> None:
-        running_slots = self._path.driver.running_slots()
-        report = self._usage.report(self._clock.now_s(), running_slots)
-        self._peers.broadcast(self._sockets, report)
+        for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
+            self._peers.send(self._sockets, peer, self._heartbeat())
 
-    def _hear_usage(self, frame: PeerFrame) -> None:
-        if isinstance(frame.message, UsageReport):
-            now_s = self._clock.now_s()
-            self._usage.hear(now_s, frame.sender, frame.incarnation, frame.message)
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(generation=self._configuration.fleet.generation)
 
     async def _leave(self) -> None:
         try:
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -173,6 +173,14 @@
 from currantstage.coordination._lease_continuity import (
     LeaseContinuity,
 )
+from currantstage.coordination._lease_relay import (
+    PEERS_PER_REQUEST,
+    AskFleet,
+    AskRenewal,
+    GiveFleet,
+    LeaseRelay,
+    RelayEffect,
+)
 from currantstage.coordination._lease_time import (
     MAX_CLOCK_DRIFT,
     lapse_s,
@@ -207,11 +215,16 @@
     NoteInvalid,
     NoteOvertaken,
     NoteRefusal,
+    check_against_head,
     commit_note,
     generation_of_object,
     load_generation,
     load_head,
 )
+from currantstage.coordination._note_history import (
+    NoteChanges,
+    explain_note,
+)
 from currantstage.coordination._note_items import (
     FieldChange,
     NoteItem,
@@ -238,6 +251,11 @@
     RECENT_RESULTS,
     OutlierDetector,
 )
+from currantstage.coordination._peer_liveness import (
+    MAX_SILENCE_S,
+    PeerLiveness,
+    PeerSign,
+)
 from currantstage.coordination._placement import (
     AttributedRing,
     Candidate,
@@ -344,6 +362,8 @@
     "AllotmentSettlement",
     "AllotmentTransfer",
     "Answer",
+    "AskFleet",
+    "AskRenewal",
     "Assignment",
     "AttemptBudget",
     "Attempts",
@@ -380,6 +400,7 @@
     "FleetView",
     "GENERATION_PREFIX",
     "GetObject",
+    "GiveFleet",
     "Head",
     "HeadWatch",
     "HolderStart",
@@ -390,6 +411,7 @@
     "LOCAL_FLOOR_FRACTION",
     "LONG_QUANTILE",
     "LeaseContinuity",
+    "LeaseRelay",
     "LeastLoaded",
     "ListObjects",
     "ListVms",
@@ -409,6 +431,7 @@
     "MAX_SAVED_RETRIES",
     "MAX_SETTLEMENT_TRIES",
     "MAX_SIGHTINGS",
+    "MAX_SILENCE_S",
     "MAX_TRIES",
     "MIN_ASK_INTERVAL_S",
     "MIN_CONFIG_LEASE_S",
@@ -420,6 +443,7 @@
     "NO_SIZE",
     "NO_TEAM",
     "Need",
+    "NoteChanges",
     "NoteFault",
     "NoteIdTaken",
     "NoteInvalid",
@@ -433,8 +457,11 @@
     "ObjectsListed",
     "Outcome",
     "OutlierDetector",
+    "PEERS_PER_REQUEST",
     "Pause",
     "Peer",
+    "PeerLiveness",
+    "PeerSign",
     "Placement",
     "PlatformCall",
     "PowerOfTwoChoices",
@@ -457,6 +484,7 @@
     "Refusal",
     "RefusalReason",
     "Refuse",
+    "RelayEffect",
     "ReleaseAt",
     "Renewal",
     "RenewalNumber",
@@ -523,6 +551,7 @@
     "WriteUncertainError",
     "allotted_slots",
     "capacity_of",
+    "check_against_head",
     "check_fleet",
     "check_note",
     "check_still_allowed",
@@ -531,6 +560,7 @@
     "diff_fleets",
     "digest_secret",
     "estimate_wait_s",
+    "explain_note",
     "fair_excess",
     "find_longest_line",
     "follow_limits",
