--- a/currantstage/application/_allotment_service.py
+++ b/currantstage/application/_allotment_service.py
@@ -132,9 +132,9 @@
     def exchange(self) -> None:
         """Repeat unacknowledged transfers and ask for the even part."""
         self._is_sure()
-        peers = self._scope_peers()
+        peers, now_s = self._scope_peers(), self._clock.now_s()
         self._send(self._exchange.repeat())
-        self._send(self._exchange.level(peers, self._needs()))
+        self._send(self._exchange.level(now_s, peers, self._needs()))
 
     async def leave(self, runner: ProcedureRunner) -> None:
         """Hand everything back; call it once no work is running."""
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -25,6 +25,7 @@
 )
 from currantstage.coordination._allotment_exchange import (
     ASK_FANOUT,
+    LEVEL_INTERVAL_S,
     MAX_ASK_INTERVAL_S,
     MIN_ASK_INTERVAL_S,
     AllotmentExchange,
@@ -407,6 +408,7 @@
     "IdT",
     "JobSize",
     "KEPT_GENERATIONS",
+    "LEVEL_INTERVAL_S",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
     "LONG_QUANTILE",
--- a/currantstage/coordination/_allotment_demand.py
+++ b/currantstage/coordination/_allotment_demand.py
@@ -13,7 +13,7 @@
 #: How long work that found no slot counts as waiting, in seconds.
 SHORTAGE_MEMORY_S = 0.5
 #: How long a peer's unmet request is remembered, in seconds.
-CLAIM_MEMORY_S = 1.0
+CLAIM_MEMORY_S = 2.0
 #: Shortest time between two handovers of the odd slot while both sides want it.
 CONTENDED_HOLD_S = 0.5
 
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/_allotment_exchange.py
@@ -32,7 +32,9 @@
 #: Bounds of the time between two rounds of asking, in seconds; it doubles with each
 #: round that brings nothing.
 MIN_ASK_INTERVAL_S = 0.02
-MAX_ASK_INTERVAL_S = 0.3
+MAX_ASK_INTERVAL_S = 0.6
+#: Time between two rounds of asking for the even part, in seconds.
+LEVEL_INTERVAL_S = 2.0
 
 
 class AllotmentExchange:
@@ -55,6 +57,7 @@
         self._next_peer = 0
         self._last_giver: EntryVmId | None = None
         self._last_ask_s = -MAX_ASK_INTERVAL_S
+        self._last_level_s = -LEVEL_INTERVAL_S
         self._ask_interval_s = MIN_ASK_INTERVAL_S
 
     def note_shortage(self, resource: ResourceId, now_s: float) -> None:
@@ -87,12 +90,15 @@
         return self._send_asks(wanted, peers)
 
     def level(
-        self, peers: Sequence[EntryVmId], needs: AllotmentNeeds
+        self, now_s: float, peers: Sequence[EntryVmId], needs: AllotmentNeeds
     ) -> list[SendToPeer]:
         """Ask the next few of `peers` for the even part, while nothing waits.
 
         An entry VM that is cut off later goes on with what it got.
         """
+        if now_s - self._last_level_s < LEVEL_INTERVAL_S:
+            return []
+        self._last_level_s = now_s
         wanted = {}
         for resource in needs.limits:
             held = self._book.held_slots(resource)
