--- a/currantstage/coordination/_allotment_book.py
+++ b/currantstage/coordination/_allotment_book.py
@@ -30,6 +30,9 @@
     def __init__(self, holder: IncarnationId) -> None:
         self.holder = holder
         self._granted: Counter[ResourceId] = Counter()
+        #: Granted and received slots less those sent; kept up with every change, since
+        #: each request looks at every worker.
+        self._held: Counter[ResourceId] = Counter()
         self._running: Counter[ResourceId] = Counter()
         self._sent: defaultdict[IncarnationId, Counter[ResourceId]]
         self._sent = defaultdict(Counter)
@@ -64,8 +67,7 @@
     @property
     def resources(self) -> set[ResourceId]:
         """Every resource of which it has ever had, or run, anything."""
-        traded = [*self._sent.values(), *self._received.values()]
-        return set().union(self._granted, self._running, *traded)
+        return set().union(self._held, self._running)
 
     def granted_slots(self, resource: ResourceId) -> int:
         """Return what is certainly granted by the table and not traded away."""
@@ -73,9 +75,7 @@
 
     def held_slots(self, resource: ResourceId) -> int:
         """Return the slots that this holder has now."""
-        received = sum(totals[resource] for totals in self._received.values())
-        sent = sum(totals[resource] for totals in self._sent.values())
-        return self._granted[resource] + received - sent
+        return self._held[resource]
 
     def running_slots(self, resource: ResourceId) -> int:
         """Return the slots that work has taken."""
@@ -122,6 +122,7 @@
         if not may_go or not 0 < slots <= self.idle_slots(resource):
             return False
         self._sent[peer][resource] += slots
+        self._held[resource] -= slots
         return True
 
     def sent_totals(self, peer: IncarnationId) -> dict[ResourceId, int]:
@@ -138,7 +139,9 @@
             return False
         received = self._received[peer]
         for resource, slots in totals.items():
-            received[resource] = max(received[resource], slots)
+            new_slots = max(0, slots - received[resource])
+            received[resource] += new_slots
+            self._held[resource] += new_slots
         return True
 
     def close_peers(self, peers: Iterable[IncarnationId]) -> None:
@@ -158,6 +161,7 @@
     def deduct(self, slots: Mapping[ResourceId, int]) -> None:
         """Give up granted `slots`, before the table is told."""
         self._granted.subtract(slots)
+        self._held.subtract(slots)
 
     def confirm(
         self,
@@ -179,9 +183,18 @@
         for peer in self._closed.difference(reclaiming):
             self._sent.pop(peer, None)
             self._received.pop(peer, None)
+        self._held = self._count_held()
         self._max_work_s = max_work_s
         self._is_open = not self._is_retired
 
+    def _count_held(self) -> Counter[ResourceId]:
+        held = Counter(self._granted)
+        for totals in self._received.values():
+            held.update(totals)
+        for totals in self._sent.values():
+            held.subtract(totals)
+        return held
+
     def retire(self) -> None:
         """Start and trade nothing any more."""
         self._is_open = False
