--- a/currantstage/coordination/_reclaiming_duty.py
+++ b/currantstage/coordination/_reclaiming_duty.py
@@ -22,7 +22,7 @@
     from currantstage.state import ScopeId
 
 #: Pause between two looks for dead holders, in seconds.
-RECLAIM_INTERVAL_S = 5.0
+RECLAIM_INTERVAL_S = 2.0
 
 
 class ReclaimingDuty:
