--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,8 +9,17 @@
 
 from eliot import log_message
 
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._limit_path import LimitPath
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._operator_service import NoteService
@@ -27,8 +36,10 @@
     Cleanup,
     Configuration,
     CoordinationError,
+    DrainFollower,
     Duty,
     DutyLeases,
+    FleetDuty,
     HeadWatch,
     LeaseRelay,
     Membership,
@@ -38,8 +49,9 @@
     StoreAccess,
     UsageBoard,
     WeightedMaxMin,
+    plan_waves,
 )
-from currantstage.protocol import Heartbeat
+from currantstage.protocol import DemandMessage, Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
@@ -55,24 +67,26 @@
     TransportError,
     add_caller_routes,
     add_error_answers,
+    add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
 )
-from currantstage.util import DutyLoop, MonotonicClock
+from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
+    from currantstage.state import Generation
 
 #: How often the rows of the other entry VMs are read, in seconds.
 PEER_REFRESH_S = 2.0
-#: How often servers in doubt are looked for, in seconds.
-PROBE_INTERVAL_S = 0.25
-#: How often the platform's list of VMs is read, in seconds.
-LISTING_INTERVAL_S = 1.0
 #: Longer pause between two refreshes for each peer, which bounds their traffic.
 PEER_REFRESH_PER_PEER_S = 0.25
 #: Peers that get a heartbeat at each turn, which bounds their traffic.
 HEARTBEATS_PER_TURN = 8
+#: How often servers in doubt are looked for, in seconds.
+PROBE_INTERVAL_S = 0.25
+#: How often the platform's list of VMs is read, in seconds.
+LISTING_INTERVAL_S = 1.0
 #: Bits of the name that a start of the process gets.
 INCARNATION_BITS = 64
 
@@ -102,7 +116,12 @@
         self._metrics = DaemonMetrics()
         self._platform = PlatformClient.from_config(settings.platform)
         self._runner = ProcedureRunner(
-            self._platform, self._platform, self._platform, self._clock
+            table=self._platform,
+            objects=self._platform,
+            directory=self._platform,
+            rebooter=self._platform,
+            clock=self._clock,
+            unix_clock=UnixClock(),
         )
         self._peers = PeerService(
             settings.entry_vm.id,
@@ -149,7 +168,17 @@
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
         self._relay = self._build_relay()
+        self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
+        self._placed = self._build_fleet_follower()
+        self._demand = DemandService(
+            settings.entry_vm.id,
+            settings.entry_vm.data_centre,
+            self._configuration,
+            self._path,
+            self._clock,
+        )
+        self._peers.handle(DemandMessage, self._demand.hear)
 
     @classmethod
     def from_config(cls, settings: Settings) -> Self:
@@ -178,6 +207,11 @@
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
+    @property
+    def generation(self) -> Generation:
+        """The generation in force here."""
+        return self._configuration.fleet.generation
+
     def is_ready(self) -> bool:
         """Return whether new requests are welcome."""
         return self._is_ready and not self._limits.is_retired
@@ -192,17 +226,26 @@
         await self._own(self._platform)
         await self._own(self._path.backends)
         await self._follow_head()
+        # After this entry VM's row stands, and before it serves: so it knows of every
+        # drain whose end was decided without its acknowledgement.
+        await self._placed.follow()
         await self._own(self._sockets)
-        await self._refresh_now()
+        await self._own(self._relay)
+        await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
         await self._own(self._limits)
-        await self._own(self._relay)
         await self._own(self._follow)
-        await self._own(DutyLoop("refresh-peers", self._refresh, PEER_REFRESH_S))
+        await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
         await self._own(DutyLoop("report-usage", self._usage.tell, USAGE_INTERVAL_S))
         await self._own(self._probes)
+        await self._own(
+            DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
+        )
+        await self._own(
+            DutyLoop("exchange-demand", self._exchange_demand, DEMAND_INTERVAL_S)
+        )
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
         await self._own(self._build_http_server())
@@ -214,8 +257,8 @@
         | PeerSockets
         | DutyLoop
         | DutyRunner
-        | LimitPath
         | RelayService
+        | LimitPath
         | HttpServer,
     ) -> None:
         """Start `part`, to be closed in reverse order."""
@@ -244,6 +287,11 @@
         add_error_answers(server.app)
         add_caller_routes(server.app, self._path.queues)
         add_operator_routes(server.app, notes, self._settings.operators.key)
+        add_fleet_status_route(
+            server.app,
+            FleetReporter(self._runner, self._store, self._configuration),
+            self._settings.operators.key,
+        )
         add_health_routes(server.app, self)
         return server
 
@@ -271,8 +319,10 @@
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
@@ -297,11 +347,15 @@
             raise
         if generation > before:
             log_message("currantstage:applied", generation=generation)
+            self._peers.broadcast(self._sockets, self._heartbeat())
             # The limits are divided among those who are there now.
-            await self._refresh_now()
+            await self._refresh()
             self._limits.follow_limits()
-            self._path.apply_fleet()
-            self._peers.broadcast(self._sockets, self._heartbeat())
+
+    def _adopt_fleet(self) -> None:
+        """Let every part follow a fleet before the entry VM's row states it."""
+        self._path.apply_fleet()
+        self._limits.follow_limits()
 
     async def _list_vms(self) -> None:
         listed = await self._platform.list_vms()
@@ -309,15 +363,14 @@
             each.vm_id for each in listed if each.liveness is VmLiveness.LEAVING
         )
 
-    async def _refresh(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s < self._next_refresh_s:
-            return
-        await self._refresh_now()
-        self._next_refresh_s = now_s + PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+    async def _refresh_if_due(self) -> None:
+        if self._clock.now_s() >= self._next_refresh_s:
+            await self._refresh()
 
-    async def _refresh_now(self) -> None:
+    async def _refresh(self) -> None:
         await self._peers.refresh(self._runner, self._store, self._sockets)
+        pause_s = PEER_REFRESH_PER_PEER_S * len(self._peers.peers)
+        self._next_refresh_s = self._clock.now_s() + pause_s
 
     async def _send_heartbeats(self) -> None:
         for peer in self._peers.next_peers(HEARTBEATS_PER_TURN):
@@ -326,6 +379,16 @@
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(generation=self._configuration.fleet.generation)
 
+    async def _exchange_demand(self) -> None:
+        self._demand.exchange(self._peers, self._sockets)
+
+    def _build_fleet_follower(self) -> FleetFollower:
+        row = self._membership.row
+        drains = DrainFollower(
+            self._store, row.data_centre, row.entry_vm, row.incarnation
+        )
+        return FleetFollower(self._runner, drains, self._configuration, self._path)
+
     async def _leave(self) -> None:
         try:
             await self._runner.run(self._membership.leave())
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.coordination import (
@@ -71,7 +71,7 @@
         """Start what can start, after capacity, limits or the fleet have changed."""
         self._apply(self._dispatcher.start_waiting(self._clock.now_s()))
 
-    def running_slots(self) -> dict[QueueId, dict[TeamId, float]]:
+    def running_slots(self) -> Mapping[QueueId, Mapping[TeamId, float]]:
         """Return the slots that each team holds now, weighted by size, by queue."""
         return self._dispatcher.running_slots()
 
@@ -79,6 +79,14 @@
         """Give nothing new to the servers `vms`."""
         self._apply(self._dispatcher.set_leaving(vms, self._clock.now_s()))
 
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`, those in doubt included."""
+        return self._dispatcher.held_requests(vm)
+
+    def demand_slots(self) -> dict[QueueId, int]:
+        """Return the running and waiting requests of each queue that has any."""
+        return self._dispatcher.demand_slots()
+
     def stop_admission(self) -> None:
         """Refuse new and waiting requests from now on."""
         self._apply(self._dispatcher.stop_admission())
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -9,6 +9,7 @@
 
 from currantstage.coordination._admission import (
     RETRY_AFTER_S,
+    check_start,
     check_still_allowed,
     check_submission,
     estimate_wait_s,
@@ -30,7 +31,7 @@
 from currantstage.coordination._waiting import NO_TEAM, QueueLine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from currantstage.coordination._estimates import RunTimeEstimates
     from currantstage.coordination._jobs import Submission
@@ -85,7 +86,7 @@
         self._estimates = estimates
         self._waiting: dict[RequestId, WaitingRequest] = {}
         self._lines: dict[QueueId, QueueLine] = {}
-        self._running: dict[tuple[QueueId, TeamId], float] = {}
+        self._running: dict[QueueId, dict[TeamId, float]] = {}
         self._running_of_queue: Counter[QueueId] = Counter()
         self._is_stopping = False
 
@@ -104,12 +105,20 @@
         """Requests that hold a slot, those in doubt included."""
         return self._running_of_queue.total()
 
-    def running_slots(self) -> dict[QueueId, dict[TeamId, float]]:
+    def running_slots(self) -> Mapping[QueueId, Mapping[TeamId, float]]:
         """Return the slots that each team holds now, weighted by size, by queue."""
-        slots: dict[QueueId, dict[TeamId, float]] = {}
-        for (queue, team), held in self._running.items():
-            slots.setdefault(queue, {})[team] = held
-        return slots
+        return self._running
+
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`, those in doubt included."""
+        return self._room.held_requests(vm)
+
+    def demand_slots(self) -> dict[QueueId, int]:
+        """Return the running and waiting requests of each queue that has any."""
+        demand = Counter(self._running_of_queue)
+        for queue, line in self._lines.items():
+            demand[queue] += len(line)
+        return dict(+demand)
 
     def submit(
         self, request_id: RequestId, submission: Submission, now_s: float
@@ -227,13 +236,13 @@
     ) -> None:
         line = self._lines[queue]
         blocked: set[TeamId] = set()
-        while self._room.has_free_slot(queue, now_s):
+        while len(line) and self._room.has_free_slot(queue, now_s):
             loads = self._loads(queue, line, blocked, now_s)
-            if not loads:
+            if not any(load.waiting_requests for load in loads):
                 return
             team = self._shares.choose(loads)
             request = line.first_of(team)
-            refusal = check_still_allowed(self._topology, request, now_s)
+            refusal = check_start(self._topology, self._estimates, request, now_s)
             if refusal is not None:
                 effects.extend(self._refuse(request, refusal))
                 continue
@@ -242,22 +251,26 @@
                 blocked.add(team)
                 continue
             self._remove(request)
+            line.end_turn(team)
             effects.append(Start(request.request_id, assignment))
 
     def _loads(
         self, queue: QueueId, line: QueueLine, blocked: set[TeamId], now_s: float
     ) -> list[TeamLoad]:
+        waiting = {
+            team: 0 if team in blocked else len(requests) for team, requests in line
+        }
+        running = self._running.get(queue, _NOTHING)
         return [
-            self._load_of(queue, team, len(requests), now_s)
-            for team, requests in line
-            if team not in blocked
+            self._load_of(queue, team, waiting.get(team, 0), now_s)
+            for team in waiting | running
         ]
 
     def _load_of(
         self, queue: QueueId, team: TeamId, waiting: int, now_s: float
     ) -> TeamLoad:
         record = self._topology.fleet.teams.get(team)
-        running = self._running.get((queue, team), 0.0)
+        running = self._running.get(queue, _NOTHING).get(team, 0.0)
         return TeamLoad(
             team=team,
             share=1.0 if record is None else record.share,
@@ -278,18 +291,18 @@
                 self._limiter.release(request.team)
             return None
         assignment = Assignment(request, vm, now_s)
-        held = self._running.get((request.queue, request.team), 0.0)
-        self._running[request.queue, request.team] = held + assignment.weight_slots
+        running = self._running.setdefault(request.queue, {})
+        held = running.get(request.team, 0.0)
+        running[request.team] = held + assignment.weight_slots
         self._running_of_queue[request.queue] += 1
         return assignment
 
     def _give_up_weight(self, assignment: Assignment) -> None:
-        key = (assignment.request.queue, assignment.request.team)
-        left = self._running[key] - assignment.weight_slots
-        if left < MIN_WEIGHT_SLOTS:
-            del self._running[key]
-        else:
-            self._running[key] = left
+        request = assignment.request
+        running = self._running[request.queue]
+        running[request.team] -= assignment.weight_slots
+        if running[request.team] < MIN_WEIGHT_SLOTS:
+            del running[request.team]
 
     def _refuse(
         self, request: WaitingRequest, refusal: Refusal
@@ -305,4 +318,5 @@
             del self._lines[request.queue]
 
 
+_NOTHING: dict[TeamId, float] = {}
 _STOPPING = Refusal(RefusalReason.STOPPING, RETRY_AFTER_S)
--- a/currantstage/coordination/_shares.py
+++ b/currantstage/coordination/_shares.py
@@ -53,21 +53,18 @@
     before all that hold more.
     """
 
-    def __init__(self) -> None:
-        self._turns = 0
-        self._last_turn: dict[TeamId, int] = {}
-
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
         """Return the team to serve; `loads` holds at least one that waits.
 
-        Of teams with equal claims, the one that was served longest ago goes next.
+        On a tie the first of `loads` is served.
         """
         waiting = [load for load in loads if load.waiting_requests > 0]
-        waiting.sort(key=lambda load: (self._last_turn.get(load.team, 0), load.team))
-        team = _first_of(loads, waiting).team
-        self._turns += 1
-        self._last_turn[team] = self._turns
-        return team
+        if not any(load.correction_slots for load in loads):
+            return min(waiting, key=_local_rank).team
+        below_floor = _below_floor(loads, waiting)
+        if below_floor:
+            return min(below_floor, key=_local_rank).team
+        return min(waiting, key=_fleet_rank).team
 
 
 def max_min_slots(
@@ -94,15 +91,6 @@
     return allocation
 
 
-def _first_of(loads: Sequence[TeamLoad], waiting: Sequence[TeamLoad]) -> TeamLoad:
-    if not any(load.correction_slots for load in loads):
-        return min(waiting, key=_local_rank)
-    below_floor = _below_floor(loads, waiting)
-    if below_floor:
-        return min(below_floor, key=_local_rank)
-    return min(waiting, key=_fleet_rank)
-
-
 def _below_floor(
     loads: Sequence[TeamLoad], waiting: Sequence[TeamLoad]
 ) -> list[TeamLoad]:
--- a/currantstage/coordination/_worker_room.py
+++ b/currantstage/coordination/_worker_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from currantstage.coordination._connection_health import ServerState
@@ -43,11 +44,16 @@
         self._outliers = outliers
         self._leaving: frozenset[VmId] = frozenset()
         self._used: dict[VmId, JobSize] = {}
+        self._held: Counter[VmId] = Counter()
 
     def set_leaving(self, vms: Iterable[VmId]) -> None:
         """Give nothing new to `vms`, and to them only."""
         self._leaving = frozenset(vms)
 
+    def held_requests(self, vm: VmId) -> int:
+        """Return the requests that hold a slot of `vm`."""
+        return self._held[vm]
+
     def has_free_slot(self, queue: QueueId, now_s: float) -> bool:
         """Return whether any usable worker of `queue` has a free slot."""
         return any(
@@ -61,20 +67,15 @@
         Workers that failed it before are returned only when no other worker could
         ever take it.
         """
-        usable = [
-            vm
-            for vm in self._topology.vms_of_queue(request.queue)
-            if self._is_usable(vm.vm_id, now_s)
-        ]
-        if request.avoided:
-            fresh = [vm for vm in usable if vm.vm_id not in request.avoided]
-            usable = fresh or usable
+        skipped = self._skipped(request, now_s)
         candidates = []
-        for vm in usable:
-            free = self._slots.free_slots(vm.vm_id)
-            if free > 0 and self._has_room(vm, request.size):
-                state = self._health.state_of(vm.vm_id)
-                is_suspect = state is ServerState.SUSPECT
+        for vm in self._topology.vms_of_queue(request.queue):
+            vm_id = vm.vm_id
+            free = self._slots.free_slots(vm_id)
+            if free <= 0 or vm_id in skipped or not self._is_usable(vm_id, now_s):
+                continue
+            if self._has_room(vm, request.size):
+                is_suspect = self._health.state_of(vm_id) is ServerState.SUSPECT
                 candidates.append(Candidate(vm, free, is_suspect))
         return candidates
 
@@ -82,6 +83,7 @@
         """Take a slot and room for `size`; return False when no slot is left."""
         if not self._slots.try_acquire(vm.vm_id):
             return False
+        self._held[vm.vm_id] += 1
         if size != NO_SIZE:
             self._used[vm.vm_id] = _add(self._used.get(vm.vm_id, NO_SIZE), size, 1)
         return True
@@ -89,6 +91,9 @@
     def give_back(self, vm: Vm, size: JobSize) -> None:
         """Give back what `try_take` took."""
         self._slots.release(vm.vm_id)
+        self._held[vm.vm_id] -= 1
+        if not self._held[vm.vm_id]:
+            del self._held[vm.vm_id]
         if size == NO_SIZE:
             return
         left = _add(self._used[vm.vm_id], size, -1)
@@ -97,9 +102,20 @@
         else:
             self._used[vm.vm_id] = left
 
+    def _skipped(self, request: WaitingRequest, now_s: float) -> frozenset[VmId]:
+        """Return the workers to avoid, or none when no other could be used."""
+        avoided = request.avoided
+        if avoided and any(
+            vm.vm_id not in avoided and self._is_usable(vm.vm_id, now_s)
+            for vm in self._topology.vms_of_queue(request.queue)
+        ):
+            return avoided
+        return frozenset()
+
     def _is_usable(self, vm: VmId, now_s: float) -> bool:
         return (
             vm not in self._leaving
+            and self._topology.takes_work(vm)
             and self._health.state_of(vm) is not ServerState.DOWN
             and not self._outliers.is_ejected(vm, now_s)
         )
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -22,6 +22,13 @@
     RowVersion,
 )
 from currantstage.state._notes import ReleaseNote
+from currantstage.state._vm_rows import (
+    BudgetRow,
+    DrainAckRow,
+    PlacementRow,
+    VmRow,
+    WaveRow,
+)
 
 HEAD_KEY = RowKey("head")
 ACCEPTED_KEY = RowKey("accepted")
@@ -123,6 +130,7 @@
     fencing: FencingNumber
 
 
+FleetRecord: TypeAlias = VmRow | BudgetRow | PlacementRow | DrainAckRow | WaveRow
 Record: TypeAlias = (
     HeadRow
     | AcceptedRow
@@ -132,6 +140,7 @@
     | DutyFenceRow
     | LedgerRow
     | HolderRow
+    | FleetRecord
 )
 
 
