--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -75,6 +75,9 @@
 from currantstage.application._service_level_service import (
     ServiceLevelService,
 )
+from currantstage.application._usage_service import (
+    UsageService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -114,4 +117,5 @@
     "ServiceLevelService",
     "StartError",
     "TeamAllotment",
+    "UsageService",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -28,8 +28,10 @@
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
 from currantstage.application._service_level_service import ServiceLevelService
+from currantstage.application._usage_service import UsageService
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    USAGE_INTERVAL_S,
     Acceptance,
     AllotmentLimitCheck,
     Cleanup,
@@ -47,6 +49,7 @@
     RetryPolicy,
     ServiceLevelRecorder,
     StoreAccess,
+    UsageBoard,
     WeightedMaxMin,
     plan_waves,
 )
@@ -139,12 +142,14 @@
             self._clock,
         )
         self._metrics.watch_allotments(self._limits.team_allotments)
+        usage = UsageBoard()
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
             self._limits.limiter,
             self._limits.slots,
             WeightedMaxMin(),
+            usage,
             self._metrics,
             self._clock,
             self._random,
@@ -164,6 +169,13 @@
         )
         self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
+        self._usage = UsageService(
+            usage,
+            self._path.driver.running_slots,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
@@ -242,6 +254,7 @@
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(DutyLoop("report-usage", self._usage.tell, USAGE_INTERVAL_S))
         await self._own(self._probes)
         await self._own(
             DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -26,6 +26,7 @@
 )
 from currantstage.coordination._allotment_exchange import (
     ASK_FANOUT,
+    LEVEL_INTERVAL_S,
     MAX_ASK_INTERVAL_S,
     MIN_ASK_INTERVAL_S,
     AllotmentExchange,
@@ -259,10 +260,6 @@
     MAX_CHECK_TRIES,
     AllotmentLimitCheck,
 )
-from currantstage.coordination._local_limits import (
-    LocalTeamLimiter,
-    LocalWorkerSlots,
-)
 from currantstage.coordination._membership import (
     MAX_RENEWAL_TRIES,
     Membership,
@@ -349,6 +346,7 @@
     SharePolicy,
     TeamLimiter,
     TeamLoad,
+    UsageView,
     WorkerSlots,
 )
 from currantstage.coordination._procedures import (
@@ -554,6 +552,7 @@
     "IdT",
     "JobSize",
     "KEPT_GENERATIONS",
+    "LEVEL_INTERVAL_S",
     "LISTING_MAX_AGE_S",
     "LIST_LAG_S",
     "LOCAL_FLOOR_FRACTION",
@@ -563,8 +562,6 @@
     "LeastLoaded",
     "ListObjects",
     "ListVms",
-    "LocalTeamLimiter",
-    "LocalWorkerSlots",
     "MAX_ASK_INTERVAL_S",
     "MAX_CHANCE",
     "MAX_CHECK_TRIES",
@@ -716,6 +713,7 @@
     "UsageBoard",
     "UsageReport",
     "UsageSlots",
+    "UsageView",
     "Verdict",
     "VmAction",
     "VmListing",
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -15,6 +15,7 @@
     AllotmentTransfer,
     RenewalOutcome,
     RenewalRequest,
+    UsageReport,
 )
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol._fleet_parts import FleetPart
@@ -71,6 +72,7 @@
     | AllotmentAsk
     | AllotmentTransfer
     | AllotmentReceipt
+    | UsageReport
     | DemandMessage
 )
 
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -14,16 +14,16 @@
 from currantstage.coordination import (
     Assignment,
     Configuration,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
     Outcome,
     Submission,
+    UsageBoard,
     WeightedMaxMin,
 )
 from currantstage.protocol import CallerOptions, CallerRequest, OutcomeBody
 from currantstage.standin import BackendMode, BackendStandIn, free_ports
 from currantstage.state import DataCentreId, IncarnationId, RequestId, VmId
 from currantstage.util import MonotonicClock
+from tests.local_limits import LocalTeamLimiter, LocalWorkerSlots
 from tests.request_fakes import QUEUE, make_fleet, renew_lease
 
 IDEMPOTENT = CallerOptions(idempotent=True)
@@ -74,6 +74,7 @@
         LocalTeamLimiter(configuration),
         LocalWorkerSlots(configuration),
         WeightedMaxMin(),
+        UsageBoard(),
         metrics,
         clock,
         random.Random(4),
