--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -6,6 +6,13 @@
     NO_TEAM,
     QueueService,
 )
+from currantstage.application._claim_service import (
+    CLEAN_S,
+    OWNERS_REFRESH_S,
+    TICK_S,
+    ClaimService,
+    SendEffect,
+)
 from currantstage.application._daemon import (
     INCARNATION_BITS,
     PEER_REFRESH_S,
@@ -35,6 +42,8 @@
 
 __all__ = [
     "ApplicationError",
+    "CLEAN_S",
+    "ClaimService",
     "Daemon",
     "DaemonMetrics",
     "DutyRunner",
@@ -42,10 +51,13 @@
     "LATENCY_BUCKETS_S",
     "NO_TEAM",
     "NoteService",
+    "OWNERS_REFRESH_S",
     "PEER_REFRESH_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "SendEffect",
     "StartError",
+    "TICK_S",
 ]
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -13,8 +13,8 @@
 
 if TYPE_CHECKING:
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination import Assignment, Dispatcher
-    from currantstage.protocol import CallerAnswer, CallerRequest, RequestEnd
+    from currantstage.coordination import Assignment, Dispatcher, RequestEnd
+    from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import Clock
     from currantstage.transport import BackendClient
 
--- /dev/null
+++ b/currantstage/application/_claim_service.py
@@ -0,0 +1,287 @@
+"""Take and settle claims on idempotency keys, as claimant and as owner."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeAlias
+
+from returns.result import Failure, Result, Success
+
+from currantstage.coordination import (
+    AcknowledgeSettlement,
+    AnswerClaim,
+    Claimant,
+    ClaimantEffect,
+    ClaimLog,
+    ClaimRecorder,
+    ClaimResolved,
+    ClaimState,
+    ClaimVerdict,
+    RecorderEffect,
+    Refusal,
+    RefusalReason,
+    SendSettlement,
+    SendWanted,
+    claim_digest,
+    content_fingerprint,
+    parse_idempotency_key,
+    refresh_owners,
+    settlement_of,
+    verdict_end,
+)
+from currantstage.protocol import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
+    PeerFrame,
+    PeerMessage,
+)
+from currantstage.state import (
+    ENTRY_VM_PREFIX,
+    ClaimOwner,
+    ClaimTaken,
+    EntryVmRow,
+    RequestId,
+)
+from currantstage.util import DutyLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantstage.application._peer_service import PeerService
+    from currantstage.application._procedure_runner import ProcedureRunner
+    from currantstage.coordination import RequestEnd, StoreAccess
+    from currantstage.protocol import CallerRequest
+    from currantstage.state import (
+        Clock,
+        EntryVmId,
+        PeerLink,
+        Random,
+        TeamId,
+        WallClock,
+    )
+
+#: How often the owners of the buckets are read, in seconds.
+OWNERS_REFRESH_S = 2.0
+#: How often expired claims are forgotten and deleted, in seconds.
+CLEAN_S = 30.0
+#: Pause between two looks at what has to be repeated, in seconds.
+TICK_S = 0.05
+_REQUEST_ID_BITS = 96
+
+SendEffect: TypeAlias = (
+    AnswerClaim | AcknowledgeSettlement | SendWanted | SendSettlement
+)
+
+
+class ClaimService:
+    """Takes claims for this entry VM's requests and records those of its buckets.
+
+    Parameters
+    ----------
+    own : ClaimOwner
+        This start of this entry VM.
+    runner : ProcedureRunner
+    store : StoreAccess
+    peers : PeerService
+    link : PeerLink
+    clock, wall_clock : Clock, WallClock
+    random : Random
+    """
+
+    def __init__(
+        self,
+        own: ClaimOwner,
+        runner: ProcedureRunner,
+        store: StoreAccess,
+        peers: PeerService,
+        link: PeerLink,
+        clock: Clock,
+        wall_clock: WallClock,
+        random: Random,
+    ) -> None:
+        self._own = own
+        self._runner = runner
+        self._store = store
+        self._peers = peers
+        self._link = link
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._random = random
+        self._log = ClaimLog(store, own)
+        self._recorder = ClaimRecorder(self._log, own)
+        self._claimant = Claimant()
+        self._live = frozenset({own})
+        self._waiting: dict[RequestId, asyncio.Future[ClaimVerdict]] = {}
+        self._tick: asyncio.TimerHandle | None = None
+        self._refresh = DutyLoop("claim-owners", self._refresh_owners, OWNERS_REFRESH_S)
+        self._record = DutyLoop("claim-record", self._record_batches, OWNERS_REFRESH_S)
+        self._clean = DutyLoop("claim-clean", self._clean_log, CLEAN_S)
+
+    async def start(self) -> None:
+        """Hear peers' messages and take this entry VM's buckets."""
+        self._peers.handle(ClaimWanted, self._hear)
+        self._peers.handle(ClaimAnswered, self._hear)
+        self._peers.handle(ClaimSettled, self._hear)
+        self._peers.handle(ClaimSettledAck, self._hear)
+        for loop in (self._refresh, self._record, self._clean):
+            await loop.start()
+
+    async def close(self) -> None:
+        """Stop repeating and recording."""
+        if self._tick is not None:
+            self._tick.cancel()
+        for loop in (self._clean, self._record, self._refresh):
+            await loop.close()
+
+    async def take(
+        self, request: CallerRequest, team: TeamId | None, key_text: str
+    ) -> Result[ClaimTaken, RequestEnd]:
+        """Return the claim under which `request` may run once.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        team : TeamId or None
+            Whose key came with the request.
+        key_text : str
+            The idempotency key as the caller sent it.
+
+        Returns
+        -------
+        Result of ClaimTaken or RequestEnd
+            The end is the first run's answer, or why the request is not run.
+        """
+        parsed = parse_idempotency_key(key_text, self._wall_clock.wall_s())
+        if isinstance(parsed, Failure):
+            return parsed
+        key = parsed.unwrap()
+        claim = ClaimTaken(
+            digest=claim_digest(team, request.queue, key),
+            fingerprint=content_fingerprint(request.content_type, request.body),
+            holder=self._own,
+            request_id=RequestId(f"{self._random.getrandbits(_REQUEST_ID_BITS):024x}"),
+            expires_at_s=key.expires_at_s,
+        )
+        end = verdict_end(await self._ask(claim))
+        return Success(claim) if end is None else Failure(end)
+
+    def settle(self, claim: ClaimTaken, end: RequestEnd) -> None:
+        """Tell the claim's owner what became of its request."""
+        settlement = settlement_of(claim, end)
+        self._perform(
+            self._claimant.settle(
+                settlement, self._recorder.owners, self._clock.now_s()
+            )
+        )
+
+    async def _ask(self, claim: ClaimTaken) -> ClaimVerdict:
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[claim.request_id] = future
+        now_s = self._clock.now_s()
+        try:
+            self._perform(self._claimant.want(claim, self._recorder.owners, now_s))
+            verdict: ClaimVerdict = await future
+        except asyncio.CancelledError:
+            self._cancel(claim)
+            raise
+        finally:
+            del self._waiting[claim.request_id]
+        return verdict
+
+    def _cancel(self, claim: ClaimTaken) -> None:
+        owners, now_s = self._recorder.owners, self._clock.now_s()
+        self._perform(self._claimant.give_up(claim.request_id, owners, now_s))
+
+    def _perform(self, effects: Iterable[ClaimantEffect | RecorderEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, ClaimResolved):
+                future = self._waiting.get(effect.claim.request_id)
+                if future is not None and not future.done():
+                    future.set_result(effect.verdict)
+                elif effect.verdict.state is ClaimState.GRANTED:
+                    # The caller left while the grant was on its way.
+                    self.settle(effect.claim, Refusal(RefusalReason.CANCELLED))
+            else:
+                self._send(effect.receiver, _message_of(effect))
+        self._schedule_tick()
+
+    def _send(self, receiver: EntryVmId, message: PeerMessage) -> None:
+        if receiver == self._own.entry_vm:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._handle, receiver, message)
+        else:
+            self._peers.send(self._link, receiver, message)
+
+    def _hear(self, frame: PeerFrame) -> None:
+        self._handle(frame.sender, frame.message)
+
+    def _handle(self, sender: EntryVmId, message: PeerMessage) -> None:
+        now_s = self._clock.now_s()
+        match message:
+            case ClaimWanted(claim=claim):
+                self._perform(self._recorder.want(claim, self._live))
+            case ClaimSettled(settlement=settlement):
+                self._perform(self._recorder.settle(settlement, sender))
+            case ClaimAnswered(claim=claim, state=state, answer=answer):
+                verdict = ClaimVerdict(state, answer)
+                owners = self._recorder.owners
+                self._perform(self._claimant.hear(claim, verdict, owners, now_s))
+            case ClaimSettledAck(request_id=request_id):
+                self._claimant.acknowledge(request_id)
+        if self._recorder.has_work:
+            self._record.wake()
+
+    async def _refresh_owners(self) -> None:
+        rows = await self._runner.run(self._store.scan(ENTRY_VM_PREFIX))
+        members = frozenset(
+            ClaimOwner(entry_vm=row.record.entry_vm, incarnation=row.record.incarnation)
+            for row in rows
+            if isinstance(row.record, EntryVmRow)
+        )
+        self._live = members | {self._own}
+        owners = await self._runner.run(refresh_owners(self._store, self._live))
+        self._perform(self._recorder.adopt(owners))
+        self._record.wake()
+
+    async def _record_batches(self) -> None:
+        while self._recorder.has_work:
+            if not self._recorder.is_loaded:
+                await self._runner.run(self._recorder.load())
+            self._perform(await self._runner.run(self._recorder.record()))
+            if not self._recorder.is_loaded:
+                # Somebody else may own the buckets by now.
+                await self._refresh_owners()
+
+    async def _clean_log(self) -> None:
+        wall_s = self._wall_clock.wall_s()
+        self._recorder.expire(wall_s)
+        is_cleaner = self._recorder.owners.is_cleaner(self._own)
+        await self._runner.run(self._log.clean(wall_s, others=is_cleaner))
+
+    def _schedule_tick(self) -> None:
+        if self._tick is None and not self._claimant.is_idle:
+            self._tick = asyncio.get_running_loop().call_later(TICK_S, self._run_tick)
+
+    def _run_tick(self) -> None:
+        self._tick = None
+        self._perform(
+            self._claimant.tick(
+                self._recorder.owners, self._clock.now_s(), self._wall_clock.wall_s()
+            )
+        )
+
+
+def _message_of(effect: SendEffect) -> PeerMessage:
+    match effect:
+        case AnswerClaim(claim, verdict):
+            return ClaimAnswered(
+                claim=claim, state=verdict.state, answer=verdict.answer
+            )
+        case AcknowledgeSettlement(_, request_id):
+            return ClaimSettledAck(request_id=request_id)
+        case SendWanted(_, claim):
+            return ClaimWanted(claim=claim)
+        case SendSettlement(_, settlement):
+            return ClaimSettled(settlement=settlement)
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -205,7 +205,10 @@
         self._peers.broadcast(self._sockets, message)
 
     def _hear_heartbeat(self, frame: PeerFrame) -> None:
-        if self._configuration.lacks(frame.message.generation):
+        message = frame.message
+        if not isinstance(message, Heartbeat):
+            return
+        if self._configuration.lacks(message.generation):
             self._follow.wake()
 
     async def _leave(self) -> None:
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -9,7 +9,6 @@
 
 from currantstage.coordination._keys import identify_team
 from currantstage.coordination._outcomes import (
-    Answer,
     Refusal,
     RefusalReason,
     SendFailure,
@@ -127,6 +126,3 @@
     if failure is SendFailure.NOT_SENT:
         return Refusal(RefusalReason.UNREACHABLE, RETRY_AFTER_S)
     return Uncertain("the backend server gave no whole answer")
-
-
-RequestEnd = Answer | Refusal | Uncertain
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TypeAlias
 
 
 class Outcome(Enum):
@@ -22,6 +23,17 @@
     KEY_REFUSED = "key-refused"
     QUEUE_UNKNOWN = "queue-unknown"
     TEAM_AT_LIMIT = "team-at-limit"
+    IDEMPOTENCY_KEY_MALFORMED = "idempotency-key-malformed"
+    #: The key is past the window for which first outcomes are kept.
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency-key-expired"
+    #: The key came with another content before.
+    IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
+    #: The first request under the key has not ended.
+    IN_PROGRESS = "in-progress"
+    #: The caller went away before the request was sent.
+    CANCELLED = "cancelled"
+    #: The use of the key could not be recorded.
+    CLAIM_UNAVAILABLE = "claim-unavailable"
     NO_CAPACITY = "no-capacity"
     STOPPING = "stopping"
     UNREACHABLE = "unreachable"
@@ -51,6 +63,11 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class CompletedEarlier:
+    """The first request under the key completed; its answer was too long to keep."""
+
+
 @dataclass(frozen=True, slots=True)
 class Uncertain:
     """The request reached a backend server, and no whole answer came back."""
@@ -63,3 +80,6 @@
 
     NOT_SENT = "not-sent"
     SENT = "sent"
+
+
+RequestEnd: TypeAlias = Answer | CompletedEarlier | Refusal | Uncertain
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantstage.protocol._callers import (
+    ANSWER_NOT_KEPT_STATUS,
     JSON_TYPE,
     KEY_HEADER,
     OUTCOME_HEADER,
@@ -10,9 +11,14 @@
     CallerAnswer,
     CallerRequest,
     OutcomeBody,
-    RequestEnd,
     to_caller_answer,
 )
+from currantstage.protocol._claim_messages import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
+)
 from currantstage.protocol._errors import (
     DecodeError,
     NoteSyntaxError,
@@ -61,8 +67,13 @@
 )
 
 __all__ = [
+    "ANSWER_NOT_KEPT_STATUS",
     "CallerAnswer",
     "CallerRequest",
+    "ClaimAnswered",
+    "ClaimSettled",
+    "ClaimSettledAck",
+    "ClaimWanted",
     "DecodeError",
     "Heartbeat",
     "JSON_TYPE",
@@ -79,7 +90,6 @@
     "PeerFrame",
     "PeerMessage",
     "ProtocolError",
-    "RequestEnd",
     "UNKNOWN_STATUS",
     "WireCheck",
     "WireListing",
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
-
 import msgspec
 from msgspec import Struct
 
 from currantstage.coordination import (
     Answer,
+    CompletedEarlier,
     Outcome,
     Refusal,
     RefusalReason,
-    Uncertain,
+    RequestEnd,
 )
 from currantstage.state import QueueId
 
@@ -25,6 +24,12 @@
 _STATUS_OF_REASON = {
     RefusalReason.KEY_REFUSED: 403,
     RefusalReason.QUEUE_UNKNOWN: 404,
+    RefusalReason.IDEMPOTENCY_KEY_MALFORMED: 400,
+    RefusalReason.IDEMPOTENCY_KEY_EXPIRED: 410,
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
+    RefusalReason.IN_PROGRESS: 409,
+    RefusalReason.CANCELLED: 499,
+    RefusalReason.CLAIM_UNAVAILABLE: 503,
     RefusalReason.TEAM_AT_LIMIT: 429,
     RefusalReason.NO_CAPACITY: 429,
     RefusalReason.STOPPING: 503,
@@ -32,6 +37,8 @@
 }
 #: Status when a request may have run and no whole answer came back.
 UNKNOWN_STATUS = 504
+#: Status when the first request completed, and its answer was too long to keep.
+ANSWER_NOT_KEPT_STATUS = 208
 
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
@@ -69,9 +76,6 @@
     retry_after_s: float | None = None
 
 
-RequestEnd: TypeAlias = Answer | Refusal | Uncertain
-
-
 def to_caller_answer(end: RequestEnd) -> CallerAnswer:
     """Return the HTTP form of the end of a request.
 
@@ -92,6 +96,10 @@
             end.reason.value,
             end.retry_after_s,
         )
+    if isinstance(end, CompletedEarlier):
+        return _explain(
+            ANSWER_NOT_KEPT_STATUS, Outcome.COMPLETED, "answer-not-kept", None
+        )
     return _explain(UNKNOWN_STATUS, Outcome.UNKNOWN, end.detail, None)
 
 
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,6 +9,12 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.protocol._claim_messages import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
+)
 from currantstage.protocol._errors import DecodeError
 from currantstage.state import EntryVmId, Generation, IncarnationId
 
@@ -23,7 +29,9 @@
     generation: Generation
 
 
-PeerMessage: TypeAlias = Heartbeat
+PeerMessage: TypeAlias = (
+    Heartbeat | ClaimWanted | ClaimAnswered | ClaimSettled | ClaimSettledAck
+)
 
 
 class PeerFrame(Struct, frozen=True, kw_only=True):
--- a/currantstage/state/_ports.py
+++ b/currantstage/state/_ports.py
@@ -91,6 +91,13 @@
         """Return the seconds since an arbitrary start."""
 
 
+class WallClock(Protocol):
+    """A clock that agrees with other machines' within a bound."""
+
+    def wall_s(self) -> float:
+        """Return the seconds since the epoch."""
+
+
 class Random(Protocol):
     """A source of random numbers; `random.Random` is one."""
 
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from currantstage.state._claim_rows import ClaimBatchRow, ClaimOwnersRow
 from currantstage.state._fleet import Fleet
 from currantstage.state._ids import (
     AttemptId,
@@ -100,7 +101,15 @@
     fencing: FencingNumber
 
 
-Record: TypeAlias = HeadRow | NoteRow | EntryVmRow | DutyLeaseRow | DutyFenceRow
+Record: TypeAlias = (
+    HeadRow
+    | NoteRow
+    | EntryVmRow
+    | DutyLeaseRow
+    | DutyFenceRow
+    | ClaimOwnersRow
+    | ClaimBatchRow
+)
 
 
 class StoredGeneration(Struct, frozen=True, kw_only=True):
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -4,6 +4,7 @@
 
 from currantstage.util._clock import (
     MonotonicClock,
+    SystemWallClock,
 )
 from currantstage.util._duty_loop import (
     DutyLoop,
@@ -12,4 +13,5 @@
 __all__ = [
     "DutyLoop",
     "MonotonicClock",
+    "SystemWallClock",
 ]
--- a/currantstage/util/_clock.py
+++ b/currantstage/util/_clock.py
@@ -1,4 +1,4 @@
-"""The clock of the machine."""
+"""The clocks of the machine."""
 
 from __future__ import annotations
 
@@ -11,3 +11,11 @@
     def now_s(self) -> float:
         """Return the seconds since an arbitrary start."""
         return time.monotonic()
+
+
+class SystemWallClock:
+    """Implements `WallClock` by the machine's system clock."""
+
+    def wall_s(self) -> float:
+        """Return the seconds since the epoch."""
+        return time.time()
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the coordination layer."""
