--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from currantstage.application._allotment_service import (
+    ASK_AGAIN_S,
+    AllotmentService,
+)
 from currantstage.application._caller_service import (
-    NO_TEAM,
+    Claims,
+    EndObserver,
     QueueService,
 )
 from currantstage.application._claim_service import (
@@ -14,10 +19,22 @@
     SendEffect,
 )
 from currantstage.application._daemon import (
+    HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
+    LISTING_INTERVAL_S,
+    PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
+    PROBE_INTERVAL_S,
     Daemon,
 )
+from currantstage.application._demand_service import (
+    DEMAND_INTERVAL_S,
+    DemandService,
+)
+from currantstage.application._dispatch_driver import (
+    Admitted,
+    DispatchDriver,
+)
 from currantstage.application._duty_runner import (
     RENEWALS_PER_LEASE,
     DutyRunner,
@@ -26,9 +43,24 @@
     ApplicationError,
     StartError,
 )
+from currantstage.application._fleet_follower import (
+    PLACEMENT_POLL_S,
+    FleetFollower,
+)
+from currantstage.application._fleet_reporter import (
+    FleetReporter,
+)
+from currantstage.application._limit_path import (
+    EXCHANGE_INTERVAL_S,
+    SETTLE_INTERVAL_S,
+    AllottedTeamLimiter,
+    AllottedWorkerSlots,
+    LimitPath,
+)
 from currantstage.application._metrics import (
     LATENCY_BUCKETS_S,
     DaemonMetrics,
+    TeamAllotment,
 )
 from currantstage.application._operator_service import (
     NoteService,
@@ -39,25 +71,63 @@
 from currantstage.application._procedure_runner import (
     ProcedureRunner,
 )
+from currantstage.application._relay_service import (
+    MAX_RUNNING_RENEWALS,
+    RelayService,
+)
+from currantstage.application._request_path import (
+    RequestPath,
+)
+from currantstage.application._server_monitor import (
+    ServerMonitor,
+)
+from currantstage.application._service_level_service import (
+    ServiceLevelService,
+)
 
 __all__ = [
+    "ASK_AGAIN_S",
+    "Admitted",
+    "AllotmentService",
+    "AllottedTeamLimiter",
+    "AllottedWorkerSlots",
     "ApplicationError",
     "CLEAN_S",
     "ClaimService",
+    "Claims",
+    "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
+    "DemandService",
+    "DispatchDriver",
     "DutyRunner",
+    "EXCHANGE_INTERVAL_S",
+    "EndObserver",
+    "FleetFollower",
+    "FleetReporter",
+    "HEARTBEATS_PER_TURN",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
-    "NO_TEAM",
+    "LISTING_INTERVAL_S",
+    "LimitPath",
+    "MAX_RUNNING_RENEWALS",
     "NoteService",
     "OWNERS_REFRESH_S",
+    "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
+    "PLACEMENT_POLL_S",
+    "PROBE_INTERVAL_S",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
     "RENEWALS_PER_LEASE",
+    "RelayService",
+    "RequestPath",
+    "SETTLE_INTERVAL_S",
     "SendEffect",
+    "ServerMonitor",
+    "ServiceLevelService",
     "StartError",
     "TICK_S",
+    "TeamAllotment",
 ]
--- a/currantstage/application/_claim_service.py
+++ b/currantstage/application/_claim_service.py
@@ -38,10 +38,8 @@
     PeerMessage,
 )
 from currantstage.state import (
-    ENTRY_VM_PREFIX,
     ClaimOwner,
     ClaimTaken,
-    EntryVmRow,
     RequestId,
 )
 from currantstage.util import DutyLoop
@@ -59,7 +57,6 @@
         PeerLink,
         Random,
         TeamId,
-        WallClock,
     )
 
 #: How often the owners of the buckets are read, in seconds.
@@ -86,7 +83,10 @@
     store : StoreAccess
     peers : PeerService
     link : PeerLink
-    clock, wall_clock : Clock, WallClock
+    clock : Clock
+        Monotonic.
+    unix_clock : Clock
+        Time of day, compared with the age of keys within `MAX_CLOCK_SKEW_S`.
     random : Random
     """
 
@@ -98,7 +98,7 @@
         peers: PeerService,
         link: PeerLink,
         clock: Clock,
-        wall_clock: WallClock,
+        unix_clock: Clock,
         random: Random,
     ) -> None:
         self._own = own
@@ -107,7 +107,7 @@
         self._peers = peers
         self._link = link
         self._clock = clock
-        self._wall_clock = wall_clock
+        self._unix_clock = unix_clock
         self._random = random
         self._log = ClaimLog(store, own)
         self._recorder = ClaimRecorder(self._log, own)
@@ -136,15 +136,15 @@
             await loop.close()
 
     async def take(
-        self, request: CallerRequest, team: TeamId | None, key_text: str
+        self, request: CallerRequest, team: TeamId, key_text: str
     ) -> Result[ClaimTaken, RequestEnd]:
         """Return the claim under which `request` may run once.
 
         Parameters
         ----------
         request : CallerRequest
-        team : TeamId or None
-            Whose key came with the request.
+        team : TeamId
+            Whose key came with the request, or `NO_TEAM`.
         key_text : str
             The idempotency key as the caller sent it.
 
@@ -153,7 +153,7 @@
         Result of ClaimTaken or RequestEnd
             The end is the first run's answer, or why the request is not run.
         """
-        parsed = parse_idempotency_key(key_text, self._wall_clock.wall_s())
+        parsed = parse_idempotency_key(key_text, self._unix_clock.now_s())
         if isinstance(parsed, Failure):
             return parsed
         key = parsed.unwrap()
@@ -234,13 +234,11 @@
             self._record.wake()
 
     async def _refresh_owners(self) -> None:
-        rows = await self._runner.run(self._store.scan(ENTRY_VM_PREFIX))
-        members = frozenset(
-            ClaimOwner(entry_vm=row.record.entry_vm, incarnation=row.record.incarnation)
-            for row in rows
-            if isinstance(row.record, EntryVmRow)
+        others = frozenset(
+            ClaimOwner(entry_vm=row.entry_vm, incarnation=row.incarnation)
+            for row in self._peers.members.values()
         )
-        self._live = members | {self._own}
+        self._live = others | {self._own}
         owners = await self._runner.run(refresh_owners(self._store, self._live))
         self._perform(self._recorder.adopt(owners))
         self._record.wake()
@@ -255,7 +253,7 @@
                 await self._refresh_owners()
 
     async def _clean_log(self) -> None:
-        wall_s = self._wall_clock.wall_s()
+        wall_s = self._unix_clock.now_s()
         self._recorder.expire(wall_s)
         is_cleaner = self._recorder.owners.is_cleaner(self._own)
         await self._runner.run(self._log.clean(wall_s, others=is_cleaner))
@@ -268,7 +266,7 @@
         self._tick = None
         self._perform(
             self._claimant.tick(
-                self._recorder.owners, self._clock.now_s(), self._wall_clock.wall_s()
+                self._recorder.owners, self._clock.now_s(), self._unix_clock.now_s()
             )
         )
 
--- a/currantstage/coordination/_claim_keys.py
+++ b/currantstage/coordination/_claim_keys.py
@@ -79,11 +79,9 @@
     return Success(key)
 
 
-def claim_digest(
-    team: TeamId | None, queue: QueueId, key: IdempotencyKey
-) -> ClaimDigest:
+def claim_digest(team: TeamId, queue: QueueId, key: IdempotencyKey) -> ClaimDigest:
     """Return what the claim is found by; teams never share one."""
-    parts = "\0".join((team or "", queue, key.text))
+    parts = "\0".join((team, queue, key.text))
     return ClaimDigest(hashlib.sha256(parts.encode()).hexdigest()[:32])
 
 
--- /dev/null
+++ b/currantstage/coordination/_limit_check.py
@@ -0,0 +1,57 @@
+"""Tell whether lowered upper limits hold over the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination._allotment_ledger import (
+    allotted_slots,
+    follow_limits,
+    team_limits,
+)
+from currantstage.coordination._allotment_settlement import ledger_of, version_of
+from currantstage.state import FLEET_SCOPE, RowWrite, ledger_key, team_resource
+
+if TYPE_CHECKING:
+    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.state import Fleet, TeamId
+
+#: Checks tried in one run while holders change the ledger.
+MAX_CHECK_TRIES = 5
+
+
+class AllotmentLimitCheck:
+    """Implements `UpperLimitCheck` by the ledger of the teams' limits.
+
+    Parameters
+    ----------
+    store : StoreAccess
+    """
+
+    def __init__(self, store: StoreAccess) -> None:
+        self._store = store
+
+    def teams_over_limit(self, fleet: Fleet) -> Procedure[tuple[TeamId, ...]]:
+        """Return the teams whose allotments add up to more than `fleet` allows.
+
+        The ledger is moved to the generation of `fleet` first: from then on no entry
+        VM can raise a total to what an older generation allowed.
+        """
+        limits = team_limits(fleet)
+        key = ledger_key(FLEET_SCOPE)
+        for _ in range(MAX_CHECK_TRIES):
+            row = yield from self._store.read(key)
+            ledger = ledger_of(row)
+            followed = follow_limits(ledger, fleet.generation, limits)
+            if followed == ledger:
+                return tuple(
+                    team
+                    for team, record in sorted(fleet.teams.items())
+                    if allotted_slots(ledger, team_resource(team))
+                    > record.upper_limit_slots
+                )
+            yield from self._store.transact(
+                [RowWrite(key=key, expected_version=version_of(row), record=followed)]
+            )
+        return tuple(sorted(fleet.teams))
--- a/currantstage/coordination/_policies.py
+++ b/currantstage/coordination/_policies.py
@@ -23,12 +23,16 @@
     running_slots : float
         Slots that the team holds now, weighted by size.
     waiting_requests : int
+    correction_slots : float
+        Added to `running_slots` where teams are compared: what the team holds at
+        other entry VMs, and what it held here of late beyond what it holds now.
     """
 
     team: TeamId
     share: float
     running_slots: float
     waiting_requests: int
+    correction_slots: float = 0.0
 
 
 class TeamLimiter(Protocol):
@@ -58,4 +62,8 @@
     """Decides whose waiting request goes next when a slot is free."""
 
     def choose(self, loads: Sequence[TeamLoad]) -> TeamId:
-        """Return the team to serve; `loads` holds at least one that waits."""
+        """Return the team to serve; `loads` holds at least one that waits.
+
+        `loads` starts with the team that was served longest ago, and holds the teams
+        that run without waiting as well.
+        """
--- a/currantstage/protocol/_operators.py
+++ b/currantstage/protocol/_operators.py
@@ -9,13 +9,14 @@
 
 from currantstage.coordination import (
     Committed,
+    NoteChanges,
     NoteIdTaken,
     NoteInvalid,
     NoteOvertaken,
     NoteProgress,
     NoteRefusal,
 )
-from currantstage.state import EntryVmId, Generation
+from currantstage.state import EntryVmId, Generation, TeamId
 
 #: Header that carries the operators' key.
 OPERATOR_KEY_HEADER = "currantstage-operator-key"
@@ -24,6 +25,8 @@
 class NoteState(Enum):
     """How far a release note has come."""
 
+    #: A check found no fault; nothing was changed.
+    VALID = "valid"
     INVALID = "invalid"
     OVERTAKEN = "overtaken"
     ID_TAKEN = "id-taken"
@@ -41,15 +44,27 @@
         The generation that the note made, or the one that overtook it.
     waiting_for : tuple of EntryVmId
         Entry VMs in which the note is not in force yet.
+    waiting_for_teams : tuple of TeamId
+        Teams that still hold more than a lowered upper limit.
+    longest_wait_s : float or None
+        Bound on the wait for the entry VMs, in seconds.
     faults : tuple of str
     """
 
     state: NoteState
     generation: Generation | None = None
     waiting_for: tuple[EntryVmId, ...] = ()
+    waiting_for_teams: tuple[TeamId, ...] = ()
+    longest_wait_s: float | None = None
     faults: tuple[str, ...] = ()
 
 
+class NoteDiff(Struct, frozen=True, kw_only=True):
+    """Answer to a question about what a note changed."""
+
+    changes: NoteChanges
+
+
 class OperatorError(Struct, frozen=True, kw_only=True):
     """Body of an operators' call that failed."""
 
@@ -60,7 +75,11 @@
     """Return the report of a committed note."""
     state = NoteState.ACCEPTED if progress.is_accepted else NoteState.COMMITTED
     return NoteReport(
-        state=state, generation=progress.generation, waiting_for=progress.waiting_for
+        state=state,
+        generation=progress.generation,
+        waiting_for=progress.waiting_for,
+        waiting_for_teams=progress.waiting_for_teams,
+        longest_wait_s=progress.longest_wait_s,
     )
 
 
@@ -78,7 +97,10 @@
         return NoteReport(
             state=NoteState.OVERTAKEN,
             generation=refusal.generation,
-            faults=(f"note {refusal.note_id} was committed first",),
+            faults=(
+                f"note {refusal.note_id} was committed first",
+                *(f"it has: {item}" for item in refusal.touched),
+            ),
         )
     assert isinstance(refusal, NoteIdTaken)
     return NoteReport(
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,6 +9,13 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.coordination import (
+    AllotmentAsk,
+    AllotmentReceipt,
+    AllotmentTransfer,
+    RenewalOutcome,
+    RenewalRequest,
+)
 from currantstage.protocol._claim_messages import (
     ClaimAnswered,
     ClaimSettled,
@@ -16,7 +23,14 @@
     ClaimWanted,
 )
 from currantstage.protocol._errors import DecodeError
-from currantstage.state import EntryVmId, Generation, IncarnationId
+from currantstage.protocol._fleet_parts import FleetPart
+from currantstage.state import (
+    DataCentreId,
+    EntryVmId,
+    Generation,
+    IncarnationId,
+    QueueId,
+)
 
 #: Longest frame that is sent or read, in bytes.
 MAX_FRAME_BYTES = 64 * 1024
@@ -29,8 +43,45 @@
     generation: Generation
 
 
+class RenewalAsk(Struct, frozen=True, kw_only=True, tag="renewal-ask"):
+    """Asks the receiver to renew the sender's configuration lease."""
+
+    request: RenewalRequest
+
+
+class RenewalAnswer(Struct, frozen=True, kw_only=True, tag="renewal-answer"):
+    """Tells what became of a renewal on the receiver's behalf."""
+
+    outcome: RenewalOutcome
+
+
+class FleetRequest(Struct, frozen=True, kw_only=True, tag="fleet-request"):
+    """Asks for the receiver's fleet if it is newer than the sender's."""
+
+    known_generation: Generation
+
+
+class DemandMessage(Struct, frozen=True, kw_only=True, tag="demand"):
+    """Running and waiting requests of the sender, by queue."""
+
+    data_centre: DataCentreId
+    slots_of_queue: dict[QueueId, int]
+
+
 PeerMessage: TypeAlias = (
-    Heartbeat | ClaimWanted | ClaimAnswered | ClaimSettled | ClaimSettledAck
+    Heartbeat
+    | RenewalAsk
+    | RenewalAnswer
+    | FleetRequest
+    | FleetPart
+    | AllotmentAsk
+    | AllotmentTransfer
+    | AllotmentReceipt
+    | DemandMessage
+    | ClaimWanted
+    | ClaimAnswered
+    | ClaimSettled
+    | ClaimSettledAck
 )
 
 
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -3,20 +3,36 @@
 from __future__ import annotations
 
 from currantstage.transport._backends import (
+    CONNECT_TIMEOUT_S,
+    MAX_IDLE_S,
+    PROBE_TIMEOUT_S,
+    BackendCall,
     BackendClient,
+    ServerConnections,
 )
 from currantstage.transport._errors import (
     ListenError,
     OperatorCallError,
+    OperatorRefusedError,
     TransportError,
 )
 from currantstage.transport._http_server import (
+    LISTEN_BACKLOG,
+    MAX_ANSWER_S,
     HttpServer,
 )
 from currantstage.transport._operator_client import (
     CALL_TIMEOUT_S,
     OperatorClient,
 )
+from currantstage.transport._operator_routes import (
+    FleetStatusService,
+    OperatorService,
+    add_fleet_status_route,
+    add_operator_routes,
+    json_response,
+    require_key,
+)
 from currantstage.transport._peers import (
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -29,29 +45,47 @@
 from currantstage.transport._routes import (
     CallerService,
     HealthService,
-    OperatorService,
     add_caller_routes,
+    add_error_answers,
     add_health_routes,
-    add_operator_routes,
+)
+from currantstage.transport._service_level_routes import (
+    ServiceLevelSource,
+    add_service_level_routes,
 )
 
 __all__ = [
+    "BackendCall",
     "BackendClient",
     "CALL_TIMEOUT_S",
+    "CONNECT_TIMEOUT_S",
     "CallerService",
+    "FleetStatusService",
     "HealthService",
     "HttpServer",
+    "LISTEN_BACKLOG",
     "ListenError",
+    "MAX_ANSWER_S",
+    "MAX_IDLE_S",
     "OperatorCallError",
     "OperatorClient",
+    "OperatorRefusedError",
     "OperatorService",
+    "PROBE_TIMEOUT_S",
     "PeerSockets",
     "PlatformClient",
     "RECONNECT_MAX_MS",
     "RECONNECT_MIN_MS",
     "SEND_BUFFER_FRAMES",
+    "ServerConnections",
+    "ServiceLevelSource",
     "TransportError",
     "add_caller_routes",
+    "add_error_answers",
+    "add_fleet_status_route",
     "add_health_routes",
     "add_operator_routes",
+    "add_service_level_routes",
+    "json_response",
+    "require_key",
 ]
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -4,7 +4,7 @@
 
 from currantstage.util._clock import (
     MonotonicClock,
-    SystemWallClock,
+    UnixClock,
 )
 from currantstage.util._duty_loop import (
     DutyLoop,
@@ -13,5 +13,5 @@
 __all__ = [
     "DutyLoop",
     "MonotonicClock",
-    "SystemWallClock",
+    "UnixClock",
 ]
--- a/currantstage/util/_clock.py
+++ b/currantstage/util/_clock.py
@@ -13,9 +13,9 @@
         return time.monotonic()
 
 
-class SystemWallClock:
-    """Implements `WallClock` by the machine's system clock."""
+class UnixClock:
+    """Implements `Clock` by the time of day, which may jump; for records only."""
 
-    def wall_s(self) -> float:
-        """Return the seconds since the epoch."""
+    def now_s(self) -> float:
+        """Return the Unix time, in seconds."""
         return time.time()
--- a/tests/coordination/test_duty_lease.py
+++ b/tests/coordination/test_duty_lease.py
@@ -8,6 +8,7 @@
 
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    OPEN_S,
     DutyLeases,
     Transact,
     WriteUncertainError,
@@ -57,6 +58,7 @@
             http_address="127.0.0.1:1",
             peer_address="127.0.0.1:2",
             applied_generation=Generation(grant.fencing),
+            config_lease_s=10.0,
         )
         version = ABSENT if current is None else current.version
         write = RowWrite(key=EFFECT_KEY, expected_version=version, record=record)
@@ -113,6 +115,22 @@
     assert second.grant() is None
 
 
+def test_the_lease_counts_from_before_the_renewal_was_sent():
+    store, first, _ = make_contenders()
+    first.tend()
+    tending = first.leases.tend([DUTY])
+    call = next(tending)
+    while not isinstance(call, Transact):
+        call = tending.send(store.answer(call, first.clock))
+    reply = store.answer(call, first.clock)
+    first.clock.time_s = 5.0
+    with contextlib.suppress(StopIteration):
+        call = tending.send(reply)
+        while True:
+            call = tending.send(store.answer(call, first.clock))
+    assert first.grant().lapses_s == DUTY_LEASE_S
+
+
 def test_a_holder_paused_past_its_lease_changes_nothing():
     _, first, second = make_contenders()
     first.tend()
@@ -142,6 +160,7 @@
         first.tend()
     assert first.grant() is None
     store.choose_fault = lambda call: Fault.NONE
+    first.clock.time_s += OPEN_S
     second.tend()
     first.tend()
     assert first.grant().fencing == 1
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,6 +9,7 @@
 
 from currantstage.coordination import (
     ClockRead,
+    Configuration,
     DeleteObject,
     Done,
     GetObject,
@@ -21,6 +22,9 @@
     PutObject,
     ReadClock,
     ReadRow,
+    ReadUnixTime,
+    RebootAnswered,
+    RebootVm,
     RetryPolicy,
     RowRead,
     RowsScanned,
@@ -37,12 +41,15 @@
     ABSENT,
     ListedVm,
     ObjectName,
+    RebootStatus,
+    RebootTicket,
     RowCheck,
     RowKey,
     RowVersion,
     StoredGeneration,
     TransactionOutcome,
     VersionedRow,
+    VmId,
 )
 
 T = TypeVar("T")
@@ -77,6 +84,13 @@
         #: Decides about each call; replaced by tests.
         self.choose_fault: Callable[[StoreCall], Fault] = lambda call: Fault.NONE
         self._last_version = 0
+        #: VM of each ticket for which a reboot was asked.
+        self.reboots: dict[RebootTicket, VmId] = {}
+        #: Tells how far a reboot has come; replaced by tests.
+        self.reboot_status: Callable[[RebootTicket], RebootStatus] = lambda ticket: (
+            RebootStatus.DONE
+        )
+        self.unix_clock = FakeClock()
         #: Clock of the processes that have none of their own.
         self.clock = FakeClock()
 
@@ -85,6 +99,8 @@
         self.calls.append(call)
         if isinstance(call, ReadClock):
             return ClockRead((clock or self.clock).now_s())
+        if isinstance(call, ReadUnixTime):
+            return ClockRead(self.unix_clock.now_s())
         if isinstance(call, Pause):
             return Done()
         fault = self.choose_fault(call)
@@ -126,6 +142,9 @@
                 return Done()
             case ListVms():
                 return VmsListed(self.vms)
+            case RebootVm(vm, ticket):
+                self.reboots.setdefault(ticket, vm)
+                return RebootAnswered(self.reboot_status(ticket))
         raise AssertionError(call)
 
     def _transact(self, call: Transact) -> TransactionOutcome:
@@ -152,3 +171,9 @@
 def make_store_access(seed: int = 1) -> StoreAccess:
     """Return a `StoreAccess` whose random choices are fixed."""
     return StoreAccess(random.Random(seed), RetryPolicy())
+
+
+def hold_lease(configuration: Configuration, lease_s: float = 1e9) -> None:
+    """Let `configuration` serve keyed work for `lease_s` from time zero."""
+    renewal = configuration.lease.send(0.0, lease_s)
+    configuration.lease.confirm(renewal.number)
