--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,6 +9,7 @@
 
 from eliot import log_message
 
+from currantstage.application._claim_service import ClaimService
 from currantstage.application._demand_service import (
     DEMAND_INTERVAL_S,
     DemandService,
@@ -57,6 +58,7 @@
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
+    ClaimOwner,
     EntryVmRow,
     IncarnationId,
     VmLiveness,
@@ -179,6 +181,8 @@
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._claims = self._build_claims()
+        self._path.queues.use_claims(self._claims)
         self._relay = self._build_relay()
         self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
@@ -247,6 +251,7 @@
         await self._placed.follow()
         await self._own(self._sockets)
         await self._own(self._relay)
+        await self._own(self._claims)
         await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
@@ -274,6 +279,7 @@
         | DutyLoop
         | DutyRunner
         | RelayService
+        | ClaimService
         | LimitPath
         | HttpServer,
     ) -> None:
@@ -314,6 +320,19 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_claims(self) -> ClaimService:
+        row = self._membership.row
+        return ClaimService(
+            ClaimOwner(entry_vm=row.entry_vm, incarnation=row.incarnation),
+            self._runner,
+            self._store,
+            self._peers,
+            self._sockets,
+            self._clock,
+            UnixClock(),
+            self._random,
+        )
+
     def _build_relay(self) -> RelayService:
         liveness = PeerLiveness()
         return RelayService(
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -17,6 +17,12 @@
     RenewalRequest,
     UsageReport,
 )
+from currantstage.protocol._claim_messages import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
+)
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol._fleet_parts import FleetPart
 from currantstage.state import (
@@ -74,6 +80,10 @@
     | AllotmentReceipt
     | UsageReport
     | DemandMessage
+    | ClaimWanted
+    | ClaimAnswered
+    | ClaimSettled
+    | ClaimSettledAck
 )
 
 
