--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,9 +7,17 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
+    Claims,
     EndObserver,
     QueueService,
 )
+from currantstage.application._claim_service import (
+    CLEAN_S,
+    OWNERS_REFRESH_S,
+    TICK_S,
+    ClaimService,
+    SendEffect,
+)
 from currantstage.application._daemon import (
     HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
@@ -75,6 +83,9 @@
 from currantstage.application._service_level_service import (
     ServiceLevelService,
 )
+from currantstage.application._usage_service import (
+    UsageService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -83,6 +94,9 @@
     "AllottedTeamLimiter",
     "AllottedWorkerSlots",
     "ApplicationError",
+    "CLEAN_S",
+    "ClaimService",
+    "Claims",
     "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
@@ -100,6 +114,7 @@
     "LimitPath",
     "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "OWNERS_REFRESH_S",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PLACEMENT_POLL_S",
@@ -110,8 +125,11 @@
     "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
+    "SendEffect",
     "ServerMonitor",
     "ServiceLevelService",
     "StartError",
+    "TICK_S",
     "TeamAllotment",
+    "UsageService",
 ]
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.coordination import (
@@ -25,7 +25,7 @@
         Submission,
         WaitingRequest,
     )
-    from currantstage.state import Clock, QueueId, RequestId, VmId
+    from currantstage.state import Clock, QueueId, RequestId, TeamId, VmId
 
 Admitted: TypeAlias = Assignment | Refusal
 
@@ -71,6 +71,10 @@
         """Start what can start, after capacity, limits or the fleet have changed."""
         self._apply(self._dispatcher.start_waiting(self._clock.now_s()))
 
+    def running_slots(self) -> Mapping[QueueId, Mapping[TeamId, float]]:
+        """Return the slots that each team holds now, weighted by size, by queue."""
+        return self._dispatcher.running_slots()
+
     def set_leaving(self, vms: Iterable[VmId]) -> None:
         """Give nothing new to the servers `vms`."""
         self._apply(self._dispatcher.set_leaving(vms, self._clock.now_s()))
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -31,12 +31,16 @@
 from currantstage.coordination._waiting import NO_TEAM, QueueLine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from currantstage.coordination._estimates import RunTimeEstimates
     from currantstage.coordination._jobs import Submission
     from currantstage.coordination._placement import Placement
-    from currantstage.coordination._policies import SharePolicy, TeamLimiter
+    from currantstage.coordination._policies import (
+        SharePolicy,
+        TeamLimiter,
+        UsageView,
+    )
     from currantstage.coordination._topology import Topology
     from currantstage.coordination._waiting import WaitingRequest
     from currantstage.coordination._worker_room import WorkerRoom
@@ -57,6 +61,7 @@
     topology : Topology
     limiter : TeamLimiter
     shares : SharePolicy
+    usage : UsageView
     placement : Placement
     room : WorkerRoom
     estimates : RunTimeEstimates
@@ -67,6 +72,7 @@
         topology: Topology,
         limiter: TeamLimiter,
         shares: SharePolicy,
+        usage: UsageView,
         placement: Placement,
         room: WorkerRoom,
         estimates: RunTimeEstimates,
@@ -74,6 +80,7 @@
         self._topology = topology
         self._limiter = limiter
         self._shares = shares
+        self._usage = usage
         self._placement = placement
         self._room = room
         self._estimates = estimates
@@ -98,6 +105,10 @@
         """Requests that hold a slot, those in doubt included."""
         return self._running_of_queue.total()
 
+    def running_slots(self) -> Mapping[QueueId, Mapping[TeamId, float]]:
+        """Return the slots that each team holds now, weighted by size, by queue."""
+        return self._running
+
     def held_requests(self, vm: VmId) -> int:
         """Return the requests that hold a slot of `vm`, those in doubt included."""
         return self._room.held_requests(vm)
@@ -224,9 +235,14 @@
         self, queue: QueueId, now_s: float, effects: list[DispatchEffect]
     ) -> None:
         line = self._lines[queue]
+        if queue not in self._topology.fleet.queues:
+            withdrawn = Refusal(RefusalReason.QUEUE_UNKNOWN)
+            for request in line.requests():
+                effects.extend(self._refuse(request, withdrawn))
+            return
         blocked: set[TeamId] = set()
         while len(line) and self._room.has_free_slot(queue, now_s):
-            loads = self._loads(queue, line, blocked)
+            loads = self._loads(queue, line, blocked, now_s)
             if not any(load.waiting_requests for load in loads):
                 return
             team = self._shares.choose(loads)
@@ -244,23 +260,30 @@
             effects.append(Start(request.request_id, assignment))
 
     def _loads(
-        self, queue: QueueId, line: QueueLine, blocked: set[TeamId]
+        self, queue: QueueId, line: QueueLine, blocked: set[TeamId], now_s: float
     ) -> list[TeamLoad]:
-        teams = self._topology.fleet.teams
-        running = self._running.get(queue, _NOTHING)
         waiting = {
             team: 0 if team in blocked else len(requests) for team, requests in line
         }
+        running = self._running.get(queue, _NOTHING)
         return [
-            TeamLoad(
-                team=team,
-                share=teams[team].share if team in teams else 1.0,
-                running_slots=running.get(team, 0.0),
-                waiting_requests=waiting.get(team, 0),
-            )
+            self._load_of(queue, team, waiting.get(team, 0), now_s)
             for team in waiting | running
         ]
 
+    def _load_of(
+        self, queue: QueueId, team: TeamId, waiting: int, now_s: float
+    ) -> TeamLoad:
+        record = self._topology.fleet.teams.get(team)
+        running = self._running.get(queue, _NOTHING).get(team, 0.0)
+        return TeamLoad(
+            team=team,
+            share=1.0 if record is None else record.share,
+            running_slots=running,
+            waiting_requests=waiting,
+            correction_slots=self._usage.correction_slots(now_s, queue, team, running),
+        )
+
     def _try_assign(self, request: WaitingRequest, now_s: float) -> Assignment | None:
         if request.team != NO_TEAM and not self._limiter.try_acquire(request.team):
             return None
