--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,9 +7,17 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
+    Claims,
     EndObserver,
     QueueService,
 )
+from currantstage.application._claim_service import (
+    CLEAN_S,
+    OWNERS_REFRESH_S,
+    TICK_S,
+    ClaimService,
+    SendEffect,
+)
 from currantstage.application._daemon import (
     HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
@@ -28,7 +36,6 @@
     DispatchDriver,
 )
 from currantstage.application._duty_runner import (
-    RENEWALS_PER_LEASE,
     DutyRunner,
 )
 from currantstage.application._errors import (
@@ -76,6 +83,9 @@
 from currantstage.application._service_level_service import (
     ServiceLevelService,
 )
+from currantstage.application._usage_service import (
+    UsageService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -84,6 +94,9 @@
     "AllottedTeamLimiter",
     "AllottedWorkerSlots",
     "ApplicationError",
+    "CLEAN_S",
+    "ClaimService",
+    "Claims",
     "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
@@ -101,6 +114,7 @@
     "LimitPath",
     "MAX_RUNNING_RENEWALS",
     "NoteService",
+    "OWNERS_REFRESH_S",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PLACEMENT_POLL_S",
@@ -108,12 +122,14 @@
     "PeerService",
     "ProcedureRunner",
     "QueueService",
-    "RENEWALS_PER_LEASE",
     "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
+    "SendEffect",
     "ServerMonitor",
     "ServiceLevelService",
     "StartError",
+    "TICK_S",
     "TeamAllotment",
+    "UsageService",
 ]
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from eliot import log_message
+from returns.result import Failure
 
 from currantstage.coordination import (
     NO_TEAM,
@@ -14,7 +15,9 @@
     Attempts,
     Finish,
     Refusal,
+    RefusalReason,
     SendFailure,
+    Uncertain,
     is_server_error,
 )
 from currantstage.protocol import to_caller_answer
@@ -22,12 +25,14 @@
 from currantstage.transport import BackendCall
 
 if TYPE_CHECKING:
+    from returns.result import Result
+
     from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.application._server_monitor import ServerMonitor
     from currantstage.coordination import Assignment, AttemptBudget, RequestEnd
     from currantstage.protocol import CallerAnswer, CallerRequest
-    from currantstage.state import Clock, IncarnationId, Random, TeamId
+    from currantstage.state import ClaimTaken, Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
 
 
@@ -40,6 +45,18 @@
         """Take note of the end; `team` is `NO_TEAM` when it is not known."""
 
 
+class Claims(Protocol):
+    """Lets a request with an idempotency key run at most once."""
+
+    async def take(
+        self, request: CallerRequest, team: TeamId, key_text: str
+    ) -> Result[ClaimTaken, RequestEnd]:
+        """Return the claim under which `request` may run, or how it ends."""
+
+    def settle(self, claim: ClaimTaken, end: RequestEnd) -> None:
+        """Record what became of the request."""
+
+
 class QueueService:
     """Implements `CallerService`.
 
@@ -81,11 +98,16 @@
         self._idle.set()
         self._runs: set[asyncio.Task[RequestEnd]] = set()
         self._observer: EndObserver | None = None
+        self._claims: Claims | None = None
 
     def on_end(self, observer: EndObserver) -> None:
         """Tell `observer` of each request that ends."""
         self._observer = observer
 
+    def use_claims(self, claims: Claims) -> None:
+        """Serve requests with idempotency keys by `claims`."""
+        self._claims = claims
+
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to `request`."""
         self._active += 1
@@ -138,11 +160,33 @@
             return NO_TEAM, admitted
         # A caller that goes away doesn't stop its job: the slot stays taken until the
         # backend server has answered.
-        run = asyncio.create_task(self._run(request, admitted))
+        run = asyncio.create_task(self._run_claimed(request, admitted))
         self._runs.add(run)
         run.add_done_callback(self._runs.discard)
         return admitted.request.team, await asyncio.shield(run)
 
+    async def _run_claimed(
+        self, call: CallerRequest, assignment: Assignment
+    ) -> RequestEnd:
+        """Run the request, under a claim if it came with an idempotency key."""
+        key_text = call.options.idempotency_key
+        if key_text is None:
+            return await self._run(call, assignment)
+        if self._claims is None:
+            self._driver.finish(assignment, True)
+            return Refusal(RefusalReason.CLAIM_UNAVAILABLE)
+        taken = await self._claims.take(call, assignment.request.team, key_text)
+        if isinstance(taken, Failure):
+            self._driver.finish(assignment, True)
+            earlier: RequestEnd = taken.failure()
+            return earlier
+        end: RequestEnd = Uncertain("the request was interrupted")
+        try:
+            end = await self._run(call, assignment)
+        finally:
+            self._claims.settle(taken.unwrap(), end)
+        return end
+
     async def _run(self, call: CallerRequest, assignment: Assignment) -> RequestEnd:
         """Attempt the request until it ends."""
         self._budget.on_request()
--- a/currantstage/coordination/_service_levels.py
+++ b/currantstage/coordination/_service_levels.py
@@ -8,7 +8,12 @@
 
 from msgspec import Struct
 
-from currantstage.coordination._outcomes import Refusal, RefusalReason, Uncertain
+from currantstage.coordination._outcomes import (
+    Answer,
+    Refusal,
+    RefusalReason,
+    Uncertain,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,6 +39,10 @@
         RefusalReason.JOB_TOO_LARGE,
         RefusalReason.CANCELLED,
         RefusalReason.TEAM_AT_LIMIT,
+        RefusalReason.IDEMPOTENCY_KEY_MALFORMED,
+        RefusalReason.IDEMPOTENCY_KEY_EXPIRED,
+        RefusalReason.IDEMPOTENCY_KEY_REUSED,
+        RefusalReason.IN_PROGRESS,
     }
 )
 
@@ -74,7 +83,9 @@
     if isinstance(end, Refusal):
         is_callers = end.reason in CALLER_REFUSALS
         return Verdict.EXCLUDED if is_callers else Verdict.FAILED
-    if isinstance(end, Uncertain) or end.status >= FIRST_SERVER_ERROR:
+    if isinstance(end, Uncertain):
+        return Verdict.FAILED
+    if isinstance(end, Answer) and end.status >= FIRST_SERVER_ERROR:
         return Verdict.FAILED
     is_slow = duration_s * 1000 > queue.latency_bound_ms
     return Verdict.SLOW if is_slow else Verdict.GOOD
