--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,6 +7,7 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
+    EndObserver,
     QueueService,
 )
 from currantstage.application._daemon import (
@@ -72,6 +73,9 @@
 from currantstage.application._server_monitor import (
     ServerMonitor,
 )
+from currantstage.application._service_level_service import (
+    ServiceLevelService,
+)
 from currantstage.application._usage_service import (
     UsageService,
 )
@@ -90,6 +94,7 @@
     "DispatchDriver",
     "DutyRunner",
     "EXCHANGE_INTERVAL_S",
+    "EndObserver",
     "FleetFollower",
     "FleetReporter",
     "HEARTBEATS_PER_TURN",
@@ -111,6 +116,7 @@
     "RequestPath",
     "SETTLE_INTERVAL_S",
     "ServerMonitor",
+    "ServiceLevelService",
     "StartError",
     "TeamAllotment",
     "UsageService",
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -27,6 +27,7 @@
 from currantstage.application._procedure_runner import ProcedureRunner
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
+from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.application._usage_service import UsageService
 from currantstage.coordination import (
     DUTY_LEASE_S,
@@ -46,6 +47,7 @@
     PeerLiveness,
     ReclaimingDuty,
     RetryPolicy,
+    ServiceLevelRecorder,
     StoreAccess,
     UsageBoard,
     WeightedMaxMin,
@@ -70,6 +72,7 @@
     add_fleet_status_route,
     add_health_routes,
     add_operator_routes,
+    add_service_level_routes,
 )
 from currantstage.util import DutyLoop, MonotonicClock, UnixClock
 
@@ -156,6 +159,15 @@
             "probe-servers", self._path.probe_servers, PROBE_INTERVAL_S
         )
         self._path.monitor.on_doubt(self._probes.wake)
+        self._service_levels = ServiceLevelService(
+            self._runner,
+            self._store,
+            self._configuration,
+            ServiceLevelRecorder(self._clock.now_s()),
+            self._membership.row,
+            self._clock,
+        )
+        self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
         self._usage = UsageService(
             usage,
@@ -292,6 +304,9 @@
             FleetReporter(self._runner, self._store, self._configuration),
             self._settings.operators.key,
         )
+        add_service_level_routes(
+            server.app, self._service_levels, self._settings.operators.key
+        )
         add_health_routes(server.app, self)
         return server
 
--- a/currantstage/cmd/_main.py
+++ b/currantstage/cmd/_main.py
@@ -9,6 +9,7 @@
 from currantstage.cmd._demo import demo
 from currantstage.cmd._key import key
 from currantstage.cmd._note import note
+from currantstage.cmd._report import report
 from currantstage.cmd._serve import serve
 from currantstage.cmd._show import fleet, pool, show_key, team, vm, wave
 
@@ -22,6 +23,7 @@
 main.add_command(serve)
 main.add_command(note)
 key.add_command(show_key)
+main.add_command(report)
 main.add_command(key)
 main.add_command(fleet)
 main.add_command(pool)
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -30,6 +30,8 @@
     OperatorService,
     add_fleet_status_route,
     add_operator_routes,
+    json_response,
+    require_key,
 )
 from currantstage.transport._peers import (
     RECONNECT_MAX_MS,
@@ -47,6 +49,10 @@
     add_error_answers,
     add_health_routes,
 )
+from currantstage.transport._service_level_routes import (
+    ServiceLevelSource,
+    add_service_level_routes,
+)
 
 __all__ = [
     "BackendCall",
@@ -72,10 +78,14 @@
     "RECONNECT_MIN_MS",
     "SEND_BUFFER_FRAMES",
     "ServerConnections",
+    "ServiceLevelSource",
     "TransportError",
     "add_caller_routes",
     "add_error_answers",
     "add_fleet_status_route",
     "add_health_routes",
     "add_operator_routes",
+    "add_service_level_routes",
+    "json_response",
+    "require_key",
 ]
--- a/currantstage/transport/_operator_routes.py
+++ b/currantstage/transport/_operator_routes.py
@@ -76,7 +76,7 @@
         (routes.fleet, "/v1/fleet", "GET"),
     ):
         name = handler.__name__
-        app.add_route(_guard(handler, key), path, methods=[method], name=name)
+        app.add_route(require_key(handler, key), path, methods=[method], name=name)
     app.error_handler.add(OperatorCallError, _explain)
 
 
@@ -93,10 +93,10 @@
     """Serve ``GET /v1/fleet/status`` for those who present `key`."""
 
     async def fleet_status(_: Request) -> HTTPResponse:
-        return _message(await service.fleet_status(), _OK)
+        return json_response(await service.fleet_status(), _OK)
 
     app.add_route(
-        _guard(fleet_status, key),
+        require_key(fleet_status, key),
         "/v1/fleet/status",
         methods=["GET"],
         name=fleet_status.__name__,
@@ -118,7 +118,7 @@
     async def status(self, _: Request, note_id: str) -> HTTPResponse:
         report = await self._service.note_status(NoteId(note_id))
         if report is None:
-            return _message(OperatorError(error=f"no note {note_id}"), _NOT_FOUND)
+            return json_response(OperatorError(error=f"no note {note_id}"), _NOT_FOUND)
         return _note_response(report)
 
     async def diff(self, _: Request, note_id: str) -> HTTPResponse:
@@ -128,10 +128,10 @@
         return _diff_response(await self._service.note_diff(None))
 
     async def fleet(self, _: Request) -> HTTPResponse:
-        return _message(await self._service.fleet_in_force(), _OK)
+        return json_response(await self._service.fleet_in_force(), _OK)
 
 
-def _guard(
+def require_key(
     handler: Callable[..., Coroutine[Any, Any, HTTPResponse]], key: str
 ) -> Callable[..., Coroutine[Any, Any, HTTPResponse]]:
     """Return `handler` for requests that present `key`, and a refusal for others."""
@@ -142,7 +142,7 @@
         if not hmac.compare_digest(
             presented.encode(errors="surrogatepass"), key.encode()
         ):
-            return _message(
+            return json_response(
                 OperatorError(error="the operators' key is wrong"), _FORBIDDEN
             )
         return await handler(request, **parameters)
@@ -151,22 +151,22 @@
 
 
 async def _explain(_: Request, error: Exception) -> HTTPResponse:
-    return _message(OperatorError(error=str(error)), _UNAVAILABLE)
+    return json_response(OperatorError(error=str(error)), _UNAVAILABLE)
 
 
 def _text_of(request: Request) -> str:
     return request.body.decode("utf-8", errors="replace")
 
 
-def _message(message: Struct, status: int) -> HTTPResponse:
+def json_response(message: Struct, status: int) -> HTTPResponse:
     return HTTPResponse(encode_message(message), status, content_type=JSON_TYPE)
 
 
 def _note_response(report: NoteReport) -> HTTPResponse:
-    return _message(report, _STATUS_OF_NOTE_STATE[report.state])
+    return json_response(report, _STATUS_OF_NOTE_STATE[report.state])
 
 
 def _diff_response(diff: NoteDiff | None) -> HTTPResponse:
     if diff is None:
-        return _message(OperatorError(error="no such note any more"), _NOT_FOUND)
-    return _message(diff, _OK)
+        return json_response(OperatorError(error="no such note any more"), _NOT_FOUND)
+    return json_response(diff, _OK)
