--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,6 +9,7 @@
 
 from eliot import log_message
 
+from currantstage.application._claim_service import ClaimService
 from currantstage.application._demand_service import (
     DEMAND_INTERVAL_S,
     DemandService,
@@ -57,6 +58,7 @@
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
+    ClaimOwner,
     EntryVmRow,
     IncarnationId,
     VmLiveness,
@@ -179,15 +181,21 @@
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._claims = self._build_claims()
+        self._path.queues.use_claims(self._claims)
         self._relay = self._build_relay()
         self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
+        self._leases = DutyLeases(
+            self._store, settings.entry_vm.id, self._membership.row.incarnation
+        )
         self._placed = self._build_fleet_follower()
         self._demand = DemandService(
             settings.entry_vm.id,
             settings.entry_vm.data_centre,
             self._configuration,
             self._path,
+            self._leases,
             self._clock,
         )
         self._peers.handle(DemandMessage, self._demand.hear)
@@ -243,6 +251,7 @@
         await self._placed.follow()
         await self._own(self._sockets)
         await self._own(self._relay)
+        await self._own(self._claims)
         await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
@@ -256,7 +265,7 @@
             DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
         )
         await self._own(
-            DutyLoop("exchange-demand", self._exchange_demand, DEMAND_INTERVAL_S)
+            DutyLoop("report-demand", self._report_demand, DEMAND_INTERVAL_S)
         )
         await self._own(DutyLoop("list-vms", self._list_vms, LISTING_INTERVAL_S))
         await self._own(self._build_duty_runner())
@@ -270,6 +279,7 @@
         | DutyLoop
         | DutyRunner
         | RelayService
+        | ClaimService
         | LimitPath
         | HttpServer,
     ) -> None:
@@ -310,6 +320,19 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_claims(self) -> ClaimService:
+        row = self._membership.row
+        return ClaimService(
+            ClaimOwner(entry_vm=row.entry_vm, incarnation=row.incarnation),
+            self._runner,
+            self._store,
+            self._peers,
+            self._sockets,
+            self._clock,
+            UnixClock(),
+            self._random,
+        )
+
     def _build_relay(self) -> RelayService:
         liveness = PeerLiveness()
         return RelayService(
@@ -325,19 +348,15 @@
         )
 
     def _build_duty_runner(self) -> DutyRunner:
-        row = self._membership.row
-        leases = DutyLeases(self._store, row.entry_vm, row.incarnation)
         return DutyRunner(
-            self._runner, leases, self._clock, self._build_duties(), DUTY_LEASE_S
+            self._runner, self._leases, self._clock, self._build_duties(), DUTY_LEASE_S
         )
 
     def _build_duties(self) -> list[Duty]:
         entry_vm = self._settings.entry_vm.id
         return [
-            FleetDuty(self._store, (plan_waves, self._demand.plan)),
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
-            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
@@ -394,8 +413,8 @@
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(generation=self._configuration.fleet.generation)
 
-    async def _exchange_demand(self) -> None:
-        self._demand.exchange(self._peers, self._sockets)
+    async def _report_demand(self) -> None:
+        self._demand.report(self._peers, self._sockets)
 
     def _build_fleet_follower(self) -> FleetFollower:
         row = self._membership.row
