Bound the metrics' labels, and withdraw keys in the random histories

Cause: an unknown queue's name, a caller's own text, became a metric's label; and the fuzz machine did not withdraw a key while its team stayed, so the key check at the start of a waiting request could be removed unseen by it.

Change: unknown queues are counted under one label, with a test on the real daemon; notes of the fuzz machine withdraw keys by themselves, and its oracle looks for their starts.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -7,6 +7,7 @@
     AllotmentService,
 )
 from currantstage.application._caller_service import (
+    NO_QUEUE,
     EndObserver,
     QueueService,
 )
@@ -99,6 +100,7 @@
     "LISTING_INTERVAL_S",
     "LimitPath",
     "MAX_RUNNING_RENEWALS",
+    "NO_QUEUE",
     "NoteService",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -14,11 +14,12 @@
     Attempts,
     Finish,
     Refusal,
+    RefusalReason,
     SendFailure,
     is_server_error,
 )
 from currantstage.protocol import to_caller_answer
-from currantstage.state import RequestId
+from currantstage.state import QueueId, RequestId
 from currantstage.transport import BackendCall
 
 if TYPE_CHECKING:
@@ -30,6 +31,10 @@
     from currantstage.state import Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
 
+#: Label of requests to a queue that is not known.
+NO_QUEUE = QueueId("-")
+_QUEUE_UNKNOWN = Refusal(RefusalReason.QUEUE_UNKNOWN)
+
 
 class EndObserver(Protocol):
     """Hears of each request that ends."""
@@ -113,11 +118,13 @@
         team, end = await self._run_once_admitted(request_id, request)
         answer = to_caller_answer(end)
         duration_s = self._clock.now_s() - started_s
-        self._metrics.count_request(
-            request.queue, team, answer.outcome.value, duration_s
-        )
+        queue = request.queue
+        if end == _QUEUE_UNKNOWN:
+            # Callers' own words would make an unbounded number of time series.
+            queue = NO_QUEUE
+        self._metrics.count_request(queue, team, answer.outcome.value, duration_s)
         if isinstance(end, Refusal):
-            self._metrics.count_refusal(request.queue, end.reason)
+            self._metrics.count_refusal(queue, end.reason)
         log_message(
             "currantstage:request",
             request=request_id,
--- a/tests/cmd/test_serve.py
+++ b/tests/cmd/test_serve.py
@@ -177,8 +177,11 @@
         ):
             async with caller.post(f"{url}/v1/queues/q", data=b"x") as response:
                 assert response.headers[OUTCOME_HEADER] == "completed"
+            async with caller.post(f"{url}/v1/queues/no-such-queue") as response:
+                assert response.status == 404
             async with caller.get(f"{url}/metrics") as response:
                 text = await response.text()
+            assert "no-such-queue" not in text
             assert 'currantstage_requests_total{outcome="completed"' in text
             assert "currantstage_python_threads 1.0" in text
             tasks = Path(f"/proc/{process.pid}/task")
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -85,6 +85,7 @@
         #: Jobs that may be running, by worker and team; the oracle's only ledger.
         self.executing: list[tuple[str, str, float]] = []
         self.leaving: set[str] = set()
+        self.withdrawn: set[str] = set()
 
     @rule(
         team=st.sampled_from(sorted(LIMITS)),
@@ -144,15 +145,18 @@
     @rule(
         workers=st.integers(1, 3),
         limits=st.dictionaries(st.sampled_from(sorted(LIMITS)), st.integers(1, 4)),
+        withdrawn=st.sets(st.sampled_from(sorted(LIMITS))),
     )
-    def apply_note(self, workers, limits):
+    def apply_note(self, workers, limits, withdrawn):
         self.generation += 1
         self.limits = limits
+        self.withdrawn = withdrawn
         fleet = make_fleet(
             workers=workers,
             limits=limits,
             max_waiting=6,
             generation=self.generation,
+            withdrawn=withdrawn,
         )
         self.path.configuration.apply(fleet)
         self.apply(self.dispatcher.start_waiting(self.now_s))
@@ -222,7 +226,8 @@
         assert call.held is None
         assert not call.ends
         assert vm.vm_id not in self.leaving, "new work for a leaving server"
-        assert call.team in self.limits, "work for a withdrawn key"
+        assert call.team in self.limits, "work for a withdrawn team"
+        assert call.team not in self.withdrawn, "work for a withdrawn key"
         self.executing = [job for job in self.executing if job[2] > self.now_s]
         self.executing.append((vm.vm_id, call.team, float("inf")))
         on_vm = sum(job[0] == vm.vm_id for job in self.executing)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -44,7 +44,9 @@
 POOL = PoolId("p")
 
 
-def make_fleet(*, workers=2, slots=2, limits=None, max_waiting=256, generation=1):
+def make_fleet(
+    *, workers=2, slots=2, limits=None, max_waiting=256, generation=1, withdrawn=()
+):
     """Return one pool and one keyed queue; `limits` maps teams to upper limits."""
     limits = {"north": 100} if limits is None else limits
     vms = [
@@ -78,6 +80,7 @@
                 digest=digest_secret("s", "secret"),
             )
             for team in limits
+            if team not in withdrawn
         },
         queues={QUEUE: queue},
     )
