--- a/bench/guards.py
+++ b/bench/guards.py
@@ -74,8 +74,8 @@
     Removal(
         "limit: a doubled transfer adds once",
         "_allotment_book.py",
-        "max(received[resource], slots)",
-        "received[resource] + slots",
+        "max(0, slots - received[resource])",
+        "slots",
         _ALLOTMENTS,
     ),
     Removal(
