--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -8,9 +8,17 @@
 )
 from currantstage.application._caller_service import (
     NO_QUEUE,
+    Claims,
     EndObserver,
     QueueService,
 )
+from currantstage.application._claim_service import (
+    CLEAN_S,
+    OWNERS_REFRESH_S,
+    TICK_S,
+    ClaimService,
+    SendEffect,
+)
 from currantstage.application._daemon import (
     HEARTBEATS_PER_TURN,
     INCARNATION_BITS,
@@ -76,6 +84,9 @@
 from currantstage.application._service_level_service import (
     ServiceLevelService,
 )
+from currantstage.application._usage_service import (
+    UsageService,
+)
 
 __all__ = [
     "ASK_AGAIN_S",
@@ -84,6 +95,9 @@
     "AllottedTeamLimiter",
     "AllottedWorkerSlots",
     "ApplicationError",
+    "CLEAN_S",
+    "ClaimService",
+    "Claims",
     "DEMAND_INTERVAL_S",
     "Daemon",
     "DaemonMetrics",
@@ -102,6 +116,7 @@
     "MAX_RUNNING_RENEWALS",
     "NO_QUEUE",
     "NoteService",
+    "OWNERS_REFRESH_S",
     "PEER_REFRESH_PER_PEER_S",
     "PEER_REFRESH_S",
     "PLACEMENT_POLL_S",
@@ -112,8 +127,11 @@
     "RelayService",
     "RequestPath",
     "SETTLE_INTERVAL_S",
+    "SendEffect",
     "ServerMonitor",
     "ServiceLevelService",
     "StartError",
+    "TICK_S",
     "TeamAllotment",
+    "UsageService",
 ]
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -9,6 +9,7 @@
 
 from eliot import log_message
 
+from currantstage.application._claim_service import ClaimService
 from currantstage.application._demand_service import (
     DEMAND_INTERVAL_S,
     DemandService,
@@ -28,8 +29,10 @@
 from currantstage.application._relay_service import RelayService
 from currantstage.application._request_path import RequestPath
 from currantstage.application._service_level_service import ServiceLevelService
+from currantstage.application._usage_service import UsageService
 from currantstage.coordination import (
     DUTY_LEASE_S,
+    USAGE_INTERVAL_S,
     Acceptance,
     AllotmentLimitCheck,
     Cleanup,
@@ -38,7 +41,6 @@
     DrainFollower,
     Duty,
     DutyLeases,
-    FleetDuty,
     HeadWatch,
     LeaseRelay,
     Membership,
@@ -47,13 +49,14 @@
     RetryPolicy,
     ServiceLevelRecorder,
     StoreAccess,
+    UsageBoard,
     WeightedMaxMin,
-    plan_waves,
 )
 from currantstage.protocol import DemandMessage, Heartbeat
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
+    ClaimOwner,
     EntryVmRow,
     IncarnationId,
     VmLiveness,
@@ -139,12 +142,14 @@
             self._clock,
         )
         self._metrics.watch_allotments(self._limits.team_allotments)
+        usage = UsageBoard()
         self._path = RequestPath.build(
             self._configuration,
             settings.entry_vm.data_centre,
             self._limits.limiter,
             self._limits.slots,
             WeightedMaxMin(),
+            usage,
             self._metrics,
             self._clock,
             self._random,
@@ -164,9 +169,18 @@
         )
         self._path.queues.on_end(self._service_levels.on_end)
         self._limits.on_change(self._path.driver.start_waiting)
+        self._usage = UsageService(
+            usage,
+            self._path.driver.running_slots,
+            self._peers,
+            self._sockets,
+            self._clock,
+        )
         self._follow = DutyLoop(
             "follow-head", self._follow_head, settings.configuration.poll_ms / 1000
         )
+        self._claims = self._build_claims()
+        self._path.queues.use_claims(self._claims)
         self._relay = self._build_relay()
         self._configuration.on_apply(self._adopt_fleet)
         self._next_refresh_s = 0.0
@@ -235,6 +249,7 @@
         await self._placed.follow()
         await self._own(self._sockets)
         await self._own(self._relay)
+        await self._own(self._claims)
         await self._refresh()
         # Only now: whoever holds allotments must be the only process of its entry VM,
         # which the address that it listens on proves.
@@ -242,6 +257,7 @@
         await self._own(self._follow)
         await self._own(DutyLoop("refresh-peers", self._refresh_if_due, PEER_REFRESH_S))
         await self._own(DutyLoop("heartbeat", self._send_heartbeats, heartbeat_s))
+        await self._own(DutyLoop("report-usage", self._usage.tell, USAGE_INTERVAL_S))
         await self._own(self._probes)
         await self._own(
             DutyLoop("follow-placement", self._placed.follow, PLACEMENT_POLL_S)
@@ -261,6 +277,7 @@
         | DutyLoop
         | DutyRunner
         | RelayService
+        | ClaimService
         | LimitPath
         | HttpServer,
     ) -> None:
@@ -301,6 +318,19 @@
         add_health_routes(server.app, self)
         return server
 
+    def _build_claims(self) -> ClaimService:
+        row = self._membership.row
+        return ClaimService(
+            ClaimOwner(entry_vm=row.entry_vm, incarnation=row.incarnation),
+            self._runner,
+            self._store,
+            self._peers,
+            self._sockets,
+            self._clock,
+            UnixClock(),
+            self._random,
+        )
+
     def _build_relay(self) -> RelayService:
         liveness = PeerLiveness()
         return RelayService(
@@ -325,7 +355,6 @@
         return [
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
-            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
--- a/currantstage/application/_request_path.py
+++ b/currantstage/application/_request_path.py
@@ -26,6 +26,7 @@
         Configuration,
         SharePolicy,
         TeamLimiter,
+        UsageView,
         WorkerSlots,
     )
     from currantstage.state import Clock, DataCentreId, IncarnationId, Random
@@ -71,6 +72,7 @@
         limiter: TeamLimiter,
         slots: WorkerSlots,
         shares: SharePolicy,
+        usage: UsageView,
         metrics: DaemonMetrics,
         clock: Clock,
         random: Random,
@@ -86,6 +88,7 @@
             topology,
             limiter,
             shares,
+            usage,
             LeastLoaded(random),
             WorkerRoom(topology, slots, health, outliers),
             estimates,
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/_outcomes.py
@@ -38,6 +38,15 @@
     DEADLINE_PASSED = "deadline-passed"
     #: A caller that goes away withdraws its waiting request.
     CANCELLED = "cancelled"
+    IDEMPOTENCY_KEY_MALFORMED = "idempotency-key-malformed"
+    #: The key is past the window for which first outcomes are kept.
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency-key-expired"
+    #: The key came with another content before.
+    IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
+    #: The first request under the key has not ended.
+    IN_PROGRESS = "in-progress"
+    #: The use of the key could not be recorded.
+    CLAIM_UNAVAILABLE = "claim-unavailable"
     TEAM_AT_LIMIT = "team-at-limit"
     NO_CAPACITY = "no-capacity"
     STOPPING = "stopping"
@@ -86,6 +95,11 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class CompletedEarlier:
+    """The first request under the key completed; its answer was too long to keep."""
+
+
 @dataclass(frozen=True, slots=True)
 class Uncertain:
     """The request reached a backend server, and no whole answer came back."""
@@ -104,4 +118,4 @@
     SILENT = "silent"
 
 
-RequestEnd: TypeAlias = Answer | Refusal | Uncertain
+RequestEnd: TypeAlias = Answer | CompletedEarlier | Refusal | Uncertain
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantstage.protocol._callers import (
+    ANSWER_NOT_KEPT_STATUS,
     DEFAULT_TYPE,
     JSON_TYPE,
     KEY_HEADER,
@@ -19,6 +20,12 @@
     read_caller_request,
     to_caller_answer,
 )
+from currantstage.protocol._claim_messages import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
+)
 from currantstage.protocol._errors import (
     DecodeError,
     NoteSyntaxError,
@@ -100,11 +107,16 @@
 )
 
 __all__ = [
+    "ANSWER_NOT_KEPT_STATUS",
     "AnsweredMember",
     "BurnReport",
     "CallerAnswer",
     "CallerOptions",
     "CallerRequest",
+    "ClaimAnswered",
+    "ClaimSettled",
+    "ClaimSettledAck",
+    "ClaimWanted",
     "DEFAULT_TYPE",
     "DataCentreStatus",
     "DecodeError",
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -10,6 +10,7 @@
 
 from currantstage.coordination import (
     Answer,
+    CompletedEarlier,
     JobSize,
     Outcome,
     Refusal,
@@ -50,11 +51,18 @@
     RefusalReason.DEADLINE_UNMEETABLE: 503,
     RefusalReason.DEADLINE_PASSED: 503,
     RefusalReason.CANCELLED: 503,
+    RefusalReason.IDEMPOTENCY_KEY_MALFORMED: 400,
+    RefusalReason.IDEMPOTENCY_KEY_EXPIRED: 410,
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
+    RefusalReason.IN_PROGRESS: 409,
+    RefusalReason.CLAIM_UNAVAILABLE: 503,
     RefusalReason.STOPPING: 503,
     RefusalReason.UNREACHABLE: 503,
 }
 #: Status when a request may have run and no whole answer came back.
 UNKNOWN_STATUS = 504
+#: Status when the first request completed, and its answer was too long to keep.
+ANSWER_NOT_KEPT_STATUS = 208
 
 
 class CallerOptions(
@@ -76,6 +84,9 @@
     processors : float
     memory_mb : int
     accelerators : int
+    idempotency_key : str or None
+        Makes repeats of the request find its first outcome, ``SECONDS-TEXT`` with the
+        Unix time of its making.
     """
 
     idempotent: bool = False
@@ -84,6 +95,7 @@
     processors: Annotated[float, Meta(ge=0, le=MAX_SIZE)] = 0.0
     memory_mb: Annotated[int, Meta(ge=0, le=MAX_SIZE)] = 0
     accelerators: Annotated[int, Meta(ge=0, le=MAX_SIZE)] = 0
+    idempotency_key: str | None = None
 
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
@@ -196,6 +208,9 @@
             largest=None if shortage is None else shortage.largest,
         )
         return _explain(_STATUS_OF_REASON[end.reason], body)
+    if isinstance(end, CompletedEarlier):
+        body = OutcomeBody(outcome=Outcome.COMPLETED, reason="answer-not-kept")
+        return _explain(ANSWER_NOT_KEPT_STATUS, body)
     body = OutcomeBody(outcome=Outcome.UNKNOWN, reason=end.detail)
     return _explain(UNKNOWN_STATUS, body)
 
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -15,6 +15,13 @@
     AllotmentTransfer,
     RenewalOutcome,
     RenewalRequest,
+    UsageReport,
+)
+from currantstage.protocol._claim_messages import (
+    ClaimAnswered,
+    ClaimSettled,
+    ClaimSettledAck,
+    ClaimWanted,
 )
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol._fleet_parts import FleetPart
@@ -71,7 +78,12 @@
     | AllotmentAsk
     | AllotmentTransfer
     | AllotmentReceipt
+    | UsageReport
     | DemandMessage
+    | ClaimWanted
+    | ClaimAnswered
+    | ClaimSettled
+    | ClaimSettledAck
 )
 
 
--- a/currantstage/state/_rows.py
+++ b/currantstage/state/_rows.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from currantstage.state._allotment_rows import HolderRow, LedgerRow
+from currantstage.state._claim_rows import ClaimBatchRow, ClaimOwnersRow
 from currantstage.state._fleet import Fleet
 from currantstage.state._ids import (
     AttemptId,
@@ -141,6 +142,8 @@
     | LedgerRow
     | HolderRow
     | FleetRecord
+    | ClaimOwnersRow
+    | ClaimBatchRow
 )
 
 
--- a/tests/coordination/test_shares.py
+++ b/tests/coordination/test_shares.py
@@ -48,6 +48,11 @@
     assert WeightedMaxMin().choose(loads) == "a"
 
 
+def test_of_equal_claims_the_first_is_served():
+    loads = [TeamLoad(TeamId(name), 1.0, 0, 9) for name in "ba"]
+    assert WeightedMaxMin().choose(loads) == "b"
+
+
 def test_slots_held_elsewhere_count_but_never_starve():
     held = fill(28, {"a": 99, "b": 99, "c": 99}, {"a": 1000.0})
     assert 0 < held["a"] < 16
--- a/currantstage/coordination/_local_limits.py
+++ b/tests/local_limits.py
@@ -1,13 +1,11 @@
-"""Limits that one entry VM keeps by itself, without its peers."""
+"""Limits of a lone entry VM, for tests of what uses them."""
 
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.state import TeamId, VmId
+from currantstage.coordination import Configuration
+from currantstage.state import TeamId, VmId
 
 
 class LocalTeamLimiter:
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -9,13 +9,12 @@
     Dispatcher,
     FaultTracker,
     LeastLoaded,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
     OutlierDetector,
     RunTimeEstimates,
     ServerHealth,
     Submission,
     Topology,
+    UsageBoard,
     WeightedMaxMin,
     WorkerRoom,
     digest_secret,
@@ -37,6 +36,7 @@
     Vm,
     VmId,
 )
+from tests.local_limits import LocalTeamLimiter, LocalWorkerSlots
 
 #: Longer than any test.
 LONG_LEASE_S = 1e6
@@ -112,6 +112,7 @@
             topology,
             self.limiter,
             WeightedMaxMin(),
+            UsageBoard(),
             LeastLoaded(random.Random(3)),
             WorkerRoom(
                 topology,
