--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -41,7 +41,6 @@
     DrainFollower,
     Duty,
     DutyLeases,
-    FleetDuty,
     HeadWatch,
     LeaseRelay,
     Membership,
@@ -52,7 +51,6 @@
     StoreAccess,
     UsageBoard,
     WeightedMaxMin,
-    plan_waves,
 )
 from currantstage.protocol import DemandMessage, Heartbeat
 from currantstage.state import (
