--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -357,6 +357,7 @@
         return [
             Cleanup(self._store),
             ReclaimingDuty(self._store, self._configuration, entry_vm),
+            FleetDuty(self._store, (plan_waves, self._demand.plan)),
         ]
 
     def _first_row(self) -> EntryVmRow:
