Split the daemon into its core, the head's follower, the HTTP routes and the rest

Change: DaemonCore holds what every part shares, HeadFollower what follows the head, and build_http_server the routes; parts are a Protocol with start and close.

--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -19,14 +19,15 @@
     ClaimService,
     SendEffect,
 )
-from currantstage.application._daemon import (
-    HEARTBEATS_PER_TURN,
+from currantstage.application._core import (
     INCARNATION_BITS,
+    DaemonCore,
+)
+from currantstage.application._daemon import (
     LISTING_INTERVAL_S,
-    PEER_REFRESH_PER_PEER_S,
-    PEER_REFRESH_S,
     PROBE_INTERVAL_S,
     Daemon,
+    Part,
 )
 from currantstage.application._demand_service import (
     DEMAND_INTERVAL_S,
@@ -50,6 +51,15 @@
 from currantstage.application._fleet_reporter import (
     FleetReporter,
 )
+from currantstage.application._head_follower import (
+    HEARTBEATS_PER_TURN,
+    PEER_REFRESH_PER_PEER_S,
+    PEER_REFRESH_S,
+    HeadFollower,
+)
+from currantstage.application._http_api import (
+    build_http_server,
+)
 from currantstage.application._limit_path import (
     EXCHANGE_INTERVAL_S,
     SETTLE_INTERVAL_S,
@@ -100,6 +110,7 @@
     "Claims",
     "DEMAND_INTERVAL_S",
     "Daemon",
+    "DaemonCore",
     "DaemonMetrics",
     "DemandService",
     "DispatchDriver",
@@ -109,6 +120,7 @@
     "FleetFollower",
     "FleetReporter",
     "HEARTBEATS_PER_TURN",
+    "HeadFollower",
     "INCARNATION_BITS",
     "LATENCY_BUCKETS_S",
     "LISTING_INTERVAL_S",
@@ -121,6 +133,7 @@
     "PEER_REFRESH_S",
     "PLACEMENT_POLL_S",
     "PROBE_INTERVAL_S",
+    "Part",
     "PeerService",
     "ProcedureRunner",
     "QueueService",
@@ -134,4 +147,5 @@
     "TICK_S",
     "TeamAllotment",
     "UsageService",
+    "build_http_server",
 ]
--- /dev/null
+++ b/currantstage/application/_http_api.py
@@ -0,0 +1,66 @@
+"""Build the HTTP server of a daemon with all its routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.application._fleet_reporter import FleetReporter
+from currantstage.application._operator_service import NoteService
+from currantstage.coordination import Acceptance, AllotmentLimitCheck
+from currantstage.transport import (
+    HttpServer,
+    add_caller_routes,
+    add_error_answers,
+    add_fleet_status_route,
+    add_health_routes,
+    add_operator_routes,
+    add_service_level_routes,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantstage.application._caller_service import QueueService
+    from currantstage.application._core import DaemonCore
+    from currantstage.application._service_level_service import ServiceLevelService
+    from currantstage.transport import HealthService
+
+
+def build_http_server(
+    core: DaemonCore,
+    queues: QueueService,
+    service_levels: ServiceLevelService,
+    health: HealthService,
+    on_commit: Callable[[], None],
+) -> HttpServer:
+    """Return the server, not yet listening.
+
+    Parameters
+    ----------
+    core : DaemonCore
+    queues : QueueService
+    service_levels : ServiceLevelService
+    health : HealthService
+    on_commit : callable
+        Called when a note was committed here, so that it is applied at once.
+    """
+    settings = core.settings
+    operator_key = settings.operators.key
+    server = HttpServer(
+        f"currantstage-{settings.entry_vm.id}",
+        settings.entry_vm.http_address,
+        settings.serving.max_body_bytes,
+    )
+    limit_check = AllotmentLimitCheck(core.store)
+    acceptance = Acceptance(core.store, core.configuration, core.watch, limit_check)
+    notes = NoteService(
+        core.runner, core.store, core.configuration, acceptance, on_commit
+    )
+    reporter = FleetReporter(core.runner, core.store, core.configuration)
+    add_error_answers(server.app)
+    add_caller_routes(server.app, queues)
+    add_operator_routes(server.app, notes, operator_key)
+    add_fleet_status_route(server.app, reporter, operator_key)
+    add_service_level_routes(server.app, service_levels, operator_key)
+    add_health_routes(server.app, health)
+    return server
