Let one retry budget serve requests and the platform's calls

Cause: two token buckets of the same logic stood in coordination. Change: RetryBudget takes its bound and what each earning saves.

--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -30,7 +30,7 @@
     from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.application._server_monitor import ServerMonitor
-    from currantstage.coordination import Assignment, AttemptBudget, RequestEnd
+    from currantstage.coordination import Assignment, RequestEnd, RetryBudget
     from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import ClaimTaken, Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
@@ -69,7 +69,7 @@
     driver : DispatchDriver
     backends : BackendClient
     monitor : ServerMonitor
-    budget : AttemptBudget
+    budget : RetryBudget
     metrics : DaemonMetrics
     clock : Clock
     random : Random
@@ -82,7 +82,7 @@
         driver: DispatchDriver,
         backends: BackendClient,
         monitor: ServerMonitor,
-        budget: AttemptBudget,
+        budget: RetryBudget,
         metrics: DaemonMetrics,
         clock: Clock,
         random: Random,
@@ -195,7 +195,7 @@
 
     async def _run(self, call: CallerRequest, assignment: Assignment) -> RequestEnd:
         """Attempt the request until it ends."""
-        self._budget.on_request()
+        self._budget.earn()
         request = assignment.request
         attempts = Attempts(
             call.options.idempotent, request.deadline_s, self._budget, self._random
--- a/currantstage/application/_request_path.py
+++ b/currantstage/application/_request_path.py
@@ -8,11 +8,13 @@
 from currantstage.application._dispatch_driver import DispatchDriver
 from currantstage.application._server_monitor import ServerMonitor
 from currantstage.coordination import (
-    AttemptBudget,
+    MAX_SAVED_RETRIES,
+    RETRIES_PER_REQUEST,
     Dispatcher,
     FaultTracker,
     LeastLoaded,
     OutlierDetector,
+    RetryBudget,
     RunTimeEstimates,
     ServerHealth,
     Topology,
@@ -106,7 +108,7 @@
             driver,
             backends,
             monitor,
-            AttemptBudget(),
+            RetryBudget(MAX_SAVED_RETRIES, RETRIES_PER_REQUEST),
             metrics,
             clock,
             random,
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -80,7 +80,6 @@
     MAX_TRIES,
     RETRIES_PER_REQUEST,
     UNREACHABLE_RETRY_AFTER_S,
-    AttemptBudget,
     Attempts,
     Finish,
     Retry,
@@ -440,6 +439,9 @@
     is_overdue,
     plan_reconciliation,
 )
+from currantstage.coordination._retry_budget import (
+    RetryBudget,
+)
 from currantstage.coordination._row_batch import (
     Fence,
     RowBatch,
@@ -479,7 +481,6 @@
     OPEN_S,
     TOKENS_PER_SUCCESS,
     CircuitBreaker,
-    RetryBudget,
     StoreService,
 )
 from currantstage.coordination._topology import (
@@ -544,7 +545,6 @@
     "AskFleet",
     "AskRenewal",
     "Assignment",
-    "AttemptBudget",
     "Attempts",
     "AttributedRing",
     "BUCKETS_PER_WINDOW",
--- a/currantstage/coordination/_attempts.py
+++ b/currantstage/coordination/_attempts.py
@@ -15,6 +15,7 @@
 )
 
 if TYPE_CHECKING:
+    from currantstage.coordination._retry_budget import RetryBudget
     from currantstage.state import Random, VmId
 
 #: Attempts of one request, the first included.
@@ -30,24 +31,6 @@
 _FIRST_SERVER_ERROR = 500
 
 
-class AttemptBudget:
-    """Bounds the retries of one entry VM to a fraction of its requests."""
-
-    def __init__(self) -> None:
-        self._retries = MAX_SAVED_RETRIES
-
-    def on_request(self) -> None:
-        """Save the part of a retry that a new request pays for."""
-        self._retries = min(self._retries + RETRIES_PER_REQUEST, MAX_SAVED_RETRIES)
-
-    def try_spend(self) -> bool:
-        """Take one retry; return False when none is left."""
-        if self._retries < 1:
-            return False
-        self._retries -= 1
-        return True
-
-
 @dataclass(frozen=True, slots=True)
 class Finish:
     """The request has ended."""
@@ -83,7 +66,7 @@
     ----------
     is_idempotent : bool
     deadline_s : float
-    budget : AttemptBudget
+    budget : RetryBudget
     random : Random
     """
 
@@ -91,7 +74,7 @@
         self,
         is_idempotent: bool,
         deadline_s: float,
-        budget: AttemptBudget,
+        budget: RetryBudget,
         random: Random,
     ) -> None:
         self._is_idempotent = is_idempotent
--- a/currantstage/coordination/_store_access.py
+++ b/currantstage/coordination/_store_access.py
@@ -33,9 +33,11 @@
     Transacted,
     VmsListed,
 )
+from currantstage.coordination._retry_budget import RetryBudget
 from currantstage.coordination._store_health import (
+    MAX_RETRY_TOKENS,
+    TOKENS_PER_SUCCESS,
     CircuitBreaker,
-    RetryBudget,
     StoreService,
 )
 from currantstage.state import (
@@ -106,7 +108,7 @@
     def __init__(self, random: Random, policy: RetryPolicy) -> None:
         self._random = random
         self._policy = policy
-        self._budget = RetryBudget()
+        self._budget = RetryBudget(MAX_RETRY_TOKENS, TOKENS_PER_SUCCESS)
         self._breakers = {service: CircuitBreaker() for service in StoreService}
 
     def new_attempt(self) -> AttemptId:
@@ -235,7 +237,7 @@
         reply = yield call
         if not isinstance(reply, StoreFailed):
             breaker.record_success()
-            self._budget.record_success()
+            self._budget.earn()
             return reply
         breaker.record_failure()
         if breaker.is_tripped:
--- a/currantstage/coordination/_store_health.py
+++ b/currantstage/coordination/_store_health.py
@@ -58,21 +58,3 @@
     def record_failure(self) -> None:
         """Count a call that got no answer."""
         self._failures += 1
-
-
-class RetryBudget:
-    """Bounds retries to a part of the successes: they must not worsen an outage."""
-
-    def __init__(self) -> None:
-        self._tokens = MAX_RETRY_TOKENS
-
-    def try_spend(self) -> bool:
-        """Take one retry; return False when none is left."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-    def record_success(self) -> None:
-        """Earn a part of a retry."""
-        self._tokens = min(MAX_RETRY_TOKENS, self._tokens + TOKENS_PER_SUCCESS)
--- a/tests/coordination/test_faults.py
+++ b/tests/coordination/test_faults.py
@@ -8,15 +8,16 @@
 
 from currantstage.coordination import (
     MAX_SAVED_RETRIES,
+    RETRIES_PER_REQUEST,
     UNKNOWN_SILENCE_S,
     Answer,
-    AttemptBudget,
     Attempts,
     Finish,
     Outcome,
     Refusal,
     RefusalReason,
     Retry,
+    RetryBudget,
     SendFailure,
     ServerState,
     Uncertain,
@@ -30,7 +31,11 @@
 
 
 def make_attempts(is_idempotent, budget=None):
-    budget = AttemptBudget() if budget is None else budget
+    budget = (
+        RetryBudget(MAX_SAVED_RETRIES, RETRIES_PER_REQUEST)
+        if budget is None
+        else budget
+    )
     return Attempts(is_idempotent, 10.0, budget, random.Random(1))
 
 
@@ -61,7 +66,7 @@
 def test_retries_end_with_the_deadline_and_with_the_budget():
     late = make_attempts(True).after(VmId("a"), SendFailure.SENT, 9.999)
     assert isinstance(late, Finish)
-    budget = AttemptBudget()
+    budget = RetryBudget(MAX_SAVED_RETRIES, RETRIES_PER_REQUEST)
     steps = [
         make_attempts(True, budget).after(VmId("a"), SendFailure.SENT, 0.0)
         for _ in range(100)
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -17,9 +17,10 @@
 )
 
 from currantstage.coordination import (
+    MAX_SAVED_RETRIES,
+    RETRIES_PER_REQUEST,
     Answer,
     Assignment,
-    AttemptBudget,
     Attempts,
     Finish,
     JobSize,
@@ -28,6 +29,7 @@
     Refuse,
     ReleaseAt,
     RequestEnd,
+    RetryBudget,
     SendFailure,
     Start,
     Wait,
@@ -78,7 +80,7 @@
         self.limits = dict(LIMITS)
         self.path = FakePath(make_fleet(workers=3, limits=LIMITS, max_waiting=6))
         self.dispatcher = self.path.dispatcher
-        self.budget = AttemptBudget()
+        self.budget = RetryBudget(MAX_SAVED_RETRIES, RETRIES_PER_REQUEST)
         self.random = random.Random(1)
         self.calls: dict[str, Call] = {}
         self.timers: list[tuple[float, object]] = []
@@ -236,7 +238,7 @@
         assert of_team <= self.limits[call.team], "a team is above its limit"
         call.held = assignment
         if call.attempts is None:
-            self.budget.on_request()
+            self.budget.earn()
             call.attempts = Attempts(
                 call.is_idempotent, request.deadline_s, self.budget, self.random
             )
