--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -43,7 +43,7 @@
     WeightedMaxMin,
     plan_waves,
 )
-from currantstage.protocol import DemandMessage
+from currantstage.protocol import DemandMessage, LoadReport
 from currantstage.state import ClaimOwner, VmLiveness
 from currantstage.transport import TransportError
 from currantstage.util import DutyLoop
@@ -159,6 +159,11 @@
         """Return all metrics in the Prometheus text format."""
         return self._core.metrics.render()
 
+    def load_report(self) -> LoadReport:
+        """Return what the teams run and wait for here."""
+        loads = self._path.driver.team_loads()
+        return LoadReport(entry_vm=self._core.own.entry_vm, loads=loads)
+
     async def _start_parts(self) -> None:
         core = self._core
         self._resources.callback(core.metrics.close)
@@ -185,7 +190,12 @@
         )
         await self._own(
             build_http_server(
-                core, self._path.queues, self._service_levels, self, self._follow.wake
+                core,
+                self._path.queues,
+                self._service_levels,
+                health=self,
+                loads=self,
+                on_commit=self._follow.wake,
             )
         )
 
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -22,6 +22,7 @@
     from currantstage.coordination import (
         DispatchEffect,
         Dispatcher,
+        QueueLoad,
         Submission,
         WaitingRequest,
     )
@@ -75,6 +76,10 @@
         """Return the slots that each team holds now, weighted by size, by queue."""
         return self._dispatcher.running_slots()
 
+    def team_loads(self) -> tuple[QueueLoad, ...]:
+        """Return what each team runs and waits for, by queue."""
+        return self._dispatcher.team_loads()
+
     def set_leaving(self, vms: Iterable[VmId]) -> None:
         """Give nothing new to the servers `vms`."""
         self._apply(self._dispatcher.set_leaving(vms, self._clock.now_s()))
--- a/currantstage/application/_http_api.py
+++ b/currantstage/application/_http_api.py
@@ -13,6 +13,7 @@
     add_error_answers,
     add_fleet_status_route,
     add_health_routes,
+    add_load_route,
     add_operator_routes,
     add_service_level_routes,
 )
@@ -23,7 +24,7 @@
     from currantstage.application._caller_service import QueueService
     from currantstage.application._core import DaemonCore
     from currantstage.application._service_level_service import ServiceLevelService
-    from currantstage.transport import HealthService
+    from currantstage.transport import HealthService, LoadService
 
 
 def build_http_server(
@@ -31,6 +32,7 @@
     queues: QueueService,
     service_levels: ServiceLevelService,
     health: HealthService,
+    loads: LoadService,
     on_commit: Callable[[], None],
 ) -> HttpServer:
     """Return the server, not yet listening.
@@ -41,6 +43,7 @@
     queues : QueueService
     service_levels : ServiceLevelService
     health : HealthService
+    loads : LoadService
     on_commit : callable
         Called when a note was committed here, so that it is applied at once.
     """
@@ -62,5 +65,6 @@
     add_operator_routes(server.app, notes, operator_key)
     add_fleet_status_route(server.app, reporter, operator_key)
     add_service_level_routes(server.app, service_levels, operator_key)
+    add_load_route(server.app, loads, operator_key)
     add_health_routes(server.app, health)
     return server
--- a/currantstage/cmd/_report.py
+++ b/currantstage/cmd/_report.py
@@ -14,6 +14,7 @@
 from currantstage.cmd._burn_table import render_table
 from currantstage.cmd._config import PATH
 from currantstage.cmd._exit import ExitStatus
+from currantstage.cmd._measures import measures
 from currantstage.coordination import Alert
 from currantstage.transport import OperatorCallError
 
@@ -23,6 +24,9 @@
     """Report on what the service promises."""
 
 
+report.add_command(measures)
+
+
 @report.command()
 @click.option(
     "--server",
--- a/currantstage/cmd/_show.py
+++ b/currantstage/cmd/_show.py
@@ -10,7 +10,7 @@
 
 from currantstage.cmd._exit import ExitStatus
 from currantstage.cmd._note import call_server, server_options
-from currantstage.cmd._table import render_table
+from currantstage.cmd._table import render_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -68,9 +68,9 @@
         click.echo(msgspec.json.encode(status).decode())
     else:
         click.echo(f"generation {status.generation}, {len(status.vms)} VMs")
-        click.echo(_render(status.data_centres))
+        click.echo(render_records(status.data_centres))
         click.echo()
-        click.echo(_render(status.pools))
+        click.echo(render_records(status.pools))
         for each in overdue:
             click.echo(f"overdue: {each.vm} ({each.purpose})")
         for overdrawn_pool in overdrawn:
@@ -170,25 +170,7 @@
     if as_json:
         click.echo(msgspec.json.encode(items).decode())
     elif items:
-        click.echo(_render(items))
+        click.echo(render_records(items))
     else:
         click.echo("nothing of this name", err=True)
     sys.exit(ExitStatus.OK if items else ExitStatus.REFUSED)
-
-
-def _render(items: Sequence[Struct]) -> str:
-    if not items:
-        return ""
-    names = items[0].__struct_fields__
-    rows = [[_cell(getattr(item, name)) for name in names] for item in items]
-    return render_table(names, rows)
-
-
-def _cell(value: object) -> str:
-    if isinstance(value, tuple):
-        return ", ".join(map(str, value)) or "-"
-    if isinstance(value, bool):
-        return "yes" if value else "-"
-    if isinstance(value, float):
-        return f"{value:g}"
-    return str(getattr(value, "value", value)) or "-"
--- a/currantstage/cmd/_table.py
+++ b/currantstage/cmd/_table.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from msgspec import Struct
 
 
 def render_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
@@ -21,3 +26,22 @@
         ).rstrip()
         for line in lines
     )
+
+
+def render_records(records: Sequence[Struct]) -> str:
+    """Return a table with a column for each field; empty when there are no records."""
+    if not records:
+        return ""
+    names = records[0].__struct_fields__
+    rows = [[_cell(getattr(each, name)) for name in names] for each in records]
+    return render_table(names, rows)
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(map(str, value)) or "-"
+    if isinstance(value, bool):
+        return "yes" if value else "-"
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(getattr(value, "value", value)) or "-"
--- a/currantstage/coordination/__init__.py
+++ b/currantstage/coordination/__init__.py
@@ -461,6 +461,12 @@
     WindowCount,
     judge,
 )
+from currantstage.coordination._share_distance import (
+    DEFAULT_SHARE,
+    QueueLoad,
+    ShareDistance,
+    measure_shares,
+)
 from currantstage.coordination._shares import (
     AVERAGED_ROUNDING_SLOTS,
     LOCAL_FLOOR_FRACTION,
@@ -581,6 +587,7 @@
     "ConfigLease",
     "Configuration",
     "CoordinationError",
+    "DEFAULT_SHARE",
     "DUTY_LEASE_S",
     "DeleteObject",
     "DemandBoard",
@@ -702,6 +709,7 @@
     "PutObject",
     "QuantileWindow",
     "QueueLine",
+    "QueueLoad",
     "RECENT_RESULTS",
     "RECLAIM_INTERVAL_S",
     "REGISTER_BATCH_SIZE",
@@ -758,6 +766,7 @@
     "ServiceLevelRecorder",
     "Settled",
     "SettlementPlan",
+    "ShareDistance",
     "SharePolicy",
     "ShortageLog",
     "SizeShortage",
@@ -860,6 +869,7 @@
     "longest_work_s",
     "make_transition",
     "max_min_slots",
+    "measure_shares",
     "merge_counts",
     "merge_events",
     "most_vms_per_pool",
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -28,6 +28,7 @@
 )
 from currantstage.coordination._outcomes import Refusal, RefusalReason
 from currantstage.coordination._policies import TeamLoad
+from currantstage.coordination._share_distance import QueueLoad
 from currantstage.coordination._waiting import NO_TEAM, QueueLine
 
 if TYPE_CHECKING:
@@ -109,6 +110,28 @@
         """Return the slots that each team holds now, weighted by size, by queue."""
         return self._running
 
+    def team_loads(self) -> tuple[QueueLoad, ...]:
+        """Return what each team runs and waits for, by queue."""
+        waiting = {
+            (queue, team): len(requests)
+            for queue, line in self._lines.items()
+            for team, requests in line
+        }
+        running = {
+            (queue, team): slots
+            for queue, teams in self._running.items()
+            for team, slots in teams.items()
+        }
+        return tuple(
+            QueueLoad(
+                queue=queue,
+                team=team,
+                running_slots=running.get((queue, team), 0.0),
+                waiting_requests=waiting.get((queue, team), 0),
+            )
+            for queue, team in sorted(waiting.keys() | running.keys())
+        )
+
     def held_requests(self, vm: VmId) -> int:
         """Return the requests that hold a slot of `vm`, those in doubt included."""
         return self._room.held_requests(vm)
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -49,6 +49,10 @@
     WaveStatus,
     report_fleet,
 )
+from currantstage.protocol._measures import (
+    LoadReport,
+    MeasuresReport,
+)
 from currantstage.protocol._note_codec import (
     MAX_NOTE_BYTES,
     encode_note,
@@ -129,12 +133,14 @@
     "JSON_TYPE",
     "KEY_HEADER",
     "KeyStatus",
+    "LoadReport",
     "MAX_FLEET_BYTES",
     "MAX_FRAME_BYTES",
     "MAX_NOTE_BYTES",
     "MAX_PART_BYTES",
     "MAX_SIZE",
     "MAX_TIMEOUT_MS",
+    "MeasuresReport",
     "MemberAddress",
     "Members",
     "NoteDiff",
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -27,8 +27,10 @@
 )
 from currantstage.transport._operator_routes import (
     FleetStatusService,
+    LoadService,
     OperatorService,
     add_fleet_status_route,
+    add_load_route,
     add_operator_routes,
     json_response,
     require_key,
@@ -65,6 +67,7 @@
     "HttpServer",
     "LISTEN_BACKLOG",
     "ListenError",
+    "LoadService",
     "MAX_ANSWER_S",
     "MAX_IDLE_S",
     "OperatorCallError",
@@ -84,6 +87,7 @@
     "add_error_answers",
     "add_fleet_status_route",
     "add_health_routes",
+    "add_load_route",
     "add_operator_routes",
     "add_service_level_routes",
     "json_response",
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -10,6 +10,7 @@
     OPERATOR_KEY_HEADER,
     DecodeError,
     FleetStatus,
+    LoadReport,
     Members,
     NoteDiff,
     NoteReport,
@@ -95,6 +96,10 @@
         """Return what the entry VM has counted; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/service-levels", ServiceLevelReport)
 
+    async def loads(self) -> LoadReport:
+        """Return what the teams run and wait for; raises `OperatorCallError`."""
+        return await self._call("GET", "/v1/loads", LoadReport)
+
     async def members(self) -> Members:
         """Return the entry VMs that have a row; raises `OperatorCallError`."""
         return await self._call("GET", "/v1/members", Members)
--- a/currantstage/transport/_operator_routes.py
+++ b/currantstage/transport/_operator_routes.py
@@ -12,6 +12,7 @@
     JSON_TYPE,
     OPERATOR_KEY_HEADER,
     FleetStatus,
+    LoadReport,
     NoteDiff,
     NoteReport,
     NoteState,
@@ -87,6 +88,23 @@
         """Return the fleet as the platform's rows have it now."""
 
 
+class LoadService(Protocol):
+    """Tells what the teams run and wait for at this entry VM."""
+
+    def load_report(self) -> LoadReport:
+        """Return the loads by queue and team."""
+
+
+def add_load_route(app: Sanic[Any, Any], service: LoadService, key: str) -> None:
+    """Serve ``GET /v1/loads`` for those who present `key`."""
+
+    async def loads(_: Request) -> HTTPResponse:
+        return json_response(service.load_report(), _OK)
+
+    guarded = require_key(loads, key)
+    app.add_route(guarded, "/v1/loads", methods=["GET"], name=loads.__name__)
+
+
 def add_fleet_status_route(
     app: Sanic[Any, Any], service: FleetStatusService, key: str
 ) -> None:
