--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
-from eliot import log_message
+from eliot import start_action
 from returns.result import Failure
 
 from currantstage.coordination import (
@@ -136,8 +136,12 @@
     async def _serve(self, request: CallerRequest) -> CallerAnswer:
         started_s = self._clock.now_s()
         request_id = self._next_id()
-        team, end = await self._run_once_admitted(request_id, request)
-        answer = to_caller_answer(end)
+        with start_action(
+            action_type="currantstage:request", request=request_id, queue=request.queue
+        ) as action:
+            team, end = await self._run_once_admitted(request_id, request)
+            answer = to_caller_answer(end)
+            action.add_success_fields(team=team, outcome=answer.outcome.value)
         duration_s = self._clock.now_s() - started_s
         queue = request.queue
         if end == _QUEUE_UNKNOWN:
@@ -146,14 +150,6 @@
         self._metrics.count_request(queue, team, answer.outcome.value, duration_s)
         if isinstance(end, Refusal):
             self._metrics.count_refusal(queue, end.reason)
-        log_message(
-            "currantstage:request",
-            request=request_id,
-            queue=request.queue,
-            team=team,
-            outcome=answer.outcome.value,
-            duration_s=round(duration_s, 6),
-        )
         if self._observer is not None:
             self._observer(request, team, end, duration_s)
         return answer
