Close the peers' sockets without hanging, and take ports that nobody else gets

Cause: test_limits hung in about one run of twelve. Its tasks showed a daemon in PeerSockets.close: the library may report a cancelled receive as an error of its own, so the cancellation was lost and the loop received on for ever. SIGTERM could hang the same way. One run in twelve also failed to bind: free ports came from the system's range for outgoing connections, which took one before its server listened. Ruled out: allotments (all requests were served in each hanging run) and the drain. Change: closing the socket ends the receive; ports lie below that range. Conclusion: never cancel an arecv whose end matters.

--- a/currantstage/standin/_cluster.py
+++ b/currantstage/standin/_cluster.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import socket
 from contextlib import AsyncExitStack
 from importlib import resources
@@ -27,19 +29,35 @@
 #: Key that operators of the loopback cluster present.
 OPERATOR_KEY = "operators-of-the-demo"
 DATA_CENTRES = (DataCentreId("a"), DataCentreId("b"), DataCentreId("c"))
+#: Ports for servers on loopback, below the system's range for outgoing connections.
+FIRST_PORT, LAST_PORT = 10_000, 32_000
 VM_NAMES = ("a1", "a2", "b1", "b2", "c1", "c2")
 
+#: Each process starts elsewhere, so that two seldom try the same ports.
+_CANDIDATE_PORTS = itertools.cycle(
+    itertools.chain(
+        range(FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT), LAST_PORT),
+        range(FIRST_PORT, LAST_PORT),
+    )
+)
+
 
 def free_ports(count: int) -> list[int]:
-    """Return `count` distinct ports of the loopback address that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return `count` distinct ports of the loopback address that are free now.
+
+    They lie below the ports that the system gives to outgoing connections, which
+    could take one before its server listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_CANDIDATE_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 def sample_note(ports: Sequence[int]) -> str:
--- a/currantstage/transport/_peers.py
+++ b/currantstage/transport/_peers.py
@@ -51,17 +51,18 @@
             self._listener.listen(f"tcp://{self._address}")
         except pynng.NNGException as error:
             raise ListenError(f"{self._address}: {error}") from error
-        self._receiving = asyncio.create_task(self._receive())
+        self._receiving = asyncio.create_task(self._receive(self._listener))
 
     async def close(self) -> None:
         """Close all sockets."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.close()
         if self._receiving is not None:
-            self._receiving.cancel()
-            await asyncio.gather(self._receiving, return_exceptions=True)
+            # Closing the socket ends the receive. Cancelling the task instead could be
+            # lost: the library may report its cancelled receive as an error of its own.
+            await self._receiving
             self._receiving = None
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
         for peer in tuple(self._senders):
             self.disconnect(peer)
 
@@ -96,12 +97,9 @@
         except pynng.NNGException:
             self.dropped_frames += 1
 
-    async def _receive(self) -> None:
-        assert self._listener is not None
-        while True:
+    async def _receive(self, listener: pynng.Pull0) -> None:
+        while self._listener is not None:
             try:
-                self._on_frame(await self._listener.arecv())
-            except pynng.Closed:
-                return
+                self._on_frame(await listener.arecv())
             except pynng.NNGException:
                 self.dropped_frames += 1
