--- a/currantstage/cmd/_demo.py
+++ b/currantstage/cmd/_demo.py
@@ -15,6 +15,7 @@
 from currantstage.standin import OPERATOR_KEY, LoopbackCluster
 from currantstage.state import NoteId
 from currantstage.transport import OperatorClient
+from currantstage.util import catch_stop_signals
 
 #: Longest time for a note to be in force everywhere, in seconds.
 ACCEPT_TIMEOUT_S = 20.0
@@ -27,19 +28,22 @@
 
 
 @click.command()
-def demo() -> None:
+@click.option(
+    "--keep", is_flag=True, help="Keep the fleet running until SIGINT or SIGTERM."
+)
+def demo(keep: bool) -> None:
     """Show the whole path on loopback: note, requests, a withdrawn key.
 
-    Example: currantstage demo
+    Example: currantstage demo --keep
     """
     try:
-        uvloop.run(_run())
+        uvloop.run(_run(keep))
     except CurrantstageError as error:
         click.echo(f"demo failed: {error}", err=True)
         sys.exit(ExitStatus.REFUSED)
 
 
-async def _run() -> None:
+async def _run(is_kept: bool) -> None:
     async with (
         LoopbackCluster() as cluster,
         OperatorClient(cluster.urls[0], OPERATOR_KEY) as operator,
@@ -56,8 +60,18 @@
             await _expect(caller, url, "parcels", "south-1.south-secret", 403)
             await _expect(caller, url, "parcels", "north-1.north-secret", 200)
         ran = {name: len(each.bodies) for name, each in cluster.backends.items()}
-    click.echo(f"requests run by backend servers: {ran}")
-    click.echo("the demo passed")
+        click.echo(f"requests run by backend servers: {ran}")
+        click.echo("the demo passed")
+        if is_kept:
+            await _keep(cluster)
+
+
+async def _keep(cluster: LoopbackCluster) -> None:
+    """Tell how to reach the fleet, and leave it running until a signal comes."""
+    stopped = catch_stop_signals()
+    click.echo(f"export CURRANTSTAGE_SERVER={cluster.urls[0]}")
+    click.echo(f"export CURRANTSTAGE_OPERATOR_KEY={OPERATOR_KEY}")
+    await stopped.wait()
 
 
 async def _submit(operator: OperatorClient, text: str, note_id: NoteId) -> None:
--- a/currantstage/cmd/_serve.py
+++ b/currantstage/cmd/_serve.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -15,6 +13,7 @@
 from currantstage.application import Daemon, StartError
 from currantstage.cmd._config import PATH, load_or_exit
 from currantstage.cmd._exit import ExitStatus
+from currantstage.util import catch_stop_signals
 
 if TYPE_CHECKING:
     from currantstage.config import Settings
@@ -39,10 +38,7 @@
 
 
 async def _serve(settings: Settings) -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = catch_stop_signals()
     daemon = Daemon.from_config(settings)
     await daemon.start()
     await stopped.wait()
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -9,9 +9,13 @@
 from currantstage.util._duty_loop import (
     DutyLoop,
 )
+from currantstage.util._stop_signal import (
+    catch_stop_signals,
+)
 
 __all__ = [
     "DutyLoop",
     "MonotonicClock",
     "UnixClock",
+    "catch_stop_signals",
 ]
