--- a/currantstage/cmd/_burn_page.py
+++ b/currantstage/cmd/_burn_page.py
@@ -40,6 +40,7 @@
 svg { width: 100%; max-width: 44rem; height: auto; display: block; }
 .scroll { overflow-x: auto; }
 table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
+svg text { paint-order: stroke; stroke: #fff; stroke-width: 4px; }
 th, td { padding: .3rem .6rem; text-align: right; border-bottom: 1px solid #d5dce3;
   white-space: nowrap; }
 th:nth-child(-n+3), td:nth-child(-n+3) { text-align: left; }
