--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -21,7 +21,6 @@
 
 from dataclasses import dataclass
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -36,6 +35,7 @@
 )
 from tests.allotments import TEAM, WORK_S, Site
 from tests.fakes import FakeStore, Fault
+from tests.fuzz.effort import machine_settings
 
 NAMES = ("e0", "e1", "e2")
 PICKS = st.integers(0, 99)
@@ -282,7 +282,5 @@
         assert site.ledger.total_slots.get(TEAM, 0) == site.limits[TEAM]
 
 
-AllotmentMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=250, stateful_step_count=40, deadline=None
-)
+AllotmentMachine.TestCase.settings = machine_settings(250, 40)
 TestAllotmentMachine = AllotmentMachine.TestCase
--- a/tests/fuzz/test_claim_machine.py
+++ b/tests/fuzz/test_claim_machine.py
@@ -9,7 +9,6 @@
 
 from collections import Counter
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -44,6 +43,7 @@
     RequestId,
 )
 from tests.fakes import FakeStore, Fault, make_store_access
+from tests.fuzz.effort import machine_settings
 
 DIGESTS = [ClaimDigest(f"{bucket:02x}" + "0" * 30) for bucket in (0, 1)]
 NAMES = [EntryVmId(name) for name in ("a", "b")]
@@ -269,7 +269,5 @@
         assert all(count <= 1 for count in self.ran.values()), self.ran
 
 
-ClaimMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
-)
+ClaimMachine.TestCase.settings = machine_settings(150, 60)
 TestClaims = ClaimMachine.TestCase
--- a/tests/fuzz/test_duty_machine.py
+++ b/tests/fuzz/test_duty_machine.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -26,6 +25,7 @@
     RowWrite,
     duty_fence_key,
 )
+from tests.fuzz.effort import machine_settings
 from tests.fuzz.note_world import CallFault, NoteWorld, Running
 
 DUTY = DutyKind.MAINTENANCE
@@ -150,7 +150,5 @@
             self.highest_fencing = row.record.generation
 
 
-DutyMachine.TestCase.settings = settings(
-    max_examples=300, stateful_step_count=30, derandomize=True, deadline=None
-)
+DutyMachine.TestCase.settings = machine_settings(300, 30)
 TestDutyMachine = DutyMachine.TestCase
--- a/tests/fuzz/test_fleet_machine.py
+++ b/tests/fuzz/test_fleet_machine.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterator
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -42,6 +41,7 @@
     make_vm,
     make_wave,
 )
+from tests.fuzz.effort import machine_settings
 
 POOLS = ("a", "b")
 VMS = tuple(f"v{n}" for n in range(6))
@@ -358,11 +358,5 @@
         return self.store.rows["wave/w"].record.round
 
 
-FleetMachine.TestCase.settings = settings(
-    max_examples=140,
-    stateful_step_count=60,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
+FleetMachine.TestCase.settings = machine_settings(140, 60)
 TestFleetMachine = FleetMachine.TestCase
--- a/tests/fuzz/test_note_machine.py
+++ b/tests/fuzz/test_note_machine.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -35,6 +34,7 @@
     TeamId,
     Withdrawals,
 )
+from tests.fuzz.effort import machine_settings
 from tests.fuzz.note_world import CallFault, Message, NoteWorld, Running
 
 NAMES = ("e1", "e2", "e3")
@@ -285,7 +285,5 @@
         assert not process.serves_keyed or fleet.generation >= self.accepted
 
 
-NoteMachine.TestCase.settings = settings(
-    max_examples=350, stateful_step_count=40, derandomize=True, deadline=None
-)
+NoteMachine.TestCase.settings = machine_settings(350, 40)
 TestNoteMachine = NoteMachine.TestCase
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -36,6 +35,7 @@
     is_server_error,
 )
 from currantstage.state import VmId
+from tests.fuzz.effort import machine_settings
 from tests.request_fakes import FakePath, make_fleet
 
 LIMITS = {"north": 3, "south": 2}
@@ -293,12 +293,5 @@
 def test_requests_keep_their_promises():
     run_state_machine_as_test(
         RequestMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=200,
-            stateful_step_count=40,
-            suppress_health_check=list(HealthCheck),
-        ),
+        settings=machine_settings(200, 40),
     )
