--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -201,6 +201,8 @@
     @rule(seconds=st.sampled_from([0.1, 1.0, QUARANTINE_S / 2, QUARANTINE_S]))
     def pass_time(self, seconds):
         self.site.now_s += seconds
+        # The clock of the circuit breakers, which stay open without it.
+        self.site.store.clock.time_s = self.site.now_s
         for work in [each for each in self.work if each.ends_s <= self.site.now_s]:
             self.work.remove(work)
             if self.is_live(work.node):
@@ -269,6 +271,9 @@
         site = self.site
         site.store.fail_next(0, Fault.NONE, delays_writes=False)
         self.pass_time(QUARANTINE_S)
+        for pick in range(len(site.nodes)):
+            self.finish_procedure(pick, is_reclaim=False)
+            self.finish_procedure(pick, is_reclaim=True)
         for _ in range(6):
             self.pass_time(QUARANTINE_S)
             for node in site.nodes.values():
