Answer no ask from before the newest reclaiming

The limit was never passed. Change: an ask carries the number of reclaimings that its sender has seen; a holder that has seen more does not answer. A directed test fails without the guard. Conclusion: safety was held by the rows; this gives the slots back.

--- a/currantstage/coordination/_allotment_book.py
+++ b/currantstage/coordination/_allotment_book.py
@@ -41,6 +41,7 @@
         self._closed: set[IncarnationId] = set()
         self._ceilings: dict[ResourceId, int] = {}
         self._max_work_s = 0.0
+        self._reclaims = 0
         self._is_open = False
         self._is_retired = False
 
@@ -64,6 +65,11 @@
         """Longest work that the holder's row covers, in seconds."""
         return self._max_work_s
 
+    @property
+    def reclaims(self) -> int:
+        """How many reclaimings the ledger had counted at the last settlement."""
+        return self._reclaims
+
     @property
     def resources(self) -> set[ResourceId]:
         """Every resource of which it has ever had, or run, anything."""
@@ -168,6 +174,7 @@
         granted: Mapping[ResourceId, int],
         reclaiming: Collection[IncarnationId],
         max_work_s: float,
+        reclaims: int,
     ) -> None:
         """Adopt what the table has certainly recorded, and open the book.
 
@@ -178,7 +185,10 @@
             Closed peers whose slots are still being reclaimed. What was traded with
             the other closed ones is part of `granted` from now on.
         max_work_s : float
+        reclaims : int
+            Reclaimings that the ledger has counted.
         """
+        self._reclaims = reclaims
         self._granted = Counter(granted)
         for peer in self._closed.difference(reclaiming):
             self._sent.pop(peer, None)
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/_allotment_exchange.py
@@ -112,7 +112,13 @@
     def hear_ask(
         self, now_s: float, peer: Peer, ask: AllotmentAsk, needs: AllotmentNeeds
     ) -> list[SendToPeer]:
-        """Hand over what is idle, and remember the rest for when work finishes."""
+        """Hand over what is idle, and remember the rest for when work finishes.
+
+        A sender that has not seen the newest reclaiming may be one of those that were
+        reclaimed; what went to it would be lost until this holder ends.
+        """
+        if ask.reclaims < self._book.reclaims:
+            return []
         gave = [
             self._answer(now_s, peer, resource, need, needs)
             for resource, need in ask.needs.items()
@@ -171,7 +177,9 @@
     ) -> list[SendToPeer]:
         if not wanted or not peers or not self._book.is_open:
             return []
-        ask = AllotmentAsk(scope=self._scope, needs=wanted)
+        ask = AllotmentAsk(
+            scope=self._scope, needs=wanted, reclaims=self._book.reclaims
+        )
         count = min(ASK_FANOUT, len(peers))
         first = self._next_peer % len(peers)
         self._next_peer = first + count
--- a/currantstage/coordination/_allotment_messages.py
+++ b/currantstage/coordination/_allotment_messages.py
@@ -29,10 +29,19 @@
 
 
 class AllotmentAsk(Struct, frozen=True, kw_only=True, tag="allotment-ask"):
-    """Asks a peer for idle slots; losing or doubling it does no harm."""
+    """Asks a peer for idle slots; losing or doubling it does no harm.
+
+    Parameters
+    ----------
+    scope : ScopeId
+    needs : dict
+    reclaims : int
+        Reclaimings that the sender has seen the ledger count; works as a fence.
+    """
 
     scope: ScopeId
     needs: dict[ResourceId, Need]
+    reclaims: int
 
 
 class AllotmentTransfer(Struct, frozen=True, kw_only=True, tag="allotment-transfer"):
--- a/currantstage/coordination/_allotment_settlement.py
+++ b/currantstage/coordination/_allotment_settlement.py
@@ -155,7 +155,10 @@
         self._is_certain = True
         self._seen_reclaims = ledger.reclaims
         self._book.confirm(
-            plan.holder.granted_slots, ledger.retired, plan.holder.max_work_s
+            plan.holder.granted_slots,
+            ledger.retired,
+            plan.holder.max_work_s,
+            ledger.reclaims,
         )
         return True
 
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -520,3 +520,29 @@
     site.store.calls.clear()
     assert [node.settle() for node in nodes] == [Settled.UNCHANGED] * 3
     assert not any(isinstance(call, Transact) for call in site.store.calls)
+
+
+def test_a_late_ask_of_a_reclaimed_holder_gets_nothing():
+    """What went to it would stay deducted for as long as the giver lives."""
+    site = Site()
+    first, asker, third = site.start_all(3)
+    for _ in range(held(asker) + 1):
+        asker.acquire()
+    asker.ask()
+    late = [(sender, message) for sender, _, message in site.network]
+    site.network.clear()
+    site.drop_vm(asker.peer.entry_vm)
+    wait_out(site, first)
+    for node in (first, third, first):
+        node.settle()
+        node.reclaim()
+    assert site.ledger.reclaims == 1
+    started = site.start("e3")
+    started.settle()
+    site.set_limit(32)
+    for node in (first, started, third):
+        node.settle()
+    assert started.book.idle_slots(TEAM) > 0
+    for sender, message in late:
+        started.hear(sender, message)
+    assert not site.network
