Remove what nothing uses

Cause: a last read found names without a caller, and an index of queues by pool that was built anew for each generation and never read. Change: Topology.queues_of_pool with its index, Dispatcher.is_stopping, ClaimRecorder.claim_count and PeerUnavailableError go. Behaviour is unchanged.

--- a/currantstage/coordination/_claim_recorder.py
+++ b/currantstage/coordination/_claim_recorder.py
@@ -110,11 +110,6 @@
         """Whether events wait to be recorded, or the log must be read again."""
         return bool(self._waiting) or not self._is_loaded
 
-    @property
-    def claim_count(self) -> int:
-        """Claims that are kept in memory."""
-        return len(self._ledger)
-
     def want(
         self, claim: ClaimTaken, live: frozenset[ClaimOwner]
     ) -> tuple[RecorderEffect, ...]:
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/_dispatch.py
@@ -91,11 +91,6 @@
         self._running_of_queue: Counter[QueueId] = Counter()
         self._is_stopping = False
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether new requests are refused."""
-        return self._is_stopping
-
     @property
     def waiting_count(self) -> int:
         """Requests that wait for a slot."""
--- a/currantstage/coordination/_topology.py
+++ b/currantstage/coordination/_topology.py
@@ -24,7 +24,6 @@
         self._indexed: Fleet | None = None
         self._vms_of_pool: dict[PoolId, tuple[Vm, ...]] = {}
         self._vms_of_queue: dict[QueueId, tuple[Vm, ...]] = {}
-        self._queues_of_pool: dict[PoolId, tuple[QueueId, ...]] = {}
 
     @property
     def fleet(self) -> Fleet:
@@ -49,11 +48,6 @@
         self._refresh()
         return tuple(vm.vm_id for vm in self._vms_of_pool.get(pool, ()))
 
-    def queues_of_pool(self, pool: PoolId) -> tuple[QueueId, ...]:
-        """Return the queues that `pool` serves."""
-        self._refresh()
-        return self._queues_of_pool.get(pool, ())
-
     def _refresh(self) -> None:
         fleet = self._configuration.serving_fleet
         if fleet is self._indexed:
@@ -73,10 +67,4 @@
             )
             for queue in fleet.queues.values()
         }
-        self._queues_of_pool = {
-            pool: tuple(
-                queue.queue_id for queue in fleet.queues.values() if pool in queue.pools
-            )
-            for pool in members
-        }
         self._indexed = fleet
--- a/currantstage/state/__init__.py
+++ b/currantstage/state/__init__.py
@@ -36,7 +36,6 @@
     claim_log_prefix,
 )
 from currantstage.state._errors import (
-    PeerUnavailableError,
     StateError,
     StoreUnavailableError,
     StoreUncertainError,
@@ -209,7 +208,6 @@
     "ObjectStore",
     "PLACEMENT_PREFIX",
     "PeerLink",
-    "PeerUnavailableError",
     "PlacementRow",
     "Pool",
     "PoolChange",
--- a/currantstage/state/_errors.py
+++ b/currantstage/state/_errors.py
@@ -15,7 +15,3 @@
 
 class StoreUncertainError(StateError):
     """The platform's answer was lost; a write may have taken effect."""
-
-
-class PeerUnavailableError(StateError):
-    """A message could not be handed to a peer."""
