Order VMs right after a takeover, but those that were ordered lately

Cause: a new scheduler sent no order about any VM for 3.4 s, so that its orders would lie far enough from the earlier holder's.

Change: the lease names the VMs that its holder has ordered lately. A holder orders a VM only after a renewal that was sent after the decision, and names it, is confirmed; the next one leaves just these VMs alone for 3.4 s and counts them as down in their waves.

--- a/currantstage/application/jobs/_fleet_duty.py
+++ b/currantstage/application/jobs/_fleet_duty.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from eliot import log_message
 
@@ -12,7 +12,7 @@
 from currantstage.util import TaskSet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._ports import SchedulerPorts
@@ -21,8 +21,10 @@
         Scheduler,
         SchedulerTuning,
         VmOrder,
+        VmTurns,
         WaveState,
     )
+    from currantstage.state import VmId
     from currantstage.state.jobs import Term
 
 #: Time between two plans, in seconds.
@@ -31,8 +33,6 @@
 #: while there is none, in seconds.
 BUSY_LIST_S = 0.4
 IDLE_LIST_S = 1.0
-#: Added to the time that orders of two holders have to lie apart, in seconds.
-TURN_MARGIN_S = 0.4
 
 
 class FleetDuty:
@@ -43,9 +43,9 @@
     scheduler : Scheduler
     term : Term
         Fencing number of the orders.
-    begin_s : float
-        No order is sent before, so that the orders of the scheduler before this one
-        lie far enough back.
+    turns : VmTurns
+    announce : callable
+        Returns once the lease names a VM that is about to be ordered.
     is_fresh : callable
         Whether no other daemon can have taken the scheduler's lease.
     give_orders : callable
@@ -56,7 +56,8 @@
         self,
         scheduler: Scheduler,
         term: Term,
-        begin_s: float,
+        turns: VmTurns,
+        announce: Callable[[VmId], Coroutine[Any, Any, None]],
         is_fresh: Callable[[], bool],
         give_orders: Callable[[], None],
         repository: JobRepository,
@@ -64,9 +65,9 @@
         ports: SchedulerPorts,
         tuning: SchedulerTuning,
     ) -> None:
-        self._manager = FleetManager(scheduler, tuning)
+        self._manager = FleetManager(scheduler, tuning, turns)
         self._term = term
-        self._begin_s = begin_s
+        self._announce = announce
         self._is_fresh = is_fresh
         self._give_orders = give_orders
         self._repository = repository
@@ -85,8 +86,7 @@
             await self._tasks.close()
 
     async def _run_once(self) -> None:
-        now_s = self._ports.clock.now_s()
-        if now_s < self._begin_s or not self._is_fresh():
+        if not self._is_fresh():
             return
         try:
             await self._learn_waves()
@@ -119,6 +119,7 @@
 
     async def _carry_out(self, order: VmOrder) -> None:
         goal = order.goal
+        await self._announce(order.vm)
         if goal.work is VmWork.UPKEEP:
             outcome = await self._ports.vms.maintain(order.vm, goal.wave, self._term)
         else:
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -158,7 +158,12 @@
     async def _take(self, stored: StoredLease, claim: LeaseClaim) -> None:
         own = self._directory.own
         term = Term(stored.row.term + 1 if stored.row else 1)
-        lease = LeaseRow(holder=own.entry_vm, address=own.peer_address, term=term)
+        lease = LeaseRow(
+            holder=own.entry_vm,
+            address=own.peer_address,
+            term=term,
+            ordered_vms=stored.row.ordered_vms if stored.row else (),
+        )
         sent_s = self._ports.clock.now_s()
         outcome = await self._repository.write_lease(lease, stored.version)
         if isinstance(outcome, StoredLease):
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from currantstage.application.jobs._advice_duty import AdviceDuty
-from currantstage.application.jobs._fleet_duty import TURN_MARGIN_S, FleetDuty
+from currantstage.application.jobs._fleet_duty import FleetDuty
 from currantstage.application.jobs._repository import StoredLease
 from currantstage.application.jobs._worker_driver import WorkerDriver
 from currantstage.coordination.jobs import (
@@ -17,8 +17,9 @@
     HeldLease,
     LeaseRow,
     Scheduler,
+    VmTurns,
 )
-from currantstage.state.jobs import StoreUnavailable, Term
+from currantstage.state.jobs import StoreUnavailable
 from currantstage.util import TaskSet, wait_for_event
 
 if TYPE_CHECKING:
@@ -32,15 +33,15 @@
         ProgressBatch,
         SchedulerTuning,
     )
+    from currantstage.state import VmId
     from currantstage.state.jobs import (
         JobId,
         Submission,
+        Term,
         WorkerEntry,
         WorkerId,
     )
 
-#: Term of the first scheduler ever.
-FIRST_TERM = Term(1)
 #: Longest that giving up the lease may take, in seconds.
 RELEASE_TIMEOUT_S = 1.0
 #: Least time between two writes, in seconds; a partition takes 150 a second.
@@ -108,6 +109,10 @@
         self._wake = asyncio.Event()
         self._is_releasing = False
         self._removed: list[JobId] = []
+        self._turns = VmTurns(lease.ordered_vms, taken_s, tuning)
+        #: When a VM was last noted that the lease has to name.
+        self._announced_s = float("-inf")
+        self._renewed = asyncio.Event()
         self._offer = offer
         self._is_offered = False
         self.scheduler: Scheduler | None = None
@@ -242,13 +247,11 @@
                 self._removed.append(record.job)
 
     async def _manage_fleet(self, scheduler: Scheduler) -> None:
-        begin_s = self._now_s()
-        if self._lease.term > FIRST_TERM:
-            begin_s += self._tuning.vm_lease_ms / 1000 + TURN_MARGIN_S
         duty = FleetDuty(
             scheduler,
             self._lease.term,
-            begin_s,
+            self._turns,
+            self._announce,
             self.is_fresh,
             self._give_orders,
             self._repository,
@@ -258,6 +261,20 @@
         )
         await duty.run()
 
+    async def _announce(self, vm: VmId) -> None:
+        """Return once a renewal of the lease names `vm`.
+
+        A daemon that takes the lease from now on leaves the VM alone for a while; one
+        that has taken it already keeps this from returning.
+        """
+        noted_s = self._now_s()
+        self._turns.note(vm, noted_s)
+        self._announced_s = noted_s
+        while not self._held.is_confirmed_since(noted_s):
+            self._wake.set()
+            await self._renewed.wait()
+        self._turns.note(vm, self._now_s())
+
     # The lease, and with it everything that is stored.
 
     async def _commit_forever(self) -> None:
@@ -274,12 +291,17 @@
             batch is None
             and not self._is_releasing
             and not self._held.wants_renewal(sent_s)
+            and self._held.is_confirmed_since(self._announced_s)
         ):
             return
         has_more = self.scheduler is not None and self.scheduler.jobs.has_unsaved
         is_last = self._is_releasing and not has_more
         removed = () if batch else tuple(self._removed[:MAX_REMOVED])
-        lease = replace(self._lease, sequence=self._lease.sequence + 1)
+        lease = replace(
+            self._lease,
+            sequence=self._lease.sequence + 1,
+            ordered_vms=self._turns.recent(sent_s),
+        )
         if is_last:
             lease = replace(lease, holder=NOBODY, address="")
         try:
@@ -305,6 +327,8 @@
         self._version = outcome
         self._lease = lease
         self._held.confirm(sent_s)
+        self._renewed.set()
+        self._renewed = asyncio.Event()
         self._is_offered = False
         del self._removed[: len(removed)]
         self._ports.metrics.count_commit("stored", self._now_s() - sent_s)
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -45,6 +45,7 @@
     VmTable,
     VmWork,
 )
+from currantstage.coordination.jobs._vm_turns import VmTurns
 from currantstage.coordination.jobs._worker_book import WorkerBook, first_fence
 from currantstage.coordination.jobs._worker_table import WorkerNews, WorkerTable
 
@@ -87,6 +88,7 @@
     "VmOrder",
     "VmState",
     "VmTable",
+    "VmTurns",
     "VmWork",
     "WaveState",
     "WorkerBook",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -28,6 +28,7 @@
     from currantstage.coordination.jobs._scheduler import Scheduler
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._upkeep_plan import WaveState
+    from currantstage.coordination.jobs._vm_turns import VmTurns
     from currantstage.coordination.jobs._worker_book import WorkerBook
     from currantstage.state import PoolId
     from currantstage.state.jobs import VmRecord
@@ -46,6 +47,7 @@
     ----------
     scheduler : Scheduler
     tuning : SchedulerTuning
+    turns : VmTurns
     sizing : PoolSizing, optional
     """
 
@@ -53,11 +55,13 @@
         self,
         scheduler: Scheduler,
         tuning: SchedulerTuning,
+        turns: VmTurns,
         sizing: PoolSizing | None = None,
     ) -> None:
         self._scheduler = scheduler
         self.vms = VmTable(tuning)
-        self.upkeep = UpkeepPlan(self.vms, tuning)
+        self._turns = turns
+        self.upkeep = UpkeepPlan(self.vms, turns, tuning)
         self._pools = PoolPlan(
             self.vms, sizing or DemandSizing(tuning), tuning.surplus_ms / 1000
         )
@@ -117,11 +121,13 @@
         assert vm.goal is not None
         if vm.done_s is not None or vm.is_waiting or now_s < vm.retry_s:
             return []
+        if not self._turns.may_order(vm.record.vm, now_s):
+            return []
         wave = self.upkeep.waves.get(vm.goal.wave)
         if vm.sent_s is None:
             if not self._empty(vm, self._patience_s(vm, wave, now_s), now_s):
                 return []
-            if vm.goal.work is VmWork.UPKEEP and not self.upkeep.may_order(vm):
+            if vm.goal.work is VmWork.UPKEEP and not self.upkeep.may_order(vm, now_s):
                 return []
         self.vms.sent(vm, now_s)
         return [VmOrder(vm.record.vm, vm.goal)]
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from currantstage.state import EntryVmId
+from currantstage.state import EntryVmId, VmId
 from currantstage.state.jobs import Term
 
 if TYPE_CHECKING:
@@ -34,12 +34,15 @@
         Rises with each holder.
     sequence : int
         Rises with each write of the holder.
+    ordered_vms : tuple of VmId
+        VMs that this holder, or one just before it, has ordered or is about to.
     """
 
     holder: EntryVmId
     address: str
     term: Term
     sequence: int = 0
+    ordered_vms: tuple[VmId, ...] = ()
 
 
 class HolderAnswer(Enum):
@@ -165,6 +168,10 @@
         if self._failing_since_s is None:
             self._failing_since_s = sent_s
 
+    def is_confirmed_since(self, at_s: float) -> bool:
+        """Return whether a write sent after `at_s` was confirmed."""
+        return self._confirmed_s > at_s
+
     def is_valid(self, now_s: float) -> bool:
         """Return whether orders may still be given."""
         return now_s - self._confirmed_s < self._tuning.owner_lease_ms / 1000
--- a/currantstage/coordination/jobs/_upkeep_plan.py
+++ b/currantstage/coordination/jobs/_upkeep_plan.py
@@ -14,6 +14,7 @@
 
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._vm_table import VmState, VmTable
+    from currantstage.coordination.jobs._vm_turns import VmTurns
     from currantstage.state.jobs import UpkeepWave
 
 #: VMs beyond those that may be down that are emptied ahead of their turn.
@@ -54,8 +55,9 @@
 class UpkeepPlan:
     """Sets goals on VMs that are due, never more than may be down and one ahead."""
 
-    def __init__(self, vms: VmTable, tuning: SchedulerTuning) -> None:
+    def __init__(self, vms: VmTable, turns: VmTurns, tuning: SchedulerTuning) -> None:
         self._vms = vms
+        self._turns = turns
         self._tuning = tuning
         self.waves: dict[int, WaveState] = {}
 
@@ -96,17 +98,22 @@
                 goal = VmGoal(VmWork.UPKEEP, wave=state.wave.number)
                 self._vms.set_goal(vm, goal, now_s)
 
-    def may_order(self, vm: VmState) -> bool:
+    def may_order(self, vm: VmState, now_s: float) -> bool:
         """Return whether a VM may go down, as far as the waves that name it say."""
         return all(
-            self._down_count(state.wave) < state.wave.max_down
+            self._down_count(state.wave, now_s) < state.wave.max_down
             for state in self.waves.values()
             if vm.record.vm in state.wave.vms
         )
 
-    def _down_count(self, wave: UpkeepWave) -> int:
+    def _down_count(self, wave: UpkeepWave, now_s: float) -> int:
+        """Count the VMs of a wave that may be down, by an earlier order as well."""
         members = (self._vms.get(VmId(vm)) for vm in wave.vms)
-        return sum(vm is not None and _is_down(vm) for vm in members)
+        return sum(
+            _is_down(vm) or not self._turns.may_order(vm.record.vm, now_s)
+            for vm in members
+            if vm is not None
+        )
 
     def patience_s(self, state: WaveState, now_s: float) -> float:
         """Return how long a VM may wait for its tasks to end by themselves."""
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -27,6 +27,8 @@
 #: How long a VM is away for a move and for maintenance, in seconds.
 MOVE_S = 1.5
 UPKEEP_S = 2.0
+#: Least time between orders of two schedulers about one VM, in seconds.
+TURN_S = 3.0
 
 
 class SimulatedVms:
@@ -46,6 +48,7 @@
         self._records: dict[VmId, VmRecord] = {}
         self._entries: dict[VmId, WorkerEntry] = {}
         self._terms: dict[VmId, int] = {}
+        self._ordered_s: dict[VmId, float] = {}
         self._lives = 0
 
     def add(self, vm: str, entry: WorkerEntry, *, is_on: bool) -> None:
@@ -108,11 +111,20 @@
     def _check(self, record: VmRecord, term: Term) -> VmOrderOutcome | None:
         if term < self._terms.get(record.vm, 0):
             return VmOrderOutcome.FENCED
+        self._check_turns(record.vm, term)
         self._terms[record.vm] = term
         if record.condition is not VmCondition.UP:
             return VmOrderOutcome.BUSY
         return None
 
+    def _check_turns(self, vm: VmId, term: Term) -> None:
+        """Check that orders of two schedulers about one VM lie apart."""
+        now_s = asyncio.get_running_loop().time()
+        gap_s = now_s - self._ordered_s.get(vm, float("-inf"))
+        if term != self._terms.get(vm, term) and gap_s < TURN_S:
+            self._oracle.violations.append(f"ONE: {vm} ordered {gap_s:.2f} s apart")
+        self._ordered_s[vm] = now_s
+
     def _take_down(
         self, record: VmRecord, condition: VmCondition, pool: PoolId, away_s: float
     ) -> None:
--- a/tests/jobs/test_site_days.py
+++ b/tests/jobs/test_site_days.py
@@ -440,3 +440,24 @@
         assert site.oracle.violations == []
 
     run_day(day())
+
+
+def test_new_scheduler_moves_vms_that_were_not_ordered_lately_at_once() -> None:
+    """Found on reposta-bog trouble-1: pools stayed small for 3.4 s after a takeover."""
+
+    async def day() -> None:
+        site = SimulatedSite(seed=18)
+        await site.start()
+        await asyncio.sleep(8)
+        name = site.scheduler_name()
+        assert name is not None
+        await site.stop_daemon(name)
+        await asyncio.sleep(0.5)
+        assert site.scheduler_name() not in (None, name)
+        await site.submit((step(200, run_ms=1000),), POOLS[0])
+        await asyncio.sleep(1.5)
+        moved = [f"m-spare-{number}" for number in range(3)]
+        assert any(site.vms.pool_of(vm) == POOLS[0] for vm in moved)
+        assert site.oracle.violations == []
+
+    run_day(day())
--- a/tests/jobs/test_vm_table.py
+++ b/tests/jobs/test_vm_table.py
@@ -11,6 +11,7 @@
     VmGoal,
     VmOrder,
     VmTable,
+    VmTurns,
     VmWork,
 )
 from currantstage.standin.jobs import build_configuration
@@ -43,7 +44,7 @@
     """Found by random day 563 (LOST): the VM's next worker was never used."""
     scheduler = Scheduler(Term(1), build_configuration(), TUNING)
     scheduler.update_workers((entry(OLD), entry(NEW)), now_s=0.0)
-    manager = FleetManager(scheduler, TUNING)
+    manager = FleetManager(scheduler, TUNING, VmTurns((), 0.0, TUNING))
     manager.observe((RECORD,), asked_s=0.0)
     state = manager.vms.get(RECORD.vm)
     assert state is not None
