Tell from the logs where the time of jobs went

currantstage job report LOGS splits the time of each accepted job into waiting, running, later runs only, nothing at work, and storing its end, by queue or by team, with a row for the slowest tenth. Reading log lines stands in one module.

--- a/currantstage/cmd/_job.py
+++ b/currantstage/cmd/_job.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from currantstage.cmd._exit import ExitStatus
+from currantstage.cmd._job_report import read_spans, render_report
 from currantstage.cmd._job_timeline import read_timeline, render_timeline
 from currantstage.protocol.jobs import CallRefusal
 from currantstage.state import QueueId
@@ -129,6 +130,28 @@
     sys.exit(ExitStatus.OK if timeline else ExitStatus.REFUSED)
 
 
+@job.command()
+@click.option(
+    "--by",
+    "group_by",
+    type=click.Choice(("queue", "team")),
+    default="queue",
+    show_default=True,
+    help="What the jobs are grouped by.",
+)
+@click.argument("logs", nargs=-1, required=True, type=click.File("r"))
+def report(group_by: str, logs: tuple[Any, ...]) -> None:
+    """Print from the LOGS of the daemons where the time of jobs went.
+
+    Example: currantstage job report --by team entry-*.log
+    """
+    jobs = read_spans(line for log in logs for line in log)
+    if not jobs:
+        click.echo("no job was accepted according to the logs", err=True)
+        sys.exit(ExitStatus.REFUSED)
+    click.echo(render_report(jobs, group_by))
+
+
 def _call(
     server: str, key: str, ask: Callable[[JobClient], Awaitable[JobAnswer]]
 ) -> JobAnswer:
