--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,7 +18,9 @@
 import uvloop
 
 from bench.harness import serving, spawn, wait_until_open
-from currantstage.coordination import check_note
+from currantstage.coordination.notes import (
+    check_note,
+)
 from currantstage.protocol import (
     NoteState,
     decode_generation,
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -10,7 +10,9 @@
 import uvloop
 
 from bench.request_site import RequestSite, serving_path
-from currantstage.coordination import Outcome
+from currantstage.coordination.requests import (
+    Outcome,
+)
 from currantstage.protocol import CallerOptions
 from currantstage.standin import BackendMode
 
--- a/bench/memory_fleet.py
+++ b/bench/memory_fleet.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     FleetRows,
     FleetSnapshot,
     VmRecords,
@@ -39,7 +39,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination import VmAction
+    from currantstage.coordination.fleet import (
+        VmAction,
+    )
 
 VMS_PER_RACK = 4
 
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -9,7 +9,7 @@
 import click
 
 from bench.memory_fleet import MemoryFleet, make_fleet
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     BeginMove,
     DemandEstimator,
     MovePolicy,
@@ -22,7 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from currantstage.coordination import Action, FleetSnapshot
+    from currantstage.coordination.fleet import (
+        Action,
+        FleetSnapshot,
+    )
 
     Planner: TypeAlias = Callable[[FleetSnapshot, "_Demand"], Sequence[Action]]
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -11,7 +11,7 @@
 import click
 
 from bench.harness import quantile
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     AttributedRing,
     Candidate,
     LeastLoaded,
@@ -22,7 +22,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from currantstage.coordination import Placement
+    from currantstage.coordination.requests import (
+        Placement,
+    )
     from currantstage.state import Random
 
 _POOL_SIZES = (6, 31)
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -8,7 +8,7 @@
 import click
 
 from bench.memory_fleet import MemoryFleet, make_fleet
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     DemandEstimator,
     MovePolicy,
     most_vms_per_pool,
--- a/bench/request_site.py
+++ b/bench/request_site.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from currantstage.application import DaemonMetrics, RequestPath
-from currantstage.coordination import (
-    Configuration,
-    LocalTeamLimiter,
-    LocalWorkerSlots,
+from currantstage.coordination.limits import (
     WeightedMaxMin,
 )
+from currantstage.coordination.membership import (
+    Configuration,
+)
 from currantstage.protocol import CallerRequest
 from currantstage.standin import BackendStandIn, free_ports
 from currantstage.state import (
@@ -30,6 +30,7 @@
     VmId,
 )
 from currantstage.util import MonotonicClock
+from tests.local_limits import LocalTeamLimiter, LocalWorkerSlots
 
 if TYPE_CHECKING:
     import random
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -11,14 +11,16 @@
 
 import click
 
-from currantstage.coordination import (
+from currantstage.coordination.limits import (
     USAGE_INTERVAL_S,
     TeamDemand,
-    TeamLoad,
     UsageBoard,
     WeightedMaxMin,
     max_min_slots,
 )
+from currantstage.coordination.requests import (
+    TeamLoad,
+)
 from currantstage.state import EntryVmId, IncarnationId, QueueId, TeamId
 
 #: No share gives a whole number of an entry VM's slots.
--- a/bench/waves.py
+++ b/bench/waves.py
@@ -8,7 +8,7 @@
 import click
 
 from bench.memory_fleet import MemoryFleet, make_fleet
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     FLEET_INTERVAL_S,
     plan_reconciliation,
     plan_waves,
--- a/currantstage/application/_allotment_service.py
+++ b/currantstage/application/_allotment_service.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message
 
-from currantstage.coordination import (
+from currantstage.coordination.limits import (
     AllotmentAsk,
     AllotmentBook,
     AllotmentExchange,
@@ -15,11 +15,13 @@
     AllotmentReceipt,
     AllotmentSettlement,
     AllotmentTransfer,
-    LeaseContinuity,
     Peer,
     Settled,
     longest_work_s,
 )
+from currantstage.coordination.membership import (
+    LeaseContinuity,
+)
 from currantstage.state import FLEET_SCOPE, member_scopes
 
 if TYPE_CHECKING:
@@ -27,7 +29,15 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Configuration, SendToPeer, StoreAccess
+    from currantstage.coordination.limits import (
+        SendToPeer,
+    )
+    from currantstage.coordination.membership import (
+        Configuration,
+    )
+    from currantstage.coordination.store import (
+        StoreAccess,
+    )
     from currantstage.protocol import PeerFrame
     from currantstage.state import (
         Clock,
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -9,7 +9,7 @@
 from eliot import start_action
 from returns.result import Failure
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     NO_TEAM,
     Answer,
     Attempts,
@@ -30,7 +30,13 @@
     from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.application._server_monitor import ServerMonitor
-    from currantstage.coordination import Assignment, RequestEnd, RetryBudget
+    from currantstage.coordination.requests import (
+        Assignment,
+        RequestEnd,
+    )
+    from currantstage.coordination.store import (
+        RetryBudget,
+    )
     from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import ClaimTaken, Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
--- a/currantstage/application/_claim_service.py
+++ b/currantstage/application/_claim_service.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination import (
+from currantstage.coordination.claims import (
     AcknowledgeSettlement,
     AnswerClaim,
     Claimant,
@@ -18,8 +18,6 @@
     ClaimState,
     ClaimVerdict,
     RecorderEffect,
-    Refusal,
-    RefusalReason,
     SendSettlement,
     SendWanted,
     claim_digest,
@@ -29,6 +27,10 @@
     settlement_of,
     verdict_end,
 )
+from currantstage.coordination.requests import (
+    Refusal,
+    RefusalReason,
+)
 from currantstage.protocol import (
     ClaimAnswered,
     ClaimSettled,
@@ -49,7 +51,12 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import RequestEnd, StoreAccess
+    from currantstage.coordination.requests import (
+        RequestEnd,
+    )
+    from currantstage.coordination.store import (
+        StoreAccess,
+    )
     from currantstage.protocol import CallerRequest
     from currantstage.state import (
         Clock,
--- a/currantstage/application/_core.py
+++ b/currantstage/application/_core.py
@@ -8,11 +8,13 @@
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
-from currantstage.coordination import (
+from currantstage.coordination.membership import (
     Configuration,
-    DutyLeases,
     HeadWatch,
     Membership,
+)
+from currantstage.coordination.store import (
+    DutyLeases,
     RetryPolicy,
     StoreAccess,
 )
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -28,20 +28,32 @@
 from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.application._usage_service import UsageService
 from currantstage.coordination import (
-    DUTY_LEASE_S,
-    USAGE_INTERVAL_S,
-    Cleanup,
     CoordinationError,
+)
+from currantstage.coordination.fleet import (
     DrainFollower,
-    Duty,
     FleetDuty,
-    LeaseRelay,
-    PeerLiveness,
+    plan_waves,
+)
+from currantstage.coordination.limits import (
+    USAGE_INTERVAL_S,
     ReclaimingDuty,
-    ServiceLevelRecorder,
     UsageBoard,
     WeightedMaxMin,
-    plan_waves,
+)
+from currantstage.coordination.membership import (
+    LeaseRelay,
+    PeerLiveness,
+)
+from currantstage.coordination.notes import (
+    Cleanup,
+)
+from currantstage.coordination.requests import (
+    ServiceLevelRecorder,
+)
+from currantstage.coordination.store import (
+    DUTY_LEASE_S,
+    Duty,
 )
 from currantstage.protocol import DemandMessage, LoadReport
 from currantstage.state import ClaimOwner, VmLiveness
--- a/currantstage/application/_demand_service.py
+++ b/currantstage/application/_demand_service.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     DemandBoard,
     DemandEstimator,
     DemandReport,
@@ -18,11 +18,15 @@
 if TYPE_CHECKING:
     from currantstage.application._peer_service import PeerService
     from currantstage.application._request_path import RequestPath
-    from currantstage.coordination import (
+    from currantstage.coordination.fleet import (
         Action,
+        FleetSnapshot,
+    )
+    from currantstage.coordination.membership import (
         Configuration,
+    )
+    from currantstage.coordination.store import (
         DutyLeases,
-        FleetSnapshot,
     )
     from currantstage.protocol import PeerFrame
     from currantstage.state import Clock, DataCentreId, EntryVmId, PeerLink
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, TypeAlias
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     Assignment,
     Refusal,
     RefusalReason,
@@ -19,10 +19,12 @@
     from collections.abc import Iterable, Mapping
 
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination import (
+    from currantstage.coordination.limits import (
+        QueueLoad,
+    )
+    from currantstage.coordination.requests import (
         DispatchEffect,
         Dispatcher,
-        QueueLoad,
         Submission,
         WaitingRequest,
     )
--- a/currantstage/application/_duty_runner.py
+++ b/currantstage/application/_duty_runner.py
@@ -8,14 +8,22 @@
 
 from eliot import log_message
 
-from currantstage.coordination import RENEWALS_PER_LEASE, CoordinationError
+from currantstage.coordination import (
+    CoordinationError,
+)
+from currantstage.coordination.store import (
+    RENEWALS_PER_LEASE,
+)
 from currantstage.util import DutyLoop
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Duty, DutyLeases
+    from currantstage.coordination.store import (
+        Duty,
+        DutyLeases,
+    )
     from currantstage.state import Clock
 
 
--- a/currantstage/application/_fleet_reporter.py
+++ b/currantstage/application/_fleet_reporter.py
@@ -6,6 +6,8 @@
 
 from currantstage.coordination import (
     CoordinationError,
+)
+from currantstage.coordination.fleet import (
     FleetSnapshot,
     load_drain_acks,
     load_entry_vms,
@@ -17,7 +19,13 @@
 
 if TYPE_CHECKING:
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import Configuration, Procedure, StoreAccess
+    from currantstage.coordination.membership import (
+        Configuration,
+    )
+    from currantstage.coordination.store import (
+        Procedure,
+        StoreAccess,
+    )
 
 
 class FleetReporter:
--- a/currantstage/application/_head_follower.py
+++ b/currantstage/application/_head_follower.py
@@ -6,7 +6,9 @@
 
 from eliot import log_message
 
-from currantstage.coordination import CoordinationError
+from currantstage.coordination import (
+    CoordinationError,
+)
 from currantstage.protocol import Heartbeat
 
 if TYPE_CHECKING:
--- a/currantstage/application/_metrics.py
+++ b/currantstage/application/_metrics.py
@@ -17,7 +17,9 @@
 
     from opentelemetry.metrics import CallbackOptions
 
-    from currantstage.coordination import RefusalReason
+    from currantstage.coordination.requests import (
+        RefusalReason,
+    )
     from currantstage.state import QueueId, TeamId, VmId
 
 
--- a/currantstage/application/_operator_service.py
+++ b/currantstage/application/_operator_service.py
@@ -8,6 +8,8 @@
 
 from currantstage.coordination import (
     CoordinationError,
+)
+from currantstage.coordination.notes import (
     check_against_head,
     commit_note,
     explain_note,
@@ -30,9 +32,13 @@
     from collections.abc import Callable
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import (
-        Acceptance,
+    from currantstage.coordination.membership import (
         Configuration,
+    )
+    from currantstage.coordination.notes import (
+        Acceptance,
+    )
+    from currantstage.coordination.store import (
         Procedure,
         StoreAccess,
     )
--- a/currantstage/application/_procedure_runner.py
+++ b/currantstage/application/_procedure_runner.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
-from currantstage.coordination import (
+from currantstage.coordination.store import (
     ClockRead,
     DeleteObject,
     Done,
@@ -32,7 +32,12 @@
 from currantstage.state import StoreUnavailableError, StoreUncertainError
 
 if TYPE_CHECKING:
-    from currantstage.coordination import PlatformCall, Procedure, StoreCall, StoreReply
+    from currantstage.coordination.store import (
+        PlatformCall,
+        Procedure,
+        StoreCall,
+        StoreReply,
+    )
     from currantstage.state import (
         Clock,
         ObjectStore,
--- a/currantstage/application/_relay_service.py
+++ b/currantstage/application/_relay_service.py
@@ -8,9 +8,11 @@
 from eliot import log_message
 
 from currantstage.coordination import (
+    CoordinationError,
+)
+from currantstage.coordination.membership import (
     AskFleet,
     AskRenewal,
-    CoordinationError,
     GiveFleet,
 )
 from currantstage.protocol import (
@@ -29,7 +31,7 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import (
+    from currantstage.coordination.membership import (
         Configuration,
         LeaseRelay,
         Membership,
--- a/currantstage/application/_request_path.py
+++ b/currantstage/application/_request_path.py
@@ -7,25 +7,29 @@
 from currantstage.application._caller_service import QueueService
 from currantstage.application._dispatch_driver import DispatchDriver
 from currantstage.application._server_monitor import ServerMonitor
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     MAX_SAVED_RETRIES,
     RETRIES_PER_REQUEST,
     Dispatcher,
     FaultTracker,
     LeastLoaded,
     OutlierDetector,
-    RetryBudget,
     RunTimeEstimates,
     ServerHealth,
     Topology,
     WorkerRoom,
 )
+from currantstage.coordination.store import (
+    RetryBudget,
+)
 from currantstage.transport import BackendClient
 
 if TYPE_CHECKING:
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination import (
+    from currantstage.coordination.membership import (
         Configuration,
+    )
+    from currantstage.coordination.requests import (
         SharePolicy,
         TeamLimiter,
         UsageView,
--- a/currantstage/application/_server_monitor.py
+++ b/currantstage/application/_server_monitor.py
@@ -7,15 +7,20 @@
 
 from eliot import log_message
 
-from currantstage.coordination import Answer, SendFailure
+from currantstage.coordination.requests import (
+    Answer,
+    SendFailure,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination import (
-        Assignment,
+    from currantstage.coordination.membership import (
         Configuration,
+    )
+    from currantstage.coordination.requests import (
+        Assignment,
         FaultTracker,
         ServerHealth,
     )
--- a/currantstage/application/_service_level_service.py
+++ b/currantstage/application/_service_level_service.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination import (
-    NO_TEAM,
     CoordinationError,
+)
+from currantstage.coordination.requests import (
+    NO_TEAM,
     SeriesCount,
     key_id_of,
 )
@@ -16,10 +18,14 @@
 
 if TYPE_CHECKING:
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination import (
+    from currantstage.coordination.membership import (
         Configuration,
+    )
+    from currantstage.coordination.requests import (
         RequestEnd,
         ServiceLevelRecorder,
+    )
+    from currantstage.coordination.store import (
         StoreAccess,
     )
     from currantstage.protocol import CallerRequest
--- a/currantstage/cmd/_key.py
+++ b/currantstage/cmd/_key.py
@@ -10,7 +10,12 @@
 from msgspec import Struct
 
 from currantstage.cmd._exit import ExitStatus
-from currantstage.coordination import digest_secret, is_identifier
+from currantstage.coordination.notes import (
+    is_identifier,
+)
+from currantstage.coordination.requests import (
+    digest_secret,
+)
 
 #: Random bytes of a secret and of a salt.
 SECRET_BYTES = 24
--- a/currantstage/coordination/_claim_ends.py
+++ b/currantstage/coordination/claims/_claim_ends.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._claim_ledger import ClaimState
-from currantstage.coordination._outcomes import (
+from currantstage.coordination.claims._claim_ledger import ClaimState
+from currantstage.coordination.requests._outcomes import (
     Answer,
     CompletedEarlier,
     Refusal,
@@ -20,8 +20,8 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._claim_ledger import ClaimVerdict
-    from currantstage.coordination._outcomes import RequestEnd
+    from currantstage.coordination.claims._claim_ledger import ClaimVerdict
+    from currantstage.coordination.requests._outcomes import RequestEnd
     from currantstage.state import ClaimSettlement, ClaimTaken
 
 #: Longest answer that is kept for repeats, in bytes.
--- a/currantstage/coordination/_claim_log.py
+++ b/currantstage/coordination/claims/_claim_log.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._claim_keys import bucket_of
-from currantstage.coordination._claim_ledger import ClaimLedger
+from currantstage.coordination.claims._claim_keys import bucket_of
+from currantstage.coordination.claims._claim_ledger import ClaimLedger
 from currantstage.state import (
     ABSENT,
     CLAIM_LOG_PREFIX,
@@ -22,9 +22,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination._claim_owners import ClaimOwners
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.claims._claim_owners import ClaimOwners
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import BucketId, ClaimEvent, ClaimOwner
 
 #: Rows that one cleaning deletes in a transaction.
--- a/currantstage/coordination/_claim_owners.py
+++ b/currantstage/coordination/claims/_claim_owners.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._claim_keys import BUCKET_COUNT
 from currantstage.coordination._errors import StoreContentError
+from currantstage.coordination.claims._claim_keys import BUCKET_COUNT
 from currantstage.state import (
     ABSENT,
     CLAIM_OWNERS_KEY,
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantstage/coordination/_claim_recorder.py
+++ b/currantstage/coordination/claims/_claim_recorder.py
@@ -5,19 +5,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._claim_keys import bucket_of
-from currantstage.coordination._claim_ledger import (
+from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
+from currantstage.coordination.claims._claim_keys import bucket_of
+from currantstage.coordination.claims._claim_ledger import (
     ClaimLedger,
     ClaimState,
     ClaimVerdict,
 )
-from currantstage.coordination._claim_owners import ClaimOwners
-from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
+from currantstage.coordination.claims._claim_owners import ClaimOwners
 from currantstage.state import BucketId, ClaimTaken
 
 if TYPE_CHECKING:
-    from currantstage.coordination._claim_log import ClaimLog
-    from currantstage.coordination._procedures import Procedure
+    from currantstage.coordination.claims._claim_log import ClaimLog
+    from currantstage.coordination.store._procedures import Procedure
     from currantstage.state import (
         ClaimDigest,
         ClaimEvent,
--- a/currantstage/coordination/_claimant.py
+++ b/currantstage/coordination/claims/_claimant.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from currantstage.coordination._claim_keys import bucket_of
-from currantstage.coordination._claim_ledger import ClaimState, ClaimVerdict
+from currantstage.coordination.claims._claim_keys import bucket_of
+from currantstage.coordination.claims._claim_ledger import ClaimState, ClaimVerdict
 from currantstage.state import ClaimReleased, ClaimTaken
 
 if TYPE_CHECKING:
-    from currantstage.coordination._claim_owners import ClaimOwners
+    from currantstage.coordination.claims._claim_owners import ClaimOwners
     from currantstage.state import ClaimSettlement, EntryVmId, RequestId
 
 #: Longest time that a request waits for its claim, in seconds.
--- a/currantstage/coordination/_drain_follower.py
+++ b/currantstage/coordination/fleet/_drain_follower.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._row_batch import RowBatch
+from currantstage.coordination.store._row_batch import RowBatch
 from currantstage.state import (
     DrainAckRow,
     PlacementRow,
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import (
         DataCentreId,
         DrainNumber,
--- a/currantstage/coordination/_fleet_duty.py
+++ b/currantstage/coordination/fleet/_fleet_duty.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
-from currantstage.coordination._fleet_actions import AbandonDrain
-from currantstage.coordination._fleet_snapshot import FleetRows, FleetSnapshot
-from currantstage.coordination._fleet_writer import FleetWriter
-from currantstage.coordination._note_commit import load_head
-from currantstage.coordination._reconcile_plan import plan_reconciliation
-from currantstage.coordination._vm_listing import VmListing
-from currantstage.coordination._wave_plan import plan_waves
+from currantstage.coordination.fleet._fleet_actions import AbandonDrain
+from currantstage.coordination.fleet._fleet_snapshot import FleetRows, FleetSnapshot
+from currantstage.coordination.fleet._fleet_writer import FleetWriter
+from currantstage.coordination.fleet._reconcile_plan import plan_reconciliation
+from currantstage.coordination.fleet._vm_listing import VmListing
+from currantstage.coordination.fleet._wave_plan import plan_waves
+from currantstage.coordination.notes._note_commit import load_head
 from currantstage.state import (
     BUDGET_PREFIX,
     DRAIN_ACK_PREFIX,
@@ -36,11 +36,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from currantstage.coordination._duty_lease import DutyGrant
-    from currantstage.coordination._fleet_actions import Action
-    from currantstage.coordination._note_commit import Head
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.fleet._fleet_actions import Action
+    from currantstage.coordination.notes._note_commit import Head
+    from currantstage.coordination.store._duty_lease import DutyGrant
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import IncarnationId, VersionedRow, VmId
 
     Planner: TypeAlias = Callable[[FleetSnapshot], tuple[Action, ...]]
--- a/currantstage/coordination/_fleet_writer.py
+++ b/currantstage/coordination/fleet/_fleet_writer.py
@@ -6,15 +6,15 @@
 
 from returns.result import Success
 
-from currantstage.coordination._budgets import add_outage
-from currantstage.coordination._fleet_actions import (
+from currantstage.coordination.fleet._budgets import add_outage
+from currantstage.coordination.fleet._fleet_actions import (
     ForgetAcks,
     RegisterVms,
     StartRound,
 )
-from currantstage.coordination._placement_rows import place_vm
-from currantstage.coordination._row_batch import RowBatch
-from currantstage.coordination._vm_transitions import VmRecords, make_transition
+from currantstage.coordination.fleet._placement_rows import place_vm
+from currantstage.coordination.fleet._vm_transitions import VmRecords, make_transition
+from currantstage.coordination.store._row_batch import RowBatch
 from currantstage.state import (
     HEAD_KEY,
     BudgetRow,
@@ -34,11 +34,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination._fleet_actions import Action, VmAction
-    from currantstage.coordination._fleet_snapshot import FleetSnapshot
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._row_batch import Fence
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.fleet._fleet_actions import Action, VmAction
+    from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._row_batch import Fence
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import VmId
 
 
--- a/currantstage/coordination/_move_plan.py
+++ b/currantstage/coordination/fleet/_move_plan.py
@@ -6,17 +6,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._budgets import has_room
-from currantstage.coordination._fleet_actions import BeginMove
-from currantstage.coordination._vm_transitions import MOVE_WINDOW_S
+from currantstage.coordination.fleet._budgets import has_room
+from currantstage.coordination.fleet._fleet_actions import BeginMove
+from currantstage.coordination.fleet._vm_transitions import MOVE_WINDOW_S
 from currantstage.state import DisruptionKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from currantstage.coordination._demand import DemandEstimator
-    from currantstage.coordination._fleet_actions import Action
-    from currantstage.coordination._fleet_snapshot import FleetSnapshot
+    from currantstage.coordination.fleet._demand import DemandEstimator
+    from currantstage.coordination.fleet._fleet_actions import Action
+    from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
     from currantstage.state import DataCentreId, Pool, PoolId, VmRow
 
 
--- a/currantstage/coordination/_reconcile_plan.py
+++ b/currantstage/coordination/fleet/_reconcile_plan.py
@@ -5,7 +5,7 @@
 from itertools import groupby, islice
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._fleet_actions import (
+from currantstage.coordination.fleet._fleet_actions import (
     AbandonDrain,
     BeginMove,
     BeginWithdrawal,
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
-    from currantstage.coordination._fleet_actions import Action
-    from currantstage.coordination._fleet_snapshot import FleetSnapshot
+    from currantstage.coordination.fleet._fleet_actions import Action
+    from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
     from currantstage.state import Vm, VmRow
 
 #: VMs that one transaction registers.
--- a/currantstage/coordination/_vm_transitions.py
+++ b/currantstage/coordination/fleet/_vm_transitions.py
@@ -9,8 +9,13 @@
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination._budgets import add_outage, has_room, release, reserve
-from currantstage.coordination._fleet_actions import (
+from currantstage.coordination.fleet._budgets import (
+    add_outage,
+    has_room,
+    release,
+    reserve,
+)
+from currantstage.coordination.fleet._fleet_actions import (
     AbandonDrain,
     BeginMaintenance,
     BeginMove,
@@ -21,12 +26,16 @@
     MarkUnavailable,
     Rehome,
 )
-from currantstage.coordination._placement_rows import clear_vm, next_drain, place_vm
+from currantstage.coordination.fleet._placement_rows import (
+    clear_vm,
+    next_drain,
+    place_vm,
+)
 from currantstage.state import Disruption, DisruptionKind, VmState
 
 if TYPE_CHECKING:
-    from currantstage.coordination._fleet_actions import VmAction
-    from currantstage.coordination._fleet_snapshot import FleetSnapshot
+    from currantstage.coordination.fleet._fleet_actions import VmAction
+    from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
     from currantstage.state import (
         BudgetRow,
         DrainNumber,
--- a/currantstage/coordination/_wave_plan.py
+++ b/currantstage/coordination/fleet/_wave_plan.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._budgets import has_room, reserve
-from currantstage.coordination._fleet_actions import BeginMaintenance, StartRound
+from currantstage.coordination.fleet._budgets import has_room, reserve
+from currantstage.coordination.fleet._fleet_actions import BeginMaintenance, StartRound
 from currantstage.state import VmState
 
 if TYPE_CHECKING:
-    from currantstage.coordination._fleet_actions import Action
-    from currantstage.coordination._fleet_snapshot import FleetSnapshot
+    from currantstage.coordination.fleet._fleet_actions import Action
+    from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
     from currantstage.state import BudgetRow, PoolId, VmId, VmRow, Wave
 
 
--- a/currantstage/coordination/_allotment_demand.py
+++ b/currantstage/coordination/limits/_allotment_demand.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from currantstage.coordination._allotment_messages import Need, Peer
+    from currantstage.coordination.limits._allotment_messages import Need, Peer
     from currantstage.state import ResourceId
 
 #: How long work that found no slot counts as waiting, in seconds.
@@ -124,7 +124,7 @@
 
     Examples
     --------
-    >>> from currantstage.coordination import Need
+    >>> from currantstage.coordination.limits._allotment_messages import Need
     >>> fair_excess(5, Need(held_slots=1, wanted_slots=9), may_give_odd=False)
     2
     """
--- a/currantstage/coordination/_allotment_exchange.py
+++ b/currantstage/coordination/limits/_allotment_exchange.py
@@ -5,13 +5,13 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_demand import (
+from currantstage.coordination.limits._allotment_demand import (
     CONTENDED_HOLD_S,
     ClaimQueue,
     ShortageLog,
     fair_excess,
 )
-from currantstage.coordination._allotment_messages import (
+from currantstage.coordination.limits._allotment_messages import (
     AllotmentAsk,
     AllotmentReceipt,
     AllotmentTransfer,
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from currantstage.coordination._allotment_book import AllotmentBook
-    from currantstage.coordination._allotment_plan import AllotmentNeeds
+    from currantstage.coordination.limits._allotment_book import AllotmentBook
+    from currantstage.coordination.limits._allotment_plan import AllotmentNeeds
     from currantstage.state import EntryVmId, ResourceId, ScopeId
 
 #: Peers that are asked at once; the next round asks the ones that follow.
--- a/currantstage/coordination/_allotment_plan.py
+++ b/currantstage/coordination/limits/_allotment_plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_ledger import (
+from currantstage.coordination.limits._allotment_ledger import (
     allotted_slots,
     follow_limits,
     move_from_free,
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from currantstage.coordination._allotment_book import AllotmentBook
+    from currantstage.coordination.limits._allotment_book import AllotmentBook
     from currantstage.state import (
         EntryVmId,
         Generation,
--- a/currantstage/coordination/_allotment_reclaim.py
+++ b/currantstage/coordination/limits/_allotment_reclaim.py
@@ -8,10 +8,13 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination._allotment_ledger import move_from_free, retire_holders
-from currantstage.coordination._allotment_settlement import ledger_of, version_of
-from currantstage.coordination._lease_time import observer_wait_s
-from currantstage.coordination._row_observer import RowObserver
+from currantstage.coordination.limits._allotment_ledger import (
+    move_from_free,
+    retire_holders,
+)
+from currantstage.coordination.limits._allotment_settlement import ledger_of, version_of
+from currantstage.coordination.store._lease_time import observer_wait_s
+from currantstage.coordination.store._row_observer import RowObserver
 from currantstage.state import (
     EntryVmRow,
     HolderRow,
@@ -26,8 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import (
         EntryVmId,
         LedgerRow,
--- a/currantstage/coordination/_allotment_settlement.py
+++ b/currantstage/coordination/limits/_allotment_settlement.py
@@ -5,8 +5,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_ledger import retire_holders
-from currantstage.coordination._allotment_plan import (
+from currantstage.coordination.limits._allotment_ledger import retire_holders
+from currantstage.coordination.limits._allotment_plan import (
     HolderStart,
     plan_settlement,
     work_ceilings,
@@ -22,13 +22,13 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._allotment_book import AllotmentBook
-    from currantstage.coordination._allotment_plan import (
+    from currantstage.coordination.limits._allotment_book import AllotmentBook
+    from currantstage.coordination.limits._allotment_plan import (
         AllotmentNeeds,
         SettlementPlan,
     )
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import EntryVmId, RowVersion, ScopeId, VersionedRow
 
 #: Settlements tried in one run while other holders change the ledger.
--- a/currantstage/coordination/_limit_check.py
+++ b/currantstage/coordination/limits/_limit_check.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_ledger import (
+from currantstage.coordination.limits._allotment_ledger import (
     allotted_slots,
     follow_limits,
     team_limits,
 )
-from currantstage.coordination._allotment_settlement import ledger_of, version_of
+from currantstage.coordination.limits._allotment_settlement import ledger_of, version_of
 from currantstage.state import FLEET_SCOPE, RowWrite, ledger_key, team_resource
 
 if TYPE_CHECKING:
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import Fleet, TeamId
 
 #: Checks tried in one run while holders change the ledger.
--- a/currantstage/coordination/_reclaiming_duty.py
+++ b/currantstage/coordination/limits/_reclaiming_duty.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._allotment_reclaim import AllotmentReclaimer, FleetView
+from currantstage.coordination.limits._allotment_reclaim import (
+    AllotmentReclaimer,
+    FleetView,
+)
 from currantstage.state import (
     ENTRY_VM_PREFIX,
     FLEET_SCOPE,
@@ -15,10 +18,10 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.coordination._duty_lease import DutyGrant
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.membership._configuration import Configuration
+    from currantstage.coordination.store._duty_lease import DutyGrant
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import ScopeId
 
 #: Pause between two looks for dead holders, in seconds.
--- a/currantstage/coordination/_share_distance.py
+++ b/currantstage/coordination/limits/_share_distance.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination._shares import TeamDemand, max_min_slots
+from currantstage.coordination.limits._shares import TeamDemand, max_min_slots
 from currantstage.state import QueueId, TeamId
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/_shares.py
+++ b/currantstage/coordination/limits/_shares.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from currantstage.coordination._policies import TeamLoad
+    from currantstage.coordination.requests._policies import TeamLoad
     from currantstage.state import TeamId
 
 #: Portion of its entitlement that a waiting team gets at each entry VM, however much
--- a/currantstage/coordination/_config_lease.py
+++ b/currantstage/coordination/membership/_config_lease.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NewType
 
-from currantstage.coordination._lease_time import RENEWALS_PER_LEASE, lapse_s
+from currantstage.coordination.store._lease_time import RENEWALS_PER_LEASE, lapse_s
 
 #: Numbers the renewals of one process.
 RenewalNumber = NewType("RenewalNumber", int)
--- a/currantstage/coordination/_configuration.py
+++ b/currantstage/coordination/membership/_configuration.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination._config_lease import ConfigLease
+from currantstage.coordination.membership._config_lease import ConfigLease
 from currantstage.state import Fleet, Generation
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/_head_watch.py
+++ b/currantstage/coordination/membership/_head_watch.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._lease_time import observer_wait_s
+from currantstage.coordination.store._lease_time import observer_wait_s
 
 if TYPE_CHECKING:
     from currantstage.state import EntryVmRow, Generation
--- a/currantstage/coordination/_lease_relay.py
+++ b/currantstage/coordination/membership/_lease_relay.py
@@ -8,13 +8,13 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.coordination._membership import (
+    from currantstage.coordination.membership._configuration import Configuration
+    from currantstage.coordination.membership._membership import (
         Membership,
         RenewalOutcome,
         RenewalRequest,
     )
-    from currantstage.coordination._peer_liveness import PeerLiveness
+    from currantstage.coordination.membership._peer_liveness import PeerLiveness
     from currantstage.state import EntryVmId, Fleet, Generation
 
 #: Peers that are asked for one renewal.
--- a/currantstage/coordination/_membership.py
+++ b/currantstage/coordination/membership/_membership.py
@@ -7,8 +7,8 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination._config_lease import RenewalNumber
-from currantstage.coordination._note_commit import load_generation
+from currantstage.coordination.membership._config_lease import RenewalNumber
+from currantstage.coordination.notes._note_commit import load_generation
 from currantstage.state import (
     ABSENT,
     FIRST_GENERATION,
@@ -23,10 +23,10 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.coordination._head_watch import HeadWatch
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.membership._configuration import Configuration
+    from currantstage.coordination.membership._head_watch import HeadWatch
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import RowVersion, VersionedRow
 
 #: Tries to renew while notes are being committed at the same time.
--- a/currantstage/coordination/_cleanup.py
+++ b/currantstage/coordination/notes/_cleanup.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._lease_time import observer_wait_s
-from currantstage.coordination._note_commit import (
+from currantstage.coordination.notes._note_commit import (
     GENERATION_PREFIX,
     generation_of_object,
 )
-from currantstage.coordination._row_observer import RowObserver
+from currantstage.coordination.store._lease_time import observer_wait_s
+from currantstage.coordination.store._row_observer import RowObserver
 from currantstage.state import (
     ACCEPTED_KEY,
     ENTRY_VM_PREFIX,
@@ -22,9 +22,9 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._duty_lease import DutyGrant
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._duty_lease import DutyGrant
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import ObjectName, VersionedRow
 
 #: Pause between two runs, in seconds.
--- a/currantstage/coordination/_note_acceptance.py
+++ b/currantstage/coordination/notes/_note_acceptance.py
@@ -18,10 +18,10 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
-    from currantstage.coordination._head_watch import HeadWatch
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.membership._configuration import Configuration
+    from currantstage.coordination.membership._head_watch import HeadWatch
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import Fleet, VersionedRow
 
 
--- a/currantstage/coordination/_note_check.py
+++ b/currantstage/coordination/notes/_note_check.py
@@ -9,14 +9,14 @@
 from msgspec import UNSET
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination._fleet_check import check_fleet, is_identifier
-from currantstage.coordination._note_items import list_items
+from currantstage.coordination.notes._fleet_check import check_fleet, is_identifier
+from currantstage.coordination.notes._note_items import list_items
 from currantstage.state import Fleet, Generation, ItemKind, PoolId, ReleaseNote
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from currantstage.coordination._fleet_check import FleetFault
+    from currantstage.coordination.notes._fleet_check import FleetFault
 
 IdT = TypeVar("IdT", bound=str)
 RecordT = TypeVar("RecordT", bound=msgspec.Struct)
--- a/currantstage/coordination/_note_commit.py
+++ b/currantstage/coordination/notes/_note_commit.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from currantstage.coordination._errors import StoreAwayError, StoreContentError
-from currantstage.coordination._note_check import NoteFault, check_note
-from currantstage.coordination._note_items import NoteItem, list_items
+from currantstage.coordination.notes._note_check import NoteFault, check_note
+from currantstage.coordination.notes._note_items import NoteItem, list_items
 from currantstage.state import (
     ABSENT,
     HEAD_KEY,
@@ -27,8 +27,8 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import VersionedRow
 
 
--- a/currantstage/coordination/_note_history.py
+++ b/currantstage/coordination/notes/_note_history.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._note_commit import load_generation
-from currantstage.coordination._note_items import FieldChange, diff_fleets
+from currantstage.coordination.notes._note_commit import load_generation
+from currantstage.coordination.notes._note_items import FieldChange, diff_fleets
 from currantstage.state import HEAD_KEY, Fleet, Generation, NoteId, NoteRow, note_key
 
 if TYPE_CHECKING:
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import StoredGeneration
 
 
--- /dev/null
+++ b/currantstage/coordination/requests/__init__.py
@@ -0,0 +1,163 @@
+"""Requests: admitted, queued, placed, retried and counted."""
+
+from __future__ import annotations
+
+from currantstage.coordination.requests._attempts import (
+    MAX_SAVED_RETRIES,
+    RETRIES_PER_REQUEST,
+    Attempts,
+    Finish,
+    Retry,
+    is_server_error,
+)
+from currantstage.coordination.requests._burn_rates import (
+    ALERT_RULES,
+    Alert,
+    BudgetBurn,
+    Objective,
+    SeriesCount,
+    WindowBurn,
+    burn_budgets,
+    merge_counts,
+)
+from currantstage.coordination.requests._connection_health import (
+    ServerHealth,
+    ServerState,
+)
+from currantstage.coordination.requests._dispatch import (
+    Dispatcher,
+)
+from currantstage.coordination.requests._dispatch_effects import (
+    Assignment,
+    DispatchEffect,
+    Refuse,
+    ReleaseAt,
+    Start,
+    Wait,
+)
+from currantstage.coordination.requests._estimates import (
+    RunTimeEstimates,
+)
+from currantstage.coordination.requests._fault_tracking import (
+    UNKNOWN_SILENCE_S,
+    FaultTracker,
+)
+from currantstage.coordination.requests._jobs import (
+    JobSize,
+    Submission,
+)
+from currantstage.coordination.requests._keys import (
+    digest_secret,
+    identify_team,
+    key_id_of,
+)
+from currantstage.coordination.requests._outcomes import (
+    Answer,
+    CompletedEarlier,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    RequestEnd,
+    SendFailure,
+    Uncertain,
+)
+from currantstage.coordination.requests._outliers import (
+    OutlierDetector,
+)
+from currantstage.coordination.requests._placement import (
+    AttributedRing,
+    Candidate,
+    LeastLoaded,
+    Placement,
+    PowerOfTwoChoices,
+)
+from currantstage.coordination.requests._policies import (
+    SharePolicy,
+    TeamLimiter,
+    TeamLoad,
+    UsageView,
+    WorkerSlots,
+)
+from currantstage.coordination.requests._service_levels import (
+    BUCKETS_PER_WINDOW,
+    MAX_SERIES,
+    WINDOWS_S,
+    ServiceLevelRecorder,
+    Verdict,
+    WindowCount,
+    judge,
+)
+from currantstage.coordination.requests._topology import (
+    Topology,
+)
+from currantstage.coordination.requests._waiting import (
+    NO_TEAM,
+    WaitingRequest,
+)
+from currantstage.coordination.requests._worker_room import (
+    WorkerRoom,
+)
+
+__all__ = [
+    "ALERT_RULES",
+    "Alert",
+    "Answer",
+    "Assignment",
+    "Attempts",
+    "AttributedRing",
+    "BUCKETS_PER_WINDOW",
+    "BudgetBurn",
+    "Candidate",
+    "CompletedEarlier",
+    "DispatchEffect",
+    "Dispatcher",
+    "FaultTracker",
+    "Finish",
+    "JobSize",
+    "LeastLoaded",
+    "MAX_SAVED_RETRIES",
+    "MAX_SERIES",
+    "NO_TEAM",
+    "Objective",
+    "Outcome",
+    "OutlierDetector",
+    "Placement",
+    "PowerOfTwoChoices",
+    "RETRIES_PER_REQUEST",
+    "Refusal",
+    "RefusalReason",
+    "Refuse",
+    "ReleaseAt",
+    "RequestEnd",
+    "Retry",
+    "RunTimeEstimates",
+    "SendFailure",
+    "SeriesCount",
+    "ServerHealth",
+    "ServerState",
+    "ServiceLevelRecorder",
+    "SharePolicy",
+    "Start",
+    "Submission",
+    "TeamLimiter",
+    "TeamLoad",
+    "Topology",
+    "UNKNOWN_SILENCE_S",
+    "Uncertain",
+    "UsageView",
+    "Verdict",
+    "WINDOWS_S",
+    "Wait",
+    "WaitingRequest",
+    "WindowBurn",
+    "WindowCount",
+    "WorkerRoom",
+    "WorkerSlots",
+    "burn_budgets",
+    "digest_secret",
+    "identify_team",
+    "is_server_error",
+    "judge",
+    "key_id_of",
+    "merge_counts",
+]
--- a/currantstage/coordination/_admission.py
+++ b/currantstage/coordination/requests/_admission.py
@@ -6,17 +6,21 @@
 
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination._jobs import capacity_of, largest_capacity
-from currantstage.coordination._keys import identify_team, key_id_of
-from currantstage.coordination._outcomes import Refusal, RefusalReason, SizeShortage
-from currantstage.coordination._waiting import NO_TEAM, WaitingRequest
+from currantstage.coordination.requests._jobs import capacity_of, largest_capacity
+from currantstage.coordination.requests._keys import identify_team, key_id_of
+from currantstage.coordination.requests._outcomes import (
+    Refusal,
+    RefusalReason,
+    SizeShortage,
+)
+from currantstage.coordination.requests._waiting import NO_TEAM, WaitingRequest
 from currantstage.state import QueueAccess
 
 if TYPE_CHECKING:
-    from currantstage.coordination._estimates import RunTimeEstimates
-    from currantstage.coordination._jobs import JobSize, Submission
-    from currantstage.coordination._topology import Topology
-    from currantstage.coordination._waiting import QueueLine, TeamLine
+    from currantstage.coordination.requests._estimates import RunTimeEstimates
+    from currantstage.coordination.requests._jobs import JobSize, Submission
+    from currantstage.coordination.requests._topology import Topology
+    from currantstage.coordination.requests._waiting import QueueLine, TeamLine
     from currantstage.state import Queue, QueueId, RequestId, TeamId
 
 #: Advice to a caller when nothing better is known, in seconds.
--- a/currantstage/coordination/_attempts.py
+++ b/currantstage/coordination/requests/_attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from currantstage.coordination._outcomes import (
+from currantstage.coordination.requests._outcomes import (
     Answer,
     Refusal,
     RefusalReason,
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination._retry_budget import RetryBudget
+    from currantstage.coordination.store._retry_budget import RetryBudget
     from currantstage.state import Random, VmId
 
 #: Attempts of one request, the first included.
--- a/currantstage/coordination/_burn_rates.py
+++ b/currantstage/coordination/requests/_burn_rates.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination._service_levels import WINDOWS_S, WindowCount
+from currantstage.coordination.requests._service_levels import WINDOWS_S, WindowCount
 from currantstage.state import QueueId, TeamId
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/_dispatch.py
+++ b/currantstage/coordination/requests/_dispatch.py
@@ -7,7 +7,8 @@
 
 from returns.result import Failure
 
-from currantstage.coordination._admission import (
+from currantstage.coordination.limits._share_distance import QueueLoad
+from currantstage.coordination.requests._admission import (
     RETRY_AFTER_S,
     check_start,
     check_still_allowed,
@@ -17,7 +18,7 @@
     is_hopeless,
     retry_after_s,
 )
-from currantstage.coordination._dispatch_effects import (
+from currantstage.coordination.requests._dispatch_effects import (
     MIN_WEIGHT_SLOTS,
     Assignment,
     DispatchEffect,
@@ -26,25 +27,24 @@
     Start,
     Wait,
 )
-from currantstage.coordination._outcomes import Refusal, RefusalReason
-from currantstage.coordination._policies import TeamLoad
-from currantstage.coordination._share_distance import QueueLoad
-from currantstage.coordination._waiting import NO_TEAM, QueueLine
+from currantstage.coordination.requests._outcomes import Refusal, RefusalReason
+from currantstage.coordination.requests._policies import TeamLoad
+from currantstage.coordination.requests._waiting import NO_TEAM, QueueLine
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from currantstage.coordination._estimates import RunTimeEstimates
-    from currantstage.coordination._jobs import Submission
-    from currantstage.coordination._placement import Placement
-    from currantstage.coordination._policies import (
+    from currantstage.coordination.requests._estimates import RunTimeEstimates
+    from currantstage.coordination.requests._jobs import Submission
+    from currantstage.coordination.requests._placement import Placement
+    from currantstage.coordination.requests._policies import (
         SharePolicy,
         TeamLimiter,
         UsageView,
     )
-    from currantstage.coordination._topology import Topology
-    from currantstage.coordination._waiting import WaitingRequest
-    from currantstage.coordination._worker_room import WorkerRoom
+    from currantstage.coordination.requests._topology import Topology
+    from currantstage.coordination.requests._waiting import WaitingRequest
+    from currantstage.coordination.requests._worker_room import WorkerRoom
     from currantstage.state import QueueId, RequestId, TeamId, VmId
 
 #: Time after its deadline for which a job without an answer counts as running.
--- a/currantstage/coordination/_dispatch_effects.py
+++ b/currantstage/coordination/requests/_dispatch_effects.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
-    from currantstage.coordination._outcomes import Refusal
-    from currantstage.coordination._waiting import WaitingRequest
+    from currantstage.coordination.requests._outcomes import Refusal
+    from currantstage.coordination.requests._waiting import WaitingRequest
     from currantstage.state import RequestId, Vm
 
 #: Slots that the smallest job counts for.
--- a/currantstage/coordination/_fault_tracking.py
+++ b/currantstage/coordination/requests/_fault_tracking.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._attempts import is_server_error
-from currantstage.coordination._outcomes import Answer, SendFailure
+from currantstage.coordination.requests._attempts import is_server_error
+from currantstage.coordination.requests._outcomes import Answer, SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination._connection_health import ServerHealth
-    from currantstage.coordination._dispatch_effects import Assignment
-    from currantstage.coordination._estimates import RunTimeEstimates
-    from currantstage.coordination._outliers import OutlierDetector
-    from currantstage.coordination._topology import Topology
+    from currantstage.coordination.requests._connection_health import ServerHealth
+    from currantstage.coordination.requests._dispatch_effects import Assignment
+    from currantstage.coordination.requests._estimates import RunTimeEstimates
+    from currantstage.coordination.requests._outliers import OutlierDetector
+    from currantstage.coordination.requests._topology import Topology
     from currantstage.state import QueueId, VmId
 
 #: A connection is silent after this many times the queue's long run times.
--- a/currantstage/coordination/_keys.py
+++ b/currantstage/coordination/requests/_keys.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination._outcomes import Refusal, RefusalReason
+from currantstage.coordination.requests._outcomes import Refusal, RefusalReason
 from currantstage.state import Key, KeyId, QueueAccess, TeamId
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/_outcomes.py
+++ b/currantstage/coordination/requests/_outcomes.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
-    from currantstage.coordination._jobs import JobSize
+    from currantstage.coordination.requests._jobs import JobSize
 
 
 class Outcome(Enum):
--- a/currantstage/coordination/_service_levels.py
+++ b/currantstage/coordination/requests/_service_levels.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination._outcomes import (
+from currantstage.coordination.requests._outcomes import (
     Answer,
     Refusal,
     RefusalReason,
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantstage.coordination._outcomes import RequestEnd
+    from currantstage.coordination.requests._outcomes import RequestEnd
     from currantstage.state import Queue, QueueId, TeamId
 
 #: Windows over which requests are counted, shortest first, in seconds.
--- a/currantstage/coordination/_topology.py
+++ b/currantstage/coordination/requests/_topology.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from currantstage.coordination._configuration import Configuration
+    from currantstage.coordination.membership._configuration import Configuration
     from currantstage.state import DataCentreId, Fleet, PoolId, QueueId, Vm, VmId
 
 
--- a/currantstage/coordination/_waiting.py
+++ b/currantstage/coordination/requests/_waiting.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantstage.coordination._jobs import JobSize
+    from currantstage.coordination.requests._jobs import JobSize
     from currantstage.state import KeyId, QueueId, RequestId, VmId
 
 #: Stands for the callers without a key, who share one line on an open queue.
--- a/currantstage/coordination/_worker_room.py
+++ b/currantstage/coordination/requests/_worker_room.py
@@ -5,18 +5,18 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from currantstage.coordination._connection_health import ServerState
-from currantstage.coordination._jobs import NO_SIZE, JobSize, capacity_of
-from currantstage.coordination._placement import Candidate
+from currantstage.coordination.requests._connection_health import ServerState
+from currantstage.coordination.requests._jobs import NO_SIZE, JobSize, capacity_of
+from currantstage.coordination.requests._placement import Candidate
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination._connection_health import ServerHealth
-    from currantstage.coordination._outliers import OutlierDetector
-    from currantstage.coordination._policies import WorkerSlots
-    from currantstage.coordination._topology import Topology
-    from currantstage.coordination._waiting import WaitingRequest
+    from currantstage.coordination.requests._connection_health import ServerHealth
+    from currantstage.coordination.requests._outliers import OutlierDetector
+    from currantstage.coordination.requests._policies import WorkerSlots
+    from currantstage.coordination.requests._topology import Topology
+    from currantstage.coordination.requests._waiting import WaitingRequest
     from currantstage.state import QueueId, Vm, VmId
 
 
--- a/currantstage/coordination/_duty_lease.py
+++ b/currantstage/coordination/store/_duty_lease.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from currantstage.coordination._lease_time import lapse_s, observer_wait_s
-from currantstage.coordination._row_observer import RowObserver
+from currantstage.coordination.store._lease_time import lapse_s, observer_wait_s
+from currantstage.coordination.store._row_observer import RowObserver
 from currantstage.state import (
     ABSENT,
     DUTY_PREFIX,
@@ -24,8 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import (
         EntryVmId,
         IncarnationId,
--- a/currantstage/coordination/_row_batch.py
+++ b/currantstage/coordination/store/_row_batch.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination._procedures import Procedure
-    from currantstage.coordination._store_access import StoreAccess
+    from currantstage.coordination.store._procedures import Procedure
+    from currantstage.coordination.store._store_access import StoreAccess
     from currantstage.state import Record, RowKey, RowVersion, TransactionItem
 
 RowT = TypeVar("RowT")
--- a/currantstage/coordination/_store_access.py
+++ b/currantstage/coordination/store/_store_access.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from currantstage.coordination._errors import StoreAwayError, WriteUncertainError
-from currantstage.coordination._procedures import (
+from currantstage.coordination.store._procedures import (
     ClockRead,
     DeleteObject,
     Done,
@@ -33,8 +33,8 @@
     Transacted,
     VmsListed,
 )
-from currantstage.coordination._retry_budget import RetryBudget
-from currantstage.coordination._store_health import (
+from currantstage.coordination.store._retry_budget import RetryBudget
+from currantstage.coordination.store._store_health import (
     MAX_RETRY_TOKENS,
     TOKENS_PER_SUCCESS,
     CircuitBreaker,
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -8,7 +8,7 @@
 from msgspec import Meta, Struct
 from returns.result import Failure, Result, Success
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     Answer,
     CompletedEarlier,
     JobSize,
--- a/currantstage/protocol/_claim_messages.py
+++ b/currantstage/protocol/_claim_messages.py
@@ -4,7 +4,9 @@
 
 from msgspec import Struct
 
-from currantstage.coordination import ClaimState
+from currantstage.coordination.claims import (
+    ClaimState,
+)
 from currantstage.state import (
     ClaimSettlement,
     ClaimTaken,
--- a/currantstage/protocol/_fleet_status.py
+++ b/currantstage/protocol/_fleet_status.py
@@ -7,7 +7,11 @@
 
 from msgspec import Struct
 
-from currantstage.coordination import MOVE_WINDOW_S, is_overdue, unfinished_vms
+from currantstage.coordination.fleet import (
+    MOVE_WINDOW_S,
+    is_overdue,
+    unfinished_vms,
+)
 from currantstage.state import (
     DataCentreId,
     EntryVmId,
@@ -22,7 +26,9 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination import FleetSnapshot
+    from currantstage.coordination.fleet import (
+        FleetSnapshot,
+    )
     from currantstage.state import Pool, VmRow, Wave
 
 #: Time out of service after which a VM is reported as overdue, in seconds.
--- a/currantstage/protocol/_measures.py
+++ b/currantstage/protocol/_measures.py
@@ -4,7 +4,10 @@
 
 from msgspec import Struct
 
-from currantstage.coordination import QueueLoad, ShareDistance
+from currantstage.coordination.limits import (
+    QueueLoad,
+    ShareDistance,
+)
 from currantstage.protocol._fleet_status import DataCentreStatus, WaveStatus
 from currantstage.protocol._service_levels import SilentMember
 from currantstage.state import EntryVmId, Generation
--- a/currantstage/protocol/_operators.py
+++ b/currantstage/protocol/_operators.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Struct
 
-from currantstage.coordination import (
+from currantstage.coordination.notes import (
     Committed,
     NoteChanges,
     NoteIdTaken,
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -9,13 +9,15 @@
 import msgspec
 from msgspec import Struct
 
-from currantstage.coordination import (
+from currantstage.coordination.limits import (
     AllotmentAsk,
     AllotmentReceipt,
     AllotmentTransfer,
+    UsageReport,
+)
+from currantstage.coordination.membership import (
     RenewalOutcome,
     RenewalRequest,
-    UsageReport,
 )
 from currantstage.protocol._claim_messages import (
     ClaimAnswered,
--- a/currantstage/protocol/_service_levels.py
+++ b/currantstage/protocol/_service_levels.py
@@ -4,7 +4,10 @@
 
 from msgspec import Struct
 
-from currantstage.coordination import BudgetBurn, SeriesCount
+from currantstage.coordination.requests import (
+    BudgetBurn,
+    SeriesCount,
+)
 from currantstage.state import EntryVmId, Generation, IncarnationId
 
 
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -17,7 +17,11 @@
     SanicException,
 )
 
-from currantstage.coordination import Refusal, RefusalReason, Uncertain
+from currantstage.coordination.requests import (
+    Refusal,
+    RefusalReason,
+    Uncertain,
+)
 from currantstage.protocol import (
     OUTCOME_HEADER,
     read_caller_request,
--- a/tests/allotments.py
+++ b/tests/allotments.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from currantstage.coordination import (
+from currantstage.coordination.limits import (
     AllotmentAsk,
     AllotmentBook,
     AllotmentExchange,
@@ -16,6 +16,8 @@
     AllotmentTransfer,
     FleetView,
     Peer,
+)
+from currantstage.coordination.store import (
     RetryPolicy,
     StoreAccess,
 )
--- a/tests/application/test_duty_runner.py
+++ b/tests/application/test_duty_runner.py
@@ -5,7 +5,13 @@
 import pytest
 
 from currantstage.application import DutyRunner
-from currantstage.coordination import DUTY_LEASE_S, Cleanup, DutyLeases
+from currantstage.coordination.notes import (
+    Cleanup,
+)
+from currantstage.coordination.store import (
+    DUTY_LEASE_S,
+    DutyLeases,
+)
 from currantstage.state import EntryVmId, IncarnationId
 from tests.fakes import FakeClock, make_store_access
 
--- a/tests/application/test_relay.py
+++ b/tests/application/test_relay.py
@@ -5,7 +5,11 @@
 import asyncio
 
 from currantstage.application import PeerService, RelayService
-from currantstage.coordination import LeaseRelay, PeerLiveness, RenewalOutcome
+from currantstage.coordination.membership import (
+    LeaseRelay,
+    PeerLiveness,
+    RenewalOutcome,
+)
 from currantstage.protocol import Heartbeat
 from currantstage.state import DEFAULT_CONFIG_LEASE_S, IncarnationId
 from tests.coordination.test_config_lease import EntryVm, commit
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -11,13 +11,17 @@
 import uvloop
 
 from currantstage.application import DaemonMetrics, RequestPath
-from currantstage.coordination import (
-    Assignment,
+from currantstage.coordination.limits import (
+    UsageBoard,
+    WeightedMaxMin,
+)
+from currantstage.coordination.membership import (
     Configuration,
+)
+from currantstage.coordination.requests import (
+    Assignment,
     Outcome,
     Submission,
-    UsageBoard,
-    WeightedMaxMin,
 )
 from currantstage.protocol import CallerOptions, CallerRequest, OutcomeBody
 from currantstage.standin import BackendMode, BackendStandIn, free_ports
--- a/tests/cmd/test_burn.py
+++ b/tests/cmd/test_burn.py
@@ -13,7 +13,7 @@
 from currantstage.cmd._burn_gathering import gather_burn
 from currantstage.cmd._burn_page import render_page
 from currantstage.cmd._burn_table import render_table
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     WINDOWS_S,
     Alert,
     BudgetBurn,
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -5,19 +5,25 @@
 import pytest
 
 from currantstage.coordination import (
+    StoreAwayError,
+    WriteUncertainError,
+)
+from currantstage.coordination.limits import (
     LIST_LAG_S,
     AllotmentLimitCheck,
     AllotmentTransfer,
-    LeaseContinuity,
     ReclaimReport,
     Settled,
-    StoreAwayError,
-    Transact,
-    WriteUncertainError,
     allotted_slots,
-    observer_wait_s,
     resources_above_limit,
 )
+from currantstage.coordination.membership import (
+    LeaseContinuity,
+)
+from currantstage.coordination.store import (
+    Transact,
+    observer_wait_s,
+)
 from currantstage.state import (
     ABSENT,
     FLEET_SCOPE,
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from currantstage.coordination import (
-    OPEN_S,
+from currantstage.coordination.claims import (
     AnswerClaim,
     Claimant,
     ClaimLedger,
@@ -15,16 +14,19 @@
     ClaimResolved,
     ClaimState,
     ClaimVerdict,
-    Pause,
-    ReadClock,
     SendSettlement,
-    StoreFailed,
-    Transact,
     assign_buckets,
     bucket_of,
     merge_events,
     refresh_owners,
 )
+from currantstage.coordination.store import (
+    OPEN_S,
+    Pause,
+    ReadClock,
+    StoreFailed,
+    Transact,
+)
 from currantstage.state import (
     ClaimCompleted,
     ClaimDigest,
--- a/tests/coordination/test_cleanup.py
+++ b/tests/coordination/test_cleanup.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import currantstage.coordination._cleanup as cleanup_module
-from currantstage.coordination import (
-    OPEN_S,
+import currantstage.coordination.notes._cleanup as cleanup_module
+from currantstage.coordination.notes import (
     REMOVAL_DELAY_S,
     Acceptance,
     Cleanup,
+)
+from currantstage.coordination.store import (
+    OPEN_S,
     DutyLeases,
     observer_wait_s,
 )
--- a/tests/coordination/test_config_lease.py
+++ b/tests/coordination/test_config_lease.py
@@ -5,15 +5,21 @@
 import pytest
 
 from currantstage.coordination import (
+    StoreAwayError,
+)
+from currantstage.coordination.membership import (
     ConfigLease,
     Configuration,
-    GetObject,
     HeadWatch,
     Membership,
+)
+from currantstage.coordination.notes import (
+    commit_note,
+)
+from currantstage.coordination.store import (
+    GetObject,
     ReadRow,
-    StoreAwayError,
     Transact,
-    commit_note,
     observer_wait_s,
 )
 from currantstage.state import (
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -5,7 +5,7 @@
 import pytest
 from msgspec import structs
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     JobSize,
     RefusalReason,
     Refuse,
--- a/tests/coordination/test_duty_lease.py
+++ b/tests/coordination/test_duty_lease.py
@@ -7,11 +7,13 @@
 import pytest
 
 from currantstage.coordination import (
+    WriteUncertainError,
+)
+from currantstage.coordination.store import (
     DUTY_LEASE_S,
     OPEN_S,
     DutyLeases,
     Transact,
-    WriteUncertainError,
     observer_wait_s,
 )
 from currantstage.state import (
--- a/tests/coordination/test_faults.py
+++ b/tests/coordination/test_faults.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     MAX_SAVED_RETRIES,
     RETRIES_PER_REQUEST,
     UNKNOWN_SILENCE_S,
@@ -17,11 +17,13 @@
     Refusal,
     RefusalReason,
     Retry,
-    RetryBudget,
     SendFailure,
     ServerState,
     Uncertain,
 )
+from currantstage.coordination.store import (
+    RetryBudget,
+)
 from currantstage.protocol import to_caller_answer
 from currantstage.state import VmId
 from tests.request_fakes import QUEUE, FakePath, make_fleet
--- a/tests/coordination/test_fleet_duty.py
+++ b/tests/coordination/test_fleet_duty.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from currantstage.coordination import StoreAwayError, Transact, WriteUncertainError
+from currantstage.coordination import (
+    StoreAwayError,
+    WriteUncertainError,
+)
+from currantstage.coordination.store import (
+    Transact,
+)
 from currantstage.state import (
     Additions,
     Changes,
--- a/tests/coordination/test_keys.py
+++ b/tests/coordination/test_keys.py
@@ -5,7 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     Refusal,
     RefusalReason,
     digest_secret,
--- a/tests/coordination/test_move_plan.py
+++ b/tests/coordination/test_move_plan.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     BeginMove,
     DemandEstimator,
     FleetRows,
--- a/tests/coordination/test_note_acceptance.py
+++ b/tests/coordination/test_note_acceptance.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from currantstage.coordination import (
-    MAX_CLOCK_DRIFT,
+from currantstage.coordination.notes import (
     Acceptance,
+)
+from currantstage.coordination.store import (
+    MAX_CLOCK_DRIFT,
     observer_wait_s,
 )
 from currantstage.state import ACCEPTED_KEY, DEFAULT_CONFIG_LEASE_S, EntryVmId, TeamId
--- a/tests/coordination/test_note_commit.py
+++ b/tests/coordination/test_note_commit.py
@@ -6,17 +6,21 @@
 from returns.result import Failure, Success
 
 from currantstage.coordination import (
+    StoreAwayError,
+    WriteUncertainError,
+)
+from currantstage.coordination.notes import (
     Committed,
     NoteIdTaken,
     NoteInvalid,
     NoteItem,
     NoteOvertaken,
     NoteVerb,
+    commit_note,
+)
+from currantstage.coordination.store import (
     PutObject,
-    StoreAwayError,
     Transact,
-    WriteUncertainError,
-    commit_note,
 )
 from currantstage.state import (
     HEAD_KEY,
--- a/tests/coordination/test_service_levels.py
+++ b/tests/coordination/test_service_levels.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     BUCKETS_PER_WINDOW,
     MAX_SERIES,
     NO_TEAM,
--- a/tests/coordination/test_share_distance.py
+++ b/tests/coordination/test_share_distance.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from currantstage.coordination import QueueLoad, measure_shares
+from currantstage.coordination.limits import (
+    QueueLoad,
+    measure_shares,
+)
 from currantstage.state import QueueId, Team, TeamId
 
 TEAMS = {
--- a/tests/coordination/test_store_access.py
+++ b/tests/coordination/test_store_access.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from currantstage.coordination import Transact, WriteUncertainError
+from currantstage.coordination import (
+    WriteUncertainError,
+)
+from currantstage.coordination.store import (
+    Transact,
+)
 from currantstage.state import (
     ABSENT,
     ACCEPTED_KEY,
--- a/tests/coordination/test_usage.py
+++ b/tests/coordination/test_usage.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from currantstage.coordination import USAGE_EXPIRY_S, UsageBoard, UsageReport
+from currantstage.coordination.limits import (
+    USAGE_EXPIRY_S,
+    UsageBoard,
+    UsageReport,
+)
 
 USAGE = {"q": {"t": 4.0}}
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,9 +7,11 @@
 from enum import Enum
 from typing import TypeVar
 
-from currantstage.coordination import (
-    ClockRead,
+from currantstage.coordination.membership import (
     Configuration,
+)
+from currantstage.coordination.store import (
+    ClockRead,
     DeleteObject,
     Done,
     GetObject,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -6,15 +6,19 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from currantstage.coordination import (
+from currantstage.coordination.fleet import (
     DrainFollower,
+    FleetDuty,
+    plan_waves,
+)
+from currantstage.coordination.notes import (
+    commit_note,
+)
+from currantstage.coordination.store import (
     DutyGrant,
     DutyLeases,
-    FleetDuty,
     RetryPolicy,
     StoreAccess,
-    commit_note,
-    plan_waves,
 )
 from currantstage.state import (
     ABSENT,
--- a/tests/fuzz/note_world.py
+++ b/tests/fuzz/note_world.py
@@ -8,20 +8,26 @@
 from typing import Any
 
 from currantstage.coordination import (
-    Acceptance,
+    StoreAwayError,
+    WriteUncertainError,
+)
+from currantstage.coordination.membership import (
     Configuration,
-    GetObject,
     HeadWatch,
     Membership,
+    RenewalOutcome,
+    RenewalRequest,
+)
+from currantstage.coordination.notes import (
+    Acceptance,
+)
+from currantstage.coordination.store import (
+    GetObject,
     Procedure,
     PutObject,
     ReadClock,
-    RenewalOutcome,
-    RenewalRequest,
-    StoreAwayError,
     StoreFailed,
     Transact,
-    WriteUncertainError,
 )
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -25,13 +25,17 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from currantstage.coordination import (
-    LIST_LAG_S,
     StoreAwayError,
+    WriteUncertainError,
+)
+from currantstage.coordination.limits import (
+    LIST_LAG_S,
+    resources_above_limit,
+)
+from currantstage.coordination.store import (
     StoreFailed,
     Transact,
-    WriteUncertainError,
     observer_wait_s,
-    resources_above_limit,
 )
 from tests.allotments import TEAM, WORK_S, Site
 from tests.fakes import FakeStore, Fault
--- a/tests/fuzz/test_claim_machine.py
+++ b/tests/fuzz/test_claim_machine.py
@@ -12,28 +12,32 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from currantstage.coordination import (
-    OPEN_S,
+from currantstage.coordination.claims import (
     AcknowledgeSettlement,
-    Answer,
     AnswerClaim,
     Claimant,
     ClaimLog,
     ClaimRecorder,
     ClaimResolved,
     ClaimState,
-    Pause,
-    ReadClock,
-    Refusal,
-    RefusalReason,
     SendSettlement,
     SendWanted,
-    StoreFailed,
-    Transact,
-    Uncertain,
     refresh_owners,
     settlement_of,
 )
+from currantstage.coordination.requests import (
+    Answer,
+    Refusal,
+    RefusalReason,
+    Uncertain,
+)
+from currantstage.coordination.store import (
+    OPEN_S,
+    Pause,
+    ReadClock,
+    StoreFailed,
+    Transact,
+)
 from currantstage.state import (
     ClaimDigest,
     ClaimOwner,
--- a/tests/fuzz/test_codecs.py
+++ b/tests/fuzz/test_codecs.py
@@ -12,12 +12,14 @@
 from returns.result import Failure, Success
 
 from currantstage.config import ConfigError, Settings, parse_settings
-from currantstage.coordination import (
+from currantstage.coordination.notes import (
+    check_note,
+)
+from currantstage.coordination.requests import (
     Answer,
     Refusal,
     RefusalReason,
     Uncertain,
-    check_note,
     identify_team,
 )
 from currantstage.protocol import (
--- a/tests/fuzz/test_duty_machine.py
+++ b/tests/fuzz/test_duty_machine.py
@@ -15,7 +15,11 @@
     rule,
 )
 
-from currantstage.coordination import DUTY_LEASE_S, MAX_CLOCK_DRIFT, DutyLeases
+from currantstage.coordination.store import (
+    DUTY_LEASE_S,
+    MAX_CLOCK_DRIFT,
+    DutyLeases,
+)
 from currantstage.state import (
     ABSENT,
     AcceptedRow,
--- a/tests/fuzz/test_note_machine.py
+++ b/tests/fuzz/test_note_machine.py
@@ -16,10 +16,12 @@
     rule,
 )
 
-from currantstage.coordination import (
+from currantstage.coordination.notes import (
+    commit_note,
+)
+from currantstage.coordination.store import (
     MAX_CLOCK_DRIFT,
     RENEWALS_PER_LEASE,
-    commit_note,
 )
 from currantstage.state import (
     ACCEPTED_KEY,
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -15,7 +15,7 @@
     run_state_machine_as_test,
 )
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     MAX_SAVED_RETRIES,
     RETRIES_PER_REQUEST,
     Answer,
@@ -28,12 +28,14 @@
     Refuse,
     ReleaseAt,
     RequestEnd,
-    RetryBudget,
     SendFailure,
     Start,
     Wait,
     is_server_error,
 )
+from currantstage.coordination.store import (
+    RetryBudget,
+)
 from currantstage.state import VmId
 from tests.fuzz.effort import machine_settings
 from tests.request_fakes import FakePath, make_fleet
--- a/tests/local_limits.py
+++ b/tests/local_limits.py
@@ -4,7 +4,9 @@
 
 from collections import Counter
 
-from currantstage.coordination import Configuration
+from currantstage.coordination.membership import (
+    Configuration,
+)
 from currantstage.state import TeamId, VmId
 
 
--- a/tests/protocol/test_callers.py
+++ b/tests/protocol/test_callers.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from currantstage.coordination import (
+from currantstage.coordination.requests import (
     JobSize,
     RefusalReason,
     Submission,
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -4,8 +4,14 @@
 
 import random
 
-from currantstage.coordination import (
+from currantstage.coordination.limits import (
+    UsageBoard,
+    WeightedMaxMin,
+)
+from currantstage.coordination.membership import (
     Configuration,
+)
+from currantstage.coordination.requests import (
     Dispatcher,
     FaultTracker,
     LeastLoaded,
@@ -14,8 +20,6 @@
     ServerHealth,
     Submission,
     Topology,
-    UsageBoard,
-    WeightedMaxMin,
     WorkerRoom,
     digest_secret,
 )
--- a/tests/spec/test_allotment_replay.py
+++ b/tests/spec/test_allotment_replay.py
@@ -8,10 +8,14 @@
 from hypothesis import strategies as st
 
 from currantstage.coordination import (
+    CoordinationError,
+)
+from currantstage.coordination.limits import (
     LIST_LAG_S,
     AllotmentReclaimer,
-    CoordinationError,
     FleetView,
+)
+from currantstage.coordination.store import (
     Transact,
     observer_wait_s,
 )
--- a/tests/spec/test_note_replay.py
+++ b/tests/spec/test_note_replay.py
@@ -9,17 +9,23 @@
 from hypothesis import strategies as st
 
 from currantstage.coordination import (
-    Acceptance,
-    Configuration,
     CoordinationError,
+)
+from currantstage.coordination.membership import (
+    Configuration,
     HeadWatch,
     Membership,
-    ReadRow,
     RenewalRequest,
-    Transact,
+)
+from currantstage.coordination.notes import (
+    Acceptance,
     commit_note,
     load_head,
 )
+from currantstage.coordination.store import (
+    ReadRow,
+    Transact,
+)
 from currantstage.state import (
     ACCEPTED_KEY,
     DEFAULT_CONFIG_LEASE_S,
