Wait for a silent scheduler also after the next one is gone

A scheduler that takes over from a silent one waits out the rest of its lease before it gives up tasks on workers that it can't reach. If it ended at once, the next one found its holder gone and waited for nobody: the silent one still renewed a worker beside it, and its tasks were started a second time.

Test: two takeovers within one lease on the stand-in (TWICE, six tasks) fails on the code before; the guard's own unit test; the model's counterexample.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -31,6 +31,7 @@
 _FLEET = "tests/fuzz/test_fleet_machine.py"
 _DUTIES = "tests/coordination/test_duty_lease.py"
 _STORE = "tests/coordination/test_store_access.py"
+_JOBS = "tests/jobs"
 
 
 @dataclass(frozen=True)
@@ -246,6 +247,69 @@
         "if True:",
         _FLEET,
     ),
+    Removal(
+        "jobs: order only under a valid lease",
+        "jobs/_owner_lease.py",
+        "return now_s - self._confirmed_s < self._tuning.owner_lease_ms / 1000",
+        "return True",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: wait for the rest of a silent holder's lease",
+        "jobs/_owner_lease.py",
+        "acts_s = max(earlier_acts_s, lease_s - self._unchanged_s)",
+        "acts_s = earlier_acts_s",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: wait for holders before the last one",
+        "jobs/_owner_lease.py",
+        "earlier_acts_s = row.earlier_acts_ms / 1000",
+        "earlier_acts_s = 0.0",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: void one's own start first",
+        "jobs/_worker_table.py",
+        "return run.phase is RunPhase.IN_DOUBT and run.fence < order.fence",
+        "return run.phase is RunPhase.IN_DOUBT",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: wait out the worker's lease",
+        "jobs/_worker_table.py",
+        "if (book.is_silent or not book.is_synced) and now_s > book.lease_end_s:",
+        "if book.is_silent or not book.is_synced:",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: adopt what was placed",
+        "jobs/_scheduler.py",
+        "self._adopt(task, until_s, now_s)",
+        "self.jobs.requeue(task)",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: store what ended before it is acknowledged",
+        "jobs/_scheduler.py",
+        "seen_upto = max(mark.worker.seen_upto, mark.upto)",
+        "seen_upto = mark.worker.processed_upto",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: leave VMs alone that were ordered lately",
+        "jobs/_vm_turns.py",
+        "return vm not in self._inherited or now_s >= self._taken_s + self._gap_s",
+        "return True",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: time without a reading is no silence",
+        "jobs/_owner_lease.py",
+        "self._seen_s = None\n\n    def claim",
+        "pass\n\n    def claim",
+        _JOBS,
+    ),
 )
 
 
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from eliot import log_message
@@ -163,6 +164,7 @@
             address=own.peer_address,
             term=term,
             ordered_vms=stored.row.ordered_vms if stored.row else (),
+            earlier_acts_ms=math.ceil(claim.holder_acts_s * 1000),
         )
         sent_s = self._ports.clock.now_s()
         outcome = await self._repository.write_lease(lease, stored.version)
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
 from eliot import log_message
@@ -109,6 +110,7 @@
         self._wake = asyncio.Event()
         self._is_releasing = False
         self._removed: list[JobId] = []
+        self._earlier_act_until_s = taken_s + claim.holder_acts_s
         self._turns = VmTurns(lease.ordered_vms, taken_s, tuning)
         #: When a VM was last noted that the lease has to name.
         self._announced_s = float("-inf")
@@ -301,6 +303,7 @@
             self._lease,
             sequence=self._lease.sequence + 1,
             ordered_vms=self._turns.recent(sent_s),
+            earlier_acts_ms=self._earlier_acts_ms(sent_s),
         )
         if is_last:
             lease = replace(lease, holder=NOBODY, address="")
@@ -337,6 +340,10 @@
             log_message("currantstage:lease-released", term=lease.term)
             self._ended.set()
 
+    def _earlier_acts_ms(self, now_s: float) -> int:
+        """Return for how long holders before this one may still give orders."""
+        return math.ceil(max(0.0, self._earlier_act_until_s - now_s) * 1000)
+
     def _next_batch(self) -> ProgressBatch | None:
         if self.scheduler is None:
             return None
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -36,6 +36,8 @@
         Rises with each write of the holder.
     ordered_vms : tuple of VmId
         VMs that this holder, or one just before it, has ordered or is about to.
+    earlier_acts_ms : int
+        For how long after this write holders before this one may give orders.
     """
 
     holder: EntryVmId
@@ -43,6 +45,7 @@
     term: Term
     sequence: int = 0
     ordered_vms: tuple[VmId, ...] = ()
+    earlier_acts_ms: int = 0
 
 
 class HolderAnswer(Enum):
@@ -73,8 +76,9 @@
     ----------
     ground : ClaimGround
     holder_acts_s : float
-        How much longer the earlier holder may give orders, in seconds. One that is
-        gone gives none; one that is merely silent may act until its lease has ended.
+        How much longer earlier holders may give orders, in seconds. One that is gone
+        gives none; one that is merely silent may act until its lease has ended, also
+        while the holder after it comes and goes.
     """
 
     ground: ClaimGround
@@ -126,15 +130,16 @@
         answer : HolderAnswer
             What the holder says when it is asked.
         """
-        if row is None or row.holder in (NOBODY, own):
-            return LeaseClaim(ClaimGround.HOLDER_GONE)
-        if answer is HolderAnswer.GONE:
+        if row is None:
             return LeaseClaim(ClaimGround.HOLDER_GONE)
+        earlier_acts_s = row.earlier_acts_ms / 1000
+        if row.holder in (NOBODY, own) or answer is HolderAnswer.GONE:
+            return LeaseClaim(ClaimGround.HOLDER_GONE, earlier_acts_s)
         is_refused = answer is HolderAnswer.REFUSED
         if is_refused or self._unchanged_s >= self._tuning.takeover_ms / 1000:
             # It counts its lease from before the write that was first seen then.
             lease_s = self._tuning.owner_lease_ms / 1000
-            acts_s = max(0.0, lease_s - self._unchanged_s)
+            acts_s = max(earlier_acts_s, lease_s - self._unchanged_s)
             return LeaseClaim(ClaimGround.HOLDER_SILENT, acts_s)
         return None
 
--- a/spec/_report.py
+++ b/spec/_report.py
@@ -6,13 +6,17 @@
 from collections.abc import Iterator
 from typing import Any
 
-from spec import _allotments, _notes
+from spec import _allotments, _notes, _ownership
 from spec._engine import Model, find_trace, guard_names, prove_inductive
 
 
 def proof_models() -> tuple[Model[Any], ...]:
     """Return the models on which the invariants are proved."""
-    return (_allotments.AllotmentModel(), _notes.NoteModel())
+    return (
+        _allotments.AllotmentModel(),
+        _notes.NoteModel(),
+        _ownership.OwnershipModel(),
+    )
 
 
 def search_models() -> tuple[Model[Any], ...]:
@@ -20,6 +24,7 @@
     return (
         _allotments.AllotmentModel(_allotments.SEARCH_NAMES),
         _notes.NoteModel(_notes.SEARCH_NAMES),
+        _ownership.OwnershipModel(),
     )
 
 
--- a/tests/jobs/test_owner_lease.py
+++ b/tests/jobs/test_owner_lease.py
@@ -108,3 +108,13 @@
     held.note_failure(0.1)
     held.confirm(0.5)
     assert not held.wants_successor(9.0)
+
+
+def test_silent_holder_before_the_one_that_is_gone_may_still_act() -> None:
+    """Found by the model of the lease: two takeovers in a row."""
+    row = LeaseRow(holder=OTHER, address="a", term=Term(4), earlier_acts_ms=3500)
+    claim = _watch(0.0).claim(row, OWN, HolderAnswer.GONE)
+    assert claim == LeaseClaim(ClaimGround.HOLDER_GONE, 3.5)
+    free = LeaseRow(holder=NOBODY, address="", term=Term(4), earlier_acts_ms=3500)
+    claim = _watch(0.0).claim(free, OWN, HolderAnswer.UNKNOWN)
+    assert claim == LeaseClaim(ClaimGround.HOLDER_GONE, 3.5)
--- a/tests/jobs/test_site_days.py
+++ b/tests/jobs/test_site_days.py
@@ -461,3 +461,39 @@
         assert site.oracle.violations == []
 
     run_day(day())
+
+
+def test_silent_scheduler_is_waited_for_by_the_one_after_the_next() -> None:
+    """Found by the model of the lease: two takeovers within one lease (TWICE).
+
+    The first scheduler goes on beside a worker that the others can't reach. The
+    second one knows that it has to wait for it, and ends at once.
+    """
+
+    async def day() -> None:
+        site = SimulatedSite(seed=19)
+        await site.start()
+        await asyncio.sleep(2)
+        await site.submit((step(6, run_ms=8000),))
+        await asyncio.sleep(0.5)
+        old = site.scheduler_name()
+        assert old is not None
+        worker = next(w for w in site.workers.workers.values() if w.runs)
+        site.store.unreachable_for = {old}
+        site.resetting = {old}
+        others = set(site.daemons) - {old}
+        site.workers.cut_pairs = {(name, worker.entry.worker) for name in others}
+        await asyncio.sleep(1.6)
+        (second,) = (n for n in others if site.daemons[n].ownership.session)
+        await site.stop_daemon(second)
+        await asyncio.sleep(8)
+        (third,) = others - {second}
+        assert site.daemons[third].ownership.session
+        site.store.unreachable_for = set()
+        site.resetting = set()
+        site.workers.cut_pairs = set()
+        await asyncio.sleep(20)
+        await site.check_final()
+        assert site.oracle.violations == []
+
+    run_day(day())
