Store a job in its alternate partition while its own is away

From 31.1 s to 37.4 s the store answered 503 for 4 of the 16 partitions of jobs and served the others. Daemons in touch with it retried until the caller's time was over and then refused: 20 jobs, each tried twice, all with the first digits 8, a, c and f. The reason of a failed write was logged nowhere, so that the log alone did not tell; a line job-not-stored does now.

Ruled out: the cut of ga-mac at the same time (the refusing daemons were elsewhere), the rate limit of a partition (20 writes in 6 s).

Change: each job has an alternate partition, eight digits on. It takes the job, or its cancelling, when its own partition fails and the store as a whole is not held to be away. A job in both is one job. Tests: accepted, submitted again, taken over by another scheduler; cancelled; both fail before.

--- a/currantstage/application/jobs/_fleet_duty.py
+++ b/currantstage/application/jobs/_fleet_duty.py
@@ -24,7 +24,7 @@
         VmTurns,
         WaveState,
     )
-    from currantstage.state import VmId
+    from currantstage.state import PoolId, VmId
     from currantstage.state.jobs import Term
 
 #: Time between two plans, in seconds.
@@ -74,6 +74,7 @@
         self._follower = follower
         self._ports = ports
         self._listed_s = float("-inf")
+        self._logged_sizes: dict[PoolId, tuple[int, int]] = {}
         self._tasks = TaskSet()
 
     async def run(self) -> None:
@@ -98,9 +99,28 @@
             return
         for order in self._manager.plan(self._ports.clock.now_s()):
             self._tasks.spawn(self._carry_out(order))
+        self._log_sizes()
         self._give_orders()
         await self._report_waves()
 
+    def _log_sizes(self) -> None:
+        """Log each pool whose size or wanted size has changed."""
+        for pool, size in self._manager.pool_sizes.items():
+            if self._logged_sizes.get(pool) == (size.vms, size.wanted_vms):
+                continue
+            self._logged_sizes[pool] = (size.vms, size.wanted_vms)
+            demand = size.demand
+            log_message(
+                "currantstage:pool-size",
+                pool=pool,
+                vms=size.vms,
+                wanted=size.wanted_vms,
+                arriving_cores=round(demand.arriving_cores, 1),
+                remaining_core_s=round(demand.remaining_core_s, 1),
+                capacity_cores=round(demand.capacity_cores, 1),
+                listed_ago_s=round(self._ports.clock.now_s() - self._listed_s, 3),
+            )
+
     async def _learn_waves(self) -> None:
         known = self._manager.upkeep.waves
         for wave in self._follower.waves:
--- a/currantstage/application/jobs/_job_writer.py
+++ b/currantstage/application/jobs/_job_writer.py
@@ -5,6 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from eliot import log_message
+
+from currantstage.application.jobs._repository import JobPlace
 from currantstage.protocol.jobs import (
     StoreCancel,
     StoreJob,
@@ -19,6 +22,7 @@
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import StoreHealth
     from currantstage.state import Clock
+    from currantstage.state.jobs import JobId
 
 #: Pause before a write is repeated, in seconds.
 WRITE_RETRY_S = 0.08
@@ -68,22 +72,24 @@
         return StoreOutcome.IN_DOUBT if is_in_doubt else StoreOutcome.NOT_STORED
 
     async def write_here(self, query: StoreJob | StoreCancel) -> StoreOutcome:
-        """Store what `query` holds by this daemon, trying once."""
-        if self._health.is_away(self._clock.now_s()):
-            return StoreOutcome.NOT_STORED
-        try:
-            if isinstance(query, StoreJob):
-                await self._repository.submit(query.submission)
-                return StoreOutcome.STORED
-            stored = await self._repository.read_job(query.job)
-            if stored.submission is None:
-                return StoreOutcome.NO_SUCH_JOB
-            await self._repository.cancel(query.job)
-        except StoreUnavailable as error:
-            if error.is_in_doubt:
-                return StoreOutcome.IN_DOUBT
-            return StoreOutcome.NOT_STORED
-        return StoreOutcome.STORED
+        """Store what `query` holds by this daemon, trying each place once."""
+        outcome = StoreOutcome.NOT_STORED
+        for place in JobPlace:
+            if self._health.is_away(self._clock.now_s()):
+                break
+            try:
+                return await self._write_to(query, place)
+            except StoreUnavailable as error:
+                log_message(
+                    "currantstage:job-not-stored",
+                    job=_job_of(query),
+                    place=place.value,
+                    reason=str(error),
+                    in_doubt=error.is_in_doubt,
+                )
+                if error.is_in_doubt:
+                    outcome = StoreOutcome.IN_DOUBT
+        return outcome
 
     def is_isolated(self) -> bool:
         """Return whether neither the store nor the scheduler is within reach.
@@ -93,6 +99,18 @@
         is_away = self._health.is_away(self._clock.now_s())
         return is_away and not self._directory.hears_scheduler()
 
+    async def _write_to(
+        self, query: StoreJob | StoreCancel, place: JobPlace
+    ) -> StoreOutcome:
+        if isinstance(query, StoreJob):
+            await self._repository.submit(query.submission, place)
+            return StoreOutcome.STORED
+        stored = await self._repository.read_job(query.job)
+        if stored.submission is None:
+            return StoreOutcome.NO_SUCH_JOB
+        await self._repository.cancel(query.job, place)
+        return StoreOutcome.STORED
+
     async def _write_once(self, query: StoreJob | StoreCancel) -> StoreOutcome:
         outcome = await self.write_here(query)
         if outcome in (StoreOutcome.STORED, StoreOutcome.NO_SUCH_JOB):
@@ -106,3 +124,7 @@
             return relayed.outcome
         # A peer that did not answer may have stored it.
         return StoreOutcome.IN_DOUBT if relayed is PeerFailure.SILENT else outcome
+
+
+def _job_of(query: StoreJob | StoreCancel) -> JobId:
+    return query.submission.job if isinstance(query, StoreJob) else query.job
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -109,9 +109,10 @@
         session = self.session
         if session is None or session.lease.term != term:
             return
-        if not session.wants_successor():
-            return
-        log_message("currantstage:lease-lost", term=term, by="hand-over")
+        if not session.has_ended:
+            if not session.wants_successor():
+                return
+            log_message("currantstage:lease-lost", term=term, by="hand-over")
         await session.close()
         if self.session is session:
             self.session = None
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,6 +34,7 @@
     RowName,
     RowWrite,
     StoredRow,
+    StoreUnavailable,
 )
 
 if TYPE_CHECKING:
@@ -84,6 +86,13 @@
     version: int
 
 
+class JobPlace(Enum):
+    """Where a job is stored: in its own partition, or in another if that is away."""
+
+    OWN = "own"
+    ALTERNATE = "alternate"
+
+
 class JobRepository:
     """Reads and writes jobs; every method raises `StoreUnavailable`.
 
@@ -96,26 +105,37 @@
         self._store = store
         self._once = GroupWriter(store)
 
-    async def submit(self, submission: Submission) -> None:
-        """Store a job, unless it is stored already."""
-        await self._once.write_once(_job_row(submission.job), encode_row(submission))
+    async def submit(self, submission: Submission, place: JobPlace) -> None:
+        """Store a job, unless it is stored there already."""
+        name = _job_row(submission.job, place)
+        await self._once.write_once(name, encode_row(submission))
 
-    async def cancel(self, job: JobId) -> None:
-        """Store the cancelling of a job, unless it is stored already."""
-        await self._once.write_once(_cancel_row(job), b"{}")
+    async def cancel(self, job: JobId, place: JobPlace) -> None:
+        """Store the cancelling of a job, unless it is stored there already."""
+        await self._once.write_once(_cancel_row(job, place), b"{}")
 
     async def read_job(self, job: JobId) -> StoredJob:
         """Return everything that is stored of one job."""
-        page = await self._store.read(JOBS_TABLE, _partition(job), job)
-        changes = _changes(page.rows, page.version)
-        stored = StoredJob(is_cancelled=job in changes.cancelled)
-        stored.submission = next(iter(changes.submissions), None)
-        if stored.submission is not None:
-            progress = await self._store.read(
-                _PROGRESS_TABLE, _SCHEDULER_PARTITION, job
-            )
-            stored.progress = next(iter(_progress_rows(progress.rows)), None)
-        return stored
+        failure: StoreUnavailable | None = None
+        for place in JobPlace:
+            try:
+                page = await self._store.read(JOBS_TABLE, _partition(job, place), job)
+            except StoreUnavailable as error:
+                failure = error
+                continue
+            changes = _changes(page.rows, page.version)
+            for submission in changes.submissions:
+                progress = await self._store.read(
+                    _PROGRESS_TABLE, _SCHEDULER_PARTITION, job
+                )
+                return StoredJob(
+                    submission,
+                    next(iter(_progress_rows(progress.rows)), None),
+                    is_cancelled=job in changes.cancelled,
+                )
+        if failure is not None:
+            raise failure
+        return StoredJob()
 
     async def read_jobs(self) -> JobChanges:
         """Return all jobs and cancellations."""
@@ -167,8 +187,9 @@
 
     async def remove_job(self, job: JobId) -> None:
         """Remove a job that has ended long ago."""
-        writes = (RowWrite(_job_row(job), None), RowWrite(_cancel_row(job), None))
-        await self._store.transact((), writes)
+        for place in JobPlace:
+            names = (_job_row(job, place), _cancel_row(job, place))
+            await self._store.transact((), [RowWrite(name, None) for name in names])
 
     async def write_wave(self, wave: int, done: Sequence[str]) -> None:
         """Record which VMs of a wave have been maintained."""
@@ -205,16 +226,18 @@
         return tuple(members)
 
 
-def _partition(job: JobId) -> str:
-    return job[0].lower()
+def _partition(job: JobId, place: JobPlace) -> str:
+    own = JOB_PARTITIONS.index(job[0].lower())
+    step = len(JOB_PARTITIONS) // 2 if place is JobPlace.ALTERNATE else 0
+    return JOB_PARTITIONS[(own + step) % len(JOB_PARTITIONS)]
 
 
-def _job_row(job: JobId) -> RowName:
-    return RowName(JOBS_TABLE, _partition(job), job)
+def _job_row(job: JobId, place: JobPlace) -> RowName:
+    return RowName(JOBS_TABLE, _partition(job, place), job)
 
 
-def _cancel_row(job: JobId) -> RowName:
-    return RowName(JOBS_TABLE, _partition(job), job + _CANCEL_SUFFIX)
+def _cancel_row(job: JobId, place: JobPlace) -> RowName:
+    return RowName(JOBS_TABLE, _partition(job, place), job + _CANCEL_SUFFIX)
 
 
 def _progress_row(job: JobId) -> RowName:
@@ -222,7 +245,8 @@
 
 
 def _changes(rows: Sequence[StoredRow], version: int) -> JobChanges:
-    submissions = []
+    # A job that is stored in both of its partitions is one job.
+    submissions: dict[JobId, Submission] = {}
     cancelled = []
     for row in rows:
         if row.value is None:
@@ -231,10 +255,12 @@
             cancelled.append(JobId(row.name.key.removesuffix(_CANCEL_SUFFIX)))
             continue
         try:
-            submissions.append(decode_submission(row.value))
+            submission = decode_submission(row.value)
         except ProtocolError as error:
             _log_malformed(row, error)
-    return JobChanges(tuple(submissions), tuple(cancelled), version)
+            continue
+        submissions[submission.job] = submission
+    return JobChanges(tuple(submissions.values()), tuple(cancelled), version)
 
 
 def _progress_rows(rows: Sequence[StoredRow]) -> list[JobProgress]:
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -24,6 +24,7 @@
     FixedSizing,
     PoolDemand,
     PoolPlan,
+    PoolSize,
     PoolSizing,
 )
 from currantstage.coordination.jobs._records import (
@@ -69,6 +70,7 @@
     "PaceKeeper",
     "PoolDemand",
     "PoolPlan",
+    "PoolSize",
     "PoolSizing",
     "ProgressBatch",
     "Rank",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -21,9 +21,9 @@
 from currantstage.state.jobs import NO_RESOURCES, Resources, VmOrderOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
-    from currantstage.coordination.jobs._pool_plan import PoolSizing
+    from currantstage.coordination.jobs._pool_plan import PoolSize, PoolSizing
     from currantstage.coordination.jobs._records import StepRecord
     from currantstage.coordination.jobs._scheduler import Scheduler
     from currantstage.coordination.jobs._tuning import SchedulerTuning
@@ -110,6 +110,11 @@
         """Return whether every VM of the wave that exists has been maintained."""
         return not self.upkeep.remaining(wave)
 
+    @property
+    def pool_sizes(self) -> Mapping[PoolId, PoolSize]:
+        """What the last plan of moves went by."""
+        return self._pools.sizes
+
     @property
     def is_busy(self) -> bool:
         """Whether any work on VMs is planned or under way."""
--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -49,6 +49,20 @@
     min_vms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSize:
+    """How many VMs a pool has, or will have, and how many it asks for."""
+
+    vms: int
+    wanted_vms: int
+    demand: PoolDemand
+
+    @property
+    def surplus(self) -> int:
+        """VMs beyond what the pool asks for."""
+        return self.vms - self.wanted_vms
+
+
 class PoolSizing(Protocol):
     """Decides how many VMs a pool should have."""
 
@@ -111,6 +125,8 @@
         self._sizing = sizing
         self._surplus_for_s = surplus_s
         self._since_s: dict[PoolId, float] = {}
+        #: What the last plan went by.
+        self.sizes: dict[PoolId, PoolSize] = {}
 
     def choose(
         self,
@@ -120,9 +136,10 @@
         now_s: float,
     ) -> None:
         """Set goals; pools that ask for more are served before VMs are given back."""
-        balance = {
-            pool: self._balance(pool, demand) for pool, demand in demands.items()
+        self.sizes = {
+            pool: self._size(pool, demand) for pool, demand in demands.items()
         }
+        balance = {pool: size.surplus for pool, size in self.sizes.items()}
         idle = [vm for vm in self._vms.states() if vm.goal is None and vm.is_up]
         givers = [vm for vm in idle if vm.record.pool == spare_pool]
         unneeded: list[VmState] = []
@@ -141,12 +158,11 @@
             if spare_pool is not None and vm.goal is None:
                 self._move(vm, spare_pool, now_s)
 
-    def _balance(self, pool: PoolId, demand: PoolDemand) -> int:
-        """Return how many VMs a pool has, or will have, beyond what it asks for."""
+    def _size(self, pool: PoolId, demand: PoolDemand) -> PoolSize:
         coming = [vm for vm in self._vms.states() if vm.target_pool() == pool]
-        if not coming:
-            return -self._sizing.wanted_vms(demand, Resources(1, 1))
-        return len(coming) - self._sizing.wanted_vms(demand, coming[0].record.capacity)
+        capacity = coming[0].record.capacity if coming else Resources(1, 1)
+        wanted = self._sizing.wanted_vms(demand, capacity)
+        return PoolSize(len(coming), wanted, demand)
 
     def _surplus_s(self, pool: PoolId, surplus: int, now_s: float) -> float:
         """Return for how long a pool has had more VMs than it asks for."""
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -216,6 +216,10 @@
             await asyncio.sleep(CALL_PAUSE_S)
         return job
 
+    async def submit_again(self, job: JobId) -> bool:
+        """Repeat a submission as a caller does; return whether it was accepted."""
+        return await self._submit_once(self.oracle.submitted[job], "") is None
+
     async def cancel(self, job: JobId) -> bool:
         """Cancel a job as a caller does; return whether that was acknowledged."""
         core = await self._any_daemon()
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -48,6 +48,8 @@
         self.unreachable_for: set[str] = set()
         #: Callers that are turned away at once.
         self.refused_for: set[str] = set()
+        #: Partitions that are neither read nor written.
+        self.refused_partitions: set[str] = set()
         #: Share of the writes whose answer is lost, and of those that are late then.
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -104,6 +106,8 @@
         """Apply all of `writes` if every condition holds, otherwise none."""
         await self._reach(is_write=True)
         store = self._store
+        for write in writes:
+            self._check_partition(write.name.partition)
         if store.random.random() < store.lost_share:
             await self._lose(conditions, writes)
         outcome = store.apply(conditions, writes)
@@ -113,6 +117,7 @@
     async def read(self, table: str, partition: str, prefix: str = "") -> RowPage:
         """Return the rows of a partition whose keys begin with `prefix`."""
         await self._reach(is_write=False)
+        self._check_partition(partition)
         rows = [
             row
             for name, row in self._store.rows.items()
@@ -152,6 +157,10 @@
         newest = {row.name: row for row in rows}
         return RowPage(tuple(newest.values()), store.version)
 
+    def _check_partition(self, partition: str) -> None:
+        if partition in self._store.refused_partitions:
+            raise StoreUnavailable("partition refused", is_in_doubt=False)
+
     async def _reach(self, *, is_write: bool) -> None:
         if self._caller in self._store.refused_for:
             await asyncio.sleep(HALF_CALL_S)
--- a/tests/jobs/test_site_days.py
+++ b/tests/jobs/test_site_days.py
@@ -497,3 +497,52 @@
         assert site.oracle.violations == []
 
     run_day(day())
+
+
+def test_job_is_accepted_while_its_partition_is_away_and_stays_one_job() -> None:
+    """Found on pfc-redirect inc-9ff8: jobs with four first digits were refused.
+
+    The store served the other partitions all the while.
+    """
+
+    async def day() -> None:
+        site = SimulatedSite(seed=20)
+        await site.start()
+        await asyncio.sleep(2)
+        site.store.refused_partitions = {"1"}
+        job = await site.submit((step(2, run_ms=4000),))
+        assert job.startswith("1")
+        assert job in site.oracle.accepted_s
+        await asyncio.sleep(0.5)
+        assert await site.show(job) is JobState.RUNNING
+        site.store.refused_partitions = set()
+        assert await site.submit_again(job)
+        await asyncio.sleep(0.5)
+        name = site.scheduler_name()
+        assert name is not None
+        await site.stop_daemon(name)
+        await asyncio.sleep(5)
+        assert await site.show(job) is JobState.COMPLETED
+        stored = [name.partition for name in site.store.rows if name.key == job]
+        assert sorted(stored) == ["1", "9", "scheduler"]
+        assert site.oracle.violations == []
+
+    run_day(day())
+
+
+def test_job_is_cancelled_while_its_partition_is_away() -> None:
+    async def day() -> None:
+        site = SimulatedSite(seed=21)
+        await site.start()
+        await asyncio.sleep(2)
+        site.store.refused_partitions = {"1"}
+        job = await site.submit((step(2, run_ms=9000),))
+        await asyncio.sleep(0.5)
+        assert await site.cancel(job)
+        await asyncio.sleep(1)
+        assert await site.show(job) is JobState.CANCELLED
+        site.store.refused_partitions = set()
+        await site.check_final()
+        assert site.oracle.violations == []
+
+    run_day(day())
