--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+from msgspec import Struct
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -35,6 +36,22 @@
     body: bytes
 
 
+class _Refusal(Struct, rename="pascal"):
+    reason: str = ""
+
+
+def read_reason(reply: HttpReply) -> str:
+    """Return the reason of a refused order; empty if the answer names none.
+
+    >>> read_reason(HttpReply(409, b'{"Reason":"fence"}'))
+    'fence'
+    """
+    try:
+        return msgspec.json.decode(reply.body, type=_Refusal).reason
+    except msgspec.DecodeError:
+        return ""
+
+
 class PlatformHttp:
     """Sends calls with a timeout each; never repeats one by itself."""
 
--- a/currantstage/platform/_machines.py
+++ b/currantstage/platform/_machines.py
@@ -9,7 +9,12 @@
 from msgspec import Struct, field
 
 from currantstage.platform._decoding import WireResources
-from currantstage.platform._http import CallFailure, HttpReply, PlatformHttp
+from currantstage.platform._http import (
+    CallFailure,
+    HttpReply,
+    PlatformHttp,
+    read_reason,
+)
 from currantstage.state import DataCentreId, PoolId, VmId
 from currantstage.state.jobs import (
     StoreUnavailable,
@@ -72,10 +77,6 @@
     wave: int
 
 
-class _Refusal(Struct, rename="pascal"):
-    reason: str = ""
-
-
 class MachineClient:
     """Implements `VmOrders`.
 
@@ -145,9 +146,5 @@
     if reply.status == 400:
         return VmOrderOutcome.MALFORMED
     if reply.status == 409:
-        try:
-            reason = msgspec.json.decode(reply.body, type=_Refusal).reason
-        except msgspec.DecodeError:
-            return VmOrderOutcome.UNAVAILABLE
-        return _REASONS.get(reason, VmOrderOutcome.UNAVAILABLE)
+        return _REASONS.get(read_reason(reply), VmOrderOutcome.UNAVAILABLE)
     return VmOrderOutcome.UNAVAILABLE
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -8,7 +8,12 @@
 from eliot import log_message
 from msgspec import Struct, field
 
-from currantstage.platform._http import CallFailure, HttpReply, PlatformHttp
+from currantstage.platform._http import (
+    CallFailure,
+    HttpReply,
+    PlatformHttp,
+    read_reason,
+)
 from currantstage.state.jobs import (
     BornMs,
     EndedTask,
@@ -86,10 +91,6 @@
     born: int = field(name="born", default=0)
 
 
-class _Refusal(Struct, rename="pascal"):
-    reason: str = ""
-
-
 class WorkerClient:
     """Implements `WorkerOrders`."""
 
@@ -194,11 +195,7 @@
     if reply.status in (429, 503):
         return OrderOutcome.UNHEALTHY
     if reply.status == 409:
-        try:
-            refusal = msgspec.json.decode(reply.body, type=_Refusal)
-        except msgspec.DecodeError:
-            return OrderOutcome.OUTDATED
-        return _REASONS.get(refusal.reason, OrderOutcome.OUTDATED)
+        return _REASONS.get(read_reason(reply), OrderOutcome.OUTDATED)
     if reply.status == 400:
         return OrderOutcome.MALFORMED
     return OrderOutcome.UNKNOWN
--- /dev/null
+++ b/currantstage/transport/_http_session.py
@@ -0,0 +1,49 @@
+"""A client's connections to one daemon, opened and closed explicitly."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Self
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class HttpSession:
+    """The base of clients that call one daemon.
+
+    Parameters
+    ----------
+    url : str
+        ``http://IP:port`` of the daemon.
+    headers : mapping of str to str
+        Sent with every call.
+    timeout_s : float
+        Longest that a call may take.
+    """
+
+    def __init__(self, url: str, headers: Mapping[str, str], timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        self._headers = headers
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession(
+            headers=self._headers, timeout=self._timeout
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- a/currantstage/transport/_job_client.py
+++ b/currantstage/transport/_job_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -13,6 +13,7 @@
     decode_answer,
 )
 from currantstage.transport._errors import TransportError
+from currantstage.transport._http_session import HttpSession
 
 if TYPE_CHECKING:
     from currantstage.state import QueueId
@@ -26,7 +27,7 @@
     """A call about a job that got no usable answer."""
 
 
-class JobClient:
+class JobClient(HttpSession):
     """Submits, shows and cancels jobs at one daemon.
 
     Parameters
@@ -38,27 +39,8 @@
     """
 
     def __init__(self, url: str, key: str) -> None:
-        self._url = url.rstrip("/")
-        self._headers = {JOB_KEY_HEADER: key} if key else {}
-        self._session: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self) -> Self:
-        await self.start()
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.close()
-
-    async def start(self) -> None:
-        """Open the connection pool."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        self._session = aiohttp.ClientSession(headers=self._headers, timeout=timeout)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        headers = {JOB_KEY_HEADER: key} if key else {}
+        super().__init__(url, headers, CALL_TIMEOUT_S)
 
     async def submit(self, queue: QueueId, job: JobId, body: bytes) -> JobAnswer:
         """Submit a job; repeating the call has no further effect."""
--- a/currantstage/transport/_operator_client.py
+++ b/currantstage/transport/_operator_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Self, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
 
@@ -20,6 +20,7 @@
 )
 from currantstage.state import Fleet
 from currantstage.transport._errors import OperatorCallError, OperatorRefusedError
+from currantstage.transport._http_session import HttpSession
 
 if TYPE_CHECKING:
     from currantstage.state import NoteId
@@ -33,7 +34,7 @@
 _FAILURE_STATUSES = frozenset({500, 503})
 
 
-class OperatorClient:
+class OperatorClient(HttpSession):
     """Calls the operators' routes of one entry VM.
 
     Parameters
@@ -45,27 +46,7 @@
     """
 
     def __init__(self, url: str, key: str) -> None:
-        self._url = url.rstrip("/")
-        self._headers = {OPERATOR_KEY_HEADER: key}
-        self._session: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self) -> Self:
-        await self.start()
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.close()
-
-    async def start(self) -> None:
-        """Open the connection pool."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        self._session = aiohttp.ClientSession(headers=self._headers, timeout=timeout)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        super().__init__(url, {OPERATOR_KEY_HEADER: key}, CALL_TIMEOUT_S)
 
     async def submit_note(self, text: str) -> NoteReport:
         """Submit the note in `text`; raises `OperatorCallError`."""
