--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,9 +18,7 @@
 import uvloop
 
 from bench.harness import serving, spawn, wait_until_open
-from currantstage.coordination.notes import (
-    check_note,
-)
+from currantstage.coordination.notes import check_note
 from currantstage.protocol import (
     NoteState,
     decode_generation,
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -10,9 +10,7 @@
 import uvloop
 
 from bench.request_site import RequestSite, serving_path
-from currantstage.coordination.requests import (
-    Outcome,
-)
+from currantstage.coordination.requests import Outcome
 from currantstage.protocol import CallerOptions
 from currantstage.standin import BackendMode
 
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -10,13 +10,8 @@
 
 import click
 
-from currantstage.coordination.limits import (
-    AllotmentMessage,
-    Peer,
-)
-from currantstage.coordination.store import (
-    Transact,
-)
+from currantstage.coordination.limits import AllotmentMessage, Peer
+from currantstage.coordination.store import Transact
 from currantstage.protocol import PeerFrame, encode_frame
 from currantstage.state import EntryVmId, IncarnationId, ResourceId
 from tests.allotments import Site
--- a/bench/memory_fleet.py
+++ b/bench/memory_fleet.py
@@ -39,9 +39,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination.fleet import (
-        VmAction,
-    )
+    from currantstage.coordination.fleet import VmAction
 
 VMS_PER_RACK = 4
 
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -22,10 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from currantstage.coordination.fleet import (
-        Action,
-        FleetSnapshot,
-    )
+    from currantstage.coordination.fleet import Action, FleetSnapshot
 
     Planner: TypeAlias = Callable[[FleetSnapshot, "_Demand"], Sequence[Action]]
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -22,9 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from currantstage.coordination.requests import (
-        Placement,
-    )
+    from currantstage.coordination.requests import Placement
     from currantstage.state import Random
 
 _POOL_SIZES = (6, 31)
--- a/bench/request_site.py
+++ b/bench/request_site.py
@@ -7,12 +7,8 @@
 from typing import TYPE_CHECKING
 
 from currantstage.application import DaemonMetrics, RequestPath
-from currantstage.coordination.limits import (
-    WeightedMaxMin,
-)
-from currantstage.coordination.membership import (
-    Configuration,
-)
+from currantstage.coordination.limits import WeightedMaxMin
+from currantstage.coordination.membership import Configuration
 from currantstage.protocol import CallerRequest
 from currantstage.standin import BackendStandIn, free_ports
 from currantstage.state import (
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -18,9 +18,7 @@
     WeightedMaxMin,
     max_min_slots,
 )
-from currantstage.coordination.requests import (
-    TeamLoad,
-)
+from currantstage.coordination.requests import TeamLoad
 from currantstage.state import EntryVmId, IncarnationId, QueueId, TeamId
 
 #: No share gives a whole number of an entry VM's slots.
--- a/currantstage/application/__init__.py
+++ b/currantstage/application/__init__.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from currantstage.application._allotment_service import (
-    ASK_AGAIN_S,
-    AllotmentService,
-)
+from currantstage.application._allotment_service import ASK_AGAIN_S, AllotmentService
 from currantstage.application._caller_service import (
     NO_QUEUE,
     Claims,
@@ -19,47 +16,26 @@
     ClaimService,
     SendEffect,
 )
-from currantstage.application._core import (
-    INCARNATION_BITS,
-    DaemonCore,
-)
+from currantstage.application._core import INCARNATION_BITS, DaemonCore
 from currantstage.application._daemon import (
     LISTING_INTERVAL_S,
     PROBE_INTERVAL_S,
     Daemon,
     Part,
 )
-from currantstage.application._demand_service import (
-    DEMAND_INTERVAL_S,
-    DemandService,
-)
-from currantstage.application._dispatch_driver import (
-    Admitted,
-    DispatchDriver,
-)
-from currantstage.application._duty_runner import (
-    DutyRunner,
-)
-from currantstage.application._errors import (
-    ApplicationError,
-    StartError,
-)
-from currantstage.application._fleet_follower import (
-    PLACEMENT_POLL_S,
-    FleetFollower,
-)
-from currantstage.application._fleet_reporter import (
-    FleetReporter,
-)
+from currantstage.application._demand_service import DEMAND_INTERVAL_S, DemandService
+from currantstage.application._dispatch_driver import Admitted, DispatchDriver
+from currantstage.application._duty_runner import DutyRunner
+from currantstage.application._errors import ApplicationError, StartError
+from currantstage.application._fleet_follower import PLACEMENT_POLL_S, FleetFollower
+from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._head_follower import (
     HEARTBEATS_PER_TURN,
     PEER_REFRESH_PER_PEER_S,
     PEER_REFRESH_S,
     HeadFollower,
 )
-from currantstage.application._http_api import (
-    build_http_server,
-)
+from currantstage.application._http_api import build_http_server
 from currantstage.application._limit_path import (
     EXCHANGE_INTERVAL_S,
     SETTLE_INTERVAL_S,
@@ -67,38 +43,16 @@
     AllottedWorkerSlots,
     LimitPath,
 )
-from currantstage.application._metrics import (
-    DaemonMetrics,
-    TeamAllotment,
-)
-from currantstage.application._metrics_registry import (
-    LATENCY_BUCKETS_S,
-)
-from currantstage.application._operator_service import (
-    NoteService,
-)
-from currantstage.application._peer_service import (
-    PeerService,
-)
-from currantstage.application._procedure_runner import (
-    ProcedureRunner,
-)
-from currantstage.application._relay_service import (
-    MAX_RUNNING_RENEWALS,
-    RelayService,
-)
-from currantstage.application._request_path import (
-    RequestPath,
-)
-from currantstage.application._server_monitor import (
-    ServerMonitor,
-)
-from currantstage.application._service_level_service import (
-    ServiceLevelService,
-)
-from currantstage.application._usage_service import (
-    UsageService,
-)
+from currantstage.application._metrics import DaemonMetrics, TeamAllotment
+from currantstage.application._metrics_registry import LATENCY_BUCKETS_S
+from currantstage.application._operator_service import NoteService
+from currantstage.application._peer_service import PeerService
+from currantstage.application._procedure_runner import ProcedureRunner
+from currantstage.application._relay_service import MAX_RUNNING_RENEWALS, RelayService
+from currantstage.application._request_path import RequestPath
+from currantstage.application._server_monitor import ServerMonitor
+from currantstage.application._service_level_service import ServiceLevelService
+from currantstage.application._usage_service import UsageService
 
 __all__ = [
     "ASK_AGAIN_S",
--- a/currantstage/application/_allotment_service.py
+++ b/currantstage/application/_allotment_service.py
@@ -19,9 +19,7 @@
     Settled,
     longest_work_s,
 )
-from currantstage.coordination.membership import (
-    LeaseContinuity,
-)
+from currantstage.coordination.membership import LeaseContinuity
 from currantstage.state import FLEET_SCOPE, member_scopes
 
 if TYPE_CHECKING:
@@ -29,15 +27,9 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.limits import (
-        SendToPeer,
-    )
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.store import (
-        StoreAccess,
-    )
+    from currantstage.coordination.limits import SendToPeer
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.store import StoreAccess
     from currantstage.protocol import PeerFrame
     from currantstage.state import (
         Clock,
--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -30,13 +30,8 @@
     from currantstage.application._dispatch_driver import DispatchDriver
     from currantstage.application._metrics import DaemonMetrics
     from currantstage.application._server_monitor import ServerMonitor
-    from currantstage.coordination.requests import (
-        Assignment,
-        RequestEnd,
-    )
-    from currantstage.coordination.store import (
-        RetryBudget,
-    )
+    from currantstage.coordination.requests import Assignment, RequestEnd
+    from currantstage.coordination.store import RetryBudget
     from currantstage.protocol import CallerAnswer, CallerRequest
     from currantstage.state import ClaimTaken, Clock, IncarnationId, Random, TeamId
     from currantstage.transport import BackendClient
--- a/currantstage/application/_claim_service.py
+++ b/currantstage/application/_claim_service.py
@@ -27,10 +27,7 @@
     settlement_of,
     verdict_end,
 )
-from currantstage.coordination.requests import (
-    Refusal,
-    RefusalReason,
-)
+from currantstage.coordination.requests import Refusal, RefusalReason
 from currantstage.protocol import (
     ClaimAnswered,
     ClaimSettled,
@@ -39,11 +36,7 @@
     PeerFrame,
     PeerMessage,
 )
-from currantstage.state import (
-    ClaimOwner,
-    ClaimTaken,
-    RequestId,
-)
+from currantstage.state import ClaimOwner, ClaimTaken, RequestId
 from currantstage.util import DutyLoop
 
 if TYPE_CHECKING:
@@ -51,20 +44,10 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.requests import (
-        RequestEnd,
-    )
-    from currantstage.coordination.store import (
-        StoreAccess,
-    )
+    from currantstage.coordination.requests import RequestEnd
+    from currantstage.coordination.store import StoreAccess
     from currantstage.protocol import CallerRequest
-    from currantstage.state import (
-        Clock,
-        EntryVmId,
-        PeerLink,
-        Random,
-        TeamId,
-    )
+    from currantstage.state import Clock, EntryVmId, PeerLink, Random, TeamId
 
 #: How often the owners of the buckets are read, in seconds.
 OWNERS_REFRESH_S = 2.0
--- a/currantstage/application/_core.py
+++ b/currantstage/application/_core.py
@@ -8,16 +8,8 @@
 from currantstage.application._metrics import DaemonMetrics
 from currantstage.application._peer_service import PeerService
 from currantstage.application._procedure_runner import ProcedureRunner
-from currantstage.coordination.membership import (
-    Configuration,
-    HeadWatch,
-    Membership,
-)
-from currantstage.coordination.store import (
-    DutyLeases,
-    RetryPolicy,
-    StoreAccess,
-)
+from currantstage.coordination.membership import Configuration, HeadWatch, Membership
+from currantstage.coordination.store import DutyLeases, RetryPolicy, StoreAccess
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
--- a/currantstage/application/_daemon.py
+++ b/currantstage/application/_daemon.py
@@ -10,16 +10,10 @@
 
 from currantstage.application._claim_service import ClaimService
 from currantstage.application._core import DaemonCore
-from currantstage.application._demand_service import (
-    DEMAND_INTERVAL_S,
-    DemandService,
-)
+from currantstage.application._demand_service import DEMAND_INTERVAL_S, DemandService
 from currantstage.application._duty_runner import DutyRunner
 from currantstage.application._errors import StartError
-from currantstage.application._fleet_follower import (
-    PLACEMENT_POLL_S,
-    FleetFollower,
-)
+from currantstage.application._fleet_follower import PLACEMENT_POLL_S, FleetFollower
 from currantstage.application._head_follower import PEER_REFRESH_S, HeadFollower
 from currantstage.application._http_api import build_http_server
 from currantstage.application._limit_path import LimitPath
@@ -27,34 +21,18 @@
 from currantstage.application._request_path import RequestPath
 from currantstage.application._service_level_service import ServiceLevelService
 from currantstage.application._usage_service import UsageService
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.fleet import (
-    DrainFollower,
-    FleetDuty,
-    plan_waves,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.fleet import DrainFollower, FleetDuty, plan_waves
 from currantstage.coordination.limits import (
     USAGE_INTERVAL_S,
     ReclaimingDuty,
     UsageBoard,
     WeightedMaxMin,
 )
-from currantstage.coordination.membership import (
-    LeaseRelay,
-    PeerLiveness,
-)
-from currantstage.coordination.notes import (
-    Cleanup,
-)
-from currantstage.coordination.requests import (
-    ServiceLevelRecorder,
-)
-from currantstage.coordination.store import (
-    DUTY_LEASE_S,
-    Duty,
-)
+from currantstage.coordination.membership import LeaseRelay, PeerLiveness
+from currantstage.coordination.notes import Cleanup
+from currantstage.coordination.requests import ServiceLevelRecorder
+from currantstage.coordination.store import DUTY_LEASE_S, Duty
 from currantstage.protocol import DemandMessage, LoadReport
 from currantstage.state import ClaimOwner, VmLiveness
 from currantstage.transport import TransportError
--- a/currantstage/application/_demand_service.py
+++ b/currantstage/application/_demand_service.py
@@ -18,16 +18,9 @@
 if TYPE_CHECKING:
     from currantstage.application._peer_service import PeerService
     from currantstage.application._request_path import RequestPath
-    from currantstage.coordination.fleet import (
-        Action,
-        FleetSnapshot,
-    )
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.store import (
-        DutyLeases,
-    )
+    from currantstage.coordination.fleet import Action, FleetSnapshot
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.store import DutyLeases
     from currantstage.protocol import PeerFrame
     from currantstage.state import Clock, DataCentreId, EntryVmId, PeerLink
 
--- a/currantstage/application/_dispatch_driver.py
+++ b/currantstage/application/_dispatch_driver.py
@@ -19,9 +19,7 @@
     from collections.abc import Iterable, Mapping
 
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination.limits import (
-        QueueLoad,
-    )
+    from currantstage.coordination.limits import QueueLoad
     from currantstage.coordination.requests import (
         DispatchEffect,
         Dispatcher,
--- a/currantstage/application/_duty_runner.py
+++ b/currantstage/application/_duty_runner.py
@@ -8,22 +8,15 @@
 
 from eliot import log_message
 
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.store import (
-    RENEWALS_PER_LEASE,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.store import RENEWALS_PER_LEASE
 from currantstage.util import DutyLoop
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.store import (
-        Duty,
-        DutyLeases,
-    )
+    from currantstage.coordination.store import Duty, DutyLeases
     from currantstage.state import Clock
 
 
--- a/currantstage/application/_fleet_follower.py
+++ b/currantstage/application/_fleet_follower.py
@@ -9,12 +9,8 @@
 if TYPE_CHECKING:
     from currantstage.application._procedure_runner import ProcedureRunner
     from currantstage.application._request_path import RequestPath
-    from currantstage.coordination.fleet import (
-        DrainFollower,
-    )
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
+    from currantstage.coordination.fleet import DrainFollower
+    from currantstage.coordination.membership import Configuration
 
 #: Pause between two reads of the placement, in seconds.
 PLACEMENT_POLL_S = 1.0
--- a/currantstage/application/_fleet_reporter.py
+++ b/currantstage/application/_fleet_reporter.py
@@ -4,9 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination import (
-    CoordinationError,
-)
+from currantstage.coordination import CoordinationError
 from currantstage.coordination.fleet import (
     FleetSnapshot,
     load_drain_acks,
@@ -19,13 +17,8 @@
 
 if TYPE_CHECKING:
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.store import (
-        Procedure,
-        StoreAccess,
-    )
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.store import Procedure, StoreAccess
 
 
 class FleetReporter:
--- a/currantstage/application/_head_follower.py
+++ b/currantstage/application/_head_follower.py
@@ -6,9 +6,7 @@
 
 from eliot import log_message
 
-from currantstage.coordination import (
-    CoordinationError,
-)
+from currantstage.coordination import CoordinationError
 from currantstage.protocol import Heartbeat
 
 if TYPE_CHECKING:
--- a/currantstage/application/_http_api.py
+++ b/currantstage/application/_http_api.py
@@ -6,12 +6,8 @@
 
 from currantstage.application._fleet_reporter import FleetReporter
 from currantstage.application._operator_service import NoteService
-from currantstage.coordination.limits import (
-    AllotmentLimitCheck,
-)
-from currantstage.coordination.notes import (
-    Acceptance,
-)
+from currantstage.coordination.limits import AllotmentLimitCheck
+from currantstage.coordination.notes import Acceptance
 from currantstage.transport import (
     HttpServer,
     add_caller_routes,
--- a/currantstage/application/_limit_path.py
+++ b/currantstage/application/_limit_path.py
@@ -9,9 +9,7 @@
 
 from currantstage.application._allotment_service import AllotmentService
 from currantstage.application._metrics import TeamAllotment
-from currantstage.coordination import (
-    CoordinationError,
-)
+from currantstage.coordination import CoordinationError
 from currantstage.coordination.limits import (
     AllotmentAsk,
     AllotmentReceipt,
@@ -32,12 +30,8 @@
 
     from currantstage.application._peer_service import PeerService
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.store import (
-        StoreAccess,
-    )
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.store import StoreAccess
     from currantstage.protocol import PeerFrame
     from currantstage.state import Clock, EntryVmRow, PeerLink, TeamId, VmId
 
--- a/currantstage/application/_metrics.py
+++ b/currantstage/application/_metrics.py
@@ -17,9 +17,7 @@
 
     from opentelemetry.metrics import CallbackOptions
 
-    from currantstage.coordination.requests import (
-        RefusalReason,
-    )
+    from currantstage.coordination.requests import RefusalReason
     from currantstage.state import QueueId, TeamId, VmId
 
 
--- a/currantstage/application/_operator_service.py
+++ b/currantstage/application/_operator_service.py
@@ -6,9 +6,7 @@
 
 from returns.result import Failure
 
-from currantstage.coordination import (
-    CoordinationError,
-)
+from currantstage.coordination import CoordinationError
 from currantstage.coordination.notes import (
     check_against_head,
     commit_note,
@@ -32,16 +30,9 @@
     from collections.abc import Callable
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.notes import (
-        Acceptance,
-    )
-    from currantstage.coordination.store import (
-        Procedure,
-        StoreAccess,
-    )
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.notes import Acceptance
+    from currantstage.coordination.store import Procedure, StoreAccess
     from currantstage.state import Fleet, NoteId
 
 
--- a/currantstage/application/_peer_service.py
+++ b/currantstage/application/_peer_service.py
@@ -17,9 +17,7 @@
     from collections.abc import Callable, Mapping
 
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.store import (
-        StoreAccess,
-    )
+    from currantstage.coordination.store import StoreAccess
     from currantstage.state import EntryVmId, IncarnationId, PeerLink
     from currantstage.transport import PeerSockets
 
--- a/currantstage/application/_relay_service.py
+++ b/currantstage/application/_relay_service.py
@@ -7,14 +7,8 @@
 
 from eliot import log_message
 
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.membership import (
-    AskFleet,
-    AskRenewal,
-    GiveFleet,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.membership import AskFleet, AskRenewal, GiveFleet
 from currantstage.protocol import (
     DecodeError,
     FleetAssembly,
--- a/currantstage/application/_request_path.py
+++ b/currantstage/application/_request_path.py
@@ -19,16 +19,12 @@
     Topology,
     WorkerRoom,
 )
-from currantstage.coordination.store import (
-    RetryBudget,
-)
+from currantstage.coordination.store import RetryBudget
 from currantstage.transport import BackendClient
 
 if TYPE_CHECKING:
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
+    from currantstage.coordination.membership import Configuration
     from currantstage.coordination.requests import (
         SharePolicy,
         TeamLimiter,
--- a/currantstage/application/_server_monitor.py
+++ b/currantstage/application/_server_monitor.py
@@ -7,18 +7,13 @@
 
 from eliot import log_message
 
-from currantstage.coordination.requests import (
-    Answer,
-    SendFailure,
-)
+from currantstage.coordination.requests import Answer, SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from currantstage.application._metrics import DaemonMetrics
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
+    from currantstage.coordination.membership import Configuration
     from currantstage.coordination.requests import (
         Assignment,
         FaultTracker,
--- a/currantstage/application/_service_level_service.py
+++ b/currantstage/application/_service_level_service.py
@@ -4,30 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.requests import (
-    NO_TEAM,
-    SeriesCount,
-    key_id_of,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.requests import NO_TEAM, SeriesCount, key_id_of
 from currantstage.protocol import MemberAddress, Members, ServiceLevelReport
 from currantstage.state import ENTRY_VM_PREFIX, EntryVmRow
 from currantstage.transport import OperatorCallError
 
 if TYPE_CHECKING:
     from currantstage.application._procedure_runner import ProcedureRunner
-    from currantstage.coordination.membership import (
-        Configuration,
-    )
-    from currantstage.coordination.requests import (
-        RequestEnd,
-        ServiceLevelRecorder,
-    )
-    from currantstage.coordination.store import (
-        StoreAccess,
-    )
+    from currantstage.coordination.membership import Configuration
+    from currantstage.coordination.requests import RequestEnd, ServiceLevelRecorder
+    from currantstage.coordination.store import StoreAccess
     from currantstage.protocol import CallerRequest
     from currantstage.state import Clock, TeamId
 
--- a/currantstage/application/_usage_service.py
+++ b/currantstage/application/_usage_service.py
@@ -4,17 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.limits import (
-    UsageReport,
-)
+from currantstage.coordination.limits import UsageReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from currantstage.application._peer_service import PeerService
-    from currantstage.coordination.limits import (
-        UsageBoard,
-    )
+    from currantstage.coordination.limits import UsageBoard
     from currantstage.protocol import PeerFrame
     from currantstage.state import Clock, PeerLink, QueueId, TeamId
 
--- a/currantstage/application/jobs/_group_writer.py
+++ b/currantstage/application/jobs/_group_writer.py
@@ -11,12 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.state.jobs import (
-    Conflicted,
-    RowCondition,
-    RowWrite,
-    StoreUnavailable,
-)
+from currantstage.state.jobs import Conflicted, RowCondition, RowWrite, StoreUnavailable
 
 if TYPE_CHECKING:
     from currantstage.state.jobs import PartitionedStore, RowName
--- a/currantstage/application/jobs/_job_writer.py
+++ b/currantstage/application/jobs/_job_writer.py
@@ -8,12 +8,7 @@
 from eliot import log_message
 
 from currantstage.application.jobs._repository import JobPlace
-from currantstage.protocol.jobs import (
-    StoreCancel,
-    StoreJob,
-    StoreOutcome,
-    StoreReply,
-)
+from currantstage.protocol.jobs import StoreCancel, StoreJob, StoreOutcome, StoreReply
 from currantstage.state.jobs import StoreUnavailable
 from currantstage.transport import PeerFailure
 
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -10,11 +10,7 @@
 
 from currantstage.application.jobs._repository import StoredLease
 from currantstage.application.jobs._session import SchedulerSession
-from currantstage.coordination.jobs import (
-    HolderAnswer,
-    LeaseRow,
-    LeaseWatch,
-)
+from currantstage.coordination.jobs import HolderAnswer, LeaseRow, LeaseWatch
 from currantstage.protocol.jobs import (
     LeaseOffer,
     LeaseReleased,
@@ -154,6 +150,7 @@
         if isinstance(reply, NotScheduler):
             return HolderAnswer.GONE
         if isinstance(reply, Noted):
+            self._offered_term = NO_TERM
             return HolderAnswer.HOLDS
         return HolderAnswer.UNKNOWN
 
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -42,11 +42,7 @@
 
     from currantstage.coordination.jobs import LeaseRow
     from currantstage.state import EntryVmId
-    from currantstage.state.jobs import (
-        JobProgress,
-        PartitionedStore,
-        Submission,
-    )
+    from currantstage.state.jobs import JobProgress, PartitionedStore, Submission
 
 JOBS_TABLE = "jobs"
 _SCHEDULER_TABLE = "scheduler"
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -35,13 +35,7 @@
         SchedulerTuning,
     )
     from currantstage.state import VmId
-    from currantstage.state.jobs import (
-        JobId,
-        Submission,
-        Term,
-        WorkerEntry,
-        WorkerId,
-    )
+    from currantstage.state.jobs import JobId, Submission, Term, WorkerEntry, WorkerId
 
 #: Longest that giving up the lease may take, in seconds.
 RELEASE_TIMEOUT_S = 1.0
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -16,13 +16,7 @@
 
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.coordination.jobs import HeldLease, Run, Scheduler
-    from currantstage.state.jobs import (
-        EndKind,
-        HoldOrder,
-        StopOrder,
-        TaskKey,
-        WorkerId,
-    )
+    from currantstage.state.jobs import EndKind, HoldOrder, StopOrder, TaskKey, WorkerId
 
 #: Longest that a worker without work waits before it is looked at again, in seconds.
 IDLE_LOOK_S = 0.5
--- a/currantstage/cmd/_burn_gathering.py
+++ b/currantstage/cmd/_burn_gathering.py
@@ -5,9 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from currantstage.coordination.requests import (
-    burn_budgets,
-)
+from currantstage.coordination.requests import burn_budgets
 from currantstage.protocol import (
     AnsweredMember,
     BurnReport,
--- a/currantstage/cmd/_burn_page.py
+++ b/currantstage/cmd/_burn_page.py
@@ -13,17 +13,12 @@
     describe_rate,
     describe_span,
 )
-from currantstage.coordination.requests import (
-    ALERT_RULES,
-    WINDOWS_S,
-)
+from currantstage.coordination.requests import ALERT_RULES, WINDOWS_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantstage.coordination.requests import (
-        BudgetBurn,
-    )
+    from currantstage.coordination.requests import BudgetBurn
     from currantstage.protocol import BurnReport
 
 #: Burn rates at the two ends of the plot's logarithmic axis.
--- a/currantstage/cmd/_burn_table.py
+++ b/currantstage/cmd/_burn_table.py
@@ -4,16 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.requests import (
-    WINDOWS_S,
-)
+from currantstage.coordination.requests import WINDOWS_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantstage.coordination.requests import (
-        BudgetBurn,
-    )
+    from currantstage.coordination.requests import BudgetBurn
     from currantstage.protocol import BurnReport
 
 _SPANS = ((86_400, "d"), (3_600, "h"), (60, "min"))
--- a/currantstage/cmd/_key.py
+++ b/currantstage/cmd/_key.py
@@ -10,12 +10,8 @@
 from msgspec import Struct
 
 from currantstage.cmd._exit import ExitStatus
-from currantstage.coordination.notes import (
-    is_identifier,
-)
-from currantstage.coordination.requests import (
-    digest_secret,
-)
+from currantstage.coordination.notes import is_identifier
+from currantstage.coordination.requests import digest_secret
 
 #: Random bytes of a secret and of a salt.
 SECRET_BYTES = 24
--- a/currantstage/cmd/_measures.py
+++ b/currantstage/cmd/_measures.py
@@ -11,9 +11,7 @@
 from currantstage.cmd._exit import ExitStatus
 from currantstage.cmd._note import call_server, server_options
 from currantstage.cmd._table import render_records
-from currantstage.coordination.limits import (
-    measure_shares,
-)
+from currantstage.coordination.limits import measure_shares
 from currantstage.protocol import LoadReport, MeasuresReport, SilentMember
 from currantstage.transport import OperatorCallError, OperatorClient
 
--- a/currantstage/cmd/_report.py
+++ b/currantstage/cmd/_report.py
@@ -15,9 +15,7 @@
 from currantstage.cmd._config import PATH
 from currantstage.cmd._exit import ExitStatus
 from currantstage.cmd._measures import measures
-from currantstage.coordination.requests import (
-    Alert,
-)
+from currantstage.coordination.requests import Alert
 from currantstage.transport import OperatorCallError
 
 
--- a/currantstage/coordination/claims/__init__.py
+++ b/currantstage/coordination/claims/__init__.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.claims._claim_ends import (
-    settlement_of,
-    verdict_end,
-)
+from currantstage.coordination.claims._claim_ends import settlement_of, verdict_end
 from currantstage.coordination.claims._claim_keys import (
     bucket_of,
     claim_digest,
@@ -17,10 +14,7 @@
     ClaimState,
     ClaimVerdict,
 )
-from currantstage.coordination.claims._claim_log import (
-    ClaimLog,
-    merge_events,
-)
+from currantstage.coordination.claims._claim_log import ClaimLog, merge_events
 from currantstage.coordination.claims._claim_owners import (
     ClaimOwners,
     assign_buckets,
--- a/currantstage/coordination/claims/_claim_ends.py
+++ b/currantstage/coordination/claims/_claim_ends.py
@@ -12,12 +12,7 @@
     RefusalReason,
     Uncertain,
 )
-from currantstage.state import (
-    ClaimCompleted,
-    ClaimReleased,
-    ClaimUncertain,
-    KeptAnswer,
-)
+from currantstage.state import ClaimCompleted, ClaimReleased, ClaimUncertain, KeptAnswer
 
 if TYPE_CHECKING:
     from currantstage.coordination.claims._claim_ledger import ClaimVerdict
--- a/currantstage/coordination/claims/_claim_ledger.py
+++ b/currantstage/coordination/claims/_claim_ledger.py
@@ -6,22 +6,12 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from currantstage.state import (
-    ClaimCompleted,
-    ClaimReleased,
-    ClaimTaken,
-    KeptAnswer,
-)
+from currantstage.state import ClaimCompleted, ClaimReleased, ClaimTaken, KeptAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
-    from currantstage.state import (
-        ClaimDigest,
-        ClaimEvent,
-        ClaimOwner,
-        ClaimSettlement,
-    )
+    from currantstage.state import ClaimDigest, ClaimEvent, ClaimOwner, ClaimSettlement
 
 
 class ClaimState(Enum):
--- a/currantstage/coordination/fleet/__init__.py
+++ b/currantstage/coordination/fleet/__init__.py
@@ -2,22 +2,14 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.fleet._demand import (
-    DemandEstimator,
-)
+from currantstage.coordination.fleet._demand import DemandEstimator
 from currantstage.coordination.fleet._demand_board import (
     DemandBoard,
     DemandReport,
     most_vms_per_pool,
 )
-from currantstage.coordination.fleet._drain_follower import (
-    DrainFollower,
-)
-from currantstage.coordination.fleet._fleet_actions import (
-    Action,
-    BeginMove,
-    VmAction,
-)
+from currantstage.coordination.fleet._drain_follower import DrainFollower
+from currantstage.coordination.fleet._fleet_actions import Action, BeginMove, VmAction
 from currantstage.coordination.fleet._fleet_duty import (
     FLEET_INTERVAL_S,
     FleetDuty,
@@ -25,17 +17,9 @@
     load_entry_vms,
     load_fleet_rows,
 )
-from currantstage.coordination.fleet._fleet_snapshot import (
-    FleetRows,
-    FleetSnapshot,
-)
-from currantstage.coordination.fleet._move_plan import (
-    MovePolicy,
-    plan_moves,
-)
-from currantstage.coordination.fleet._placement_rows import (
-    place_vm,
-)
+from currantstage.coordination.fleet._fleet_snapshot import FleetRows, FleetSnapshot
+from currantstage.coordination.fleet._move_plan import MovePolicy, plan_moves
+from currantstage.coordination.fleet._placement_rows import place_vm
 from currantstage.coordination.fleet._reconcile_plan import (
     is_overdue,
     plan_reconciliation,
@@ -45,10 +29,7 @@
     VmRecords,
     make_transition,
 )
-from currantstage.coordination.fleet._wave_plan import (
-    plan_waves,
-    unfinished_vms,
-)
+from currantstage.coordination.fleet._wave_plan import plan_waves, unfinished_vms
 
 __all__ = [
     "Action",
--- a/currantstage/coordination/fleet/_drain_follower.py
+++ b/currantstage/coordination/fleet/_drain_follower.py
@@ -5,12 +5,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.store._row_batch import RowBatch
-from currantstage.state import (
-    DrainAckRow,
-    PlacementRow,
-    drain_ack_key,
-    placement_key,
-)
+from currantstage.state import DrainAckRow, PlacementRow, drain_ack_key, placement_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/currantstage/coordination/fleet/_vm_transitions.py
+++ b/currantstage/coordination/fleet/_vm_transitions.py
@@ -36,13 +36,7 @@
 if TYPE_CHECKING:
     from currantstage.coordination.fleet._fleet_actions import VmAction
     from currantstage.coordination.fleet._fleet_snapshot import FleetSnapshot
-    from currantstage.state import (
-        BudgetRow,
-        DrainNumber,
-        PlacementRow,
-        PoolId,
-        VmRow,
-    )
+    from currantstage.state import BudgetRow, DrainNumber, PlacementRow, PoolId, VmRow
 
 #: Time over which moves are counted against their bound, in seconds.
 MOVE_WINDOW_S = 3600.0
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -6,18 +6,9 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._ordering import remaining_core_s
-from currantstage.coordination.jobs._pool_plan import (
-    DemandSizing,
-    PoolDemand,
-    PoolPlan,
-)
+from currantstage.coordination.jobs._pool_plan import DemandSizing, PoolDemand, PoolPlan
 from currantstage.coordination.jobs._upkeep_plan import UpkeepPlan
-from currantstage.coordination.jobs._vm_table import (
-    VmOrder,
-    VmState,
-    VmTable,
-    VmWork,
-)
+from currantstage.coordination.jobs._vm_table import VmOrder, VmState, VmTable, VmWork
 from currantstage.state.jobs import NO_RESOURCES, Resources, VmOrderOutcome
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -4,11 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import (
-    JobRecord,
-    StepRecord,
-    TaskRecord,
-)
+from currantstage.coordination.jobs._records import JobRecord, StepRecord, TaskRecord
 from currantstage.state.jobs import JobState, RunNumber, TaskPhase
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -12,11 +12,7 @@
 from currantstage.coordination.jobs._pacing import PaceKeeper
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._placing import Placing, pool_of
-from currantstage.coordination.jobs._records import (
-    DEFAULT_MAX_ATTEMPTS,
-    Run,
-    RunPhase,
-)
+from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._worker_book import UNHEALTHY_PAUSE_S
 from currantstage.coordination.jobs._worker_table import WorkerNews, WorkerTable
--- a/currantstage/coordination/limits/__init__.py
+++ b/currantstage/coordination/limits/__init__.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.limits._allotment_book import (
-    AllotmentBook,
-)
-from currantstage.coordination.limits._allotment_exchange import (
-    AllotmentExchange,
-)
+from currantstage.coordination.limits._allotment_book import AllotmentBook
+from currantstage.coordination.limits._allotment_exchange import AllotmentExchange
 from currantstage.coordination.limits._allotment_ledger import (
     allotted_slots,
     longest_work_s,
@@ -23,9 +19,7 @@
     Peer,
     SendToPeer,
 )
-from currantstage.coordination.limits._allotment_plan import (
-    AllotmentNeeds,
-)
+from currantstage.coordination.limits._allotment_plan import AllotmentNeeds
 from currantstage.coordination.limits._allotment_reclaim import (
     LIST_LAG_S,
     AllotmentReclaimer,
@@ -36,12 +30,8 @@
     AllotmentSettlement,
     Settled,
 )
-from currantstage.coordination.limits._limit_check import (
-    AllotmentLimitCheck,
-)
-from currantstage.coordination.limits._reclaiming_duty import (
-    ReclaimingDuty,
-)
+from currantstage.coordination.limits._limit_check import AllotmentLimitCheck
+from currantstage.coordination.limits._reclaiming_duty import ReclaimingDuty
 from currantstage.coordination.limits._share_distance import (
     QueueLoad,
     ShareDistance,
--- a/currantstage/coordination/membership/__init__.py
+++ b/currantstage/coordination/membership/__init__.py
@@ -2,18 +2,10 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.membership._config_lease import (
-    ConfigLease,
-)
-from currantstage.coordination.membership._configuration import (
-    Configuration,
-)
-from currantstage.coordination.membership._head_watch import (
-    HeadWatch,
-)
-from currantstage.coordination.membership._lease_continuity import (
-    LeaseContinuity,
-)
+from currantstage.coordination.membership._config_lease import ConfigLease
+from currantstage.coordination.membership._configuration import Configuration
+from currantstage.coordination.membership._head_watch import HeadWatch
+from currantstage.coordination.membership._lease_continuity import LeaseContinuity
 from currantstage.coordination.membership._lease_relay import (
     AskFleet,
     AskRenewal,
@@ -26,9 +18,7 @@
     RenewalOutcome,
     RenewalRequest,
 )
-from currantstage.coordination.membership._peer_liveness import (
-    PeerLiveness,
-)
+from currantstage.coordination.membership._peer_liveness import PeerLiveness
 
 __all__ = [
     "AskFleet",
--- a/currantstage/coordination/notes/__init__.py
+++ b/currantstage/coordination/notes/__init__.py
@@ -2,20 +2,10 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.notes._cleanup import (
-    REMOVAL_DELAY_S,
-    Cleanup,
-)
-from currantstage.coordination.notes._fleet_check import (
-    is_identifier,
-)
-from currantstage.coordination.notes._note_acceptance import (
-    Acceptance,
-    NoteProgress,
-)
-from currantstage.coordination.notes._note_check import (
-    check_note,
-)
+from currantstage.coordination.notes._cleanup import REMOVAL_DELAY_S, Cleanup
+from currantstage.coordination.notes._fleet_check import is_identifier
+from currantstage.coordination.notes._note_acceptance import Acceptance, NoteProgress
+from currantstage.coordination.notes._note_check import check_note
 from currantstage.coordination.notes._note_commit import (
     Committed,
     NoteIdTaken,
@@ -26,15 +16,8 @@
     commit_note,
     load_head,
 )
-from currantstage.coordination.notes._note_history import (
-    NoteChanges,
-    explain_note,
-)
-from currantstage.coordination.notes._note_items import (
-    NoteItem,
-    NoteVerb,
-    diff_fleets,
-)
+from currantstage.coordination.notes._note_history import NoteChanges, explain_note
+from currantstage.coordination.notes._note_items import NoteItem, NoteVerb, diff_fleets
 
 __all__ = [
     "Acceptance",
--- a/currantstage/coordination/requests/__init__.py
+++ b/currantstage/coordination/requests/__init__.py
@@ -24,9 +24,7 @@
     ServerHealth,
     ServerState,
 )
-from currantstage.coordination.requests._dispatch import (
-    Dispatcher,
-)
+from currantstage.coordination.requests._dispatch import Dispatcher
 from currantstage.coordination.requests._dispatch_effects import (
     Assignment,
     DispatchEffect,
@@ -35,17 +33,12 @@
     Start,
     Wait,
 )
-from currantstage.coordination.requests._estimates import (
-    RunTimeEstimates,
-)
+from currantstage.coordination.requests._estimates import RunTimeEstimates
 from currantstage.coordination.requests._fault_tracking import (
     UNKNOWN_SILENCE_S,
     FaultTracker,
 )
-from currantstage.coordination.requests._jobs import (
-    JobSize,
-    Submission,
-)
+from currantstage.coordination.requests._jobs import JobSize, Submission
 from currantstage.coordination.requests._keys import (
     digest_secret,
     identify_team,
@@ -61,9 +54,7 @@
     SendFailure,
     Uncertain,
 )
-from currantstage.coordination.requests._outliers import (
-    OutlierDetector,
-)
+from currantstage.coordination.requests._outliers import OutlierDetector
 from currantstage.coordination.requests._placement import (
     AttributedRing,
     Candidate,
@@ -87,16 +78,9 @@
     WindowCount,
     judge,
 )
-from currantstage.coordination.requests._topology import (
-    Topology,
-)
-from currantstage.coordination.requests._waiting import (
-    NO_TEAM,
-    WaitingRequest,
-)
-from currantstage.coordination.requests._worker_room import (
-    WorkerRoom,
-)
+from currantstage.coordination.requests._topology import Topology
+from currantstage.coordination.requests._waiting import NO_TEAM, WaitingRequest
+from currantstage.coordination.requests._worker_room import WorkerRoom
 
 __all__ = [
     "ALERT_RULES",
--- a/currantstage/coordination/store/__init__.py
+++ b/currantstage/coordination/store/__init__.py
@@ -41,16 +41,9 @@
     Transacted,
     VmsListed,
 )
-from currantstage.coordination.store._retry_budget import (
-    RetryBudget,
-)
-from currantstage.coordination.store._store_access import (
-    RetryPolicy,
-    StoreAccess,
-)
-from currantstage.coordination.store._store_health import (
-    OPEN_S,
-)
+from currantstage.coordination.store._retry_budget import RetryBudget
+from currantstage.coordination.store._store_access import RetryPolicy, StoreAccess
+from currantstage.coordination.store._store_health import OPEN_S
 
 __all__ = [
     "ClockRead",
--- a/currantstage/protocol/__init__.py
+++ b/currantstage/protocol/__init__.py
@@ -26,11 +26,7 @@
     ClaimSettledAck,
     ClaimWanted,
 )
-from currantstage.protocol._errors import (
-    DecodeError,
-    NoteSyntaxError,
-    ProtocolError,
-)
+from currantstage.protocol._errors import DecodeError, NoteSyntaxError, ProtocolError
 from currantstage.protocol._fleet_parts import (
     MAX_FLEET_BYTES,
     MAX_PART_BYTES,
@@ -49,10 +45,7 @@
     WaveStatus,
     report_fleet,
 )
-from currantstage.protocol._measures import (
-    LoadReport,
-    MeasuresReport,
-)
+from currantstage.protocol._measures import LoadReport, MeasuresReport
 from currantstage.protocol._note_codec import (
     MAX_NOTE_BYTES,
     encode_note,
--- a/currantstage/protocol/_claim_messages.py
+++ b/currantstage/protocol/_claim_messages.py
@@ -4,15 +4,8 @@
 
 from msgspec import Struct
 
-from currantstage.coordination.claims import (
-    ClaimState,
-)
-from currantstage.state import (
-    ClaimSettlement,
-    ClaimTaken,
-    KeptAnswer,
-    RequestId,
-)
+from currantstage.coordination.claims import ClaimState
+from currantstage.state import ClaimSettlement, ClaimTaken, KeptAnswer, RequestId
 
 
 class ClaimWanted(Struct, frozen=True, kw_only=True, tag="claim-wanted"):
--- a/currantstage/protocol/_fleet_status.py
+++ b/currantstage/protocol/_fleet_status.py
@@ -7,11 +7,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination.fleet import (
-    MOVE_WINDOW_S,
-    is_overdue,
-    unfinished_vms,
-)
+from currantstage.coordination.fleet import MOVE_WINDOW_S, is_overdue, unfinished_vms
 from currantstage.state import (
     DataCentreId,
     EntryVmId,
@@ -26,9 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from currantstage.coordination.fleet import (
-        FleetSnapshot,
-    )
+    from currantstage.coordination.fleet import FleetSnapshot
     from currantstage.state import Pool, VmRow, Wave
 
 #: Time out of service after which a VM is reported as overdue, in seconds.
--- a/currantstage/protocol/_measures.py
+++ b/currantstage/protocol/_measures.py
@@ -4,10 +4,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination.limits import (
-    QueueLoad,
-    ShareDistance,
-)
+from currantstage.coordination.limits import QueueLoad, ShareDistance
 from currantstage.protocol._fleet_status import DataCentreStatus, WaveStatus
 from currantstage.protocol._service_levels import SilentMember
 from currantstage.state import EntryVmId, Generation
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -15,10 +15,7 @@
     AllotmentTransfer,
     UsageReport,
 )
-from currantstage.coordination.membership import (
-    RenewalOutcome,
-    RenewalRequest,
-)
+from currantstage.coordination.membership import RenewalOutcome, RenewalRequest
 from currantstage.protocol._claim_messages import (
     ClaimAnswered,
     ClaimSettled,
--- a/currantstage/protocol/_service_levels.py
+++ b/currantstage/protocol/_service_levels.py
@@ -4,10 +4,7 @@
 
 from msgspec import Struct
 
-from currantstage.coordination.requests import (
-    BudgetBurn,
-    SeriesCount,
-)
+from currantstage.coordination.requests import BudgetBurn, SeriesCount
 from currantstage.state import EntryVmId, Generation, IncarnationId
 
 
--- a/currantstage/standin/__init__.py
+++ b/currantstage/standin/__init__.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from currantstage.standin._backend import (
-    SILENCE_S,
-    BackendMode,
-    BackendStandIn,
-)
+from currantstage.standin._backend import SILENCE_S, BackendMode, BackendStandIn
 from currantstage.standin._cluster import (
     DATA_CENTRES,
     OPERATOR_KEY,
@@ -15,14 +11,8 @@
     free_ports,
     sample_note,
 )
-from currantstage.standin._platform import (
-    PlatformMode,
-    PlatformStandIn,
-    start_site,
-)
-from currantstage.standin._table import (
-    PlatformContent,
-)
+from currantstage.standin._platform import PlatformMode, PlatformStandIn, start_site
+from currantstage.standin._table import PlatformContent
 
 __all__ = [
     "BackendMode",
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -16,11 +16,7 @@
     OperatorRefusedError,
     TransportError,
 )
-from currantstage.transport._http_server import (
-    LISTEN_BACKLOG,
-    MAX_ANSWER_S,
-    HttpServer,
-)
+from currantstage.transport._http_server import LISTEN_BACKLOG, MAX_ANSWER_S, HttpServer
 from currantstage.transport._in_flight import InFlight
 from currantstage.transport._job_client import JobCallError, JobClient
 from currantstage.transport._job_peers import (
@@ -29,10 +25,7 @@
     add_job_peer_route,
 )
 from currantstage.transport._job_routes import add_job_routes
-from currantstage.transport._operator_client import (
-    CALL_TIMEOUT_S,
-    OperatorClient,
-)
+from currantstage.transport._operator_client import CALL_TIMEOUT_S, OperatorClient
 from currantstage.transport._operator_routes import (
     FleetStatusService,
     LoadService,
@@ -49,9 +42,7 @@
     SEND_BUFFER_FRAMES,
     PeerSockets,
 )
-from currantstage.transport._platform import (
-    PlatformClient,
-)
+from currantstage.transport._platform import PlatformClient
 from currantstage.transport._routes import (
     CallerService,
     HealthService,
--- a/currantstage/transport/_backends.py
+++ b/currantstage/transport/_backends.py
@@ -7,10 +7,7 @@
 
 import aiohttp
 
-from currantstage.coordination.requests import (
-    Answer,
-    SendFailure,
-)
+from currantstage.coordination.requests import Answer, SendFailure
 from currantstage.protocol import DEFAULT_TYPE, TIMEOUT_HEADER
 
 if TYPE_CHECKING:
--- a/currantstage/transport/_job_client.py
+++ b/currantstage/transport/_job_client.py
@@ -7,11 +7,7 @@
 import aiohttp
 
 from currantstage.protocol import DecodeError
-from currantstage.protocol.jobs import (
-    JOB_KEY_HEADER,
-    JobAnswer,
-    decode_answer,
-)
+from currantstage.protocol.jobs import JOB_KEY_HEADER, JobAnswer, decode_answer
 from currantstage.transport._errors import TransportError
 from currantstage.transport._http_session import HttpSession
 
--- a/currantstage/transport/_routes.py
+++ b/currantstage/transport/_routes.py
@@ -17,16 +17,8 @@
     SanicException,
 )
 
-from currantstage.coordination.requests import (
-    Refusal,
-    RefusalReason,
-    Uncertain,
-)
-from currantstage.protocol import (
-    OUTCOME_HEADER,
-    read_caller_request,
-    to_caller_answer,
-)
+from currantstage.coordination.requests import Refusal, RefusalReason, Uncertain
+from currantstage.protocol import OUTCOME_HEADER, read_caller_request, to_caller_answer
 from currantstage.state import QueueId
 
 if TYPE_CHECKING:
--- a/tests/allotments.py
+++ b/tests/allotments.py
@@ -17,10 +17,7 @@
     FleetView,
     Peer,
 )
-from currantstage.coordination.store import (
-    RetryPolicy,
-    StoreAccess,
-)
+from currantstage.coordination.store import RetryPolicy, StoreAccess
 from currantstage.state import (
     FLEET_SCOPE,
     EntryVmId,
--- a/tests/application/test_duty_runner.py
+++ b/tests/application/test_duty_runner.py
@@ -5,13 +5,8 @@
 import pytest
 
 from currantstage.application import DutyRunner
-from currantstage.coordination.notes import (
-    Cleanup,
-)
-from currantstage.coordination.store import (
-    DUTY_LEASE_S,
-    DutyLeases,
-)
+from currantstage.coordination.notes import Cleanup
+from currantstage.coordination.store import DUTY_LEASE_S, DutyLeases
 from currantstage.state import EntryVmId, IncarnationId
 from tests.fakes import FakeClock, make_store_access
 
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -11,18 +11,9 @@
 import uvloop
 
 from currantstage.application import DaemonMetrics, RequestPath
-from currantstage.coordination.limits import (
-    UsageBoard,
-    WeightedMaxMin,
-)
-from currantstage.coordination.membership import (
-    Configuration,
-)
-from currantstage.coordination.requests import (
-    Assignment,
-    Outcome,
-    Submission,
-)
+from currantstage.coordination.limits import UsageBoard, WeightedMaxMin
+from currantstage.coordination.membership import Configuration
+from currantstage.coordination.requests import Assignment, Outcome, Submission
 from currantstage.protocol import CallerOptions, CallerRequest, OutcomeBody
 from currantstage.standin import BackendMode, BackendStandIn, free_ports
 from currantstage.state import DataCentreId, IncarnationId, RequestId, VmId
--- a/tests/cmd/test_note_commands.py
+++ b/tests/cmd/test_note_commands.py
@@ -11,9 +11,7 @@
 from click.testing import CliRunner
 
 from currantstage.cmd import main
-from currantstage.coordination.requests import (
-    digest_secret,
-)
+from currantstage.coordination.requests import digest_secret
 from currantstage.protocol import NoteReport, NoteState
 from currantstage.standin import OPERATOR_KEY, LoopbackCluster, PlatformMode
 
--- a/tests/coordination/test_allotments.py
+++ b/tests/coordination/test_allotments.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from currantstage.coordination import (
-    StoreAwayError,
-    WriteUncertainError,
-)
+from currantstage.coordination import StoreAwayError, WriteUncertainError
 from currantstage.coordination.limits import (
     LIST_LAG_S,
     AllotmentLimitCheck,
@@ -17,13 +14,8 @@
     allotted_slots,
     resources_above_limit,
 )
-from currantstage.coordination.membership import (
-    LeaseContinuity,
-)
-from currantstage.coordination.store import (
-    Transact,
-    observer_wait_s,
-)
+from currantstage.coordination.membership import LeaseContinuity
+from currantstage.coordination.store import Transact, observer_wait_s
 from currantstage.state import (
     ABSENT,
     FLEET_SCOPE,
--- a/tests/coordination/test_cleanup.py
+++ b/tests/coordination/test_cleanup.py
@@ -3,16 +3,8 @@
 from __future__ import annotations
 
 import currantstage.coordination.notes._cleanup as cleanup_module
-from currantstage.coordination.notes import (
-    REMOVAL_DELAY_S,
-    Acceptance,
-    Cleanup,
-)
-from currantstage.coordination.store import (
-    OPEN_S,
-    DutyLeases,
-    observer_wait_s,
-)
+from currantstage.coordination.notes import REMOVAL_DELAY_S, Acceptance, Cleanup
+from currantstage.coordination.store import OPEN_S, DutyLeases, observer_wait_s
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     DutyKind,
--- a/tests/coordination/test_config_lease.py
+++ b/tests/coordination/test_config_lease.py
@@ -4,18 +4,14 @@
 
 import pytest
 
-from currantstage.coordination import (
-    StoreAwayError,
-)
+from currantstage.coordination import StoreAwayError
 from currantstage.coordination.membership import (
     ConfigLease,
     Configuration,
     HeadWatch,
     Membership,
 )
-from currantstage.coordination.notes import (
-    commit_note,
-)
+from currantstage.coordination.notes import commit_note
 from currantstage.coordination.store import (
     GetObject,
     ReadRow,
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -2,14 +2,8 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.membership import (
-    Configuration,
-    HeadWatch,
-    Membership,
-)
-from currantstage.coordination.notes import (
-    commit_note,
-)
+from currantstage.coordination.membership import Configuration, HeadWatch, Membership
+from currantstage.coordination.notes import commit_note
 from currantstage.state import (
     DEFAULT_CONFIG_LEASE_S,
     FIRST_GENERATION,
--- a/tests/coordination/test_duty_lease.py
+++ b/tests/coordination/test_duty_lease.py
@@ -6,9 +6,7 @@
 
 import pytest
 
-from currantstage.coordination import (
-    WriteUncertainError,
-)
+from currantstage.coordination import WriteUncertainError
 from currantstage.coordination.store import (
     DUTY_LEASE_S,
     OPEN_S,
--- a/tests/coordination/test_faults.py
+++ b/tests/coordination/test_faults.py
@@ -21,9 +21,7 @@
     ServerState,
     Uncertain,
 )
-from currantstage.coordination.store import (
-    RetryBudget,
-)
+from currantstage.coordination.store import RetryBudget
 from currantstage.protocol import to_caller_answer
 from currantstage.state import VmId
 from tests.request_fakes import QUEUE, FakePath, make_fleet
--- a/tests/coordination/test_fleet_duty.py
+++ b/tests/coordination/test_fleet_duty.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from currantstage.coordination import (
-    StoreAwayError,
-    WriteUncertainError,
-)
-from currantstage.coordination.store import (
-    Transact,
-)
+from currantstage.coordination import StoreAwayError, WriteUncertainError
+from currantstage.coordination.store import Transact
 from currantstage.state import (
     Additions,
     Changes,
--- a/tests/coordination/test_note_acceptance.py
+++ b/tests/coordination/test_note_acceptance.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from currantstage.coordination.notes import (
-    Acceptance,
-)
-from currantstage.coordination.store import (
-    MAX_CLOCK_DRIFT,
-    observer_wait_s,
-)
+from currantstage.coordination.notes import Acceptance
+from currantstage.coordination.store import MAX_CLOCK_DRIFT, observer_wait_s
 from currantstage.state import ACCEPTED_KEY, DEFAULT_CONFIG_LEASE_S, EntryVmId, TeamId
 from tests.coordination.test_config_lease import EntryVm, commit
 from tests.fakes import FakeStore
--- a/tests/coordination/test_note_check.py
+++ b/tests/coordination/test_note_check.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from currantstage.coordination.notes import (
-    check_note,
-    diff_fleets,
-)
+from currantstage.coordination.notes import check_note, diff_fleets
 from currantstage.protocol import parse_note
 from currantstage.state import Fleet
 
--- a/tests/coordination/test_note_commit.py
+++ b/tests/coordination/test_note_commit.py
@@ -5,10 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from currantstage.coordination import (
-    StoreAwayError,
-    WriteUncertainError,
-)
+from currantstage.coordination import StoreAwayError, WriteUncertainError
 from currantstage.coordination.notes import (
     Committed,
     NoteIdTaken,
@@ -18,10 +15,7 @@
     NoteVerb,
     commit_note,
 )
-from currantstage.coordination.store import (
-    PutObject,
-    Transact,
-)
+from currantstage.coordination.store import PutObject, Transact
 from currantstage.state import (
     HEAD_KEY,
     Additions,
--- a/tests/coordination/test_share_distance.py
+++ b/tests/coordination/test_share_distance.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from currantstage.coordination.limits import (
-    QueueLoad,
-    measure_shares,
-)
+from currantstage.coordination.limits import QueueLoad, measure_shares
 from currantstage.state import QueueId, Team, TeamId
 
 TEAMS = {
--- a/tests/coordination/test_shares.py
+++ b/tests/coordination/test_shares.py
@@ -7,14 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantstage.coordination.limits import (
-    TeamDemand,
-    WeightedMaxMin,
-    max_min_slots,
-)
-from currantstage.coordination.requests import (
-    TeamLoad,
-)
+from currantstage.coordination.limits import TeamDemand, WeightedMaxMin, max_min_slots
+from currantstage.coordination.requests import TeamLoad
 from currantstage.state import TeamId
 
 SHARES = {TeamId("a"): 4.0, TeamId("b"): 2.0, TeamId("c"): 1.0}
--- a/tests/coordination/test_store_access.py
+++ b/tests/coordination/test_store_access.py
@@ -4,12 +4,8 @@
 
 import pytest
 
-from currantstage.coordination import (
-    WriteUncertainError,
-)
-from currantstage.coordination.store import (
-    Transact,
-)
+from currantstage.coordination import WriteUncertainError
+from currantstage.coordination.store import Transact
 from currantstage.state import (
     ABSENT,
     ACCEPTED_KEY,
--- a/tests/coordination/test_usage.py
+++ b/tests/coordination/test_usage.py
@@ -4,11 +4,7 @@
 
 import pytest
 
-from currantstage.coordination.limits import (
-    USAGE_EXPIRY_S,
-    UsageBoard,
-    UsageReport,
-)
+from currantstage.coordination.limits import USAGE_EXPIRY_S, UsageBoard, UsageReport
 
 USAGE = {"q": {"t": 4.0}}
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,9 +7,7 @@
 from enum import Enum
 from typing import TypeVar
 
-from currantstage.coordination.membership import (
-    Configuration,
-)
+from currantstage.coordination.membership import Configuration
 from currantstage.coordination.store import (
     ClockRead,
     DeleteObject,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -6,14 +6,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from currantstage.coordination.fleet import (
-    DrainFollower,
-    FleetDuty,
-    plan_waves,
-)
-from currantstage.coordination.notes import (
-    commit_note,
-)
+from currantstage.coordination.fleet import DrainFollower, FleetDuty, plan_waves
+from currantstage.coordination.notes import commit_note
 from currantstage.coordination.store import (
     DutyGrant,
     DutyLeases,
--- a/tests/fuzz/note_world.py
+++ b/tests/fuzz/note_world.py
@@ -7,10 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from currantstage.coordination import (
-    StoreAwayError,
-    WriteUncertainError,
-)
+from currantstage.coordination import StoreAwayError, WriteUncertainError
 from currantstage.coordination.membership import (
     Configuration,
     HeadWatch,
@@ -18,9 +15,7 @@
     RenewalOutcome,
     RenewalRequest,
 )
-from currantstage.coordination.notes import (
-    Acceptance,
-)
+from currantstage.coordination.notes import Acceptance
 from currantstage.coordination.store import (
     GetObject,
     Procedure,
--- a/tests/fuzz/test_allotment_machine.py
+++ b/tests/fuzz/test_allotment_machine.py
@@ -24,19 +24,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from currantstage.coordination import (
-    StoreAwayError,
-    WriteUncertainError,
-)
-from currantstage.coordination.limits import (
-    LIST_LAG_S,
-    resources_above_limit,
-)
-from currantstage.coordination.store import (
-    StoreFailed,
-    Transact,
-    observer_wait_s,
-)
+from currantstage.coordination import StoreAwayError, WriteUncertainError
+from currantstage.coordination.limits import LIST_LAG_S, resources_above_limit
+from currantstage.coordination.store import StoreFailed, Transact, observer_wait_s
 from tests.allotments import TEAM, WORK_S, Site
 from tests.fakes import FakeStore, Fault
 from tests.fuzz.effort import machine_settings
--- a/tests/fuzz/test_claim_machine.py
+++ b/tests/fuzz/test_claim_machine.py
@@ -25,12 +25,7 @@
     refresh_owners,
     settlement_of,
 )
-from currantstage.coordination.requests import (
-    Answer,
-    Refusal,
-    RefusalReason,
-    Uncertain,
-)
+from currantstage.coordination.requests import Answer, Refusal, RefusalReason, Uncertain
 from currantstage.coordination.store import (
     OPEN_S,
     Pause,
--- a/tests/fuzz/test_codecs.py
+++ b/tests/fuzz/test_codecs.py
@@ -12,9 +12,7 @@
 from returns.result import Failure, Success
 
 from currantstage.config import ConfigError, Settings, parse_settings
-from currantstage.coordination.notes import (
-    check_note,
-)
+from currantstage.coordination.notes import check_note
 from currantstage.coordination.requests import (
     Answer,
     Refusal,
--- a/tests/fuzz/test_duty_machine.py
+++ b/tests/fuzz/test_duty_machine.py
@@ -15,11 +15,7 @@
     rule,
 )
 
-from currantstage.coordination.store import (
-    DUTY_LEASE_S,
-    MAX_CLOCK_DRIFT,
-    DutyLeases,
-)
+from currantstage.coordination.store import DUTY_LEASE_S, MAX_CLOCK_DRIFT, DutyLeases
 from currantstage.state import (
     ABSENT,
     AcceptedRow,
--- a/tests/fuzz/test_fleet_machine.py
+++ b/tests/fuzz/test_fleet_machine.py
@@ -13,13 +13,8 @@
     rule,
 )
 
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.store import (
-    RebootVm,
-    Transact,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.store import RebootVm, Transact
 from currantstage.state import (
     VM_PREFIX,
     Additions,
--- a/tests/fuzz/test_note_machine.py
+++ b/tests/fuzz/test_note_machine.py
@@ -16,13 +16,8 @@
     rule,
 )
 
-from currantstage.coordination.notes import (
-    commit_note,
-)
-from currantstage.coordination.store import (
-    MAX_CLOCK_DRIFT,
-    RENEWALS_PER_LEASE,
-)
+from currantstage.coordination.notes import commit_note
+from currantstage.coordination.store import MAX_CLOCK_DRIFT, RENEWALS_PER_LEASE
 from currantstage.state import (
     ACCEPTED_KEY,
     DEFAULT_CONFIG_LEASE_S,
--- a/tests/fuzz/test_request_machine.py
+++ b/tests/fuzz/test_request_machine.py
@@ -33,9 +33,7 @@
     Wait,
     is_server_error,
 )
-from currantstage.coordination.store import (
-    RetryBudget,
-)
+from currantstage.coordination.store import RetryBudget
 from currantstage.state import VmId
 from tests.fuzz.effort import machine_settings
 from tests.request_fakes import FakePath, make_fleet
--- a/tests/jobs/test_vm_turns.py
+++ b/tests/jobs/test_vm_turns.py
@@ -4,12 +4,7 @@
 
 import msgspec
 
-from currantstage.coordination.jobs import (
-    SchedulerTuning,
-    UpkeepPlan,
-    VmTable,
-    VmTurns,
-)
+from currantstage.coordination.jobs import SchedulerTuning, UpkeepPlan, VmTable, VmTurns
 from currantstage.state import DataCentreId, PoolId, VmId
 from currantstage.state.jobs import (
     Resources,
--- a/tests/local_limits.py
+++ b/tests/local_limits.py
@@ -4,9 +4,7 @@
 
 from collections import Counter
 
-from currantstage.coordination.membership import (
-    Configuration,
-)
+from currantstage.coordination.membership import Configuration
 from currantstage.state import TeamId, VmId
 
 
--- a/tests/protocol/test_fleet_status.py
+++ b/tests/protocol/test_fleet_status.py
@@ -4,9 +4,7 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination.fleet import (
-    FleetSnapshot,
-)
+from currantstage.coordination.fleet import FleetSnapshot
 from currantstage.protocol import report_fleet
 from currantstage.state import (
     ABSENT,
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -4,13 +4,8 @@
 
 import random
 
-from currantstage.coordination.limits import (
-    UsageBoard,
-    WeightedMaxMin,
-)
-from currantstage.coordination.membership import (
-    Configuration,
-)
+from currantstage.coordination.limits import UsageBoard, WeightedMaxMin
+from currantstage.coordination.membership import Configuration
 from currantstage.coordination.requests import (
     Dispatcher,
     FaultTracker,
--- a/tests/spec/test_allotment_replay.py
+++ b/tests/spec/test_allotment_replay.py
@@ -7,18 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantstage.coordination import (
-    CoordinationError,
-)
-from currantstage.coordination.limits import (
-    LIST_LAG_S,
-    AllotmentReclaimer,
-    FleetView,
-)
-from currantstage.coordination.store import (
-    Transact,
-    observer_wait_s,
-)
+from currantstage.coordination import CoordinationError
+from currantstage.coordination.limits import LIST_LAG_S, AllotmentReclaimer, FleetView
+from currantstage.coordination.store import Transact, observer_wait_s
 from currantstage.state import FLEET_SCOPE, holder_key
 from spec import AllotmentModel, Walk, value_of
 from tests.allotments import TEAM, WORK_S, Site
--- a/tests/spec/test_note_replay.py
+++ b/tests/spec/test_note_replay.py
@@ -8,24 +8,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantstage.coordination import (
-    CoordinationError,
-)
+from currantstage.coordination import CoordinationError
 from currantstage.coordination.membership import (
     Configuration,
     HeadWatch,
     Membership,
     RenewalRequest,
 )
-from currantstage.coordination.notes import (
-    Acceptance,
-    commit_note,
-    load_head,
-)
-from currantstage.coordination.store import (
-    ReadRow,
-    Transact,
-)
+from currantstage.coordination.notes import Acceptance, commit_note, load_head
+from currantstage.coordination.store import ReadRow, Transact
 from currantstage.state import (
     ACCEPTED_KEY,
     DEFAULT_CONFIG_LEASE_S,
