Log why tasks wait, and keep room for lines that explain

Lines that come with each task are dropped first now; each second scheduler-activity tells what was done and how late the loop is, and task-waiting names the longest waiting tasks with the reasons of the workers of their pool. A worker's reasons are those by which placement itself decides. No decision changes.

--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from msgspec.structs import replace
 
+from currantstage.application.jobs._activity_log import ActivityLog
 from currantstage.application.jobs._advice_driver import AdviceDriver
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._repository import StoredLease
@@ -101,6 +102,7 @@
         # A background task that fails ends the term, so that another daemon takes over.
         self._tasks = TaskSet(self._ended.set)
         self._driver: WorkerDriver | None = None
+        self._activity: ActivityLog | None = None
         self._wake = asyncio.Event()
         self._is_releasing = False
         self._progress_to_remove: list[JobId] = []
@@ -212,8 +214,14 @@
             workers=len(workers.entries),
             store_version=jobs.version,
         )
+        self._activity = ActivityLog(scheduler, self._ports.clock)
         self._driver = WorkerDriver(
-            scheduler, self._held_lease, self._ports, self._wake.set, self._ended.set
+            scheduler,
+            self._held_lease,
+            self._ports,
+            self._activity,
+            self._wake.set,
+            self._ended.set,
         )
         await self._driver.start()
         self._tasks.spawn(self._follow_workers(workers.version))
@@ -222,6 +230,7 @@
         self._tasks.spawn(self._manage_fleet(scheduler))
         self._tasks.spawn(AdviceDriver(scheduler, self._ports, self._wake.set).run())
         self._tasks.spawn(self._clean_up_forever(scheduler))
+        self._tasks.spawn(self._activity.run())
         self._progress_to_remove.extend(
             progress.keys() - {each.job for each in jobs.submissions}
         )
@@ -313,7 +322,7 @@
         except StoreUnavailable as error:
             self._on_batch_failed(batch)
             self._on_commit_failed(sent_s)
-            self._ports.metrics.count_commit("failed", self._now_s() - sent_s)
+            self._observe_commit("failed", sent_s)
             log_message(
                 "currantstage:commit-failed",
                 reason=str(error),
@@ -333,12 +342,18 @@
         self._renewed = asyncio.Event()
         self._is_offered = False
         del self._progress_to_remove[: len(removed)]
-        self._ports.metrics.count_commit("stored", self._now_s() - sent_s)
+        self._observe_commit("stored", sent_s)
         self._on_batch_stored(batch)
         if is_last:
             log_message("currantstage:lease-released", term=lease.term)
             self._ended.set()
 
+    def _observe_commit(self, outcome: str, sent_s: float) -> None:
+        duration_s = self._now_s() - sent_s
+        self._ports.metrics.count_commit(outcome, duration_s)
+        if self._activity is not None:
+            self._activity.observe_commit(duration_s)
+
     def _earlier_orders_ms(self, now_s: float) -> int:
         """Return how much longer earlier holders may still send orders."""
         return math.ceil(max(0.0, self._earlier_orders_until_s - now_s) * 1000)
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable, Coroutine, Iterable
     from typing import Any
 
+    from currantstage.application.jobs._activity_log import ActivityLog
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.coordination.jobs import HeldLease, Run, Scheduler
     from currantstage.state.jobs import (
@@ -47,6 +48,7 @@
     scheduler : Scheduler
     held : HeldLease
     ports : SchedulerPorts
+    activity : ActivityLog
     on_change : callable
         Called when progress may have to be stored, or tasks may have become
         placeable.
@@ -60,12 +62,14 @@
         scheduler: Scheduler,
         held_lease: HeldLease,
         ports: SchedulerPorts,
+        activity: ActivityLog,
         on_change: Callable[[], None],
         on_superseded: Callable[[], None],
     ) -> None:
         self._scheduler = scheduler
         self._held_lease = held_lease
         self._ports = ports
+        self._activity = activity
         self._on_change = on_change
         self._on_superseded = on_superseded
         self._tasks = TaskSet(on_superseded)
@@ -130,6 +134,7 @@
         outcome = await self._ports.orders.start(order)
         self._scheduler.on_start_outcome(run, outcome, self._now_s())
         self._ports.metrics.count_start(outcome, now_s - run.placed_s)
+        self._activity.count_start(outcome)
         log_message(
             "currantstage:task-start",
             job=order.task.job,
@@ -199,6 +204,7 @@
                 )
             for ended in reply.ended:
                 self._ports.metrics.count_end(ended.kind)
+                self._activity.count_end(ended.kind)
                 _log_end(order, ended.task, ended.run, ended.kind)
         elif not was_silent and reply is not OrderOutcome.FENCED:
             log_message(
--- a/currantstage/cmd/_serve.py
+++ b/currantstage/cmd/_serve.py
@@ -13,7 +13,7 @@
 from eliot import log_message
 
 from currantstage.application import Daemon, StartError
-from currantstage.application.jobs import JobDaemon
+from currantstage.application.jobs import JobDaemon, is_routine_message
 from currantstage.cmd._config import FILE_PATH, load_or_exit
 from currantstage.cmd._exit import ExitStatus
 from currantstage.config import ConfigError, JobSettings, load_settings
@@ -53,7 +53,9 @@
     """
     settings = load_or_exit(path)
     clock = MonotonicClock()
-    eliot.add_destinations(LogSink(sys.stdout.fileno(), clock.now_s))
+    eliot.add_destinations(
+        LogSink(sys.stdout.fileno(), clock.now_s, is_routine_message)
+    )
     try:
         uvloop.run(_serve(path, settings))
     except StartError as error:
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -51,7 +51,12 @@
     VmTable,
     VmWork,
 )
-from currantstage.coordination.jobs._worker_state import WorkerState, first_fence
+from currantstage.coordination.jobs._wait_report import WaitingTask, WaitReporter
+from currantstage.coordination.jobs._worker_state import (
+    StartBlocker,
+    WorkerState,
+    first_fence,
+)
 from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
 
 __all__ = [
@@ -96,6 +101,9 @@
     "VmTable",
     "VmOrderCooldown",
     "VmWork",
+    "StartBlocker",
+    "WaitReporter",
+    "WaitingTask",
     "WaveState",
     "WorkerState",
     "RunChanges",
--- a/currantstage/coordination/jobs/_placement.py
+++ b/currantstage/coordination/jobs/_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -12,6 +13,14 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
 
 
+class PlacementObstacle(Enum):
+    """Why a worker that accepts starts can't take a task of a step."""
+
+    LABEL = "label"
+    CAPACITY = "capacity"
+    TASKS_PER_WORKER = "tasks-per-worker"
+
+
 class TaskPlacement(Protocol):
     """Selects the worker that runs a task."""
 
@@ -51,15 +60,21 @@
 
 def allows(step: StepRecord, worker: WorkerState) -> bool:
     """Return whether one more task of `step` may run on `worker`."""
+    return obstacle(step, worker) is None
+
+
+def obstacle(step: StepRecord, worker: WorkerState) -> PlacementObstacle | None:
+    """Return why no more task of `step` may run on `worker`; None if one may."""
     spec = step.step
     if spec.needed_label and spec.needed_label not in worker.entry.labels:
-        return False
+        return PlacementObstacle.LABEL
     if not spec.reserved_resources.fits(worker.free):
-        return False
+        return PlacementObstacle.CAPACITY
     if spec.max_per_worker:
         here = sum(run.worker == worker.entry.worker for run in step.runs())
-        return here < spec.max_per_worker
-    return True
+        if here >= spec.max_per_worker:
+            return PlacementObstacle.TASKS_PER_WORKER
+    return None
 
 
 def _preferred_rack(step: StepRecord, workers: Sequence[WorkerState]) -> str:
--- /dev/null
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -0,0 +1,115 @@
+"""Reports of the tasks that have been waiting for a worker, and why."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from currantstage.coordination.jobs._placement import obstacle
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._scheduler import Scheduler
+    from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.state import PoolId
+    from currantstage.state.jobs import TaskKey
+
+#: How long a task has to wait before it is reported, and until it is reported again,
+#: in seconds.
+REPORT_AFTER_S = 1.0
+#: Maximum number of tasks in one report, the longest waiting ones.
+MAX_REPORTED_TASKS = 8
+#: Key of `WaitingTask.workers` for workers that could take the task.
+SUITABLE = "suitable"
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingTask:
+    """A task that waits, and the state of the workers of its pool.
+
+    Parameters
+    ----------
+    task : TaskKey
+    pool : PoolId
+    waited_s : float
+        How long this scheduler has seen the task waiting.
+    is_long_running : bool
+    is_team_limited : bool
+        Whether the team's upper limit leaves no room for the task.
+    workers : dict of str to int
+        Number of workers of the pool by the reason why each can't take the task, and
+        under `SUITABLE` of those that can.
+    """
+
+    task: TaskKey
+    pool: PoolId
+    waited_s: float
+    is_long_running: bool
+    is_team_limited: bool
+    workers: dict[str, int]
+
+
+class WaitReporter:
+    """Finds the tasks that have been waiting for long, a few at a time.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+    """
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        self._waiting_since_s: dict[TaskKey, float] = {}
+
+    def report(self, now_s: float) -> list[WaitingTask]:
+        """Return the longest waiting tasks: long-running ones first, one per step."""
+        tasks = [
+            waiting[0]
+            for step in self._scheduler.jobs.ready_steps()
+            if (waiting := step.waiting_tasks(now_s))
+        ]
+        self._waiting_since_s = {
+            task.key: self._waiting_since_s.get(task.key, now_s) for task in tasks
+        }
+        due = [task for task in tasks if self._waited_s(task, now_s) >= REPORT_AFTER_S]
+        due.sort(
+            key=lambda task: (
+                not task.step.step.is_long_running,
+                self._waiting_since_s[task.key],
+            )
+        )
+        return [self._explain(task, now_s) for task in due[:MAX_REPORTED_TASKS]]
+
+    def _waited_s(self, task: TaskRecord, now_s: float) -> float:
+        return now_s - self._waiting_since_s[task.key]
+
+    def _explain(self, task: TaskRecord, now_s: float) -> WaitingTask:
+        scheduler = self._scheduler
+        step = task.step
+        pool = scheduler.pool_of(step)
+        team = step.job.submission.team
+        is_allowed = scheduler.teams.allows(
+            team, step.step.resources, scheduler.configuration
+        )
+        return WaitingTask(
+            task=task.key,
+            pool=pool,
+            waited_s=self._waited_s(task, now_s),
+            is_long_running=step.step.is_long_running,
+            is_team_limited=not is_allowed,
+            workers=_count_reasons(step, scheduler.workers.in_pool(pool), now_s),
+        )
+
+
+def _count_reasons(
+    step: StepRecord, workers: Iterable[WorkerState], now_s: float
+) -> dict[str, int]:
+    """Count the workers by the reason why each can't take a task of `step`."""
+    counts: Counter[str] = Counter()
+    for worker_state in workers:
+        reason = worker_state.start_blocker(now_s) or obstacle(step, worker_state)
+        counts[reason.value if reason else SUITABLE] += 1
+    return dict(counts)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import Run, RunPhase
@@ -46,6 +47,19 @@
     return Fence(term * FENCES_PER_TERM)
 
 
+class StartBlocker(Enum):
+    """Why no task may be placed on a worker now."""
+
+    UNSYNCED = "unsynced"
+    UNLISTED = "unlisted"
+    DRAINING = "draining"
+    CORDONED = "cordoned"
+    SILENT = "silent"
+    ORPHANS = "orphans"
+    PAUSED = "paused"
+    START_IN_DOUBT = "start-in-doubt"
+
+
 @dataclass(slots=True, eq=False)
 class WorkerState:
     """State of a worker.
@@ -128,16 +142,25 @@
 
     def accepts_starts(self, now_s: float) -> bool:
         """Return whether tasks may be placed on the worker."""
-        return (
-            self.is_synced
-            and self.is_listed
-            and not self.entry.is_draining
-            and not self.is_cordoned
-            and not self.is_silent
-            and not self.has_orphans
-            and now_s >= self.blocked_until_s
-            and not self.has_start_in_doubt()
-        )
+        return self.start_blocker(now_s) is None
+
+    def start_blocker(self, now_s: float) -> StartBlocker | None:
+        """Return why no task may be placed on the worker; None if tasks may be."""
+        if not self.is_synced:
+            return StartBlocker.UNSYNCED
+        if not self.is_listed:
+            return StartBlocker.UNLISTED
+        if self.entry.is_draining:
+            return StartBlocker.DRAINING
+        if self.is_cordoned:
+            return StartBlocker.CORDONED
+        if self.is_silent:
+            return StartBlocker.SILENT
+        if self.has_orphans:
+            return StartBlocker.ORPHANS
+        if now_s < self.blocked_until_s:
+            return StartBlocker.PAUSED
+        return StartBlocker.START_IN_DOUBT if self.has_start_in_doubt() else None
 
     def raise_fence(self) -> None:
         """Invalidate all unanswered orders once the next one is answered."""
--- a/currantstage/util/_log_sink.py
+++ b/currantstage/util/_log_sink.py
@@ -15,6 +15,8 @@
 BURST_LINES = 2000
 #: Sustained rate limit, in lines per second.
 LINES_PER_S = 400.0
+#: Lines of a burst that are reserved for messages that are not routine.
+RESERVED_LINES = 1000
 
 
 class LogSink:
@@ -28,11 +30,20 @@
         File descriptor to write to; a pipe is made non-blocking.
     now_s : callable
         Returns the monotonic time, in seconds.
+    is_routine : callable, optional
+        Whether a message is dropped first. Lines that come with each task would leave
+        no room under load for the lines that explain a decision.
     """
 
-    def __init__(self, descriptor: int, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        now_s: Callable[[], float],
+        is_routine: Callable[[Mapping[str, Any]], bool] = lambda _: False,
+    ) -> None:
         self._descriptor = descriptor
         self._now_s = now_s
+        self._is_routine = is_routine
         self._tokens = float(BURST_LINES)
         self._refilled_at_s = now_s()
         self._dropped_lines = 0
@@ -43,7 +54,7 @@
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write one message, or count it as dropped."""
         self._refill()
-        if self._tokens < 1 or not self._flush():
+        if self._tokens < self._min_tokens(message) or not self._flush():
             self._dropped_lines += 1
             return
         self._tokens -= 1
@@ -58,6 +69,10 @@
         self._pending_output = line
         self._flush()
 
+    def _min_tokens(self, message: Mapping[str, Any]) -> int:
+        """Return how many tokens must be left for `message` to be written."""
+        return 1 + RESERVED_LINES if self._is_routine(message) else 1
+
     def _refill(self) -> None:
         now_s = self._now_s()
         new_tokens = (now_s - self._refilled_at_s) * LINES_PER_S
--- a/tests/util/test_log_sink.py
+++ b/tests/util/test_log_sink.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from currantstage.util._log_sink import BURST_LINES, LINES_PER_S, LogSink
+from currantstage.util._log_sink import (
+    BURST_LINES,
+    LINES_PER_S,
+    RESERVED_LINES,
+    LogSink,
+)
 
 
 def _read_lines(descriptor: int) -> list[dict[str, object]]:
@@ -49,3 +54,23 @@
     lines = _read_lines(reader)
     assert 0 < len(lines) < BURST_LINES
     assert all("number" in line for line in lines)
+
+
+def test_routine_lines_leave_room_for_lines_that_explain_a_decision() -> None:
+    reader, writer = os.pipe()
+    sink = LogSink(writer, lambda: 0.0, lambda line: line["message_type"] == "routine")
+    lines_read = []
+    for number in range(BURST_LINES):
+        sink({"message_type": "routine", "number": number})
+        if number % 100 == 0:
+            lines_read += _read_lines(reader)
+    lines_read += _read_lines(reader)
+    assert len(lines_read) == BURST_LINES - RESERVED_LINES
+    for number in range(RESERVED_LINES):
+        sink({"message_type": "decision", "number": number})
+        if number % 100 == 0:
+            lines_read += _read_lines(reader)
+    lines_read += _read_lines(reader)
+    kinds = [line["message_type"] for line in lines_read]
+    assert kinds.count("decision") == RESERVED_LINES
+    assert "currantstage:log-lines-dropped" in kinds
