Give the slots of running requests a class of their own

Dispatcher kept two counters of running requests in step by hand in three places. RunningSlots keeps both; order of teams and figures stay as they were.

--- a/currantstage/coordination/requests/_dispatch.py
+++ b/currantstage/coordination/requests/_dispatch.py
@@ -19,7 +19,6 @@
     retry_after_s,
 )
 from currantstage.coordination.requests._dispatch_effects import (
-    MIN_WEIGHT_SLOTS,
     Assignment,
     DispatchEffect,
     Refuse,
@@ -29,6 +28,7 @@
 )
 from currantstage.coordination.requests._outcomes import Refusal, RefusalReason
 from currantstage.coordination.requests._policies import TeamLoad
+from currantstage.coordination.requests._running_slots import RunningSlots
 from currantstage.coordination.requests._waiting_requests import NO_TEAM, QueueBacklog
 
 if TYPE_CHECKING:
@@ -89,8 +89,7 @@
         self._estimates = estimates
         self._waiting_requests: dict[RequestId, WaitingRequest] = {}
         self._backlogs: dict[QueueId, QueueBacklog] = {}
-        self._running_slots: dict[QueueId, dict[TeamId, float]] = {}
-        self._running_requests: Counter[QueueId] = Counter()
+        self._running = RunningSlots()
         self._is_stopping = False
 
     @property
@@ -101,11 +100,11 @@
     @property
     def running_count(self) -> int:
         """Number of requests that hold a slot, including those of unknown outcome."""
-        return self._running_requests.total()
+        return self._running.request_count
 
     def running_slots(self) -> Mapping[QueueId, Mapping[TeamId, float]]:
         """Return the slots held by each team, weighted by job size, per queue."""
-        return self._running_slots
+        return self._running.slots
 
     def team_loads(self) -> tuple[QueueLoad, ...]:
         """Return the running slots and waiting requests of each team, per queue."""
@@ -116,7 +115,7 @@
         }
         running = {
             (queue, team): slots
-            for queue, teams in self._running_slots.items()
+            for queue, teams in self._running.slots.items()
             for team, slots in teams.items()
         }
         return tuple(
@@ -135,7 +134,7 @@
 
     def demand_slots(self) -> dict[QueueId, int]:
         """Return the number of running and waiting requests of each non-empty queue."""
-        demand = Counter(self._running_requests)
+        demand = Counter(self._running.requests)
         for queue, backlog in self._backlogs.items():
             demand[queue] += len(backlog)
         return dict(+demand)
@@ -195,8 +194,7 @@
         self._worker_capacity.release(assignment.vm, request.size)
         if request.team != NO_TEAM:
             self._limiter.release(request.team)
-        self._release_weight(assignment)
-        self._running_requests[request.queue] -= 1
+        self._running.remove(assignment)
         return self.start_waiting(now_s)
 
     def set_leaving(self, vms: Iterable[VmId], now_s: float) -> list[DispatchEffect]:
@@ -254,7 +252,7 @@
         Refuses `request` if it can't meet its deadline, otherwise one request of the
         backlog if that is over its bound.
         """
-        running = self._running_requests[request.queue]
+        running = self._running.count_requests(request.queue)
         ahead = backlog.count_ahead(request.team)
         wait_s = estimate_wait_s(self._estimates, request.queue, ahead, running)
         if not request.is_urgent and cannot_meet_deadline(
@@ -302,17 +300,16 @@
         waiting = {
             team: 0 if team in blocked else len(requests) for team, requests in backlog
         }
-        running = self._running_slots.get(queue, _NO_RUNNING_SLOTS)
+        teams = dict.fromkeys((*waiting, *self._running.teams(queue)))
         return [
-            self._load_of(queue, team, waiting.get(team, 0), now_s)
-            for team in waiting | running
+            self._load_of(queue, team, waiting.get(team, 0), now_s) for team in teams
         ]
 
     def _load_of(
         self, queue: QueueId, team: TeamId, waiting: int, now_s: float
     ) -> TeamLoad:
         record = self._topology.fleet.teams.get(team)
-        running = self._running_slots.get(queue, _NO_RUNNING_SLOTS).get(team, 0.0)
+        running = self._running.teams(queue).get(team, 0.0)
         return TeamLoad(
             team=team,
             share=1.0 if record is None else record.share,
@@ -333,19 +330,9 @@
                 self._limiter.release(request.team)
             return None
         assignment = Assignment(request, vm, now_s)
-        running = self._running_slots.setdefault(request.queue, {})
-        held = running.get(request.team, 0.0)
-        running[request.team] = held + assignment.weight_slots
-        self._running_requests[request.queue] += 1
+        self._running.add(assignment)
         return assignment
 
-    def _release_weight(self, assignment: Assignment) -> None:
-        request = assignment.request
-        running = self._running_slots[request.queue]
-        running[request.team] -= assignment.weight_slots
-        if running[request.team] < MIN_WEIGHT_SLOTS:
-            del running[request.team]
-
     def _refuse(
         self, request: WaitingRequest, refusal: Refusal
     ) -> list[DispatchEffect]:
@@ -360,5 +347,4 @@
             del self._backlogs[request.queue]
 
 
-_NO_RUNNING_SLOTS: dict[TeamId, float] = {}
 _STOPPING = Refusal(RefusalReason.STOPPING, DEFAULT_RETRY_AFTER_S)
