--- a/tests/jobs/site.py
+++ b/tests/jobs/site.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from currantstage.standin.jobs import VirtualTimeLoop
+from currantstage.standin.jobs import SimulatedSite, VirtualTimeLoop
 from currantstage.state.jobs import Resources, Step
 
 if TYPE_CHECKING:
@@ -13,6 +13,10 @@
     from typing import Any
 
 
+#: Time until a started site has a scheduler that knows its workers, in seconds.
+SETTLE_S = 2
+
+
 def run_scenario(scenario: Coroutine[Any, Any, None]) -> None:
     """Run `scenario` to its end on an event loop of its own."""
     loop = VirtualTimeLoop()
@@ -25,6 +29,16 @@
         loop.close()
 
 
+async def start_site(
+    seed: int, vms_per_pool: int = 3, settle_s: float = SETTLE_S
+) -> SimulatedSite:
+    """Return a running site, `settle_s` after its start."""
+    site = SimulatedSite(seed, vms_per_pool=vms_per_pool)
+    await site.start()
+    await asyncio.sleep(settle_s)
+    return site
+
+
 def step(count: int = 3, cpu: int = 1000, run_ms: int = 500, **options: Any) -> Step:
     """Return a step; by default, its tasks take one core and 500 MB each."""
     return Step(
--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -18,7 +18,7 @@
     MaintenanceWave,
     WorkerId,
 )
-from tests.jobs.site import run_scenario, step
+from tests.jobs.site import run_scenario, start_site, step
 
 TWO_STEPS = (step(4), step(2, after=(0,)))
 
@@ -32,9 +32,7 @@
 
 def test_every_job_completes_without_faults() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=1)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=1)
         await _submit_jobs(site, 30, 0.2)
         await asyncio.sleep(5)
         await site.check_final()
@@ -47,9 +45,7 @@
 
 def test_killed_scheduler_is_replaced_and_nothing_runs_twice() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=2)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=2)
         submitting = asyncio.create_task(_submit_jobs(site, 30, 0.2))
         for _ in range(3):
             await asyncio.sleep(1.5)
@@ -69,9 +65,7 @@
 
 def test_scheduling_resumes_within_two_seconds_after_all_daemons_are_killed() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=3)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=3)
         job = await site.submit((step(4, run_ms=3000),))
         await asyncio.sleep(0.5)
         names = list(site.daemons)
@@ -90,9 +84,7 @@
 
 def test_graceful_stop_hands_over_the_scheduler_lease() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=4)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=4)
         job = await site.submit((step(4, run_ms=1500),))
         name = site.scheduler_name()
         assert name is not None
@@ -114,9 +106,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=5)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=5)
         await site.submit((step(6, run_ms=4500),))
         await asyncio.sleep(0.3)
         worker = next(w for w in site.workers.workers.values() if w.runs)
@@ -136,9 +126,7 @@
     """Starts on moved VMs stayed in doubt until the worker's lease expired."""
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=6, vms_per_pool=4)
-        await site.start()
-        await asyncio.sleep(4)
+        site = await start_site(seed=6, vms_per_pool=4, settle_s=4)
         started_s = asyncio.get_running_loop().time()
         job = await site.submit((step(6, run_ms=300),))
         while await site.show(job) is not JobState.COMPLETED:
@@ -151,9 +139,7 @@
 
 def test_wave_maintains_every_vm_within_its_limit() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=7)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=7)
         await site.submit((step(3, is_long_running=True, max_unavailable=1),))
         vms = tuple(f"m-{pool}-{number}" for pool in POOLS for number in range(3))
         wave = MaintenanceWave(number=1, vms=vms, complete_by_s=25, max_down=2)
@@ -168,9 +154,7 @@
 
 def test_store_outage_delays_jobs_and_loses_none() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=8)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=8)
         submitting = asyncio.create_task(_submit_jobs(site, 20, 0.3))
         await asyncio.sleep(2)
         site.store.unreachable_for = {"*"}
@@ -186,9 +170,7 @@
 
 def test_job_fails_after_its_maximum_attempts() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=9)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=9)
         job = await site.submit((step(2, run_ms=200),), spec="hopeless")
         await asyncio.sleep(4)
         assert await site.show(job) is JobState.FAILED
@@ -199,9 +181,7 @@
 
 def test_cancelled_job_is_stopped_and_stays_cancelled() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=10)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=10)
         job = await site.submit((step(4, run_ms=60_000),))
         await asyncio.sleep(0.5)
         assert await site.cancel(job)
@@ -217,9 +197,7 @@
     """Two daemons that the store refused rejected all jobs for nine seconds."""
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=11)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=11)
         isolated = next(name for name in site.daemons if name != site.scheduler_name())
         site.store.unreachable_for = {isolated}
         await asyncio.sleep(3)
@@ -234,9 +212,7 @@
 
 def test_daemon_without_store_access_follows_the_configuration() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=12)
-        await site.start()
-        await asyncio.sleep(3)
+        site = await start_site(seed=12, settle_s=3)
         isolated = next(name for name in site.daemons if name != site.scheduler_name())
         site.store.unreachable_for = {isolated}
         await asyncio.sleep(2)
@@ -255,9 +231,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=13)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=13)
         await site.submit((step(6, run_ms=8000),))
         await asyncio.sleep(0.5)
         old = site.scheduler_name()
@@ -334,9 +308,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=16)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=16)
         site.workers.late_fraction = 0.08
         site.workers.late_hold_fraction = 0.08
         durations_s = []
@@ -366,9 +338,7 @@
     """A superseded scheduler sent 6,900 failing renewals in 6 s."""
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=17)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=17)
         await site.submit((step(6, run_ms=20_000),))
         await asyncio.sleep(0.5)
         old = site.scheduler_name()
@@ -391,9 +361,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=18)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=18)
         isolated = next(name for name in site.daemons if name != site.scheduler_name())
         site.store.unreachable_for = {isolated}
         site.silent_daemons = {isolated}
@@ -421,9 +389,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=16)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=16)
         await site.submit((step(4, run_ms=3000),))
         await asyncio.sleep(0.5)
         name = site.scheduler_name()
@@ -446,9 +412,7 @@
     """Pools stayed too small for 3.4 s after a takeover."""
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=18)
-        await site.start()
-        await asyncio.sleep(8)
+        site = await start_site(seed=18, settle_s=8)
         name = site.scheduler_name()
         assert name is not None
         await site.stop_daemon(name)
@@ -471,9 +435,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=19)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=19)
         await site.submit((step(6, run_ms=8000),))
         await asyncio.sleep(0.5)
         old = site.scheduler_name()
@@ -508,9 +470,7 @@
     """
 
     async def scenario() -> None:
-        site = SimulatedSite(seed=20)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=20)
         site.store.refused_partitions = {"1"}
         job = await site.submit((step(2, run_ms=4000),))
         assert job.startswith("1")
@@ -534,9 +494,7 @@
 
 def test_job_is_cancelled_while_its_partition_is_unavailable() -> None:
     async def scenario() -> None:
-        site = SimulatedSite(seed=21)
-        await site.start()
-        await asyncio.sleep(2)
+        site = await start_site(seed=21)
         site.store.refused_partitions = {"1"}
         job = await site.submit((step(2, run_ms=9000),))
         await asyncio.sleep(0.5)
