--- a/bench/request_site.py
+++ b/bench/request_site.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.application import DaemonMetrics, RequestPath
-from currantstage.coordination.limits import WeightedMaxMin
+from currantstage.coordination.limits import UsageTracker, WeightedMaxMin
 from currantstage.coordination.membership import Configuration
 from currantstage.protocol import CallerRequest
 from currantstage.standin import BackendStandIn, find_free_ports
@@ -116,6 +116,7 @@
         LocalTeamLimiter(configuration),
         LocalWorkerSlots(configuration),
         WeightedMaxMin(),
+        UsageTracker(),
         metrics,
         clock,
         rng,
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,14 +1,20 @@
-"""Every module of the benchmarks and specifications can be imported."""
+"""The benchmarks and specifications can be imported, and their sites be built."""
 
 from __future__ import annotations
 
+import asyncio
 import importlib
 import pkgutil
+import random
 
 import pytest
+import uvloop
 
 import bench
 import spec
+from bench.request_site import serving_path
+from currantstage.coordination.requests import Outcome
+from currantstage.protocol import CallerOptions
 
 MODULES = [
     f"{package.__name__}.{module.name}"
@@ -25,3 +31,14 @@
     `bench.request_site` once imported classes that had moved to the tests.
     """
     importlib.import_module(name)
+
+
+def test_request_site_of_the_benchmarks_serves_a_request() -> None:
+    """Guards against arguments of `RequestPath.build` that the benchmarks lack."""
+
+    async def serve() -> Outcome:
+        async with serving_path(1, 0.0, random.Random(1)) as site:
+            async with asyncio.timeout(10):
+                return (await site.serve(b"x", CallerOptions())).outcome
+
+    assert uvloop.run(serve()) is Outcome.COMPLETED
