Acknowledge each end as soon as its own job is stored

A write holds 90 jobs, and ends counted as stored only with a write after which no job at all was left. While more than 90 jobs change between two writes that never comes: no end was acknowledged, each reply listed all of them again, each such reply came at once rather than after the wait, and the scheduler's processor and link went into reading them.

Each unstored end is now kept with its job. A write covers the ends whose job has no change besides those it holds or that are stored already, and they stay stored even if the job changes again; the worker is told the highest number below which all are stored. So an end waits for its own job's turn, at most one round of writes, and none waits for good. An end still isn't acknowledged before all of its effects are stored, so that no successor can start a run that has ended: a batch that fails marks its jobs as changed, and its ends are taken again.

The first test (95 ended jobs, one failed write) failed before: nothing was acknowledged by the write that left five jobs. The second holds the part of the record that the first does not reach.

--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -36,9 +36,10 @@
     TaskRecord,
 )
 from currantstage.coordination.jobs._scheduler import (
-    EndWatermark,
+    MAX_JOBS_PER_WRITE,
     ProgressBatch,
     Scheduler,
+    StorableEnds,
 )
 from currantstage.coordination.jobs._store_health import StoreHealth
 from currantstage.coordination.jobs._team_usage import TeamUsage
@@ -60,10 +61,11 @@
 from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
 
 __all__ = [
+    "MAX_JOBS_PER_WRITE",
+    "StorableEnds",
     "AdaptiveTimeout",
     "AdviceTracker",
     "DemandSizing",
-    "EndWatermark",
     "FixedSizing",
     "FleetManager",
     "HeldLease",
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -116,6 +116,10 @@
         """Whether anything has changed since it was last stored."""
         return bool(self._unsaved)
 
+    def is_unsaved(self, job: JobId) -> bool:
+        """Return whether a job has changed since it was last taken to be stored."""
+        return job in self._unsaved
+
     def take_unsaved(self, max_count: int) -> tuple[JobRecord, ...]:
         """Return up to `max_count` unsaved jobs, and mark them as saved."""
         taken = tuple(self._unsaved.values())[:max_count]
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -42,6 +42,7 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import (
+        BornMs,
         EndedTask,
         EndNumber,
         FleetConfiguration,
@@ -79,23 +80,23 @@
         Progress to store for each of the jobs.
     starts : tuple of Run
         Runs whose start may be ordered once the write is confirmed.
-    ends : tuple of EndWatermark
+    ends : tuple of StorableEnds
         Ends whose effects are stored by this write.
     """
 
     jobs: tuple[JobRecord, ...]
     progress: tuple[JobProgress, ...]
     starts: tuple[Run, ...]
-    ends: tuple[EndWatermark, ...]
+    ends: tuple[StorableEnds, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class EndWatermark:
-    """Highest end number of a worker's incarnation that a write covers."""
+class StorableEnds:
+    """Ends of runs in a worker's incarnation that a write covers."""
 
     worker: WorkerState
-    born_ms: int
-    upto: EndNumber
+    born_ms: BornMs
+    numbers: tuple[EndNumber, ...]
 
 
 class Scheduler:
@@ -215,18 +216,17 @@
 
     def take_batch(self) -> ProgressBatch | None:
         """Return the next batch to store; None if nothing has changed."""
-        watermarks = self._unstored_ends()
-        if not self.jobs.has_unsaved and not watermarks:
-            return None
         records = self.jobs.take_unsaved(MAX_JOBS_PER_WRITE)
+        ends = self._storable_ends()
+        if not records and not ends:
+            return None
         taken = {record.job for record in records}
         starts = [run for run in self._unsent if run.task.key.job in taken]
         return ProgressBatch(
             jobs=records,
             progress=tuple(record.progress() for record in records),
             starts=tuple(starts),
-            # Ends count as stored only together with all that they have changed.
-            ends=() if self.jobs.has_unsaved else watermarks,
+            ends=ends,
         )
 
     def on_batch_failed(self, batch: ProgressBatch) -> None:
@@ -238,11 +238,9 @@
         """Return the runs whose start may be ordered now that `batch` is stored."""
         for record, stored in zip(batch.jobs, batch.progress, strict=True):
             record.stored_state = stored.state
-        for watermark in batch.ends:
-            if watermark.worker.entry.born_ms == watermark.born_ms:
-                watermark.worker.seen_upto = max(
-                    watermark.worker.seen_upto, watermark.upto
-                )
+        for ends in batch.ends:
+            if ends.worker.entry.born_ms == ends.born_ms:
+                ends.worker.record_ends_stored(ends.numbers)
         stored_runs = set(map(id, batch.starts))
         self._unsent = [run for run in self._unsent if id(run) not in stored_runs]
         return [
@@ -367,14 +365,19 @@
         task.run = run
         self.teams.add(run.team, run.step.resources)
 
-    def _unstored_ends(self) -> tuple[EndWatermark, ...]:
-        return tuple(
-            EndWatermark(
-                worker_state, worker_state.entry.born_ms, worker_state.processed_upto
+    def _storable_ends(self) -> tuple[StorableEnds, ...]:
+        """Return the ends all of whose effects are stored with the jobs just taken."""
+        storable = []
+        for worker_state in self.workers.states():
+            numbers = tuple(
+                number
+                for number, job in worker_state.unstored_ends.items()
+                if not self.jobs.is_unsaved(job)
             )
-            for worker_state in self.workers.states()
-            if worker_state.processed_upto > worker_state.seen_upto
-        )
+            if numbers:
+                born_ms = worker_state.entry.born_ms
+                storable.append(StorableEnds(worker_state, born_ms, numbers))
+        return tuple(storable)
 
     def _apply_changes(
         self, worker: WorkerId, changes: RunChanges, now_s: float
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -17,8 +17,10 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from currantstage.coordination.jobs._tuning import SchedulerTuning
-    from currantstage.state.jobs import JobId, TaskKey, WorkerEntry
+    from currantstage.state.jobs import EndedTask, JobId, TaskKey, WorkerEntry
 
 #: Fences reserved for a term; a term that used more would overlap the next one.
 FENCES_PER_TERM = 1_000_000
@@ -76,7 +78,10 @@
     processed_upto : EndNumber
         Highest number of the ends that have been processed in memory.
     seen_upto : EndNumber
-        Highest number of the ends that are stored.
+        Highest number up to which all ends are stored.
+    unstored_ends : dict of EndNumber to JobId
+        Jobs of the processed ends that are not known to be stored, in the order of
+        their numbers.
     acknowledged_upto : EndNumber
         Highest number of the ends that the worker knows to be stored.
     is_synced : bool
@@ -104,6 +109,7 @@
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
     acknowledged_upto: EndNumber = EndNumber(0)
+    unstored_ends: dict[EndNumber, JobId] = field(default_factory=dict)
     is_synced: bool = False
     is_listed: bool = True
     missed_renewals: int = 0
@@ -212,6 +218,22 @@
             wait_ms=tuning.hold_wait_ms if may_wait else 0,
         )
 
+    def record_ends(self, ends: Iterable[EndedTask]) -> None:
+        """Record ends that are processed now."""
+        for ended in sorted(ends, key=lambda each: each.number):
+            self.processed_upto = ended.number
+            self.unstored_ends[ended.number] = ended.task.job
+
+    def record_ends_stored(self, numbers: Iterable[EndNumber]) -> None:
+        """Record that all effects of some of the processed ends are stored."""
+        for number in numbers:
+            self.unstored_ends.pop(number, None)
+        first_unstored = next(iter(self.unstored_ends), None)
+        if first_unstored is None:
+            self.seen_upto = self.processed_upto
+        else:
+            self.seen_upto = EndNumber(first_unstored - 1)
+
     def record_failure(self, job: JobId, now_s: float) -> None:
         """Count a failed run; quarantine a worker on which several jobs fail."""
         self.failures.append(job)
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -216,6 +216,7 @@
         state.processed_upto = EndNumber(0)
         state.seen_upto = EndNumber(0)
         state.acknowledged_upto = EndNumber(0)
+        state.unstored_ends.clear()
         ended = []
         for run in state.runs.values():
             if run.phase is not RunPhase.RUNNING:
@@ -282,8 +283,7 @@
     if reply.born_ms != state.entry.born_ms:
         return []
     new_ends = [each for each in reply.ended if each.number > state.processed_upto]
-    if new_ends:
-        state.processed_upto = max(each.number for each in new_ends)
+    state.record_ends(new_ends)
     return new_ends
 
 
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -4,17 +4,26 @@
 
 import pytest
 
-from currantstage.coordination.jobs import Run, RunPhase, Scheduler, SchedulerTuning
+from currantstage.coordination.jobs import (
+    MAX_JOBS_PER_WRITE,
+    Run,
+    RunPhase,
+    Scheduler,
+    SchedulerTuning,
+    WorkerState,
+)
 from currantstage.standin.jobs import build_configuration
 from currantstage.state.jobs import (
     BornMs,
     EndedTask,
     EndKind,
     EndNumber,
+    Fence,
     JobId,
     OrderOutcome,
     RenewalOrder,
     RenewalReply,
+    Resources,
     RunningTask,
     Term,
     WorkerId,
@@ -36,6 +45,12 @@
     return order
 
 
+def _store_batch(scheduler: Scheduler) -> list[Run]:
+    batch = scheduler.take_batch()
+    assert batch is not None
+    return scheduler.on_batch_stored(batch)
+
+
 def _scheduler_with_runs(count: int) -> tuple[Scheduler, list[Run]]:
     """Return a scheduler and the stored runs of one job on its only worker."""
     scheduler = Scheduler(Term(1), build_configuration(), TUNING)
@@ -43,9 +58,7 @@
     scheduler.on_renewal_outcome(_hold(scheduler, 0.0), _reply(), sent_s=0.0, now_s=0.1)
     scheduler.submit(submission(JobId("0" * 16), step(count)), now_s=0.1)
     scheduler.place(now_s=0.1, unix_ms=0)
-    batch = scheduler.take_batch()
-    assert batch is not None
-    return scheduler, scheduler.on_batch_stored(batch)
+    return scheduler, _store_batch(scheduler)
 
 
 def test_start_in_doubt_is_released_only_once_its_fence_is_invalid() -> None:
@@ -98,3 +111,57 @@
     scheduler.start_order(run, now_s=0.2)
     scheduler.on_start_outcome(run, outcome, now_s=0.5)
     assert run.task.run is None
+
+
+def _end(number: int, run: Run) -> EndedTask:
+    return EndedTask(EndNumber(number), run.task.key, run.number, EndKind.DONE, "")
+
+
+def _scheduler_with_ended_jobs(count: int) -> Scheduler:
+    """Return a scheduler whose only worker has ended the only task of each job."""
+    scheduler = Scheduler(Term(1), build_configuration(), TUNING)
+    room = Resources(1000 * count, 500 * count, 0)
+    scheduler.update_workers((entry(WORKER, capacity=room),), now_s=0.0)
+    scheduler.on_renewal_outcome(_hold(scheduler, 0.0), _reply(), sent_s=0.0, now_s=0.1)
+    for number in range(count):
+        scheduler.submit(submission(JobId(f"{number:016x}"), step(1)), now_s=0.1)
+    scheduler.place(now_s=0.1, unix_ms=0)
+    runs: list[Run] = []
+    while scheduler.jobs.has_unsaved:
+        runs.extend(_store_batch(scheduler))
+    for run in runs:
+        scheduler.start_order(run, now_s=0.2)
+        scheduler.on_start_outcome(run, OrderOutcome.ACCEPTED, now_s=0.3)
+    ends = [_end(number, run) for number, run in enumerate(runs, start=1)]
+    scheduler.on_renewal_outcome(
+        _hold(scheduler, 0.4), _reply(*ends), sent_s=0.4, now_s=0.5
+    )
+    return scheduler
+
+
+def test_ends_are_acknowledged_while_other_jobs_wait_to_be_stored() -> None:
+    """With a backlog, no end was acknowledged, and each reply listed all of them."""
+    scheduler = _scheduler_with_ended_jobs(MAX_JOBS_PER_WRITE + 5)
+    failed = scheduler.take_batch()
+    assert failed is not None
+    scheduler.on_batch_failed(failed)
+    worker_state = scheduler.workers.get(WORKER)
+    assert worker_state is not None
+    assert worker_state.seen_upto == 0
+    # A failed write puts its jobs behind those that it did not hold.
+    _store_batch(scheduler)
+    assert worker_state.seen_upto == MAX_JOBS_PER_WRITE - 5
+    _store_batch(scheduler)
+    assert worker_state.seen_upto == MAX_JOBS_PER_WRITE + 5
+    assert scheduler.take_batch() is None
+
+
+def test_stored_end_stays_stored_though_its_job_changes_again() -> None:
+    """Guards against ends that wait for all later changes of their jobs as well."""
+    worker_state = WorkerState(entry(WORKER), Fence(1))
+    _, runs = _scheduler_with_runs(3)
+    worker_state.record_ends(_end(number, run) for number, run in enumerate(runs, 1))
+    worker_state.record_ends_stored((EndNumber(2), EndNumber(3)))
+    assert worker_state.seen_upto == 0
+    worker_state.record_ends_stored((EndNumber(1),))
+    assert worker_state.seen_upto == 3
