Measure a run's lack of progress on its worker's clock

It compared the time at which it looked with the time at which it had read the last change of progress: a scheduler that reads 1.5 s late saw 1.5 s without progress on every run.

A worker that is not heard from reports nothing; its runs are released when its lease expires, as before, and are no longer marked for stopping meanwhile. A run that does stall is stopped with the first list that shows it. Long-running tasks that start up are measured the same way.

The test, with injected times, failed before: the run was stopped by a tick without any list in between.

--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -56,8 +56,10 @@
         Whether the incarnation of the worker that runs it has listed it.
     listed_s : float
         When its worker last listed it.
-    progressed_s : float
-        When its progress was last seen to change.
+    listed_clock_ms : int
+        Time on the worker's clock of the list that it was last in.
+    progressed_clock_ms : int
+        Time on the worker's clock of the list in which its progress last changed.
     is_stopping : bool
         The scheduler has decided to stop it.
     stop_sent_s : float
@@ -74,8 +76,9 @@
     accepted_s: float = float("inf")
     is_listed: bool = False
     listed_s: float = float("-inf")
+    listed_clock_ms: int = 0
     percent: int = 0
-    progressed_s: float = 0.0
+    progressed_clock_ms: int = 0
     gauge: float = 0.0
     is_stopping: bool = False
     stop_sent_s: float = float("-inf")
@@ -96,6 +99,11 @@
         """The share of the worker's capacity that the run reserves."""
         return self.step.reserved_resources
 
+    @property
+    def idle_s(self) -> float:
+        """How long its worker has listed it without progress, on the worker's clock."""
+        return (self.listed_clock_ms - self.progressed_clock_ms) / 1000
+
     def is_recently_listed(self, now_s: float) -> bool:
         """Return whether its worker has listed it recently."""
         return (
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -403,9 +403,7 @@
             self._stop(run)
 
     def _on_accepted(self, run: Run, now_s: float) -> None:
-        if run.phase is not RunPhase.RUNNING:
-            run.phase = RunPhase.RUNNING
-            run.progressed_s = now_s
+        run.phase = RunPhase.RUNNING
         run.accepted_s = min(run.accepted_s, now_s)
         self._on_running(run)
 
@@ -506,7 +504,7 @@
     def _check_run(self, worker_state: WorkerState, run: Run, now_s: float) -> None:
         if run.phase is not RunPhase.RUNNING:
             return
-        if not run.is_stopping and self._is_stalled(run, now_s):
+        if not run.is_stopping and self._is_stalled(run):
             run.task.failed_on.add(run.worker)
             worker_state.blocked_until_s = max(
                 worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
@@ -521,10 +519,9 @@
                 )
             )
 
-    def _is_stalled(self, run: Run, now_s: float) -> bool:
-        idle_s = now_s - run.progressed_s
+    def _is_stalled(self, run: Run) -> bool:
         if run.pace_percent < 100 or run.step.is_gang:
             return False
         if run.step.is_long_running:
-            return run.percent < 100 and idle_s > STARTUP_TIMEOUT_S
-        return idle_s > self._tuning.stall_ms / 1000
+            return run.percent < 100 and run.idle_s > STARTUP_TIMEOUT_S
+        return run.idle_s > self._tuning.stall_ms / 1000
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -262,6 +262,7 @@
                 )
                 continue
             present.add(listed.task)
+            run.listed_clock_ms = reply.clock_ms
             _record_running(run, listed, now_s)
             changes.running.append(run)
         state.has_orphans = bool(changes.stops)
@@ -298,12 +299,11 @@
     if run.phase is not RunPhase.RUNNING:
         run.phase = RunPhase.RUNNING
         run.accepted_s = now_s
-        run.progressed_s = now_s
+    if not run.is_listed or listed.percent != run.percent:
+        run.percent = listed.percent
+        run.progressed_clock_ms = run.listed_clock_ms
     run.is_listed = True
     run.listed_s = now_s
-    if listed.percent != run.percent:
-        run.percent = listed.percent
-        run.progressed_s = now_s
     run.gauge = listed.gauge
     if listed.checkpoint:
         run.task.checkpoint = listed.checkpoint
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -165,3 +165,29 @@
     assert worker_state.seen_upto == 0
     worker_state.record_ends_stored((EndNumber(1),))
     assert worker_state.seen_upto == 3
+
+
+def _list_run(scheduler: Scheduler, run: Run, clock_ms: int, now_s: float) -> None:
+    running = (RunningTask(run.task.key, run.number, "", 10, 0),)
+    reply = RenewalReply(
+        clock_ms=clock_ms, born_ms=BornMs(1), running=running, ended=()
+    )
+    scheduler.on_renewal_outcome(
+        _hold(scheduler, now_s), reply, sent_s=now_s, now_s=now_s
+    )
+
+
+def test_run_is_not_stopped_as_stalled_because_the_scheduler_was_late() -> None:
+    """After a pause of the loop, a scheduler stopped all runs and shunned workers."""
+    scheduler, (run,) = _scheduler_with_runs(1)
+    scheduler.start_order(run, now_s=0.2)
+    scheduler.on_start_outcome(run, OrderOutcome.ACCEPTED, now_s=0.3)
+    _list_run(scheduler, run, clock_ms=1400, now_s=0.5)
+    scheduler.tick(now_s=0.5 + 2 * TUNING.stall_ms / 1000)
+    assert scheduler.take_stop_orders() == []
+    _list_run(scheduler, run, clock_ms=1400 + TUNING.stall_ms, now_s=4.0)
+    scheduler.tick(now_s=5.0)
+    assert scheduler.take_stop_orders() == []
+    _list_run(scheduler, run, clock_ms=1401 + TUNING.stall_ms, now_s=5.1)
+    scheduler.tick(now_s=5.1)
+    assert [stop.task for stop in scheduler.take_stop_orders()] == [run.task.key]
