Send no start to a worker that has fallen silent since the placement

Tasks waited out a lease of a silent worker though they had never been started. Between the placement of a task and the write that stores it, which takes up to seconds with a slow store, its worker may miss renewals and count as silent. The start was sent all the same, came back in doubt, and the task could go elsewhere only once the worker's lease had expired; besides, the order granted that worker a further lease, so that the runs already there were released later, too. The placement itself and the renewals leave silent workers out.

The start order is now withheld and the task requeued. Its run number is stored and never used again, and no order for it has left, so nothing can run twice. A worker that isn't synced is granted no lease either (before, the lease was recorded though nothing was sent).

The test failed before: an order was issued.

--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -258,8 +258,10 @@
             or run.phase is not RunPhase.UNSENT
         ):
             return None
-        until_ms = worker_state.grant_until_ms(now_s, self._tuning)
-        if until_ms is None or not worker_state.is_synced:
+        until_ms = None
+        if worker_state.is_synced and not worker_state.is_silent:
+            until_ms = worker_state.grant_until_ms(now_s, self._tuning)
+        if until_ms is None:
             self._release(run)
             self.jobs.requeue(run.task)
             return None
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -191,3 +191,17 @@
     _list_run(scheduler, run, clock_ms=1401 + TUNING.stall_ms, now_s=5.1)
     scheduler.tick(now_s=5.1)
     assert [stop.task for stop in scheduler.take_stop_orders()] == [run.task.key]
+
+
+def test_no_start_is_sent_to_a_worker_that_has_fallen_silent_since() -> None:
+    """Tasks that were placed while a worker answered were sent to it in doubt."""
+    scheduler, (run,) = _scheduler_with_runs(1)
+    worker_state = scheduler.workers.get(WORKER)
+    assert worker_state is not None
+    while not worker_state.is_silent:
+        order = _hold(scheduler, 0.0)
+        scheduler.on_renewal_outcome(order, OrderOutcome.UNKNOWN, 0.0, 0.2)
+    lease_end_s = worker_state.lease_end_s
+    assert scheduler.start_order(run, now_s=1.0) is None
+    assert run.task.run is None
+    assert worker_state.lease_end_s == lease_end_s
