Don't count the lag of the own loop as silence of the other side

While the event loop is late, answers wait unread in their sockets. The timeout of a call fires first, since its timer is due, and an answer that arrived in time is dropped with its connection. Two such calls make a worker silent, and one makes a start in doubt.

Calls to the platform now have a timeout that is extended by the lag that the loop had during the call. The lag is measured by one timer of 50 ms. The extensions add up to the timeout at most, so that a loop that is late all the time still notices silence, after twice the timeout: for renewals 2.4 s, well under a worker's lease of 4 s.

--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -11,6 +10,8 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.util import LagTolerantTimeout, LoopLagMeter
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -53,13 +54,18 @@
 
 
 class PlatformHttp:
-    """Sends calls, each with a timeout; never retries."""
+    """Sends calls, each with a timeout; never retries.
+
+    An answer that has arrived while the event loop was late is still returned.
+    """
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._lag_meter = LoopLagMeter()
 
     async def start(self) -> None:
         """Open the connection pool."""
+        await self._lag_meter.start()
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=MAX_CONNECTIONS_PER_ADDRESS,
@@ -71,6 +77,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        await self._lag_meter.close()
         if self._session is not None:
             await self._session.close()
             self._session = None
@@ -93,7 +100,7 @@
             sent_headers["Content-Type"] = "application/json"
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                LagTolerantTimeout(self._lag_meter, timeout_s),
                 self._session.request(
                     method, url, data=data, headers=sent_headers
                 ) as response,
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantstage.util._clock import MonotonicClock, StepFilteredUnixClock, UnixClock
+from currantstage.util._lag_tolerant_timeout import LagTolerantTimeout, LoopLagMeter
 from currantstage.util._log_sink import LogSink
 from currantstage.util._periodic_task import PeriodicTask
 from currantstage.util._signals import catch_reload_signal, catch_stop_signals
@@ -10,7 +11,9 @@
 from currantstage.util._waiting import wait_for_event
 
 __all__ = [
+    "LagTolerantTimeout",
     "LogSink",
+    "LoopLagMeter",
     "MonotonicClock",
     "PeriodicTask",
     "StepFilteredUnixClock",
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import time
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -37,6 +38,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+#: Time for which a late event loop does nothing; longer than the timeout of an order.
+LAG_S = 0.8
 ROW = RowName("scheduler", "p", "lease")
 TASK = TaskKey(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
 
@@ -280,3 +283,17 @@
     _run(answer, use)
     assert seen[0]["X-Currantstage-Lease-Holder"] == "entry-1"
     assert seen[0]["X-Currantstage-Fencing-Token"] == "12"
+
+
+def test_answer_that_arrived_while_the_loop_was_late_is_returned() -> None:
+    """A late scheduler took its workers for silent, and their leases expired."""
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.json_response({"ClockMs": 1})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        asyncio.get_running_loop().call_soon(time.sleep, LAG_S)
+        outcome = await WorkerClient(http).start(_start_order(address))
+        assert outcome is OrderOutcome.ACCEPTED
+
+    _run(answer, use)
