Count a task as away while an earlier scheduler's stop may end it

The scheduler had changed: the earlier one had ordered a stop for maintenance, and the next one, which knows nothing of it, found all tasks of the step running at the first lists and stopped another.

A worker that has listed its runs under the new scheduler's fence rejects stops with older ones, but a run may still be ending by a stop that the worker accepted before, for `StopMs`. A task that an earlier scheduler placed now counts as available only with a list that is at least that much later than the first one, both by the worker's clock, so that a list that is read late proves nothing. The setting `max_stop_ms` takes its value from the platform (`Bounds.StopMs`).

Ruled out: stops that the earlier scheduler sends later (fenced), and runs whose worker has not been heard since (they count as unavailable already).

--- a/currantstage/coordination/jobs/_availability.py
+++ b/currantstage/coordination/jobs/_availability.py
@@ -12,9 +12,10 @@
     """Return whether planned work may stop `run` now.
 
     Every other task of the step that isn't fully available counts as unavailable,
-    whatever the cause, and so does one whose worker has fallen silent. A run that was
-    starting up when it was last listed may be available by now, so stopping it counts
-    against the budget; a run that is slowed down is not available.
+    whatever the cause, and so does one whose worker has fallen silent, or that an
+    earlier scheduler may have stopped. A run that was starting up when it was last
+    listed may be available by now, so stopping it counts against the budget; a run that
+    is slowed down is not available.
     """
     step = run.step
     if not step.is_long_running or step.max_unavailable <= 0:
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -56,6 +56,11 @@
         Whether the incarnation of the worker that runs it has listed it.
     listed_s : float
         When its worker last listed it.
+    is_adopted : bool
+        An earlier scheduler placed it, and may have ordered its stop.
+    settled_clock_ms : int
+        Time on the worker's clock at which stops that earlier schedulers have ordered
+        have certainly ended the run.
     listed_clock_ms : int
         Time on the worker's clock of the list that it was last in.
     progressed_clock_ms : int
@@ -76,6 +81,8 @@
     accepted_s: float = float("inf")
     is_listed: bool = False
     listed_s: float = float("-inf")
+    is_adopted: bool = False
+    settled_clock_ms: int = 0
     listed_clock_ms: int = 0
     percent: int = 0
     progressed_clock_ms: int = 0
@@ -112,7 +119,8 @@
 
     def is_available(self, now_s: float) -> bool:
         """Return whether a long-running task is known to be fully available."""
-        return self.is_recently_listed(now_s) and self.percent >= 100
+        is_settled = self.listed_clock_ms >= self.settled_clock_ms
+        return self.is_recently_listed(now_s) and is_settled and self.percent >= 100
 
 
 @dataclass(slots=True, eq=False)
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -362,7 +362,14 @@
         return queue.max_attempts if queue else DEFAULT_MAX_ATTEMPTS
 
     def _adopt(self, task: TaskRecord, until_s: float, now_s: float) -> None:
-        run = Run(task, task.run_number, task.worker, RunPhase.IN_DOUBT, placed_s=now_s)
+        run = Run(
+            task,
+            task.run_number,
+            task.worker,
+            RunPhase.IN_DOUBT,
+            placed_s=now_s,
+            is_adopted=True,
+        )
         self.workers.adopt(run, task.born_ms, until_s)
         task.run = run
         self.teams.add(run.team, run.step.resources)
--- a/currantstage/coordination/jobs/_tuning.py
+++ b/currantstage/coordination/jobs/_tuning.py
@@ -27,6 +27,8 @@
         How long the holder's writes must fail before it offers the lease to a peer.
     stop_retry_ms : int
         Retry interval of stop orders that are not confirmed.
+    max_stop_ms : int
+        Maximum time that a worker takes to stop a run.
     stall_ms : int
         Time without progress after which a run is stopped.
     vm_lease_ms : int
@@ -51,6 +53,7 @@
     suspect_ms: int = 700
     hand_over_ms: int = 300
     stop_retry_ms: int = 500
+    max_stop_ms: int = 1000
     stall_ms: int = 1500
     vm_lease_ms: int = 3000
     retention_ms: int = 180_000
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -262,7 +262,7 @@
                 )
                 continue
             present.add(listed.task)
-            run.listed_clock_ms = reply.clock_ms
+            self._record_clock(run, reply)
             _record_running(run, listed, now_s)
             changes.running.append(run)
         state.has_orphans = bool(changes.stops)
@@ -278,6 +278,16 @@
         ]
         changes.lost.extend(self._remove_all(state, absent))
 
+    def _record_clock(self, run: Run, reply: RenewalReply) -> None:
+        """Record the worker's time of a list that contains `run`.
+
+        With the first list, the worker rejects the stop orders of earlier schedulers;
+        the run may still be ending by one that it has accepted before.
+        """
+        if run.is_adopted and not run.is_listed:
+            run.settled_clock_ms = reply.clock_ms + self._tuning.max_stop_ms
+        run.listed_clock_ms = reply.clock_ms
+
 
 def _take_new_ends(state: WorkerState, reply: RenewalReply) -> list[EndedTask]:
     """Return the ends that are new, and count them as processed."""
--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -24,6 +24,7 @@
     "platform.Address": "127.0.0.1:1",
     "CloudApi.Address": "127.0.0.1:1",
     "Advice": "127.0.0.1:1",
+    "Bounds.StopMs": "900",
     "Seeds": "127.0.0.1:18191,127.0.0.1:18199",
 }
 OWN = "http://127.0.0.1:9464"
@@ -52,6 +53,7 @@
     assert settings.entry_vm.id == "entry-1"
     assert settings.peers.addresses == ("127.0.0.1:18191", "127.0.0.1:18199")
     assert settings.scheduler.owner_lease_ms > settings.scheduler.takeover_ms
+    assert settings.scheduler.max_stop_ms == 900
 
 
 @pytest.mark.parametrize(
