Keep the age of jobs when another daemon takes over scheduling

Cause: a new scheduler took the time at which it read a stored job as the time of its submission, so that every stored job counted as new. Jobs that had long missed their deadline went ahead of new ones again, in the order of their remaining work, and the age at the end of a job was measured from the takeover.

A job's record now holds when the job was accepted. `restore` derives it from the stored time of acceptance and the wall clock, as the monotonic clock of the daemon that accepted it means nothing elsewhere. A stored time that lies ahead counts as now.

--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -205,7 +205,12 @@
         for submission in jobs.submissions:
             job = submission.job
             scheduler.restore(
-                submission, progress.get(job), job in cancelled, self._takeover, now_s
+                submission,
+                progress.get(job),
+                job in cancelled,
+                self._takeover,
+                now_s,
+                self._unix_ms(),
             )
         log_message(
             "currantstage:scheduler-started",
@@ -400,7 +405,7 @@
         starts = self.scheduler.on_batch_stored(batch)
         for record, stored in zip(batch.jobs, batch.progress, strict=True):
             if stored.state.is_final:
-                age_s = self._now_s() - record.known_since_s
+                age_s = self._now_s() - record.accepted_s
                 self._ports.metrics.count_job(stored.state, age_s)
                 log_message(
                     "currantstage:job-ended",
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -29,12 +29,12 @@
         """Return the job of that id."""
         return self._jobs.get(job)
 
-    def add(self, submission: Submission, now_s: float) -> JobRecord:
+    def add(self, submission: Submission, accepted_s: float) -> JobRecord:
         """Return the record of a job, creating it if the job is new."""
         known = self._jobs.get(submission.job)
         if known is not None:
             return known
-        record = JobRecord(submission, known_since_s=now_s)
+        record = JobRecord(submission, accepted_s=accepted_s)
         self._jobs[record.job] = record
         self._open[record.job] = record
         if submission.schedule is None:
--- a/currantstage/coordination/jobs/_ordering.py
+++ b/currantstage/coordination/jobs/_ordering.py
@@ -20,7 +20,7 @@
     priority: int
     is_late: bool
     remaining_core_s: float
-    known_since_s: float
+    accepted_s: float
 
 
 class StepOrder(Protocol):
@@ -41,19 +41,19 @@
         """Return the sort key of `step` among the waiting steps of its pool."""
         priority = queue.priority if queue else 0
         if step.step.is_long_running:
-            return Rank(priority, False, 0.0, step.job.known_since_s)
+            return Rank(priority, False, 0.0, step.job.accepted_s)
         is_late = False
         if queue is not None and step.job.submission.schedule is None:
             is_late = now_s + critical_path_s(step) > deadline_s(step.job, queue)
         work = sum(map(remaining_core_s, step.job.steps()))
-        return Rank(priority, is_late, work, step.job.known_since_s)
+        return Rank(priority, is_late, work, step.job.accepted_s)
 
 
 def deadline_s(job: JobRecord, queue: JobQueue) -> float:
     """Return the deadline of `job`, on the scheduler's clock."""
     steps = job.submission.steps
     longest_s = max(_longest_path_s(steps, index) for index in range(len(steps)))
-    return job.known_since_s + longest_s * queue.stretch + queue.slack_ms / 1000
+    return job.accepted_s + longest_s * queue.stretch + queue.slack_ms / 1000
 
 
 def critical_path_s(step: StepRecord) -> float:
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -251,15 +251,15 @@
         once it is stored.
     is_started : bool
         Whether any task has started.
-    known_since_s : float
-        When the scheduler learned of the job.
+    accepted_s : float
+        When the job was accepted, on the scheduler's clock.
     """
 
     submission: Submission
     state: JobState = JobState.QUEUED
     stored_state: JobState = JobState.QUEUED
     is_started: bool = False
-    known_since_s: float = 0.0
+    accepted_s: float = 0.0
     ended_unix_ms: int = 0
     occurrences: dict[int, list[StepRecord]] = field(default_factory=dict)
 
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -160,9 +160,11 @@
         is_cancelled: bool,
         takeover: LeaseTakeover,
         now_s: float,
+        unix_ms: float,
     ) -> None:
         """Restore a stored job; the list of workers must have been applied before."""
-        record = self.jobs.add(submission, now_s)
+        age_s = max(0.0, unix_ms - submission.accepted_unix_ms) / 1000
+        record = self.jobs.add(submission, now_s - age_s)
         if progress is not None:
             until_s = self.workers.takeover_bound_s(now_s, takeover)
             for task in self.jobs.restore(record, progress):
--- a/tests/fuzz/scheduler_world.py
+++ b/tests/fuzz/scheduler_world.py
@@ -197,6 +197,7 @@
                 job in self.cancelled,
                 takeover,
                 self.now_s,
+                unix_ms=0.0,
             )
         held = HeldLease(TUNING, self.now_s)
         self.owners.append(Owner(scheduler, held, self.lease.version, until_s))
--- a/tests/jobs/test_placement_and_order.py
+++ b/tests/jobs/test_placement_and_order.py
@@ -24,8 +24,8 @@
     return WorkerState(entry(worker, cpu, **options), Fence(1), is_synced=True)
 
 
-def _known(known_since_s: float, *steps: Step) -> StepRecord:
-    record = JobRecord(submission("0" * 16, *steps), known_since_s=known_since_s)
+def _known(accepted_s: float, *steps: Step) -> StepRecord:
+    record = JobRecord(submission("0" * 16, *steps), accepted_s=accepted_s)
     return record.open_occurrence(0)[0]
 
 
