Don't take a run for lost because its end didn't fit into the list

A worker lists 500 ends at a time. The scheduler took a run for lost, and started its task again, when neither list held it; with 500 ends before its own the run may have ended with success all the same, and once that end is listed and acknowledged the task has been started after it was done (TWICE).

A reply that holds as many ends as fit now says so (`has_more_ends`), and then nothing is concluded from what is in neither list: the next replies tell once the ends before are stored. The workers of the stand-in list 500 ends at a time, too.

The test failed before: the second run was released.

--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -271,6 +271,9 @@
             if run is not None and run.number == ended.run:
                 present.add(ended.task)
         changes.ended = _take_new_ends(state, reply)
+        if reply.has_more_ends:
+            # A run that is in neither list may have ended.
+            return
         absent = [
             run
             for key, run in state.runs.items()
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -33,6 +33,8 @@
 
 #: Timeout of an order in seconds, added to the wait that the order requests.
 ORDER_TIMEOUT_S = 0.5
+#: Maximum number of ends in one reply.
+MAX_LISTED_ENDS = 500
 
 _INSTANCE_HEADER = "X-Currantstage-Expect-Instance"
 
@@ -208,6 +210,7 @@
         born_ms=BornMs(response.born),
         running=tuple(map(_decode_running, response.running)),
         ended=tuple(map(_decode_ended, response.ended)),
+        has_more_ends=len(response.ended) >= MAX_LISTED_ENDS,
     )
 
 
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -42,6 +42,8 @@
 ONE_WAY_LATENCY_S = 0.0005
 #: Timeout of an order, in seconds.
 ORDER_TIMEOUT_S = 0.5
+#: Maximum number of ends in one reply.
+MAX_LISTED_ENDS = 500
 #: Longest lease that a worker grants, in seconds.
 MAX_LEASE_S = 6.0
 #: Time that it takes to stop a run, in seconds.
@@ -156,7 +158,8 @@
             clock_ms=self.clock_ms(),
             born_ms=self.entry.born_ms,
             running=tuple(map(_to_running_task, self.runs.values())),
-            ended=tuple(self.ended),
+            ended=tuple(self.ended[:MAX_LISTED_ENDS]),
+            has_more_ends=len(self.ended) >= MAX_LISTED_ENDS,
         )
 
     def hold_late(self, order: RenewalOrder) -> None:
--- a/currantstage/state/jobs/_workers.py
+++ b/currantstage/state/jobs/_workers.py
@@ -107,12 +107,25 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalReply:
-    """A worker's lists of running and ended runs."""
+    """A worker's lists of running and ended runs.
+
+    Parameters
+    ----------
+    clock_ms : int
+        Time on the worker's clock.
+    born_ms : BornMs
+    running : tuple of RunningTask
+    ended : tuple of EndedTask
+        Ends that are not acknowledged, in the order of their numbers.
+    has_more_ends : bool
+        Whether there are more of them than one reply lists.
+    """
 
     clock_ms: int
     born_ms: BornMs
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -268,6 +268,28 @@
     _run(answer, use)
 
 
+@pytest.mark.parametrize(("count", "has_more"), [(499, False), (500, True)])
+def test_list_that_holds_as_many_ends_as_fit_may_have_more(
+    count: int, has_more: bool
+) -> None:
+    ends = [
+        [number, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""] for number in range(count)
+    ]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.json_response({"ClockMs": 1, "Running": [], "Ended": ends})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        order = RenewalOrder(
+            entry("i-1", address=address), Fence(7), EndNumber(0), 1, 0
+        )
+        reply = await WorkerClient(http).hold(order)
+        assert isinstance(reply, RenewalReply)
+        assert reply.has_more_ends is has_more
+
+    _run(answer, use)
+
+
 def test_vm_order_carries_holder_and_fencing_token() -> None:
     seen: list[Any] = []
 
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -25,6 +25,7 @@
     RenewalReply,
     Resources,
     RunningTask,
+    TaskPhase,
     Term,
     WorkerId,
 )
@@ -205,3 +206,23 @@
     assert scheduler.start_order(run, now_s=1.0) is None
     assert run.task.run is None
     assert worker_state.lease_end_s == lease_end_s
+
+
+def test_run_whose_end_did_not_fit_into_the_list_is_not_taken_for_lost() -> None:
+    """A task was started again though it had ended, with 500 ends before its own."""
+    scheduler, (first, second) = _scheduler_with_runs(2)
+    for run in (first, second):
+        scheduler.start_order(run, now_s=0.2)
+        scheduler.on_start_outcome(run, OrderOutcome.ACCEPTED, now_s=0.3)
+    truncated = RenewalReply(
+        clock_ms=1400,
+        born_ms=BornMs(1),
+        running=(),
+        ended=(_end(1, first),),
+        has_more_ends=True,
+    )
+    scheduler.on_renewal_outcome(_hold(scheduler, 0.5), truncated, 0.5, 0.6)
+    assert first.task.phase is TaskPhase.DONE
+    assert second.task.run is second
+    scheduler.on_renewal_outcome(_hold(scheduler, 0.7), _reply(), 0.7, 0.8)
+    assert second.task.run is None
