Leave the scheduler's lease to daemons with the link and processor for it

Cause: any daemon took the lease, the first by a random pause of at most 0.1 s. On that site 6 of 38 daemons have 200 Mbit/s and 2.15 cores, 32 have 10 Mbit/s and 0.516 cores. In the store turned frontend-ga-atl-1 (large) away at 17.5 s; it had just started 1,219 tasks and heard of 2,532 ends in a second, with a lag of its loop of 0.06 s and writes of 0.06 s. frontend-ga-atl-4 (small) took the lease at 17.98 s, read 630 jobs for 1.8 s, and from then on most of its start orders timed out (166 of 166 in the first second with starts), at a lag of 0.3 to 0.8 s and writes of 0.3 to 0.8 s; 382 waiting tasks became 6,639.

The class of fault: what a role needs isn't weighed when its holder is chosen.

Fix: the settings state link and processor, each daemon's row of members carries both, and a daemon that knows a peer with twice its capacity, by the scarcer of the two resources, waits 0.5 s before it takes the lease. That is longer than the interval at which daemons read the lease, so a larger one that can read the store comes first; if none does, the others take it. It changes when a daemon tries, never whether its write counts, so nothing about the lease's safety changes.

Ruled out: that the deference prefers a fast link with a slow processor. The smaller rate counts (tests with either resource alone); on the sites at hand the two go together.

Evidence: without the deference, the scenario of the site and four cases of the decision fail.

Open: a row that a dead large daemon left behind costs small ones 0.5 s at each takeover; a daemon that has just started knows no peer and waits for none; a small holder keeps the lease.

--- a/currantstage/application/jobs/_daemon.py
+++ b/currantstage/application/jobs/_daemon.py
@@ -13,6 +13,7 @@
 from currantstage.application.jobs._core import JobCore
 from currantstage.application.jobs._metrics import JobMetrics
 from currantstage.application.jobs._ports import SchedulerPorts
+from currantstage.coordination.jobs import SchedulerCapacity
 from currantstage.platform import (
     AdviceClient,
     MachineClient,
@@ -66,6 +67,10 @@
         own = MemberRow(
             entry_vm=settings.entry_vm.id,
             peer_address=settings.entry_vm.peer_address,
+            capacity=SchedulerCapacity(
+                link_mbps=settings.entry_vm.link_mbps,
+                cpu_cores=settings.entry_vm.cpu_share * settings.entry_vm.cpu_speed,
+            ),
         )
         self._http = PlatformHttp()
         self._peer_client = JobPeerClient()
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -21,7 +21,7 @@
     from collections.abc import Sequence
 
     from currantstage.application.jobs._repository import JobRepository
-    from currantstage.coordination.jobs import LeaseRow
+    from currantstage.coordination.jobs import LeaseRow, SchedulerCapacity
     from currantstage.protocol.jobs import PeerQuery, PeerReply
     from currantstage.state import Clock
     from currantstage.state.jobs import ConfigurationVersion
@@ -150,6 +150,14 @@
         known.discard(self.own.peer_address)
         return sorted(known)
 
+    def peer_capacities(self) -> list[SchedulerCapacity]:
+        """Return the capacities of all other known daemons."""
+        return [
+            member.capacity
+            for member in self._members
+            if member.entry_vm != self.own.entry_vm
+        ]
+
     async def _follow_members(self) -> None:
         has_joined = False
         while True:
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -10,7 +10,12 @@
 
 from currantstage.application.jobs._repository import StoredLease
 from currantstage.application.jobs._session import SchedulerSession
-from currantstage.coordination.jobs import HolderAnswer, LeaseRow, LeaseWatch
+from currantstage.coordination.jobs import (
+    HolderAnswer,
+    LeaseRow,
+    LeaseWatch,
+    takeover_deference_s,
+)
 from currantstage.protocol.jobs import (
     Acknowledged,
     LeaseOffer,
@@ -137,9 +142,16 @@
         )
         if takeover is None:
             return
-        await asyncio.sleep(self._random.random() * MAX_JITTER_S)
+        await asyncio.sleep(self._takeover_delay_s())
         await self._take_lease(stored, takeover)
 
+    def _takeover_delay_s(self) -> float:
+        """Return the pause before a takeover; the first write of any daemon wins."""
+        deference_s = takeover_deference_s(
+            self._directory.own.capacity, self._directory.peer_capacities()
+        )
+        return deference_s + self._random.random() * MAX_JITTER_S
+
     async def _query_holder(self, row: LeaseRow | None) -> HolderAnswer:
         if row is None or not row.address:
             return HolderAnswer.UNKNOWN
--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -48,12 +48,18 @@
 
 
 class EntryVmSettings(Struct, frozen=True, kw_only=True):
-    """Section ``entry-vm``: identity and listening addresses of this daemon."""
+    """Section ``entry-vm``: identity, listening addresses and resources of this daemon.
+
+    The processor runs `cpu_share` of the time at `cpu_speed` times the speed of a core.
+    """
 
     id: EntryVmId
     data_centre: DataCentreId
     http_address: str
     peer_address: str
+    link_mbps: float = 1000.0
+    cpu_share: float = 1.0
+    cpu_speed: float = 1.0
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -17,6 +17,7 @@
     LeaseTakeover,
     LeaseWatch,
     TakeoverGround,
+    takeover_deference_s,
 )
 from currantstage.coordination.jobs._pacing import PaceController
 from currantstage.coordination.jobs._placement import SpreadPlacement, TaskPlacement
@@ -41,6 +42,7 @@
     Scheduler,
     StorableEnds,
 )
+from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._store_health import StoreHealth
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._tuning import SchedulerTuning
@@ -88,6 +90,7 @@
     "Run",
     "RunPhase",
     "Scheduler",
+    "SchedulerCapacity",
     "SchedulerTuning",
     "SpreadPlacement",
     "StepOrder",
@@ -112,4 +115,5 @@
     "WorkerTable",
     "first_fence",
     "may_interrupt",
+    "takeover_deference_s",
 ]
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -12,12 +12,20 @@
 from currantstage.state.jobs import Term
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
     from currantstage.coordination.jobs._tuning import SchedulerTuning
 
 #: Maximum time that one observation adds to the time that a lease counts as unchanged,
 #: as a multiple of the observation interval. Without it, an observer that was paused
 #: would count its own pause as silence of the holder.
 MAX_STEP_INTERVALS = 2.0
+#: How long a daemon leaves the lease to daemons with more capacity, in seconds; longer
+#: than the interval at which they read the lease.
+DEFERENCE_S = 0.5
+#: Minimum ratio of the capacities of two daemons for a difference to count.
+MORE_CAPACITY_RATIO = 2.0
 #: Value of `LeaseRow.holder` for a lease that has been released.
 NO_HOLDER = EntryVmId("")
 
@@ -86,6 +94,28 @@
     holder_active_s: float = 0.0
 
 
+def takeover_deference_s(
+    own: SchedulerCapacity, peers: Iterable[SchedulerCapacity]
+) -> float:
+    """Return how long a daemon leaves the lease to its peers before it takes it over.
+
+    Parameters
+    ----------
+    own : SchedulerCapacity
+        Capacity of this daemon.
+    peers : iterable of SchedulerCapacity
+        Capacities of all known peers, reachable or not.
+
+    Returns
+    -------
+    float
+        Zero if no peer has considerably more capacity.
+    """
+    most_per_s = max((peer.starts_per_s() for peer in peers), default=0.0)
+    has_less = own.starts_per_s() * MORE_CAPACITY_RATIO <= most_per_s
+    return DEFERENCE_S if has_less and most_per_s > 0 else 0.0
+
+
 class LeaseWatch:
     """Decides when the lease of another daemon may be taken over.
 
--- a/currantstage/protocol/jobs/_rows.py
+++ b/currantstage/protocol/jobs/_rows.py
@@ -6,11 +6,12 @@
 
 import msgspec
 
-from currantstage.coordination.jobs import LeaseRow
+from currantstage.coordination.jobs import LeaseRow, SchedulerCapacity
 from currantstage.protocol._errors import ProtocolError
 from currantstage.state import EntryVmId
 from currantstage.state.jobs import JobProgress, Submission
 
+UNKNOWN_CAPACITY = SchedulerCapacity()
 _RecordT = TypeVar("_RecordT")
 
 
@@ -19,6 +20,7 @@
 
     entry_vm: EntryVmId
     peer_address: str
+    capacity: SchedulerCapacity = UNKNOWN_CAPACITY
 
 
 def encode_row(
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from currantstage.application.jobs import JobCore, JobMetrics, SchedulerPorts
-from currantstage.coordination.jobs import SchedulerTuning
+from currantstage.coordination.jobs import SchedulerCapacity, SchedulerTuning
 from currantstage.protocol.jobs import CallRefusal, JobBody, MemberRow
 from currantstage.standin.jobs._advice import SimulatedAdvice
 from currantstage.standin.jobs._oracle import Oracle
@@ -53,6 +53,8 @@
 #: Attempts of a caller per call, and the pause between them in seconds.
 CALL_ATTEMPTS = 6
 CALL_PAUSE_S = 1.0
+#: Capacity of a daemon as the scheduler by default.
+DEFAULT_CAPACITY = SchedulerCapacity(link_mbps=10.0, cpu_cores=0.5)
 #: Maximum time that all daemons are down at once, in seconds.
 MAX_ALL_DOWN_S = 20
 
@@ -112,6 +114,8 @@
         #: Daemons that do not answer peers, and those whose connections are reset.
         self.silent_daemons: set[str] = set()
         self.resetting_daemons: set[str] = set()
+        #: Capacities of daemons that differ from the default.
+        self.capacities: dict[str, SchedulerCapacity] = {}
         #: Workers that the advice service allows; None allows all.
         self.advised_workers: set[WorkerId] | None = None
         self._names = [f"entry-{number}" for number in range(daemon_count)]
@@ -154,7 +158,11 @@
             unix_clock=clock,
             metrics=JobMetrics(),
         )
-        own = MemberRow(entry_vm=EntryVmId(name), peer_address=name)
+        own = MemberRow(
+            entry_vm=EntryVmId(name),
+            peer_address=name,
+            capacity=self.capacities.get(name, DEFAULT_CAPACITY),
+        )
         peers = _Peers(self, name)
         core = JobCore(own, (), store, ports, peers, self.tuning, self.random)
         self.daemons[name] = core
--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -25,6 +25,9 @@
     "CloudApi.Address": "127.0.0.1:1",
     "Advice": "127.0.0.1:1",
     "Bounds.StopMs": "900",
+    "Limits.LinkMbps": "200.0",
+    "Limits.CpuShare": "0.717",
+    "Limits.Cores": "3",
     "Seeds": "127.0.0.1:18191,127.0.0.1:18199",
 }
 OWN = "http://127.0.0.1:9464"
@@ -33,7 +36,8 @@
 def _render_template() -> str:
     """Render the deploy template as the platform does."""
     text = TEMPLATE.read_text(encoding="utf-8")
-    for section in ("Seeds.0", "Advice"):
+    limits = ("Limits.LinkMbps", "Limits.CpuShare", "Limits.Cores")
+    for section in ("Seeds.0", "Advice", *limits):
         text = text.replace("{{#" + section + "}}", "")
         text = text.replace("{{/" + section + "}}", "")
     for name, value in VALUES.items():
@@ -51,6 +55,8 @@
 def test_deploy_template_holds_valid_settings() -> None:
     settings = _parse_template()
     assert settings.entry_vm.id == "entry-1"
+    assert settings.entry_vm.link_mbps == 200.0
+    assert (settings.entry_vm.cpu_share, settings.entry_vm.cpu_speed) == (0.717, 3.0)
     assert settings.peers.addresses == ("127.0.0.1:18191", "127.0.0.1:18199")
     assert settings.scheduler.owner_lease_ms > settings.scheduler.takeover_ms
     assert settings.scheduler.max_stop_ms == 900
--- a/tests/jobs/test_owner_lease.py
+++ b/tests/jobs/test_owner_lease.py
@@ -11,8 +11,10 @@
     LeaseRow,
     LeaseTakeover,
     LeaseWatch,
+    SchedulerCapacity,
     SchedulerTuning,
     TakeoverGround,
+    takeover_deference_s,
 )
 from currantstage.state import EntryVmId
 from currantstage.state.jobs import Term
@@ -118,3 +120,34 @@
     free = LeaseRow(holder=NO_HOLDER, address="", term=Term(4), earlier_acts_ms=3500)
     takeover = _watch(0.0).takeover(free, OWN, HolderAnswer.UNKNOWN)
     assert takeover == LeaseTakeover(TakeoverGround.HOLDER_ENDED, 3.5)
+
+
+SMALL = SchedulerCapacity(link_mbps=4.5, cpu_cores=0.8)
+LARGE = SchedulerCapacity(link_mbps=45.0, cpu_cores=3.2)
+FAST_LINK = SchedulerCapacity(link_mbps=45.0, cpu_cores=0.8)
+FAST_PROCESSOR = SchedulerCapacity(link_mbps=4.5, cpu_cores=3.2)
+UNKNOWN = SchedulerCapacity()
+
+
+@pytest.mark.parametrize(
+    ("own", "peers"),
+    [
+        (SMALL, []),
+        (SMALL, [SMALL, SMALL]),
+        (SMALL, [UNKNOWN]),
+        (SMALL, [FAST_LINK, FAST_PROCESSOR]),
+        (LARGE, [SMALL, LARGE]),
+        (UNKNOWN, [UNKNOWN]),
+    ],
+)
+def test_lease_is_not_left_to_peers_without_more_of_what_is_scarce(
+    own: SchedulerCapacity, peers: list[SchedulerCapacity]
+) -> None:
+    assert takeover_deference_s(own, peers) == 0.0
+
+
+@pytest.mark.parametrize("own", [SMALL, FAST_LINK, FAST_PROCESSOR, UNKNOWN])
+def test_lease_is_left_to_a_peer_with_more_of_what_is_scarce(
+    own: SchedulerCapacity,
+) -> None:
+    assert takeover_deference_s(own, [SMALL, LARGE]) > 0.0
--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from currantstage.coordination.jobs import SchedulerTuning
+from currantstage.coordination.jobs import SchedulerCapacity, SchedulerTuning
 from currantstage.protocol.jobs import CallRefusal, JobBody
 from currantstage.standin.jobs import POOLS, SimulatedSite, build_configuration
 from currantstage.state import QueueId
@@ -20,6 +20,7 @@
 )
 from tests.jobs.site import run_scenario, start_site, step
 
+LARGE = SchedulerCapacity(link_mbps=200.0, cpu_cores=2.0)
 TWO_STEPS = (step(4), step(2, after=(0,)))
 
 
@@ -506,3 +507,38 @@
         assert site.oracle.violations == []
 
     run_scenario(scenario())
+
+
+def test_daemon_with_the_most_capacity_takes_over_from_one_without_the_store() -> None:
+    """A daemon with a slow link and processor took over, too slow for the load."""
+
+    async def scenario(seed: int) -> None:
+        site = SimulatedSite(seed, daemon_count=6)
+        site.capacities = {"entry-4": LARGE, "entry-5": LARGE}
+        await site.start()
+        await asyncio.sleep(4)
+        first = site.scheduler_name()
+        assert first is not None
+        site.store.refused_for = {first, "entry-5"}
+        await asyncio.sleep(3)
+        assert site.scheduler_name() == "entry-4"
+        assert site.oracle.violations == []
+
+    for seed in range(5):
+        run_scenario(scenario(seed))
+
+
+def test_small_daemon_takes_over_if_no_larger_one_can() -> None:
+    async def scenario() -> None:
+        site = SimulatedSite(seed=6, daemon_count=4)
+        site.capacities = {"entry-0": LARGE, "entry-1": LARGE}
+        await site.start()
+        await asyncio.sleep(4)
+        first = site.scheduler_name()
+        assert first is not None
+        site.store.refused_for = {first, "entry-0", "entry-1"}
+        await asyncio.sleep(3)
+        assert site.scheduler_name() in {"entry-2", "entry-3"} - {first}
+        assert site.oracle.violations == []
+
+    run_scenario(scenario())
