Read the stored state in calls that a slow link can carry

What callers saw: after a change of scheduler nothing starts until the new one has read all jobs and their progress.

Cause: the size of a call was fitted to the store, not to the reader's link.

Fix: four partitions at a time, and 200 rows a page, so that what shares one timeout is a quarter to a tenth of what it was. A partition of at most 200 rows costs one call, as before.

--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -42,7 +42,12 @@
 
     from currantstage.coordination.jobs import LeaseRow
     from currantstage.state import EntryVmId
-    from currantstage.state.jobs import JobProgress, PartitionedStore, Submission
+    from currantstage.state.jobs import (
+        JobProgress,
+        PartitionedStore,
+        RowPage,
+        Submission,
+    )
 
 JOBS_TABLE = "jobs"
 _SCHEDULER_TABLE = "scheduler"
@@ -54,6 +59,8 @@
 _CANCEL_SUFFIX = ".cancel"
 #: Partitions of jobs: one for each possible first digit of a job id.
 JOB_PARTITIONS = "0123456789abcdef"
+#: Number of partitions that are read at once; they share the daemon's network link.
+CONCURRENT_READS = 4
 
 
 @dataclass(slots=True)
@@ -137,9 +144,12 @@
 
     async def read_jobs(self) -> JobChanges:
         """Return all jobs and cancellations."""
-        pages = await asyncio.gather(
-            *(self._store.read(JOBS_TABLE, each) for each in JOB_PARTITIONS)
-        )
+        pages: list[RowPage] = []
+        for first in range(0, len(JOB_PARTITIONS), CONCURRENT_READS):
+            partitions = JOB_PARTITIONS[first : first + CONCURRENT_READS]
+            pages += await asyncio.gather(
+                *(self._store.read(JOBS_TABLE, each) for each in partitions)
+            )
         rows = [row for page in pages for row in page.rows]
         return _decode_changes(rows, min(page.version for page in pages))
 
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -30,8 +30,9 @@
 #: Bounds of the timeout of a call, in seconds.
 MIN_TIMEOUT_S = 0.9
 MAX_TIMEOUT_S = 2.5
-#: Maximum number of rows on one page of a read.
-PAGE_ROWS = 500
+#: Maximum number of rows on one page of a read. Each page is a call of its own, with a
+#: timeout of its own.
+PAGE_ROWS = 200
 #: Character that sorts after all characters used in keys.
 AFTER_ALL_KEYS = "~"
 
