Send no headers that nobody reads

Of a start order's 403 bytes three quarters are headers, 80 of which the HTTP library adds to every call on its own: Accept, Accept-Encoding (though answers are never decompressed), User-Agent.

Fix: they are left out of all calls to the platform.

The test fails before on these three headers.

--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -19,6 +19,8 @@
 MAX_CONNECTIONS_PER_ADDRESS = 12
 #: Time after which an idle connection is closed, in seconds.
 IDLE_CONNECTION_S = 20.0
+#: Headers that the HTTP library would add to each call, though no service reads them.
+UNUSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
 class CallFailure(Enum):
@@ -72,7 +74,9 @@
             keepalive_timeout=IDLE_CONNECTION_S,
         )
         self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=UNUSED_HEADERS,
         )
 
     async def close(self) -> None:
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -319,3 +319,23 @@
         assert outcome is OrderOutcome.ACCEPTED
 
     _run(answer, use)
+
+
+def test_order_carries_no_headers_that_only_fill_the_link() -> None:
+    seen: set[str] = set()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        seen.update(request.headers)
+        return web.json_response({})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        outcome = await WorkerClient(http).start(_start_order(address))
+        assert outcome is OrderOutcome.ACCEPTED
+
+    _run(answer, use)
+    assert seen == {
+        "Host",
+        "Content-Type",
+        "Content-Length",
+        "X-Currantstage-Expect-Instance",
+    }
