Keep the lease while the store is only slow

Cause, two parts of one mistake: a late answer counts as none. - The adaptive timeout learned from answers only. A write that took longer than the shortest timeout (0.9 s) was abandoned, nothing was learned, and the next one was abandoned again, though the store carried each of them out. - After a single write without an answer the holder offered its lease. Reads are quick even then, so a peer asked for the lease at once and got it, but its own write was as late.

Now a call without an answer doubles the timeout of the next one, up to the same upper bound as before. The holder keeps its lease as long as the store answers any other call of its own and its lease is valid; a store that is silent to it, or turns it away, still makes it hand the lease over after the first failed write. A write that turns out to be stored, as the lease in the store is the holder's own, renews the lease from the first unanswered one.

Ruled out: processor time (none was charged), the loop (0.001 s late at most).

That a holder hands over a lease that it can't renew is in the tests from before, unchanged.

--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -59,7 +59,7 @@
             ports.operators, self.directory.query_configuration
         )
         self.ownership = LeaseOwnership(
-            self.directory, repository, self.follower, ports, tuning, random
+            self.directory, repository, self.follower, ports, tuning, health, random
         )
         self._writer = JobWriter(repository, self.directory, health, ports.clock)
         self.calls = JobCallService(
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -34,7 +34,11 @@
     from currantstage.application.jobs._directory import PeerDirectory
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.application.jobs._repository import JobRepository
-    from currantstage.coordination.jobs import LeaseTakeover, SchedulerTuning
+    from currantstage.coordination.jobs import (
+        LeaseTakeover,
+        SchedulerTuning,
+        StoreHealth,
+    )
 
 #: Interval between reads of the lease, in seconds.
 LEASE_READ_INTERVAL_S = 0.4
@@ -57,6 +61,7 @@
         follower: ConfigurationFollower,
         ports: SchedulerPorts,
         tuning: SchedulerTuning,
+        health: StoreHealth,
         random: random.Random,
     ) -> None:
         self._directory = directory
@@ -64,6 +69,7 @@
         self._follower = follower
         self._ports = ports
         self._tuning = tuning
+        self._health = health
         self._random = random
         self._watch = LeaseWatch(LEASE_READ_INTERVAL_S, tuning)
         self._wake = asyncio.Event()
@@ -205,6 +211,7 @@
             self._follower,
             self._ports,
             self._tuning,
+            self._health,
             self._offer,
         )
         await session.start()
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -34,6 +34,7 @@
         LeaseTakeover,
         ProgressBatch,
         SchedulerTuning,
+        StoreHealth,
     )
     from currantstage.state import VmId
     from currantstage.state.jobs import JobId, Submission, Term, WorkerEntry, WorkerId
@@ -73,6 +74,7 @@
     follower : ConfigurationFollower
     ports : SchedulerPorts
     tuning : SchedulerTuning
+    health : StoreHealth
     offer : callable
         Notifies the other daemons that the lease of a term can't be renewed.
     """
@@ -87,6 +89,7 @@
         follower: ConfigurationFollower,
         ports: SchedulerPorts,
         tuning: SchedulerTuning,
+        health: StoreHealth,
         offer: Callable[[Term], Coroutine[Any, Any, None]],
     ) -> None:
         self._lease = lease
@@ -111,6 +114,7 @@
         #: When a VM was last added to those that the lease has to list.
         self._vm_added_s = float("-inf")
         self._renewed = asyncio.Event()
+        self._health = health
         self._offer = offer
         self._is_offered = False
         self.scheduler: Scheduler | None = None
@@ -131,7 +135,7 @@
 
     def needs_successor(self) -> bool:
         """Return whether the store has not confirmed the latest writes."""
-        return self._held_lease.needs_successor(self._now_s())
+        return self._held_lease.needs_successor(self._now_s(), self._health.answered_s)
 
     async def start(self) -> None:
         """Start renewing the lease, and schedule once the stored state is loaded."""
@@ -390,6 +394,7 @@
             # An earlier write of this session, whose response was lost.
             self._version = stored.version
             self._lease = row
+            self._held_lease.confirm_unanswered()
             return
         log_message(
             "currantstage:lease-lost",
--- a/currantstage/coordination/jobs/_adaptive_timeout.py
+++ b/currantstage/coordination/jobs/_adaptive_timeout.py
@@ -10,6 +10,8 @@
 TIMEOUT_FACTOR = 4.0
 #: Weight of the newest response in the moving average.
 NEWEST_WEIGHT = 0.2
+#: Factor by which the timeout grows after a call without a response.
+BACKOFF_FACTOR = 2.0
 
 
 class AdaptiveTimeout:
@@ -27,6 +29,13 @@
     ...     timeout.record_response(0.5)
     >>> round(timeout.timeout_s(), 1)
     2.0
+
+    A call without a response says that the next one may take longer as well:
+
+    >>> timeout = AdaptiveTimeout(0.9, 3.0)
+    >>> timeout.record_timeout(0.9)
+    >>> timeout.timeout_s()
+    1.8
     """
 
     def __init__(self, min_s: float, max_s: float) -> None:
@@ -41,3 +50,8 @@
     def record_response(self, took_s: float) -> None:
         """Record a response that took `took_s` seconds."""
         self._average_s += NEWEST_WEIGHT * (took_s - self._average_s)
+
+    def record_timeout(self, timeout_s: float) -> None:
+        """Record a call that got no response within `timeout_s` seconds."""
+        backed_off_s = timeout_s * BACKOFF_FACTOR / TIMEOUT_FACTOR
+        self._average_s = max(self._average_s, backed_off_s)
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -199,6 +199,14 @@
         self._confirmed_s = max(self._confirmed_s, sent_s)
         self._failing_since_s = None
 
+    def confirm_unanswered(self) -> None:
+        """Record that a write without a response turned out to be stored.
+
+        Which one is unknown, so the lease counts from the first of them.
+        """
+        if self._failing_since_s is not None:
+            self.confirm(self._failing_since_s)
+
     def record_failure(self, sent_s: float) -> None:
         """Record that a write sent at `sent_s` was not confirmed."""
         if self._failing_since_s is None:
@@ -216,10 +224,25 @@
         """Return whether no other daemon can have taken the lease over yet."""
         return now_s - self._confirmed_s < self._tuning.takeover_ms / 1000
 
-    def needs_successor(self, now_s: float) -> bool:
-        """Return whether a daemon that can reach the store should take over."""
+    def needs_successor(
+        self, now_s: float, store_answered_s: float = float("-inf")
+    ) -> bool:
+        """Return whether a daemon that can reach the store should take over.
+
+        While the store answers other calls of the holder, its writes are merely slow,
+        and those of a successor would be no faster.
+
+        Parameters
+        ----------
+        now_s : float
+        store_answered_s : float, optional
+            When the store last answered any call of the holder.
+        """
         if self._failing_since_s is None:
             return False
+        is_answering = store_answered_s > self._failing_since_s
+        if is_answering and self.is_valid(now_s):
+            return False
         return now_s - self._failing_since_s >= self._tuning.hand_over_ms / 1000
 
     def is_renewal_due(self, now_s: float) -> bool:
--- a/currantstage/coordination/jobs/_store_health.py
+++ b/currantstage/coordination/jobs/_store_health.py
@@ -31,6 +31,11 @@
         if self._failing_since_s is None:
             self._failing_since_s = max(sent_s, self._answered_s)
 
+    @property
+    def answered_s(self) -> float:
+        """When the store last responded; minus infinity if it never has."""
+        return self._answered_s
+
     def is_unavailable(self, now_s: float) -> bool:
         """Return whether a write is expected to fail now."""
         since_s = self._failing_since_s
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -163,11 +163,14 @@
         body: _Transaction | None = None,
     ) -> HttpReply | CallFailure:
         sent_s = time.monotonic()
+        timeout_s = adaptive_timeout.timeout_s()
         reply = await self._http.call(
-            method, f"{self._base}/{path}", adaptive_timeout.timeout_s(), body=body
+            method, f"{self._base}/{path}", timeout_s, body=body
         )
         if isinstance(reply, HttpReply):
             adaptive_timeout.record_response(time.monotonic() - sent_s)
+        elif reply is CallFailure.TIMEOUT:
+            adaptive_timeout.record_timeout(timeout_s)
         return reply
 
 
--- a/tests/jobs/test_owner_lease.py
+++ b/tests/jobs/test_owner_lease.py
@@ -112,6 +112,23 @@
     assert not held.needs_successor(9.0)
 
 
+def test_holder_that_the_store_answers_keeps_its_lease_while_writes_are_late() -> None:
+    held = HeldLease(TUNING, confirmed_s=0.0)
+    held.record_failure(0.1)
+    assert held.needs_successor(1.0, store_answered_s=0.05)
+    assert not held.needs_successor(1.0, store_answered_s=0.9)
+    assert held.needs_successor(6.0, store_answered_s=5.9)
+
+
+def test_stored_write_without_a_response_counts_from_the_first_of_them() -> None:
+    held = HeldLease(TUNING, confirmed_s=0.0)
+    held.record_failure(1.0)
+    held.record_failure(3.0)
+    held.confirm_unanswered()
+    assert held.is_valid(6.9)
+    assert not held.is_valid(7.0)
+
+
 def test_silent_holder_before_an_ended_one_may_still_act() -> None:
     """Two takeovers in a row, of a silent holder and then of one that has ended."""
     row = LeaseRow(holder=OTHER, address="a", term=Term(4), earlier_acts_ms=3500)
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -10,7 +10,13 @@
 import pytest
 from aiohttp import web
 
-from currantstage.platform import MachineClient, PlatformHttp, StoreClient, WorkerClient
+from currantstage.platform import (
+    MachineClient,
+    PlatformHttp,
+    StoreClient,
+    WorkerClient,
+    _store,
+)
 from currantstage.state import EntryVmId, PoolId, VmId
 from currantstage.state.jobs import (
     Committed,
@@ -339,3 +345,22 @@
         "Content-Length",
         "X-Currantstage-Expect-Instance",
     }
+
+
+def test_write_waits_longer_after_one_that_the_store_answered_too_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each write to a store slower than the shortest timeout was abandoned."""
+    monkeypatch.setattr(_store, "MIN_TIMEOUT_S", 0.2)
+
+    async def answer(request: web.Request) -> web.Response:
+        await asyncio.sleep(0.3)
+        return web.json_response({"Ver": 7})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        client = StoreClient(http, address)
+        with pytest.raises(StoreUnavailable, match="timeout"):
+            await client.transact((), (RowWrite(ROW, b"x"),))
+        assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
+
+    _run(answer, use)
