Send VMs that are being drained where they are needed

From 18 to 25 s 71 of 154 VMs were ordered to the spare pool, at 20.3 to 23.2 s, and 1.6 to 1.9 s later (median 1.7 s) from there to the pool that needed them, which took another 1.5 s. For 54 of them the first order was sent after that pool had been found short of VMs.

Cause: a planned move was never reconsidered. A VM planned for the spare pool was no donor while it was drained, nor after its order until it was up there, and its own pool could not keep it when its load returned.

Now a move to the spare pool is reconsidered until its order is sent: the VM's own pool keeps it if it lacks VMs, which costs nothing, and otherwise it goes straight to the pool that lacks most. Its time for draining still counts from the first plan. A VM whose order may have been sent keeps its goal.

Ruled out for this delay: the cooldown of orders, the cloud API and the listing of new workers (VMs accept tasks 1.4 to 1.5 s after the answer to their order, which is the move itself), the listing in the lease (commits took 0.02 s).

Evidence: two of the three new tests failed before; the third guards VMs whose order is on its way.

--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -135,13 +135,18 @@
         load: Callable[[VmState], float],
         now_s: float,
     ) -> None:
-        """Set goals on VMs; pools that lack VMs come before the spare pool."""
+        """Set goals on VMs; pools that lack VMs come before the spare pool.
+
+        A move to the spare pool is reconsidered until its order is sent.
+        """
         self.sizes = {
             pool: self._size(pool, demand) for pool, demand in demands.items()
         }
         balance = {pool: size.surplus for pool, size in self.sizes.items()}
+        leaving = self._keep_needed(self._leaving(spare_pool), balance)
         idle = [vm for vm in self._vms.states() if vm.goal is None and vm.is_up]
         donors = [vm for vm in idle if vm.record.pool == spare_pool]
+        donors.extend(sorted(leaving, key=load))
         unneeded: list[VmState] = []
         for pool, surplus in balance.items():
             own = sorted((vm for vm in idle if vm.record.pool == pool), key=load)
@@ -171,5 +176,30 @@
             return -1.0
         return now_s - self._surplus_since_s.setdefault(pool, now_s)
 
+    def _leaving(self, spare_pool: PoolId | None) -> list[VmState]:
+        """Return the VMs that are being drained to move to the spare pool."""
+        return [
+            vm
+            for vm in self._vms.states()
+            if vm.goal is not None
+            and vm.goal.work is VmWork.MOVE
+            and vm.goal.pool == spare_pool
+            and vm.is_up
+        ]
+
+    def _keep_needed(
+        self, leaving: list[VmState], balance: dict[PoolId, int]
+    ) -> list[VmState]:
+        """Keep the VMs that their own pools need again; return the others."""
+        others = []
+        for vm in leaving:
+            if balance.get(vm.record.pool, 0) < 0:
+                self._vms.clear_goal(vm)
+                balance[vm.record.pool] += 1
+            else:
+                others.append(vm)
+        return others
+
     def _move(self, vm: VmState, pool: PoolId, now_s: float) -> None:
-        self._vms.set_goal(vm, VmGoal(VmWork.MOVE, pool=pool), now_s)
+        planned_s = vm.goal_set_s if vm.goal is not None else now_s
+        self._vms.set_goal(vm, VmGoal(VmWork.MOVE, pool=pool), planned_s)
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -94,6 +94,47 @@
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
 
 
+def _plan_release(table: VmTable, plan: PoolPlan) -> None:
+    """Plan moves of the surplus VMs of both pools to the spare pool."""
+    for now_s in (0.0, 1.6):
+        demands = {BUSY: PoolDemand(), IDLE: PoolDemand()}
+        plan.choose(demands, SPARE, lambda _: 0.0, now_s)
+
+
+def test_vm_on_its_way_out_of_a_pool_goes_straight_to_the_pool_that_needs_it() -> None:
+    """It moved to the spare pool first, and from there took as long again."""
+    table = _table(busy=1, idle=3, spare=0)
+    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    _plan_release(table, plan)
+    assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
+    demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
+    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    assert _targets(table) == {"busy": 3, "idle": 1, "spare": 0}
+
+
+def test_pool_keeps_its_own_vms_that_have_not_left_when_its_load_returns() -> None:
+    table = _table(busy=3, idle=1, spare=1)
+    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    _plan_release(table, plan)
+    assert _targets(table) == {"busy": 1, "idle": 1, "spare": 3}
+    demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
+    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    assert _targets(table) == {"busy": 3, "idle": 1, "spare": 1}
+    assert [vm.goal for vm in table.states()] == [None] * 5
+
+
+def test_vm_whose_move_may_have_been_ordered_keeps_its_goal() -> None:
+    table = _table(busy=1, idle=3, spare=0)
+    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    _plan_release(table, plan)
+    for vm in table.states():
+        if vm.goal is not None:
+            table.record_sent(vm, 1.7)
+    demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
+    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
+
+
 def test_fixed_sizing_requests_no_vm() -> None:
     demand = PoolDemand(arriving_cores=500.0)
     assert FixedSizing().wanted_vms(demand, CAPACITY) == 0
