Find a place before a long-running task is stopped

Cause (hold and wait): VMs were cordoned, and tasks stopped, without a look at where the tasks can go. The stopped task used up the budget of its step; the other workers ran as many tasks of the step as one worker may; the cordoned VMs, which had the room, could not be drained without that budget. The pool's size counts cores in sum, so no VM was ordered until demand rose. Moves of surplus VMs drained in the same way.

Now each round of planning forecasts the places of waiting long-running tasks, then of those on cordoned VMs, by label, room and tasks per worker. A VM is cordoned, for maintenance or a move, only if its tasks find places in the rest. Tasks without a place are demand: their pool asks for the VMs that they need, less those that are joining. A waiting task gets a cordoned VM back if it fits nowhere else. If no VM joins in 4 s, a VM whose tasks may all be away at once is maintained, and they return to it after 2 s.

Ruled out by a trial: replacing each VM that is cordoned or in maintenance.

--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -28,6 +28,7 @@
     PoolPlan,
     PoolSize,
     PoolSizing,
+    VmPresence,
 )
 from currantstage.coordination.jobs._records import (
     JobRecord,
@@ -85,6 +86,7 @@
     "PoolPlan",
     "PoolSize",
     "PoolSizing",
+    "VmPresence",
     "ProgressBatch",
     "Rank",
     "Run",
--- /dev/null
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -0,0 +1,217 @@
+"""Places for the long-running tasks of VMs that are to be maintained or moved."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from currantstage.coordination.jobs._availability import may_interrupt_all
+from currantstage.coordination.jobs._placement_forecast import (
+    PlacementForecast,
+    staying_tasks,
+)
+from currantstage.coordination.jobs._vm_table import VmWork
+from currantstage.coordination.jobs._worker_state import StartBlocker
+from currantstage.state.jobs import TaskPhase
+
+if TYPE_CHECKING:
+    from currantstage.coordination.jobs._records import Run, TaskRecord
+    from currantstage.coordination.jobs._scheduler import Scheduler
+    from currantstage.coordination.jobs._vm_table import VmState, VmTable
+    from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.state import PoolId
+    from currantstage.state.jobs import Resources
+
+#: How long a VM that can't be emptied waits for another VM to join its pool, in
+#: seconds.
+REPLACEMENT_WAIT_S = 4.0
+#: How long the order for a VM may be delayed after its tasks have been interrupted
+#: without another place, in seconds.
+MAX_ORDER_DELAY_S = 2.0
+
+
+@dataclass(slots=True)
+class BlockedPool:
+    """When maintenance in a pool was first and last held up for want of room."""
+
+    since_s: float
+    seen_s: float
+
+
+class EvacuationPlan:
+    """Makes sure that planned work keeps no long-running task from running for long.
+
+    A VM is cordoned only when its long-running tasks have a place elsewhere. Failing
+    that, a further VM is requested for its pool; if none joins, the tasks may return
+    to the VM after maintenance, provided that all may be interrupted at once.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+    vms : VmTable
+    """
+
+    def __init__(self, scheduler: Scheduler, vms: VmTable) -> None:
+        self._scheduler = scheduler
+        self._vms = vms
+        self._forecasts: dict[PoolId, PlacementForecast] = {}
+        self._blocked: dict[PoolId, BlockedPool] = {}
+        self._has_place: set[TaskRecord] = set()
+        self._now_s = 0.0
+
+    def update(self, now_s: float) -> None:
+        """Forecast the places of waiting tasks and of those on cordoned VMs."""
+        self._now_s = now_s
+        self._has_place = set()
+        self._forecasts = {
+            each.pool: PlacementForecast(
+                worker_state
+                for worker_state in self._scheduler.workers.in_pool(each.pool)
+                if worker_state.accepts_starts(now_s)
+            )
+            for each in self._scheduler.configuration.pools
+            if not each.is_spare
+        }
+        leaving = [
+            vm for vm in self._vms.states() if vm.goal is not None and vm.sent_s is None
+        ]
+        self._place_waiting(leaving)
+        for vm in leaving:
+            self._place_leaving(vm)
+
+    def may_move(self, vm: VmState) -> bool:
+        """Return whether a VM can leave its pool, and reserve the places for that."""
+        worker_state = self._worker_state(vm)
+        if worker_state is None:
+            return True
+        forecast = self._forecasts.get(worker_state.entry.pool)
+        return forecast is None or forecast.withdraw(worker_state)
+
+    def may_maintain(self, vm: VmState) -> bool:
+        """Return whether a VM can be maintained, and reserve the places for that."""
+        if self.may_move(vm):
+            return True
+        worker_state = self._worker_state(vm)
+        assert worker_state is not None
+        forecast = self._forecasts[worker_state.entry.pool]
+        if forecast.unplaced:
+            return False
+        forecast.require_places(worker_state)
+        waited_s = self._blocked_s(worker_state.entry.pool)
+        return waited_s >= REPLACEMENT_WAIT_S and self._may_return(vm)
+
+    def may_interrupt(self, run: Run, vm: VmState, *, may_order: bool) -> bool:
+        """Return whether a run on a cordoned VM has a place elsewhere, or may return.
+
+        Parameters
+        ----------
+        may_order : bool
+            Whether the order for the VM could be sent now.
+        """
+        if not run.step.is_long_running or run.task in self._has_place:
+            return True
+        if vm.emptied_s is not None:
+            return True
+        if not may_order or not self._may_return(vm):
+            return False
+        vm.emptied_s = self._now_s
+        return True
+
+    def missing_vms(self, pool: PoolId, capacity: Resources) -> int:
+        """Return how many more VMs the long-running tasks of a pool need."""
+        forecast = self._forecasts.get(pool)
+        return forecast.missing_vms(capacity) if forecast is not None else 0
+
+    def _place_waiting(self, leaving: list[VmState]) -> None:
+        for step in self._scheduler.jobs.ready_steps():
+            if not step.step.is_long_running:
+                continue
+            forecast = self._forecasts.get(self._scheduler.pool_of(step))
+            if forecast is None:
+                continue
+            for task in step.tasks:
+                if _needs_place(task) and not forecast.assign(task):
+                    self._uncordon_for(task, forecast, leaving)
+
+    def _uncordon_for(
+        self, task: TaskRecord, forecast: PlacementForecast, leaving: list[VmState]
+    ) -> None:
+        """Give up the goal of a VM that has room for a task that has none elsewhere."""
+        pool = self._scheduler.pool_of(task.step)
+        for vm in leaving:
+            worker_state = self._worker_state(vm)
+            if worker_state is None or worker_state.entry.pool != pool:
+                continue
+            if not self._is_recallable(vm, worker_state):
+                continue
+            if PlacementForecast((worker_state,)).assign(task):
+                leaving.remove(vm)
+                self._vms.clear_goal(vm)
+                forecast.add_worker(worker_state)
+                forecast.assign(task)
+                return
+        forecast.unplaced.append(task)
+
+    def _is_recallable(self, vm: VmState, worker_state: WorkerState) -> bool:
+        emptied_s = float("-inf") if vm.emptied_s is None else vm.emptied_s
+        if self._now_s - emptied_s < MAX_ORDER_DELAY_S:
+            # Its tasks are to return to it after the order.
+            return False
+        blocker = worker_state.start_blocker(self._now_s)
+        return blocker is None or blocker is StartBlocker.CORDONED
+
+    def _place_leaving(self, vm: VmState) -> None:
+        worker_state = self._worker_state(vm)
+        if worker_state is None:
+            return
+        forecast = self._forecasts.get(worker_state.entry.pool)
+        homeless: list[TaskRecord] = []
+        for task in staying_tasks(worker_state):
+            if forecast is None or forecast.assign(task):
+                self._has_place.add(task)
+            else:
+                homeless.append(task)
+        if forecast is None or not homeless:
+            return
+        if self._is_hopeless(vm):
+            self._vms.clear_goal(vm)
+            forecast.add_worker(worker_state)
+        else:
+            forecast.unplaced.extend(homeless)
+
+    def _is_hopeless(self, vm: VmState) -> bool:
+        """Return whether a VM, some of whose tasks have no place, can't be emptied."""
+        assert vm.goal is not None
+        if vm.goal.work is VmWork.MOVE:
+            return True
+        is_overdue = self._now_s - vm.goal_set_s > REPLACEMENT_WAIT_S
+        return is_overdue and vm.emptied_s is None and not self._may_return(vm)
+
+    def _may_return(self, vm: VmState) -> bool:
+        """Return whether all long-running tasks of a VM may wait for its return."""
+        worker_state = self._worker_state(vm)
+        if worker_state is None:
+            return True
+        long_running = [
+            run for run in worker_state.runs.values() if run.step.is_long_running
+        ]
+        return may_interrupt_all(long_running, self._now_s)
+
+    def _blocked_s(self, pool: PoolId) -> float:
+        """Return for how long no VM of a pool could be maintained for want of room."""
+        blocked = self._blocked.get(pool)
+        if blocked is None or self._now_s - blocked.seen_s > REPLACEMENT_WAIT_S:
+            blocked = BlockedPool(self._now_s, self._now_s)
+            self._blocked[pool] = blocked
+        blocked.seen_s = self._now_s
+        return self._now_s - blocked.since_s
+
+    def _worker_state(self, vm: VmState) -> WorkerState | None:
+        return self._scheduler.workers.get(vm.record.worker)
+
+
+def _needs_place(task: TaskRecord) -> bool:
+    """Return whether a long-running task waits or is about to."""
+    if task.run is not None:
+        return task.run.is_stopping
+    return task.phase is TaskPhase.WAITING
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -5,11 +5,22 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._evacuation_plan import EvacuationPlan
 from currantstage.coordination.jobs._maintenance_plan import MaintenancePlan
 from currantstage.coordination.jobs._ordering import remaining_core_s
-from currantstage.coordination.jobs._pool_plan import DemandSizing, PoolDemand, PoolPlan
+from currantstage.coordination.jobs._pool_plan import (
+    DemandSizing,
+    PoolDemand,
+    PoolPlan,
+    VmPresence,
+)
 from currantstage.coordination.jobs._vm_table import VmOrder, VmState, VmTable, VmWork
-from currantstage.state.jobs import NO_RESOURCES, Resources, VmOrderOutcome
+from currantstage.state.jobs import (
+    NO_RESOURCES,
+    Resources,
+    VmCondition,
+    VmOrderOutcome,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -56,6 +67,7 @@
         self._pools = PoolPlan(
             self.vms, sizing or DemandSizing(tuning), tuning.surplus_ms / 1000
         )
+        self._evacuation = EvacuationPlan(scheduler, self.vms)
         self._is_fenced = False
 
     def observe(self, records: Iterable[VmRecord], requested_s: float) -> None:
@@ -66,11 +78,18 @@
         """Set goals, drain VMs and return the orders that are due."""
         if self._is_fenced:
             return []
-        self.maintenance.choose(self._load, now_s)
-        self._pools.choose(self._demands(now_s), self._spare_pool(), self._load, now_s)
-        cordoned = {vm.record.worker for vm in self.vms.states() if vm.goal is not None}
-        for worker_state in self._scheduler.workers.states():
-            worker_state.is_cordoned = worker_state.entry.worker in cordoned
+        self._cordon()
+        self._evacuation.update(now_s)
+        self.maintenance.choose(self._load, self._evacuation.may_maintain, now_s)
+        self._pools.choose(
+            self._demands(now_s),
+            self._spare_pool(),
+            self._load,
+            self._evacuation.may_move,
+            self._presence,
+            now_s,
+        )
+        self._cordon()
         return [
             order
             for vm in self.vms.states()
@@ -113,6 +132,11 @@
             vm.goal is not None for vm in self.vms.states()
         )
 
+    def _cordon(self) -> None:
+        cordoned = {vm.record.worker for vm in self.vms.states() if vm.goal is not None}
+        for worker_state in self._scheduler.workers.states():
+            worker_state.is_cordoned = worker_state.entry.worker in cordoned
+
     def _advance(self, vm: VmState, now_s: float) -> list[VmOrder]:
         assert vm.goal is not None
         if vm.done_s is not None or vm.is_awaiting_answer or now_s < vm.retry_s:
@@ -123,13 +147,18 @@
         if vm.sent_s is None:
             if not self._drain(vm, self._drain_timeout_s(vm, wave, now_s), now_s):
                 return []
-            if vm.goal.work is VmWork.MAINTENANCE and not self.maintenance.may_order(
-                vm, now_s
-            ):
+            if not self._may_send(vm, now_s):
                 return []
         self.vms.record_sent(vm, now_s)
         return [VmOrder(vm.record.vm, vm.goal)]
 
+    def _may_send(self, vm: VmState, now_s: float) -> bool:
+        """Return whether the order for a drained VM may be sent now."""
+        assert vm.goal is not None
+        if vm.goal.work is VmWork.MOVE:
+            return True
+        return self.maintenance.may_order(vm, now_s)
+
     def _drain_timeout_s(
         self, vm: VmState, wave: WaveState | None, now_s: float
     ) -> float:
@@ -149,14 +178,34 @@
         ):
             return False
         is_overdue = now_s - vm.goal_set_s > drain_timeout_s
-        for run in list(worker_state.runs.values()):
-            if run.step.is_long_running or is_overdue:
+        runs = list(worker_state.runs.values())
+        has_short_runs = any(not run.step.is_long_running for run in runs)
+        may_order = (is_overdue or not has_short_runs) and self._may_send(vm, now_s)
+        for run in runs:
+            if run.step.is_long_running:
+                if self._evacuation.may_interrupt(run, vm, may_order=may_order):
+                    self._scheduler.interrupt(run, now_s)
+            elif is_overdue:
                 self._scheduler.interrupt(run, now_s)
         return not worker_state.runs
 
     def _worker_state(self, vm: VmState) -> WorkerState | None:
         return self._scheduler.workers.get(vm.record.worker)
 
+    def _presence(self, vm: VmState) -> VmPresence:
+        """Return whether the VM can run tasks in the pool that it is in or moves to."""
+        is_moving = vm.goal is not None and vm.goal.work is VmWork.MOVE
+        if is_moving or vm.sent_s is not None:
+            return VmPresence.JOINING
+        if vm.record.condition is not VmCondition.UP:
+            return VmPresence.JOINING
+        worker_state = self._worker_state(vm)
+        if worker_state is None:
+            return VmPresence.JOINING
+        if not worker_state.is_synced:
+            return VmPresence.JOINING
+        return VmPresence.PRESENT
+
     def _load(self, vm: VmState) -> float:
         """Return the amount of work to drain from the VM, in cores."""
         worker_state = self._worker_state(vm)
@@ -169,6 +218,13 @@
             worker_state.used.cpu_millicores / 1000 + long_running * LONG_RUNNING_WEIGHT
         )
 
+    def _vm_capacity(self, pool: PoolId) -> Resources:
+        """Return the capacity of a VM of the pool."""
+        capacities = (
+            vm.record.capacity for vm in self.vms.states() if vm.record.pool == pool
+        )
+        return next(capacities, NO_RESOURCES)
+
     def _spare_pool(self) -> PoolId | None:
         pools = self._scheduler.configuration.pools
         return next((each.pool for each in pools if each.is_spare), None)
@@ -200,6 +256,7 @@
                 self._scheduler.arrivals.rate_cores(each.pool, now_s),
                 capacity[each.pool],
                 min_vms[each.pool],
+                self._evacuation.missing_vms(each.pool, self._vm_capacity(each.pool)),
             )
             for each in self._scheduler.configuration.pools
             if not each.is_spare
--- a/currantstage/coordination/jobs/_maintenance_plan.py
+++ b/currantstage/coordination/jobs/_maintenance_plan.py
@@ -85,8 +85,21 @@
         )
         return [vm for vm in found if vm is not None]
 
-    def choose(self, load: Callable[[VmState], float], now_s: float) -> None:
-        """Set goals; `load` returns the amount of work to drain from a VM."""
+    def choose(
+        self,
+        load: Callable[[VmState], float],
+        may_maintain: Callable[[VmState], bool],
+        now_s: float,
+    ) -> None:
+        """Set goals.
+
+        Parameters
+        ----------
+        load : callable
+            Returns the amount of work to drain from a VM.
+        may_maintain : callable
+            Returns whether a VM can be emptied now, and reserves what that takes.
+        """
         for state in self.open_waves():
             remaining = self.remaining(state)
             taken = [
@@ -96,9 +109,13 @@
             ]
             free = state.wave.max_down + DRAINED_AHEAD - len(taken)
             idle = [vm for vm in remaining if vm.goal is None and vm.is_up]
-            for vm in sorted(idle, key=load)[: max(0, free)]:
-                goal = VmGoal(VmWork.MAINTENANCE, wave=state.wave.number)
-                self._vms.set_goal(vm, goal, now_s)
+            for vm in sorted(idle, key=load):
+                if free <= 0:
+                    break
+                if may_maintain(vm):
+                    goal = VmGoal(VmWork.MAINTENANCE, wave=state.wave.number)
+                    self._vms.set_goal(vm, goal, now_s)
+                    free -= 1
 
     def may_order(self, vm: VmState, now_s: float) -> bool:
         """Return whether all waves that include a VM allow it to go down."""
--- /dev/null
+++ b/currantstage/coordination/jobs/_placement_forecast.py
@@ -0,0 +1,163 @@
+"""Forecast of where the long-running tasks of a pool can run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantstage.coordination.jobs._records import TaskRecord
+    from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.state.jobs import Resources, WorkerId
+
+
+@dataclass(slots=True, eq=False)
+class ForecastSlot:
+    """Capacity for long-running tasks, and the tasks that are to run there.
+
+    Parameters
+    ----------
+    free : Resources
+    labels : frozenset of str, optional
+        Labels of the worker; None if they aren't known.
+    tasks : list of TaskRecord
+    """
+
+    free: Resources
+    labels: frozenset[str] | None = None
+    tasks: list[TaskRecord] = field(default_factory=list)
+
+    @classmethod
+    def for_worker(cls, worker_state: WorkerState) -> ForecastSlot:
+        """Return the capacity of a worker without the tasks that stay on it."""
+        entry = worker_state.entry
+        slot = cls(entry.capacity, frozenset(entry.labels))
+        for task in staying_tasks(worker_state):
+            slot.add(task)
+        return slot
+
+    def allows(self, task: TaskRecord) -> bool:
+        """Return whether `task` can run here as well."""
+        step = task.step.step
+        if not step.reserved_resources.fits(self.free):
+            return False
+        if not self._has_label(step.needed_label):
+            return False
+        here = sum(each.step is task.step for each in self.tasks)
+        return not step.max_per_worker or here < step.max_per_worker
+
+    def _has_label(self, label: str) -> bool:
+        return not label or self.labels is None or label in self.labels
+
+    def add(self, task: TaskRecord) -> None:
+        """Reserve capacity for `task`."""
+        self.tasks.append(task)
+        self.free = self.free.minus(task.step.step.reserved_resources)
+
+    def remove(self, task: TaskRecord) -> None:
+        """Release the capacity that is reserved for `task`."""
+        self.tasks.remove(task)
+        self.free = self.free.plus(task.step.step.reserved_resources)
+
+
+class PlacementForecast:
+    """Tentative places of the long-running tasks of a pool.
+
+    Short tasks are left out: they end soon, and long-running ones are placed first.
+
+    Parameters
+    ----------
+    workers : iterable of WorkerState
+        The workers that accept starts.
+    """
+
+    def __init__(self, workers: Iterable[WorkerState]) -> None:
+        self._slots: dict[WorkerId, ForecastSlot] = {}
+        #: Tasks that have no place.
+        self.unplaced: list[TaskRecord] = []
+        for worker_state in workers:
+            self.add_worker(worker_state)
+
+    def add_worker(self, worker_state: WorkerState) -> None:
+        """Add a worker that accepts starts."""
+        slot = ForecastSlot.for_worker(worker_state)
+        self._slots[worker_state.entry.worker] = slot
+
+    def assign(self, task: TaskRecord) -> bool:
+        """Reserve a place for `task`; return False if there is none."""
+        allowed = [slot for slot in self._slots.values() if slot.allows(task)]
+        if not allowed:
+            return False
+        # Packed as by `SpreadPlacement`.
+        slot = min(allowed, key=lambda each: each.free.cpu_millicores)
+        slot.add(task)
+        return True
+
+    def withdraw(self, worker_state: WorkerState) -> bool:
+        """Find other places for the tasks of a worker that is to leave.
+
+        If any of them has none, nothing changes and the result is False.
+        """
+        worker = worker_state.entry.worker
+        slot = self._slots.pop(worker, None)
+        tasks = list(slot.tasks) if slot else staying_tasks(worker_state)
+        for index, task in enumerate(tasks):
+            if self.assign(task):
+                continue
+            for assigned in tasks[:index]:
+                self._unassign(assigned)
+            if slot is not None:
+                self._slots[worker] = slot
+            return False
+        return True
+
+    def require_places(self, worker_state: WorkerState) -> None:
+        """Count the tasks of a worker that can't leave as tasks without a place."""
+        slot = self._slots.get(worker_state.entry.worker)
+        tasks = slot.tasks if slot else staying_tasks(worker_state)
+        self.unplaced.extend(tasks)
+
+    def missing_vms(self, capacity: Resources) -> int:
+        """Return how many VMs of `capacity` the tasks without a place need."""
+        return packed_vms(self.unplaced, capacity)
+
+    def _unassign(self, task: TaskRecord) -> None:
+        slot = next(each for each in self._slots.values() if task in each.tasks)
+        slot.remove(task)
+
+
+def staying_tasks(worker_state: WorkerState) -> list[TaskRecord]:
+    """Return the long-running tasks of a worker that aren't being stopped."""
+    return [
+        run.task
+        for run in worker_state.runs.values()
+        if run.step.is_long_running and not run.is_stopping
+    ]
+
+
+def packed_vms(tasks: Iterable[TaskRecord], capacity: Resources) -> int:
+    """Return how many empty VMs of `capacity` hold `tasks`, the largest tasks first.
+
+    Tasks that no empty VM holds are left out.
+    """
+    slots: list[ForecastSlot] = []
+    for task in sorted(tasks, key=_size, reverse=True):
+        slot = next((each for each in slots if each.allows(task)), None)
+        if slot is None:
+            slot = ForecastSlot(capacity)
+            if not slot.allows(task):
+                continue
+            slots.append(slot)
+        slot.add(task)
+    return len(slots)
+
+
+def _size(task: TaskRecord) -> tuple[int, int, int]:
+    resources = task.step.step.reserved_resources
+    return (
+        resources.accelerators,
+        resources.memory_mb,
+        resources.cpu_millicores,
+    )
--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 from currantstage.coordination.jobs._vm_table import VmGoal, VmWork
@@ -20,6 +22,9 @@
 REGISTRATION_S = 0.3
 #: Maximum share of a pool's cores that arriving work should use.
 MAX_UTILISATION = 0.8
+#: Maximum number of VMs requested for long-running tasks that have no place, beyond
+#: those that the demand calls for.
+MAX_EXTRA_VMS = 4
 #: How long a pool must have surplus VMs before another pool gets them, in seconds.
 REASSIGN_AFTER_S = 0.4
 
@@ -40,6 +45,8 @@
         Cores of the workers that accept tasks now.
     min_vms : int
         Minimum number of VMs that its long-running steps need.
+    missing_vms : int
+        VMs needed for long-running tasks that have no place on a VM that is present.
     """
 
     long_running: Resources = NO_RESOURCES
@@ -47,6 +54,7 @@
     arriving_cores: float = 0.0
     capacity_cores: float = 0.0
     min_vms: int = 0
+    missing_vms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +71,17 @@
         return self.vms - self.wanted_vms
 
 
+class VmPresence(Enum):
+    """Whether a VM of a pool can run tasks.
+
+    A VM that is down for maintenance counts as joining: it returns about as soon as
+    another VM could join.
+    """
+
+    PRESENT = "present"
+    JOINING = "joining"
+
+
 class PoolSizing(Protocol):
     """Decides how many VMs a pool should have."""
 
@@ -133,14 +152,25 @@
         demands: Mapping[PoolId, PoolDemand],
         spare_pool: PoolId | None,
         load: Callable[[VmState], float],
+        may_move: Callable[[VmState], bool],
+        presence: Callable[[VmState], VmPresence],
         now_s: float,
     ) -> None:
         """Set goals on VMs; pools that lack VMs come before the spare pool.
 
         A move to the spare pool is reconsidered until its order is sent.
+
+        Parameters
+        ----------
+        load : callable
+            Returns the amount of work to drain from a VM.
+        may_move : callable
+            Returns whether a VM can be emptied, and reserves what that takes.
+        presence : callable
+            Returns the presence of a VM in the pool that it is in or moves to.
         """
         self.sizes = {
-            pool: self._size(pool, demand) for pool, demand in demands.items()
+            pool: self._size(pool, demand, presence) for pool, demand in demands.items()
         }
         balance = {pool: size.surplus for pool, size in self.sizes.items()}
         leaving = self._keep_needed(self._leaving(spare_pool), balance)
@@ -157,17 +187,29 @@
                 unneeded.extend(own[:surplus])
         for pool in sorted(balance, key=lambda each: balance[each]):
             while balance[pool] < 0 and donors:
-                self._move(donors.pop(0), pool, now_s)
-                balance[pool] += 1
+                vm = donors.pop(0)
+                if may_move(vm):
+                    self._move(vm, pool, now_s)
+                    balance[pool] += 1
         for vm in unneeded:
-            if spare_pool is not None and vm.goal is None:
+            if spare_pool is not None and vm.goal is None and may_move(vm):
                 self._move(vm, spare_pool, now_s)
 
-    def _size(self, pool: PoolId, demand: PoolDemand) -> PoolSize:
+    def _size(
+        self,
+        pool: PoolId,
+        demand: PoolDemand,
+        presence: Callable[[VmState], VmPresence],
+    ) -> PoolSize:
         members = [vm for vm in self._vms.states() if vm.target_pool() == pool]
         capacity = members[0].record.capacity if members else Resources(1, 1)
         wanted = self._sizing.wanted_vms(demand, capacity)
-        return PoolSize(len(members), wanted, demand)
+        counts = Counter(map(presence, members))
+        vms = len(members)
+        if demand.missing_vms:
+            with_missing = vms + demand.missing_vms - counts[VmPresence.JOINING]
+            wanted = max(wanted, min(with_missing, wanted + MAX_EXTRA_VMS))
+        return PoolSize(vms, wanted, demand)
 
     def _surplus_s(self, pool: PoolId, surplus: int, now_s: float) -> float:
         """Return how long a pool has had surplus VMs; negative if it has none."""
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -58,6 +58,8 @@
         When the order was first sent and when it was confirmed.
     retry_s : float
         No order is sent before this time.
+    emptied_s : float, optional
+        When tasks that have no place elsewhere were interrupted for the order.
     ended_worker : WorkerId
         The worker that the order ends; by the time the answer arrives, the VM may
         have a new one.
@@ -71,6 +73,7 @@
     sent_s: float | None = None
     done_s: float | None = None
     retry_s: float = 0.0
+    emptied_s: float | None = None
     ended_worker: WorkerId = WorkerId("")
     is_awaiting_answer: bool = False
 
@@ -134,6 +137,7 @@
         state.goal = None
         state.sent_s = None
         state.done_s = None
+        state.emptied_s = None
 
     def record_sent(self, state: VmState, now_s: float) -> None:
         """Record that the order is being sent."""
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -66,6 +66,10 @@
         if has_worker:
             self._workers.add(entry)
 
+    def remove(self, vm: str) -> None:
+        """Remove a VM without a worker."""
+        del self._records[VmId(vm)]
+
     def pool_of(self, vm: str) -> PoolId:
         """Return the pool that a VM is in."""
         return self._records[VmId(vm)].pool
--- /dev/null
+++ b/tests/jobs/test_evacuation_plan.py
@@ -0,0 +1,170 @@
+"""Places for the long-running tasks of VMs that are to be maintained or moved."""
+
+from __future__ import annotations
+
+from currantstage.coordination.jobs import (
+    FleetManager,
+    Scheduler,
+    SchedulerTuning,
+    VmGoal,
+    VmOrderCooldown,
+    VmState,
+    VmWork,
+)
+from currantstage.standin.jobs import build_configuration
+from currantstage.state import DataCentreId, VmId
+from currantstage.state.jobs import (
+    MaintenanceWave,
+    Resources,
+    Step,
+    Term,
+    VmCondition,
+    VmRecord,
+    WorkerId,
+)
+from tests.jobs.records import POOL, entry, running, submission
+from tests.jobs.site import step
+
+CAPACITY = Resources(8000, 16384, 0)
+TUNING = SchedulerTuning(min_vms_per_pool=0)
+NOW_S = 10.0
+
+
+class _Fleet:
+    """A pool of workers ``w-0``, ``w-1``, ..., one per VM, and a long-running step."""
+
+    def __init__(self, vm_count: int, work: Step) -> None:
+        self.scheduler = Scheduler(Term(1), build_configuration(), TUNING)
+        names = [f"w-{number}" for number in range(vm_count)]
+        self.scheduler.update_workers([entry(name) for name in names], NOW_S)
+        self.manager = FleetManager(
+            self.scheduler, TUNING, VmOrderCooldown((), 0.0, TUNING)
+        )
+        self.manager.observe([_record(name) for name in names], requested_s=NOW_S)
+        for worker_state in self.scheduler.workers.states():
+            worker_state.is_synced = True
+        self.scheduler.submit(submission("0" * 16, work), NOW_S)
+        (self.step,) = self.scheduler.jobs.open_steps()
+
+    def run(self, number: int, worker: str) -> None:
+        """Let a task run on a worker."""
+        run = running(self.step, number, listed_s=NOW_S, worker=worker)
+        worker_state = self.scheduler.workers.get(WorkerId(worker))
+        assert worker_state is not None
+        worker_state.add(run)
+
+    def vm(self, worker: str) -> VmState:
+        """Return the VM of a worker."""
+        vm = self.manager.vms.get(VmId(f"m-{worker}"))
+        assert vm is not None
+        return vm
+
+    def maintain(self, *workers: str, max_down: int = 1) -> None:
+        """Announce a wave of the VMs of some workers."""
+        wave = MaintenanceWave(
+            number=1,
+            vms=tuple(VmId(f"m-{worker}") for worker in workers),
+            complete_by_s=60,
+            max_down=max_down,
+        )
+        self.manager.maintenance.announce(wave, (), NOW_S)
+
+    def stopping(self) -> list[int]:
+        """Return the numbers of the tasks that are being stopped."""
+        runs = self.step.runs()
+        return [run.task.key.number for run in runs if run.is_stopping]
+
+    def cordoned(self) -> list[str]:
+        """Return the workers of the VMs that are to be maintained or moved."""
+        vms = self.manager.vms.states()
+        return [str(vm.record.worker) for vm in vms if vm.goal is not None]
+
+
+def _record(worker: str) -> VmRecord:
+    return VmRecord(
+        vm=VmId(f"m-{worker}"),
+        pool=POOL,
+        condition=VmCondition.UP,
+        data_centre=DataCentreId("dc"),
+        labels=(),
+        capacity=CAPACITY,
+        worker=WorkerId(worker),
+    )
+
+
+def _lasting(count: int, cpu: int = 3000, **options: object) -> Step:
+    return step(count, cpu=cpu, is_long_running=True, max_unavailable=1, **options)
+
+
+def test_vm_without_places_for_its_tasks_elsewhere_is_not_cordoned() -> None:
+    fleet = _Fleet(2, _lasting(4, max_per_worker=2))
+    for number in range(4):
+        fleet.run(number, f"w-{number // 2}")
+    fleet.maintain("w-0", "w-1")
+    fleet.manager.plan(NOW_S)
+    assert (fleet.cordoned(), fleet.stopping()) == ([], [])
+    size = fleet.manager.pool_sizes[POOL]
+    assert (size.vms, size.wanted_vms) == (2, 3)
+
+
+def test_two_vms_do_not_count_on_the_same_place() -> None:
+    fleet = _Fleet(3, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    fleet.run(1, "w-1")
+    fleet.maintain("w-0", "w-1", max_down=2)
+    fleet.manager.plan(NOW_S)
+    assert fleet.cordoned() == ["w-0"]
+
+
+def test_waiting_task_has_the_place_before_a_task_that_is_to_be_stopped() -> None:
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    fleet.maintain("w-0")
+    fleet.manager.plan(NOW_S)
+    assert fleet.cordoned() == []
+
+
+def test_surplus_vm_is_not_moved_while_its_task_has_no_other_place() -> None:
+    fleet = _Fleet(3, _lasting(3, cpu=4800))
+    for number in range(3):
+        fleet.run(number, f"w-{number}")
+    for tenths in range(30):
+        fleet.manager.plan(NOW_S + tenths / 10)
+    assert fleet.manager.pool_sizes[POOL].wanted_vms == 2
+    assert fleet.cordoned() == []
+
+
+def test_waiting_task_gets_the_only_vm_with_room_back_from_maintenance() -> None:
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    goal = VmGoal(VmWork.MAINTENANCE, wave=1)
+    fleet.manager.vms.set_goal(fleet.vm("w-1"), goal, NOW_S)
+    fleet.maintain("w-1")
+    fleet.manager.plan(NOW_S)
+    assert fleet.cordoned() == []
+
+
+def test_tasks_that_may_all_be_away_return_to_their_vm_after_maintenance() -> None:
+    fleet = _Fleet(1, _lasting(1, cpu=5000))
+    fleet.run(0, "w-0")
+    fleet.maintain("w-0")
+    fleet.manager.plan(NOW_S)
+    assert fleet.stopping() == []
+    for run in fleet.step.runs():
+        run.listed_s = NOW_S + 5
+    for tenths in range(50):
+        fleet.manager.plan(NOW_S + tenths / 10)
+    assert fleet.cordoned() == ["w-0"]
+    assert fleet.stopping() == [0]
+
+
+def test_tasks_that_may_not_all_be_away_stay_while_there_is_no_other_vm() -> None:
+    fleet = _Fleet(1, _lasting(2))
+    fleet.run(0, "w-0")
+    fleet.run(1, "w-0")
+    fleet.maintain("w-0")
+    for tenths in range(100):
+        for run in fleet.step.runs():
+            run.listed_s = NOW_S + tenths / 10
+        fleet.manager.plan(NOW_S + tenths / 10)
+    assert fleet.stopping() == []
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -8,6 +8,7 @@
     PoolDemand,
     PoolPlan,
     SchedulerTuning,
+    VmPresence,
     VmTable,
 )
 from currantstage.state import DataCentreId, PoolId, VmId
@@ -47,7 +48,14 @@
 def _plan(table: VmTable, demand: PoolDemand, times_s: tuple[float, ...]) -> None:
     plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
     for now_s in times_s:
-        plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, now_s)
+        plan.choose(
+            {BUSY: demand, IDLE: PoolDemand()},
+            SPARE,
+            lambda _: 0.0,
+            lambda _: True,
+            lambda _: VmPresence.PRESENT,
+            now_s,
+        )
 
 
 def test_steady_arrivals_need_their_cores_and_some_headroom() -> None:
