Hand the lease over while the store refuses the holder's writes

A read that had waited for changes since before the refusals ended with an answer, and counted as proof that the store answers the holder.

A refusal is not slowness: only writes without an answer leave the lease with a holder whom the store answers otherwise.

--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -330,7 +330,7 @@
             )
         except StoreUnavailable as error:
             self._on_batch_failed(batch)
-            self._on_commit_failed(sent_s)
+            self._on_commit_failed(sent_s, is_refused=not error.is_in_doubt)
             self._observe_commit("failed", sent_s)
             log_message(
                 "currantstage:commit-failed",
@@ -379,8 +379,8 @@
             self.scheduler.on_batch_failed(batch)
             self._wake.set()
 
-    def _on_commit_failed(self, sent_s: float) -> None:
-        self._held_lease.record_failure(sent_s)
+    def _on_commit_failed(self, sent_s: float, *, is_refused: bool) -> None:
+        self._held_lease.record_failure(sent_s, is_refused=is_refused)
         if self.needs_successor() and not self._is_offered:
             self._is_offered = True
             self._tasks.spawn(self._offer(self._lease.term))
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -193,6 +193,7 @@
         self._tuning = tuning
         self._confirmed_s = confirmed_s
         self._failing_since_s: float | None = None
+        self._is_refused = False
 
     def confirm(self, sent_s: float) -> None:
         """Record that a write sent at `sent_s` was confirmed."""
@@ -207,8 +208,16 @@
         if self._failing_since_s is not None:
             self.confirm(self._failing_since_s)
 
-    def record_failure(self, sent_s: float) -> None:
-        """Record that a write sent at `sent_s` was not confirmed."""
+    def record_failure(self, sent_s: float, *, is_refused: bool = False) -> None:
+        """Record that a write sent at `sent_s` was not confirmed.
+
+        Parameters
+        ----------
+        sent_s : float
+        is_refused : bool
+            Whether the store has refused it, rather than not answered.
+        """
+        self._is_refused = is_refused
         if self._failing_since_s is None:
             self._failing_since_s = sent_s
 
@@ -229,8 +238,8 @@
     ) -> bool:
         """Return whether a daemon that can reach the store should take over.
 
-        While the store answers other calls of the holder, its writes are merely slow,
-        and those of a successor would be no faster.
+        While the store answers other calls of the holder and refuses none of its
+        writes, these are merely slow, and those of a successor would be no faster.
 
         Parameters
         ----------
@@ -241,7 +250,7 @@
         if self._failing_since_s is None:
             return False
         is_answering = store_answered_s > self._failing_since_s
-        if is_answering and self.is_valid(now_s):
+        if is_answering and not self._is_refused and self.is_valid(now_s):
             return False
         return now_s - self._failing_since_s >= self._tuning.hand_over_ms / 1000
 
--- a/tests/jobs/test_owner_lease.py
+++ b/tests/jobs/test_owner_lease.py
@@ -120,6 +120,13 @@
     assert held.needs_successor(6.0, store_answered_s=5.9)
 
 
+def test_holder_whose_writes_the_store_refuses_needs_a_successor_at_once() -> None:
+    """A read that was under way when the refusals began counted as an answer."""
+    held = HeldLease(TUNING, confirmed_s=0.0)
+    held.record_failure(0.1, is_refused=True)
+    assert held.needs_successor(1.0, store_answered_s=0.9)
+
+
 def test_stored_write_without_a_response_counts_from_the_first_of_them() -> None:
     held = HeldLease(TUNING, confirmed_s=0.0)
     held.record_failure(1.0)
