Join the tests of takeovers, pool plans and the deploy template

`restore` takes the time of day, and `PoolPlan.choose` takes what may move and what is present; the tests that were written beside these changes pass them now. The setting `max_stop_ms` is left out where the platform states no bound, like the other limits.

--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -37,7 +37,7 @@
     """Render the deploy template as the platform does."""
     text = TEMPLATE.read_text(encoding="utf-8")
     limits = ("Limits.LinkMbps", "Limits.CpuShare", "Limits.Cores")
-    for section in ("Seeds.0", "Advice", *limits):
+    for section in ("Seeds.0", "Advice", "Bounds.StopMs", *limits):
         text = text.replace("{{#" + section + "}}", "")
         text = text.replace("{{/" + section + "}}", "")
     for name, value in VALUES.items():
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -48,14 +48,19 @@
 def _plan(table: VmTable, demand: PoolDemand, times_s: tuple[float, ...]) -> None:
     plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
     for now_s in times_s:
-        plan.choose(
-            {BUSY: demand, IDLE: PoolDemand()},
-            SPARE,
-            lambda _: 0.0,
-            lambda _: True,
-            lambda _: VmPresence.PRESENT,
-            now_s,
-        )
+        _choose(plan, demand, now_s)
+
+
+def _choose(plan: PoolPlan, demand: PoolDemand, now_s: float) -> None:
+    """Plan moves for that demand on the busy pool, and none on the idle one."""
+    plan.choose(
+        {BUSY: demand, IDLE: PoolDemand()},
+        SPARE,
+        lambda _: 0.0,
+        lambda _: True,
+        lambda _: VmPresence.PRESENT,
+        now_s,
+    )
 
 
 def test_steady_arrivals_need_their_cores_and_some_headroom() -> None:
@@ -105,8 +110,7 @@
 def _plan_release(table: VmTable, plan: PoolPlan) -> None:
     """Plan moves of the surplus VMs of both pools to the spare pool."""
     for now_s in (0.0, 1.6):
-        demands = {BUSY: PoolDemand(), IDLE: PoolDemand()}
-        plan.choose(demands, SPARE, lambda _: 0.0, now_s)
+        _choose(plan, PoolDemand(), now_s)
 
 
 def test_vm_on_its_way_out_of_a_pool_goes_straight_to_the_pool_that_needs_it() -> None:
@@ -116,7 +120,7 @@
     _plan_release(table, plan)
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
-    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    _choose(plan, demand, 1.8)
     assert _targets(table) == {"busy": 3, "idle": 1, "spare": 0}
 
 
@@ -126,7 +130,7 @@
     _plan_release(table, plan)
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 3}
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
-    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    _choose(plan, demand, 1.8)
     assert _targets(table) == {"busy": 3, "idle": 1, "spare": 1}
     assert [vm.goal for vm in table.states()] == [None] * 5
 
@@ -139,7 +143,7 @@
         if vm.goal is not None:
             table.record_sent(vm, 1.7)
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
-    plan.choose({BUSY: demand, IDLE: PoolDemand()}, SPARE, lambda _: 0.0, 1.8)
+    _choose(plan, demand, 1.8)
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
 
 
--- a/tests/jobs/test_takeover.py
+++ b/tests/jobs/test_takeover.py
@@ -52,7 +52,9 @@
         job=JOB, state=JobState.RUNNING, is_started=True, tasks=tasks, ended_unix_ms=0
     )
     takeover = LeaseTakeover(TakeoverGround.HOLDER_ENDED)
-    scheduler.restore(submission(JOB, LONG_RUNNING), progress, False, takeover, 0.0)
+    scheduler.restore(
+        submission(JOB, LONG_RUNNING), progress, False, takeover, 0.0, unix_ms=0.0
+    )
     record = scheduler.jobs.get(JOB)
     assert record is not None
     return scheduler, record.runs()
