Replace dark VMs of a pool

A pool counted all VMs that the platform lists for it, also those whose worker is silent, not listed or shutting down, and those that are down.

Dark VMs are no longer counted in the size of a pool, for up to half of the VMs that it wants; when they come back, they are surplus.

Evidence: test_dark_vm_is_replaced fails before: 2 VMs counted, of which one is silent.

--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -194,6 +194,8 @@
 
     def _presence(self, vm: VmState) -> VmPresence:
         """Return whether the VM can run tasks in the pool that it is in or moves to."""
+        if vm.record.condition is VmCondition.DOWN:
+            return VmPresence.DARK
         is_moving = vm.goal is not None and vm.goal.work is VmWork.MOVE
         if is_moving or vm.sent_s is not None:
             return VmPresence.JOINING
@@ -202,6 +204,8 @@
         worker_state = self._worker_state(vm)
         if worker_state is None:
             return VmPresence.JOINING
+        if worker_state.is_dark:
+            return VmPresence.DARK
         if not worker_state.is_synced:
             return VmPresence.JOINING
         return VmPresence.PRESENT
--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -25,6 +25,8 @@
 #: Maximum number of VMs requested for long-running tasks that have no place, beyond
 #: those that the demand calls for.
 MAX_EXTRA_VMS = 4
+#: Maximum share of a pool's wanted VMs that are replaced while they are dark.
+MAX_REPLACED_SHARE = 0.5
 #: How long a pool must have surplus VMs before another pool gets them, in seconds.
 REASSIGN_AFTER_S = 0.4
 
@@ -59,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolSize:
-    """Number of VMs in a pool or moving to it, and the number wanted."""
+    """Number of VMs in a pool or moving to it, without dark ones, and wanted."""
 
     vms: int
     wanted_vms: int
@@ -80,6 +82,7 @@
 
     PRESENT = "present"
     JOINING = "joining"
+    DARK = "dark"
 
 
 class PoolSizing(Protocol):
@@ -205,7 +208,8 @@
         capacity = members[0].record.capacity if members else Resources(1, 1)
         wanted = self._sizing.wanted_vms(demand, capacity)
         counts = Counter(map(presence, members))
-        vms = len(members)
+        max_replaced = math.ceil(wanted * MAX_REPLACED_SHARE)
+        vms = len(members) - min(max_replaced, counts[VmPresence.DARK])
         if demand.missing_vms:
             with_missing = vms + demand.missing_vms - counts[VmPresence.JOINING]
             wanted = max(wanted, min(with_missing, wanted + MAX_EXTRA_VMS))
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -127,6 +127,11 @@
         """Whether it has not answered several consecutive renewals."""
         return self.missed_renewals >= SILENT_AFTER_MISSED_RENEWALS
 
+    @property
+    def is_dark(self) -> bool:
+        """Whether no task may be placed on it until it is heard of again."""
+        return self.is_silent or not self.is_listed or self.entry.is_draining
+
     @property
     def free(self) -> Resources:
         """The capacity that is not reserved."""
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -168,3 +168,15 @@
             run.listed_s = NOW_S + tenths / 10
         fleet.manager.plan(NOW_S + tenths / 10)
     assert fleet.stopping() == []
+
+
+def test_dark_vm_is_replaced() -> None:
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    fleet.run(1, "w-1")
+    dark = fleet.scheduler.workers.get(WorkerId("w-1"))
+    assert dark is not None
+    dark.missed_renewals = 2
+    fleet.manager.plan(NOW_S)
+    size = fleet.manager.pool_sizes[POOL]
+    assert (size.vms, size.wanted_vms) == (1, 2)
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -9,6 +9,7 @@
     PoolPlan,
     SchedulerTuning,
     VmPresence,
+    VmState,
     VmTable,
 )
 from currantstage.state import DataCentreId, PoolId, VmId
@@ -150,3 +151,21 @@
 def test_fixed_sizing_requests_no_vm() -> None:
     demand = PoolDemand(arriving_cores=500.0)
     assert FixedSizing().wanted_vms(demand, CAPACITY) == 0
+
+
+def test_dark_vms_are_replaced_up_to_a_share_of_the_pool() -> None:
+    """A pool that had lost a rack got no other VMs."""
+    table = _table(busy=4, idle=1, spare=9)
+    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    demand = PoolDemand(arriving_cores=32.0, capacity_cores=40.0)
+    assert DemandSizing(TUNING).wanted_vms(demand, CAPACITY) == 4
+    dark = [vm for vm in table.states() if vm.record.pool == BUSY][1:]
+
+    def presence(vm: VmState) -> VmPresence:
+        return VmPresence.DARK if vm in dark else VmPresence.PRESENT
+
+    for now_s in (0.0, 0.2, 0.4):
+        plan.choose(
+            {BUSY: demand}, SPARE, lambda _: 0.0, lambda _: True, presence, now_s
+        )
+    assert _targets(table)["busy"] == 6
