Count renewals that fail at once as one missed renewal

A worker is silent after two consecutive missed renewals.

A renewal is now missed only if it was sent after the last one that was missed had been given up, and after the newest one that was answered. Silence is noticed as soon as before, since the regular renewals follow each other.

--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -317,7 +317,7 @@
             is_newest = worker_state is not None and order.fence >= worker_state.fence
             if reply is OrderOutcome.FENCED and is_newest:
                 self.is_superseded = True
-            for run in self.workers.on_renewal_failure(order, reply, now_s):
+            for run in self.workers.on_renewal_failure(order, reply, sent_s, now_s):
                 self._on_lost(run)
             return
         changes = self.workers.on_renewal_reply(order, reply, sent_s, now_s)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -90,6 +90,8 @@
         Whether the store lists the worker.
     missed_renewals : int
         Number of consecutive unanswered renewals.
+    missed_s : float
+        When the last of them was found to be unanswered.
     newest_renewal_sent_s : float
         When the renewal was sent whose reply is the newest applied.
     is_cordoned, is_retired : bool
@@ -113,6 +115,7 @@
     is_synced: bool = False
     is_listed: bool = True
     missed_renewals: int = 0
+    missed_s: float = float("-inf")
     newest_renewal_sent_s: float = float("-inf")
     is_cordoned: bool = False
     is_retired: bool = False
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -153,9 +153,13 @@
         return changes
 
     def on_renewal_failure(
-        self, order: RenewalOrder, outcome: OrderOutcome, now_s: float
+        self, order: RenewalOrder, outcome: OrderOutcome, sent_s: float, now_s: float
     ) -> list[Run]:
-        """Apply a failed renewal; return the runs that ended with their worker."""
+        """Apply a failed renewal; return the runs that ended with their worker.
+
+        Of several renewals that were under way at once, one counts as missed at most,
+        and none if a later one has been answered.
+        """
         state = self._states.get(order.worker.worker)
         if state is None:
             return []
@@ -165,7 +169,9 @@
             # A reply all the same: the order had an older fence of this term, or a
             # later term has begun.
             return []
-        state.missed_renewals += 1
+        if sent_s >= max(state.newest_renewal_sent_s, state.missed_s):
+            state.missed_renewals += 1
+            state.missed_s = now_s
         return []
 
     def release_expired_runs(self, now_s: float) -> list[Run]:
