Extend timeouts by up to 2 s of lag of the own loop

The extension now ends 2 s after the plain timeout, for calls of any length. A late loop notices silence after 3.2 s at most plus one turn for a renewal (lease 4 s) and after 4.5 s for the longest write (lease 6 s); a loop in time notices it as before.

--- a/currantstage/util/_lag_tolerant_timeout.py
+++ b/currantstage/util/_lag_tolerant_timeout.py
@@ -13,6 +13,9 @@
 LAG_INTERVAL_S = 0.05
 #: Lag during a call that does not extend its timeout, in seconds.
 NEGLIGIBLE_LAG_S = 0.02
+#: Maximum time by which a timeout is extended, in seconds; several turns of a loop that
+#: is late by a second.
+MAX_EXTENSION_S = 2.0
 
 
 class LoopLagMeter:
@@ -55,21 +58,21 @@
 
     While the loop lags, answers wait unread in their sockets. A plain timeout fires
     before they are read, and its caller takes its own lateness for silence of the
-    other side. However late the loop is, the timeout is at most doubled, so that a
-    late process notices silence as well.
+    other side. However late the loop is, the extensions are limited, so that a late
+    process notices silence as well.
 
     Parameters
     ----------
     meter : LoopLagMeter
     timeout_s : float
-        Timeout while the loop isn't late, and the most by which it is extended.
+        Timeout while the loop isn't late.
     """
 
     def __init__(self, meter: LoopLagMeter, timeout_s: float) -> None:
         self._meter = meter
         self._timeout_s = timeout_s
         self._scope = asyncio.timeout(None)
-        self._max_extension_s = timeout_s
+        self._limit_s = 0.0
         self._lag_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -77,6 +80,8 @@
         """Start the timeout."""
         await self._scope.__aenter__()
         self._lag_s = self._meter.total_s()
+        now_s = asyncio.get_running_loop().time()
+        self._limit_s = now_s + self._timeout_s + MAX_EXTENSION_S
         self._schedule(self._timeout_s)
         return self
 
@@ -92,13 +97,13 @@
         await self._scope.__aexit__(error_type, error, traceback)
 
     def _expire_or_extend(self) -> None:
+        now_s = asyncio.get_running_loop().time()
         lag_s = self._meter.total_s()
-        extension_s = min(lag_s - self._lag_s, self._max_extension_s)
+        extension_s = min(lag_s - self._lag_s, self._limit_s - now_s)
         self._lag_s = lag_s
         if extension_s < NEGLIGIBLE_LAG_S:
-            self._scope.reschedule(asyncio.get_running_loop().time())
+            self._scope.reschedule(now_s)
             return
-        self._max_extension_s -= extension_s
         self._schedule(extension_s)
 
     def _schedule(self, delay_s: float) -> None:
