Send one renewal for all starts in doubt on a worker

A renewal can settle a start in doubt only under a higher fence, which is not used while another start is unanswered there. So a renewal at once is sent only with the answer to the last of them, whichever its outcome; before, none was if that last start had been accepted, and the doubt waited for the end of the regular renewal.

The test holds the decision; `can_settle_starts` did not exist before.

--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -149,11 +149,11 @@
         self._wake_worker(order.worker.worker)
         self.send_orders()
         self._on_change()
-        if outcome is OrderOutcome.UNKNOWN:
+        if self._scheduler.can_settle_starts(order.worker.worker):
             await self._renew_lease_now(order.worker.worker)
 
     async def _renew_lease_now(self, worker: WorkerId) -> None:
-        """Renew a lease at once, to get the outcome of an order that is in doubt.
+        """Renew a lease at once, to get the outcomes of starts that are in doubt.
 
         The worker's regular renewal may be waiting for the end of a run.
         """
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -297,6 +297,11 @@
         else:
             self._on_refused(worker_state, run, outcome, now_s)
 
+    def can_settle_starts(self, worker: WorkerId) -> bool:
+        """Return whether a renewal can settle the starts in doubt on a worker."""
+        worker_state = self.workers.get(worker)
+        return worker_state is not None and worker_state.can_settle_starts()
+
     def next_renewal(self, worker: WorkerId, now_s: float) -> RenewalOrder | None:
         """Return the next renewal for a worker; None if none is due."""
         worker_state = self.workers.get(worker)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -154,6 +154,10 @@
         """Return whether the outcome of any start is unknown."""
         return any(run.phase is RunPhase.IN_DOUBT for run in self.runs.values())
 
+    def can_settle_starts(self) -> bool:
+        """Return whether a renewal can settle all starts whose outcome is unknown."""
+        return self.has_start_in_doubt() and not self._has_unanswered_start()
+
     def accepts_starts(self, now_s: float) -> bool:
         """Return whether tasks may be placed on the worker."""
         return self.start_blocker(now_s) is None
@@ -206,8 +210,7 @@
 
     def next_renewal(self, now_s: float, tuning: SchedulerTuning) -> RenewalOrder:
         """Return the order that renews the lease and requests the lists of runs."""
-        needs_fence = self.has_start_in_doubt() and not self._has_unanswered_start()
-        if needs_fence and self.answered_fence >= self.fence:
+        if self.can_settle_starts() and self.answered_fence >= self.fence:
             self.raise_fence()
         until_ms = None
         if self.is_synced and not self.is_silent:
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -253,3 +253,15 @@
     for order in earlier:
         scheduler.on_renewal_outcome(order, OrderOutcome.UNKNOWN, 0.6, now_s=1.5)
     assert not scheduler.is_silent(WORKER)
+
+
+def test_renewal_for_starts_in_doubt_waits_for_the_last_of_their_answers() -> None:
+    """Each of 13 starts in doubt sent a renewal, of which one could settle them."""
+    scheduler, (first, second) = _scheduler_with_runs(2)
+    for run in (first, second):
+        scheduler.start_order(run, now_s=0.2)
+    scheduler.on_start_outcome(first, OrderOutcome.UNKNOWN, now_s=0.7)
+    assert not scheduler.can_settle_starts(WORKER)
+    scheduler.on_start_outcome(second, OrderOutcome.ACCEPTED, now_s=0.8)
+    assert scheduler.can_settle_starts(WORKER)
+    assert _hold(scheduler, 0.9).fence > first.fence
