Keep the lease only on answers to calls after the failed write

The scheduler did not hand its lease over when its write failed at 18.8 s; a peer took it as that of a silent holder at 19.7 s, and waited for the old one's leases.

On the slow link of that daemon (commits took up to 0.6 s) answers given before the outage arrived after it. And one such answer kept the lease for as long as it was valid.

Now only an answer to a call that was sent after the failed write counts, and only for 2 s (`takeover_ms`) after that call was sent.

Evidence: the two new tests failed before in the terms of the old interface, whose value was the time of arrival and had no limit.

--- a/currantstage/application/jobs/_monitored_store.py
+++ b/currantstage/application/jobs/_monitored_store.py
@@ -59,7 +59,7 @@
             self._log_transition(self._clock.now_s(), str(error))
             raise
         now_s = self._clock.now_s()
-        self._health.record_success(now_s)
+        self._health.record_success(sent_s, now_s)
         self._log_transition(now_s, "")
         return result
 
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -135,7 +135,9 @@
 
     def needs_successor(self) -> bool:
         """Return whether the store has not confirmed the latest writes."""
-        return self._held_lease.needs_successor(self._now_s(), self._health.answered_s)
+        return self._held_lease.needs_successor(
+            self._now_s(), self._health.newest_answered_call_s
+        )
 
     async def start(self) -> None:
         """Start renewing the lease, and schedule once the stored state is loaded."""
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -234,22 +234,24 @@
         return now_s - self._confirmed_s < self._tuning.takeover_ms / 1000
 
     def needs_successor(
-        self, now_s: float, store_answered_s: float = float("-inf")
+        self, now_s: float, answered_call_s: float = float("-inf")
     ) -> bool:
         """Return whether a daemon that can reach the store should take over.
 
-        While the store answers other calls of the holder and refuses none of its
-        writes, these are merely slow, and those of a successor would be no faster.
+        While the store refuses none of the holder's writes and answers calls sent after
+        a failed one, writes are merely slow, and those of a successor would be no
+        faster.
 
         Parameters
         ----------
         now_s : float
-        store_answered_s : float, optional
-            When the store last answered any call of the holder.
+        answered_call_s : float, optional
+            When the newest of the holder's calls was sent that the store has answered.
         """
         if self._failing_since_s is None:
             return False
-        is_answering = store_answered_s > self._failing_since_s
+        is_recent = now_s - answered_call_s < self._tuning.takeover_ms / 1000
+        is_answering = is_recent and answered_call_s > self._failing_since_s
         if is_answering and not self._is_refused and self.is_valid(now_s):
             return False
         return now_s - self._failing_since_s >= self._tuning.hand_over_ms / 1000
--- a/currantstage/coordination/jobs/_store_health.py
+++ b/currantstage/coordination/jobs/_store_health.py
@@ -20,22 +20,20 @@
     def __init__(self) -> None:
         self._failing_since_s: float | None = None
         self._answered_s = float("-inf")
+        #: When the newest of the calls was sent that the store has answered.
+        self.newest_answered_call_s = float("-inf")
 
-    def record_success(self, now_s: float) -> None:
-        """Record a response."""
+    def record_success(self, sent_s: float, now_s: float) -> None:
+        """Record a response to a call sent at `sent_s`."""
         self._failing_since_s = None
         self._answered_s = now_s
+        self.newest_answered_call_s = max(self.newest_answered_call_s, sent_s)
 
     def record_failure(self, sent_s: float) -> None:
         """Record that a call sent at `sent_s` got no response."""
         if self._failing_since_s is None:
             self._failing_since_s = max(sent_s, self._answered_s)
 
-    @property
-    def answered_s(self) -> float:
-        """When the store last responded; minus infinity if it never has."""
-        return self._answered_s
-
     def is_unavailable(self, now_s: float) -> bool:
         """Return whether a write is expected to fail now."""
         since_s = self._failing_since_s
--- a/tests/jobs/test_owner_lease.py
+++ b/tests/jobs/test_owner_lease.py
@@ -13,6 +13,7 @@
     LeaseWatch,
     SchedulerCapacity,
     SchedulerTuning,
+    StoreHealth,
     TakeoverGround,
     takeover_deference_s,
 )
@@ -115,16 +116,33 @@
 def test_holder_that_the_store_answers_keeps_its_lease_while_writes_are_late() -> None:
     held = HeldLease(TUNING, confirmed_s=0.0)
     held.record_failure(0.1)
-    assert held.needs_successor(1.0, store_answered_s=0.05)
-    assert not held.needs_successor(1.0, store_answered_s=0.9)
-    assert held.needs_successor(6.0, store_answered_s=5.9)
+    assert held.needs_successor(1.0, answered_call_s=0.05)
+    assert not held.needs_successor(1.0, answered_call_s=0.9)
+    assert held.needs_successor(6.0, answered_call_s=5.9)
+
+
+def test_holder_that_the_store_answers_no_more_needs_a_successor() -> None:
+    """One answer after the failed write kept the lease for as long as it was valid."""
+    held = HeldLease(TUNING, confirmed_s=0.0)
+    held.record_failure(0.1)
+    assert not held.needs_successor(1.9, answered_call_s=0.2)
+    assert held.needs_successor(2.2, answered_call_s=0.2)
+
+
+def test_late_answer_to_a_call_before_the_failed_write_keeps_no_lease() -> None:
+    """Answers still under way when the store fell silent kept the lease."""
+    health = StoreHealth()
+    held = HeldLease(TUNING, confirmed_s=0.0)
+    health.record_success(sent_s=0.05, now_s=0.2)
+    held.record_failure(0.1)
+    assert held.needs_successor(1.0, health.newest_answered_call_s)
 
 
 def test_holder_whose_writes_the_store_refuses_needs_a_successor_at_once() -> None:
     """A read that was under way when the refusals began counted as an answer."""
     held = HeldLease(TUNING, confirmed_s=0.0)
     held.record_failure(0.1, is_refused=True)
-    assert held.needs_successor(1.0, store_answered_s=0.9)
+    assert held.needs_successor(1.0, answered_call_s=0.9)
 
 
 def test_stored_write_without_a_response_counts_from_the_first_of_them() -> None:
