Hold room for a long-running task that waits

Long-running tasks are placed first, but one that is larger than what is free waited without end while short tasks were waiting: each core that became free went to a short task before there were enough for the large one. The forecast of places leaves short tasks out, so it relied on their giving way.

Now the worker with the most free CPU, on which the task fits once its short tasks have ended, takes no other task in that round of placing. One worker is held for each step that waits; none while the team's upper limit is what the step waits for.

--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._placement_forecast import ForecastSlot
 from currantstage.coordination.jobs._records import Run, RunPhase
 from currantstage.state.jobs import Resources, RunNumber
 
@@ -90,10 +91,21 @@
                         step.step.reserved_resources.fits(each.free) for each in workers
                     ):
                         too_large.add(step.step.reserved_resources)
+                    if self._waits_for_room(step, configuration):
+                        workers = _without_held(task, allowed, workers)
                     break
                 placed.append(run)
         return placed
 
+    def _waits_for_room(
+        self, step: StepRecord, configuration: FleetConfiguration
+    ) -> bool:
+        """Return whether a long-running step waits for room, not for its team."""
+        team = step.job.submission.team
+        amount = step.step.resources
+        is_allowed = self._teams.allows(team, amount, configuration)
+        return step.step.is_long_running and is_allowed
+
     def _place_gang(
         self,
         step: StepRecord,
@@ -162,6 +174,21 @@
     return queue.pool if queue else submission.pool
 
 
+def _without_held(
+    task: TaskRecord, allowed: list[WorkerState], workers: list[WorkerState]
+) -> list[WorkerState]:
+    """Hold a worker, whose short tasks will make room for `task`, from other tasks."""
+    candidates = [
+        each
+        for each in allowed
+        if each in workers and ForecastSlot.for_worker(each).allows(task)
+    ]
+    if not candidates:
+        return workers
+    held = max(candidates, key=lambda each: each.free.cpu_millicores)
+    return [each for each in workers if each is not held]
+
+
 def _advised(
     step: StepRecord,
     queue: JobQueue | None,
--- a/tests/jobs/test_planned_work_scenarios.py
+++ b/tests/jobs/test_planned_work_scenarios.py
@@ -109,3 +109,19 @@
         assert site.oracle.violations == []
 
     run_scenario(scenario())
+
+
+def test_short_tasks_leave_room_for_a_waiting_long_running_task() -> None:
+    """Each core that became free went to a short task before there were enough."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed=35)
+        for vm in _vms(SPARE_POOL):
+            site.vms.remove(vm)
+        for number in range(300):
+            await site.submit((step(4, run_ms=300 + 70 * (number % 17)),))
+        job = await site.submit((step(1, cpu=6000, is_long_running=True),))
+        assert await _longest_away_s(site, {job: 1}, 15) < MAX_AWAY_S
+        assert site.oracle.violations == []
+
+    run_scenario(scenario())
