--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import Run, RunPhase
@@ -231,7 +232,7 @@
 
     def record_ends(self, ends: Iterable[EndedTask]) -> None:
         """Record ends that are processed now."""
-        for ended in sorted(ends, key=lambda each: each.number):
+        for ended in sorted(ends, key=attrgetter("number")):
             self.processed_upto = ended.number
             self.unstored_ends[ended.number] = ended.task.job
 
