Take link and processor only in settings of daemons that schedule jobs

Cause: both kinds of daemon share the class of the section `entry-vm`.

Fix: a class of its own for daemons that schedule jobs; elsewhere the keys are unknown, which is a fault. The test fails before.

--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -48,18 +48,12 @@
 
 
 class EntryVmSettings(Struct, frozen=True, kw_only=True):
-    """Section ``entry-vm``: identity, listening addresses and resources of this daemon.
-
-    The processor runs `cpu_share` of the time at `cpu_speed` times the speed of a core.
-    """
+    """Section ``entry-vm``: identity and listening addresses of this daemon."""
 
     id: EntryVmId
     data_centre: DataCentreId
     http_address: str
     peer_address: str
-    link_mbps: float = 1000.0
-    cpu_share: float = 1.0
-    cpu_speed: float = 1.0
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
@@ -131,10 +125,21 @@
         return tuple(each.strip() for each in self.seeds.split(",") if each.strip())
 
 
+class JobEntryVmSettings(EntryVmSettings, frozen=True, kw_only=True):
+    """Section ``entry-vm`` of a daemon that schedules jobs; states its resources too.
+
+    The processor runs `cpu_share` of the time at `cpu_speed` times the speed of a core.
+    """
+
+    link_mbps: float = 1000.0
+    cpu_share: float = 1.0
+    cpu_speed: float = 1.0
+
+
 class JobSettings(Struct, frozen=True, kw_only=True, rename={"entry_vm": "entry-vm"}):
     """All settings of a daemon that schedules jobs on the platform's store."""
 
-    entry_vm: EntryVmSettings
+    entry_vm: JobEntryVmSettings
     callers: CallerSettings
     store: AddressSettings
     vms: AddressSettings
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -51,3 +51,15 @@
 def test_a_missing_file_is_a_fault():
     with pytest.raises(ConfigError):
         load_settings(Path("no-such-file.ini"))
+
+
+def test_resources_that_the_release_note_daemon_ignores_are_faults():
+    text = Path("examples/entry-vm.ini").read_text(encoding="utf-8")
+    resources = "[entry-vm]\nlink_mbps = 10\ncpu_share = 0.5\ncpu_speed = 1"
+    with pytest.raises(ConfigError) as caught:
+        parse_settings(text.replace("[entry-vm]", resources, 1))
+    assert [fault.split(":")[0] for fault in caught.value.faults] == [
+        "[entry-vm] link_mbps",
+        "[entry-vm] cpu_share",
+        "[entry-vm] cpu_speed",
+    ]
