--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -60,13 +60,14 @@
 
 @click.command()
 @click.option("--turns", default=50, show_default=True)
-def main(turns: int) -> None:
+@click.option("--retired", default=0, help="Workers more, whose VMs have moved.")
+def main(turns: int, retired: int) -> None:
     """Print function calls and time of a start and its end, by part."""
     print(f"| workers | waiting | figure | {' | '.join(PARTS)} | decisions |")
     print("|---|---|---|---|---|---|---|---|---|---|")
     for workers in _WORKER_COUNTS:
         for waiting in _WAITING_COUNTS:
-            backlog = SteadyBacklog(workers, waiting)
+            backlog = SteadyBacklog(workers, waiting, retired)
             with CallCounter() as counter:
                 _print_row(workers, waiting, "calls", backlog.run(turns, counter.read))
             cost_us = backlog.run(turns, lambda: time.thread_time() * 1e6)
@@ -114,20 +115,24 @@
     workers : int
     waiting : int
         Number of jobs, of one task each, that wait for room.
+    retired : int
+        Number of workers more that have ended, but are still listed.
     """
 
-    def __init__(self, workers: int, waiting: int) -> None:
+    def __init__(self, workers: int, waiting: int, retired: int = 0) -> None:
         self.scheduler = Scheduler(Term(1), build_configuration(), SchedulerTuning())
         self._now_s = 100.0
         self._jobs = 0
         self._turns = 0
         self._running: deque[Run] = deque()
         self._ends: Counter[WorkerId] = Counter()
-        entries = [_entry(number) for number in range(workers)]
+        entries = [_entry(number) for number in range(workers + retired)]
         self.scheduler.update_workers(entries, self._now_s)
         for entry in entries:
             # The first reply sets the worker's clock.
             self._renew(entry.worker)
+        for entry in entries[workers:]:
+            self.scheduler.retire_worker(entry.worker)
         for _ in range(workers * _TASKS_PER_WORKER + waiting):
             self._submit()
         while self._commit(defaultdict(float), lambda: 0.0):
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -56,6 +56,7 @@
     VmWork,
 )
 from currantstage.coordination.jobs._wait_report import WaitingTask, WaitReporter
+from currantstage.coordination.jobs._worker_room import CandidateWorkers
 from currantstage.coordination.jobs._worker_state import (
     StartBlocker,
     WorkerState,
@@ -68,6 +69,7 @@
     "StorableEnds",
     "AdaptiveTimeout",
     "AdviceTracker",
+    "CandidateWorkers",
     "DemandSizing",
     "FixedSizing",
     "FleetManager",
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -20,6 +20,7 @@
         self._unsaved: dict[JobId, JobRecord] = {}
         self._open: dict[JobId, JobRecord] = {}
         self._scheduled: dict[JobId, JobRecord] = {}
+        self._changed: dict[JobId, JobRecord] = {}
         self._unix_ms = 0
 
     def __len__(self) -> int:
@@ -37,6 +38,7 @@
         record = JobRecord(submission, accepted_s=accepted_s)
         self._jobs[record.job] = record
         self._open[record.job] = record
+        self._changed[record.job] = record
         if submission.schedule is None:
             self._open_occurrence(record, 0)
         else:
@@ -45,6 +47,7 @@
 
     def restore(self, record: JobRecord, progress: JobProgress) -> list[TaskRecord]:
         """Apply the stored progress of a job; return the tasks that were placed."""
+        self._changed[record.job] = record
         record.state = progress.state
         record.stored_state = progress.state
         record.is_started = progress.is_started
@@ -110,6 +113,17 @@
     def mark_unsaved(self, record: JobRecord) -> None:
         """Mark the job's progress for the next write."""
         self._unsaved[record.job] = record
+        self._changed[record.job] = record
+
+    def open_jobs(self) -> list[JobRecord]:
+        """Return the jobs that have not ended."""
+        return list(self._open.values())
+
+    def take_changed(self) -> list[JobRecord]:
+        """Return the jobs that are new or have changed since the last call."""
+        changed = list(self._changed.values())
+        self._changed.clear()
+        return changed
 
     @property
     def has_unsaved(self) -> bool:
@@ -202,6 +216,7 @@
 
     def _open_occurrence(self, record: JobRecord, occurrence: int) -> None:
         self._refresh_ready(record.open_occurrence(occurrence))
+        self._changed[record.job] = record
 
     def _refresh_ready(self, steps: list[StepRecord]) -> None:
         for step in steps:
--- a/currantstage/coordination/jobs/_ordering.py
+++ b/currantstage/coordination/jobs/_ordering.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._records import JobRecord, StepRecord
@@ -13,8 +12,7 @@
 DEFAULT_RUN_MS = 1000
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Rank:
+class Rank(NamedTuple):
     """Sort key of a step; the lowest is placed first."""
 
     priority: int
@@ -27,7 +25,15 @@
     """Decides which step is placed first."""
 
     def rank(self, step: StepRecord, queue: JobQueue | None, now_s: float) -> Rank:
-        """Return the sort key of `step` among the waiting steps of its pool."""
+        """Return the sort key of `step` among the waiting steps of its pool.
+
+        It depends on the job, the queue and the time only.
+        """
+
+    def stable_until_s(
+        self, step: StepRecord, queue: JobQueue | None, now_s: float
+    ) -> float:
+        """Return until when the rank can't change unless the job or queue does."""
 
 
 class LeastWorkFirst:
@@ -42,11 +48,28 @@
         priority = queue.priority if queue else 0
         if step.step.is_long_running:
             return Rank(priority, False, 0.0, step.job.accepted_s)
-        is_late = False
-        if queue is not None and step.job.submission.schedule is None:
-            is_late = now_s + critical_path_s(step) > deadline_s(step.job, queue)
         work = sum(map(remaining_core_s, step.job.steps()))
-        return Rank(priority, is_late, work, step.job.accepted_s)
+        return Rank(priority, is_late(step, queue, now_s), work, step.job.accepted_s)
+
+    def stable_until_s(
+        self, step: StepRecord, queue: JobQueue | None, now_s: float
+    ) -> float:
+        """Return when the job of `step` will be late; infinity if that is settled."""
+        if (
+            queue is None
+            or step.step.is_long_running
+            or step.job.submission.schedule is not None
+            or is_late(step, queue, now_s)
+        ):
+            return float("inf")
+        return deadline_s(step.job, queue) - critical_path_s(step)
+
+
+def is_late(step: StepRecord, queue: JobQueue | None, now_s: float) -> bool:
+    """Return whether the job of `step` can no longer meet its deadline."""
+    if queue is None or step.job.submission.schedule is not None:
+        return False
+    return now_s + critical_path_s(step) > deadline_s(step.job, queue)
 
 
 def deadline_s(job: JobRecord, queue: JobQueue) -> float:
--- a/currantstage/coordination/jobs/_placement.py
+++ b/currantstage/coordination/jobs/_placement.py
@@ -7,10 +7,12 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator
 
     from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._worker_room import CandidateWorkers
     from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.state.jobs import WorkerId
 
 
 class PlacementObstacle(Enum):
@@ -24,9 +26,7 @@
 class TaskPlacement(Protocol):
     """Selects the worker that runs a task."""
 
-    def choose(
-        self, task: TaskRecord, workers: Sequence[WorkerState]
-    ) -> WorkerState | None:
+    def choose(self, task: TaskRecord, workers: CandidateWorkers) -> WorkerState | None:
         """Return the worker for `task`, or None if no worker can take it now."""
 
 
@@ -37,57 +37,85 @@
     which the task has failed before come last.
     """
 
-    def choose(
-        self, task: TaskRecord, workers: Sequence[WorkerState]
-    ) -> WorkerState | None:
+    def choose(self, task: TaskRecord, workers: CandidateWorkers) -> WorkerState | None:
         """Return the worker for `task`, or None if no worker can take it now."""
-        allowed = [each for each in workers if allows(task.step, each)]
-        if not allowed:
-            return None
-        preferred_rack = _preferred_rack(task.step, allowed)
-        # Long-running tasks are packed onto few VMs, so that the others can be moved.
-        sign = -1 if task.step.step.is_long_running else 1
-        return max(
-            allowed,
-            key=lambda each: (
+        needs = StepNeeds(task.step)
+        rack = _preferred_rack(task.step, needs, workers)
+        best: WorkerState | None = None
+        best_suits = (False, False)
+        for each in _by_preference(task.step, needs, workers):
+            if needs.obstacle(each) is not None:
+                continue
+            suits = (
                 each.entry.worker not in task.failed_on,
-                not preferred_rack or each.entry.rack == preferred_rack,
-                sign * each.free.cpu_millicores,
-                sign * each.free.memory_mb,
-            ),
-        )
+                not rack or each.entry.rack == rack,
+            )
+            if all(suits):
+                return each
+            if best is None or suits > best_suits:
+                best, best_suits = each, suits
+        return best
 
 
-def allows(step: StepRecord, worker: WorkerState) -> bool:
-    """Return whether one more task of `step` may run on `worker`."""
-    return obstacle(step, worker) is None
+class StepNeeds:
+    """What a worker must have to take one more task of a step.
 
+    Parameters
+    ----------
+    step : StepRecord
+    """
 
-def obstacle(step: StepRecord, worker: WorkerState) -> PlacementObstacle | None:
-    """Return why no more task of `step` may run on `worker`; None if one may."""
-    spec = step.step
-    if spec.needed_label and spec.needed_label not in worker.entry.labels:
-        return PlacementObstacle.LABEL
-    if not spec.reserved_resources.fits(worker.free):
-        return PlacementObstacle.CAPACITY
-    if spec.max_per_worker:
-        here = sum(run.worker == worker.entry.worker for run in step.runs())
-        if here >= spec.max_per_worker:
+    def __init__(self, step: StepRecord) -> None:
+        spec = step.step
+        self.resources = spec.reserved_resources
+        self._label = spec.needed_label
+        self._full_workers: frozenset[WorkerId] = frozenset()
+        if spec.max_per_worker:
+            tasks = Counter(run.worker for run in step.runs())
+            self._full_workers = frozenset(
+                worker for worker in tasks if tasks[worker] >= spec.max_per_worker
+            )
+
+    def obstacle(self, worker: WorkerState) -> PlacementObstacle | None:
+        """Return why `worker` may run no more task of the step; None if it may."""
+        if self._label and self._label not in worker.entry.labels:
+            return PlacementObstacle.LABEL
+        if not self.resources.fits(worker.free):
+            return PlacementObstacle.CAPACITY
+        if worker.entry.worker in self._full_workers:
             return PlacementObstacle.TASKS_PER_WORKER
-    return None
+        return None
+
 
+def _by_preference(
+    step: StepRecord, needs: StepNeeds, workers: CandidateWorkers
+) -> Iterator[WorkerState]:
+    # Long-running tasks are packed onto few VMs, so that the others can be moved.
+    if step.step.is_long_running:
+        return workers.least_free_first(needs.resources)
+    return workers.most_free_first(needs.resources)
 
-def _preferred_rack(step: StepRecord, workers: Sequence[WorkerState]) -> str:
+
+def _preferred_rack(
+    step: StepRecord, needs: StepNeeds, workers: CandidateWorkers
+) -> str:
     spec = step.step
     if spec.preferred_rack:
         return spec.preferred_rack
     if not spec.same_rack:
         return ""
-    racks = {each.entry.worker: each.entry.rack for each in workers}
+    allowed = [
+        each
+        for each in workers.oldest_first(needs.resources)
+        if needs.obstacle(each) is None
+    ]
+    if not allowed:
+        return ""
+    racks = {each.entry.worker: each.entry.rack for each in allowed}
     used = Counter(racks[run.worker] for run in step.runs() if run.worker in racks)
     if used:
         return used.most_common(1)[0][0]
     free_cpu_millicores: Counter[str] = Counter()
-    for each in workers:
+    for each in allowed:
         free_cpu_millicores[each.entry.rack] += each.free.cpu_millicores
     return free_cpu_millicores.most_common(1)[0][0]
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._placement_forecast import ForecastSlot
 from currantstage.coordination.jobs._records import Run, RunPhase
-from currantstage.state.jobs import Resources, RunNumber
+from currantstage.coordination.jobs._waiting_steps import WaitingSteps
+from currantstage.coordination.jobs._worker_room import CandidateWorkers
+from currantstage.state.jobs import NO_RESOURCES, RunNumber
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -17,7 +18,7 @@
     from currantstage.coordination.jobs._placement import TaskPlacement
     from currantstage.coordination.jobs._records import StepRecord, TaskRecord
     from currantstage.coordination.jobs._team_usage import TeamUsage
-    from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.coordination.jobs._waiting_steps import StepSelection
     from currantstage.coordination.jobs._worker_table import WorkerTable
     from currantstage.state import PoolId
     from currantstage.state.jobs import FleetConfiguration, JobQueue
@@ -37,48 +38,32 @@
         self._jobs = jobs
         self._workers = workers
         self._teams = teams
-        self._order = order
+        self._waiting = WaitingSteps(jobs, order)
         self._placement = placement
 
     def place(self, configuration: FleetConfiguration, now_s: float) -> list[Run]:
         """Place the waiting tasks that fit; return their runs."""
-        waiting: dict[PoolId, list[StepRecord]] = defaultdict(list)
-        for step in self._jobs.ready_steps():
-            if step.waiting_tasks(now_s):
-                waiting[pool_of(step, configuration)].append(step)
+        self._waiting.refresh(configuration, now_s)
         placed: list[Run] = []
-        for pool, steps in waiting.items():
-            workers = [
-                each
-                for each in self._workers.in_pool(pool)
-                if each.accepts_starts(now_s)
-            ]
-            if workers:
-                placed.extend(self._place_pool(steps, workers, configuration, now_s))
+        for pool in self._waiting.pools():
+            workers = CandidateWorkers(
+                self._workers.room, pool, lambda each: each.accepts_starts(now_s)
+            )
+            placed.extend(self._place_pool(pool, workers, configuration, now_s))
         return placed
 
     def _place_pool(
         self,
-        steps: list[StepRecord],
-        workers: list[WorkerState],
+        pool: PoolId,
+        workers: CandidateWorkers,
         configuration: FleetConfiguration,
         now_s: float,
     ) -> list[Run]:
-        queues = {each.queue: each for each in configuration.queues}
-        steps.sort(
-            key=lambda step: self._order.rank(
-                step, queues.get(step.job.submission.queue), now_s
-            )
-        )
         placed: list[Run] = []
-        too_large: set[Resources] = set()
-        for step in steps:
-            if step.step.reserved_resources in too_large:
-                continue
+        selection = self._waiting.in_pool(pool).select(workers.has_room)
+        for step in selection:
             tasks = step.waiting_tasks(now_s)
-            allowed = _advised(
-                step, queues.get(step.job.submission.queue), workers, now_s
-            )
+            allowed = _advised(step, self._waiting.queue_of(step), workers, now_s)
             if step.step.is_gang:
                 placed.extend(
                     self._place_gang(step, tasks, allowed, configuration, now_s)
@@ -87,16 +72,27 @@
             for task in tasks:
                 run = self._place_task(task, allowed, configuration, now_s, None)
                 if run is None:
-                    if not any(
-                        step.step.reserved_resources.fits(each.free) for each in workers
-                    ):
-                        too_large.add(step.step.reserved_resources)
+                    self._skip_lines(selection, step, workers, configuration)
                     if self._waits_for_room(step, configuration):
                         workers = _without_held(task, allowed, workers)
                     break
                 placed.append(run)
         return placed
 
+    def _skip_lines(
+        self,
+        selection: StepSelection,
+        step: StepRecord,
+        workers: CandidateWorkers,
+        configuration: FleetConfiguration,
+    ) -> None:
+        """Leave out the steps that what stops `step` certainly stops as well."""
+        if not workers.has_room(step.step.reserved_resources):
+            selection.skip_reserved(step.step.reserved_resources)
+        team = step.job.submission.team
+        if not self._teams.allows(team, step.step.resources, configuration):
+            selection.skip_line(step)
+
     def _waits_for_room(
         self, step: StepRecord, configuration: FleetConfiguration
     ) -> bool:
@@ -110,7 +106,7 @@
         self,
         step: StepRecord,
         tasks: Sequence[TaskRecord],
-        workers: list[WorkerState],
+        workers: CandidateWorkers,
         configuration: FleetConfiguration,
         now_s: float,
     ) -> list[Run]:
@@ -131,7 +127,7 @@
     def _place_task(
         self,
         task: TaskRecord,
-        workers: list[WorkerState],
+        workers: CandidateWorkers,
         configuration: FleetConfiguration,
         now_s: float,
         number: RunNumber | None,
@@ -175,29 +171,26 @@
 
 
 def _without_held(
-    task: TaskRecord, allowed: list[WorkerState], workers: list[WorkerState]
-) -> list[WorkerState]:
+    task: TaskRecord, allowed: CandidateWorkers, workers: CandidateWorkers
+) -> CandidateWorkers:
     """Hold a worker, whose short tasks will make room for `task`, from other tasks."""
-    candidates = [
-        each
-        for each in allowed
-        if each in workers and ForecastSlot.for_worker(each).allows(task)
-    ]
-    if not candidates:
+    candidates = allowed.most_free_first(NO_RESOURCES)
+    held = next(
+        (each for each in candidates if ForecastSlot.for_worker(each).allows(task)),
+        None,
+    )
+    if held is None:
         return workers
-    held = max(candidates, key=lambda each: each.free.cpu_millicores)
-    return [each for each in workers if each is not held]
+    return workers.only(lambda each: each is not held)
 
 
 def _advised(
     step: StepRecord,
     queue: JobQueue | None,
-    workers: list[WorkerState],
+    workers: CandidateWorkers,
     now_s: float,
-) -> list[WorkerState]:
+) -> CandidateWorkers:
     """Return the workers that the queue's advice policy allows for `step`."""
     if queue is None or queue.advice is None:
         return workers
-    return [
-        each for each in workers if step.ticket(each.entry.worker, now_s) is not None
-    ]
+    return workers.only(lambda each: step.ticket(each.entry.worker, now_s) is not None)
--- a/currantstage/coordination/jobs/_wait_report.py
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._placement import obstacle
+from currantstage.coordination.jobs._placement import StepNeeds
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -109,7 +109,8 @@
 ) -> dict[str, int]:
     """Count the workers by the reason why each can't take a task of `step`."""
     counts: Counter[str] = Counter()
+    needs = StepNeeds(step)
     for worker_state in workers:
-        reason = worker_state.start_blocker(now_s) or obstacle(step, worker_state)
+        reason = worker_state.start_blocker(now_s) or needs.obstacle(worker_state)
         counts[reason.value if reason else SUITABLE] += 1
     return dict(counts)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from operator import attrgetter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from currantstage.coordination.jobs._records import Run, RunPhase
 from currantstage.state.jobs import (
@@ -63,6 +63,13 @@
     START_IN_DOUBT = "start-in-doubt"
 
 
+class RoomObserver(Protocol):
+    """Follows the free resources of workers."""
+
+    def on_room_changed(self, state: WorkerState) -> None:
+        """Note that a worker's pool or free resources have changed."""
+
+
 @dataclass(slots=True, eq=False)
 class WorkerState:
     """State of a worker.
@@ -101,6 +108,7 @@
         It runs tasks that are being stopped and are not counted in `used`.
     blocked_until_s : float
         No task is placed on the worker before this time.
+    room_observer : RoomObserver, optional
     """
 
     entry: WorkerEntry
@@ -125,6 +133,7 @@
     failures: list[JobId] = field(default_factory=list)
     used: Resources = NO_RESOURCES
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    room_observer: RoomObserver | None = None
 
     @property
     def is_silent(self) -> bool:
@@ -145,11 +154,13 @@
         """Reserve resources for `run`."""
         self.runs[run.task.key] = run
         self.used = self.used.plus(run.reserved_resources)
+        self._report_room()
 
     def remove(self, run: Run) -> None:
         """Release the resources of `run`."""
         del self.runs[run.task.key]
         self.used = self.used.minus(run.reserved_resources)
+        self._report_room()
 
     def has_start_in_doubt(self) -> bool:
         """Return whether the outcome of any start is unknown."""
@@ -258,5 +269,9 @@
         """Count a run that succeeded."""
         self.failures.clear()
 
+    def _report_room(self) -> None:
+        if self.room_observer is not None:
+            self.room_observer.on_room_changed(self)
+
     def _has_unanswered_start(self) -> bool:
         return any(run.phase is RunPhase.SENT for run in self.runs.values())
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
     CLOCK_DRIFT,
     LEASE_MARGIN_S,
@@ -79,6 +80,8 @@
         self._tuning = tuning
         self._states: dict[WorkerId, WorkerState] = {}
         self._unlisted_since_s: dict[WorkerId, float] = {}
+        #: Workers of each pool by their free resources.
+        self.room = RoomIndex()
 
     def get(self, worker: WorkerId) -> WorkerState | None:
         """Return the worker of that id."""
@@ -99,7 +102,7 @@
         for worker, entry in listed.items():
             state = self._states.get(worker)
             if state is None:
-                self._states[worker] = WorkerState(entry, first_fence(self._term))
+                self._add(entry)
             else:
                 lost.extend(self._apply_entry(state, entry))
         for worker, state in list(self._states.items()):
@@ -117,11 +120,8 @@
         state = self._states.get(run.worker)
         if state is None:
             # Its entry may have expired while the worker, whose lease has not, runs on.
-            state = WorkerState(
-                _unlisted_entry(run.worker, born_ms), first_fence(self._term)
-            )
+            state = self._add(_unlisted_entry(run.worker, born_ms))
             state.is_listed = False
-            self._states[run.worker] = state
         state.add(run)
         state.lease_end_s = max(state.lease_end_s, until_s)
 
@@ -202,7 +202,15 @@
         bound_s += self._tuning.worker_lease_ms / 1000 * (1 + CLOCK_DRIFT)
         return bound_s + takeover.holder_active_s
 
+    def _add(self, entry: WorkerEntry) -> WorkerState:
+        state = WorkerState(entry, first_fence(self._term), room_observer=self.room)
+        self._states[entry.worker] = state
+        self.room.on_room_changed(state)
+        return state
+
     def _apply_entry(self, state: WorkerState, entry: WorkerEntry) -> list[Run]:
+        if entry == state.entry:
+            return []
         if entry.born_ms < state.entry.born_ms:
             # The worker's own replies are newer than its entry.
             return []
@@ -210,6 +218,7 @@
         if entry.born_ms > state.entry.born_ms:
             lost = self._begin_incarnation(state, entry.born_ms)
         state.entry = entry
+        self.room.on_room_changed(state)
         return lost
 
     def _begin_incarnation(self, state: WorkerState, born_ms: BornMs) -> list[Run]:
@@ -249,6 +258,7 @@
         if not state.runs and now_s - since_s > UNLISTED_RETENTION_S:
             del self._states[worker]
             del self._unlisted_since_s[worker]
+            self.room.discard(worker)
 
     def _compare(
         self,
--- a/tests/jobs/test_placement_and_order.py
+++ b/tests/jobs/test_placement_and_order.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 from currantstage.coordination.jobs import (
+    CandidateWorkers,
     JobRecord,
     LeastWorkFirst,
     PaceController,
     SpreadPlacement,
     StepRecord,
+    TaskRecord,
     TeamUsage,
     WorkerState,
 )
 from currantstage.standin.jobs import build_configuration
 from currantstage.state import TeamId
 from currantstage.state.jobs import Fence, Resources, Step, WorkerId
-from tests.jobs.records import entry, open_step, running, submission
+from tests.jobs.records import POOL, entry, open_step, running, submission
 from tests.jobs.site import step
 
 QUEUE = build_configuration().queues[1]
@@ -24,6 +26,10 @@
     return WorkerState(entry(worker, cpu, **options), Fence(1), is_synced=True)
 
 
+def _choose(task: TaskRecord, states: list[WorkerState]) -> WorkerState | None:
+    return SpreadPlacement().choose(task, CandidateWorkers.of(states, POOL))
+
+
 def _known(accepted_s: float, *steps: Step) -> StepRecord:
     record = JobRecord(submission("0" * 16, *steps), accepted_s=accepted_s)
     return record.open_occurrence(0)[0]
@@ -53,10 +59,9 @@
 
 def test_short_tasks_are_spread_and_long_running_ones_are_packed() -> None:
     states = [_worker_state("small", 2000), _worker_state("large", 8000)]
-    placement = SpreadPlacement()
     short = open_step(step(1)).tasks[0]
     long_running = open_step(step(1, is_long_running=True)).tasks[0]
-    chosen = [placement.choose(task, states) for task in (short, long_running)]
+    chosen = [_choose(task, states) for task in (short, long_running)]
     assert [state.entry.worker for state in chosen if state] == ["large", "small"]
 
 
@@ -66,7 +71,7 @@
         _worker_state("near", 2000, labels=("a", "rack-9")),
     ]
     task = open_step(step(1, preferred_rack="rack-9")).tasks[0]
-    chosen = SpreadPlacement().choose(task, states)
+    chosen = _choose(task, states)
     assert chosen is not None
     assert chosen.entry.worker == "near"
 
@@ -75,28 +80,24 @@
     states = [_worker_state("large", 8000), _worker_state("small", 2000)]
     task = open_step(step(1)).tasks[0]
     task.failed_on.add(WorkerId("large"))
-    chosen = SpreadPlacement().choose(task, states)
+    chosen = _choose(task, states)
     assert chosen is not None
     assert chosen.entry.worker == "small"
 
 
 def test_needed_label_capacity_and_tasks_per_worker_are_respected() -> None:
-    placement = SpreadPlacement()
     states = [_worker_state("w", 2000)]
-    assert placement.choose(open_step(step(1, cpu=3000)).tasks[0], states) is None
-    assert (
-        placement.choose(open_step(step(1, needed_label="ssd")).tasks[0], states)
-        is None
-    )
+    assert _choose(open_step(step(1, cpu=3000)).tasks[0], states) is None
+    assert _choose(open_step(step(1, needed_label="ssd")).tasks[0], states) is None
     apart = open_step(step(2, max_per_worker=1))
     running(apart, 0, listed_s=0.0, worker="w")
-    assert placement.choose(apart.tasks[1], states) is None
+    assert _choose(apart.tasks[1], states) is None
 
 
 def test_filler_reserves_no_cpu_of_a_worker() -> None:
     states = [_worker_state("w", 500)]
     task = open_step(step(1, cpu=4000, is_filler=True)).tasks[0]
-    assert SpreadPlacement().choose(task, states) is states[0]
+    assert _choose(task, states) is states[0]
 
 
 def test_upper_limit_counts_running_tasks() -> None:
