Stop checking workers whose VMs have moved

The scheduler checked each worker twice a second whether it needs a renewal, also those that the platform had ended as ordered; they stay known for 30 s after their entry is gone.

Cause: the loop of renewals ended only when the worker was forgotten, though `is_renewal_due` is false for a retired one until its id is listed with a newer incarnation. Now the loop ends with the worker's retirement, and the list that brings the newer incarnation starts another, in the same `start_renewals` that starts those of new workers.

Ruled out as a way: to forget retired workers at once; the fence of a later incarnation under the same id would begin anew while orders may still be on their way.

--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -116,10 +116,10 @@
             self._tasks.spawn(_ignore_outcome(self._ports.orders.pace(pace)))
 
     def start_renewals(self) -> None:
-        """Start renewing the leases of new workers."""
+        """Start renewing the leases of new workers and of restarted ones."""
         for worker_state in self._scheduler.workers.states():
             worker = worker_state.entry.worker
-            if worker not in self._wake_events:
+            if worker not in self._wake_events and not worker_state.is_retired:
                 self._wake_events[worker] = asyncio.Event()
                 self._tasks.spawn(self._renew_lease_forever(worker))
 
@@ -166,7 +166,7 @@
     async def _renew_lease_forever(self, worker: WorkerId) -> None:
         wake = self._wake_events[worker]
         pause_s = MIN_SILENT_RETRY_S
-        while self._scheduler.workers.get(worker) is not None:
+        while self._scheduler.may_renew(worker):
             wake.clear()
             now_s = self._now_s()
             order = None
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -328,6 +328,11 @@
         changes = self.workers.on_renewal_reply(order, reply, sent_s, now_s)
         self._apply_changes(order.worker.worker, changes, now_s)
 
+    def may_renew(self, worker: WorkerId) -> bool:
+        """Return whether a worker may have to be sent renewals, now or later."""
+        worker_state = self.workers.get(worker)
+        return worker_state is not None and not worker_state.is_retired
+
     def is_silent(self, worker: WorkerId) -> bool:
         """Return whether a worker has not answered several consecutive renewals."""
         worker_state = self.workers.get(worker)
