Empty a VM as far as there are places before its tasks wait for it

Where no VM can join a pool, a VM was maintained only if all its long-running tasks might be away at once. One with two tasks of a step that may miss one was never maintained, although one of them had a place elsewhere, and the wave was late.

Now only the tasks that have no place have to be within the budget. Those with a place leave first, and the others are stopped when these have gone and the order can be sent.

Evidence: the new test fails before: the VM isn't cordoned.

--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -42,8 +42,8 @@
     """Makes sure that planned work keeps no long-running task from running for long.
 
     A VM is cordoned only when its long-running tasks have a place elsewhere. Failing
-    that, a further VM is requested for its pool; if none joins, the tasks may return
-    to the VM after maintenance, provided that all may be interrupted at once.
+    that, a further VM is requested for its pool; if none joins, the tasks without a
+    place return to the VM after maintenance, if all of them may be away at once.
 
     Parameters
     ----------
@@ -96,9 +96,10 @@
         forecast = self._forecasts[worker_state.entry.pool]
         if forecast.unplaced:
             return False
-        forecast.require_places(worker_state)
+        remaining = forecast.remaining_tasks(worker_state)
+        forecast.unplaced.extend(remaining)
         waited_s = self._blocked_s(worker_state.entry.pool)
-        return waited_s >= REPLACEMENT_WAIT_S and self._may_return(vm)
+        return waited_s >= REPLACEMENT_WAIT_S and self._may_return(remaining)
 
     def may_interrupt(self, run: Run, vm: VmState, *, may_order: bool) -> bool:
         """Return whether a run on a cordoned VM has a place elsewhere, or may return.
@@ -112,7 +113,10 @@
             return True
         if vm.emptied_s is not None:
             return True
-        if not may_order or not self._may_return(vm):
+        tasks = self._long_running_tasks(vm)
+        if not may_order or not self._has_place.isdisjoint(tasks):
+            return False
+        if not self._may_return(tasks):
             return False
         vm.emptied_s = self._now_s
         return True
@@ -173,29 +177,31 @@
                 homeless.append(task)
         if forecast is None or not homeless:
             return
-        if self._is_hopeless(vm):
+        if self._is_hopeless(vm, homeless):
             self._vms.clear_goal(vm)
             forecast.add_worker(worker_state)
         else:
             forecast.unplaced.extend(homeless)
 
-    def _is_hopeless(self, vm: VmState) -> bool:
-        """Return whether a VM, some of whose tasks have no place, can't be emptied."""
+    def _is_hopeless(self, vm: VmState, homeless: list[TaskRecord]) -> bool:
+        """Return whether a VM can't be emptied of the tasks that have no place."""
         assert vm.goal is not None
         if vm.goal.work is VmWork.MOVE:
             return True
         is_overdue = self._now_s - vm.goal_set_s > REPLACEMENT_WAIT_S
-        return is_overdue and vm.emptied_s is None and not self._may_return(vm)
+        return is_overdue and vm.emptied_s is None and not self._may_return(homeless)
 
-    def _may_return(self, vm: VmState) -> bool:
-        """Return whether all long-running tasks of a VM may wait for its return."""
+    def _long_running_tasks(self, vm: VmState) -> list[TaskRecord]:
         worker_state = self._worker_state(vm)
         if worker_state is None:
-            return True
-        long_running = [
-            run for run in worker_state.runs.values() if run.step.is_long_running
-        ]
-        return may_interrupt_all(long_running, self._now_s)
+            return []
+        runs = worker_state.runs.values()
+        return [run.task for run in runs if run.step.is_long_running]
+
+    def _may_return(self, tasks: list[TaskRecord]) -> bool:
+        """Return whether tasks may be away until their VM returns."""
+        runs = [task.run for task in tasks if task.run is not None]
+        return may_interrupt_all(runs, self._now_s)
 
     def _blocked_s(self, pool: PoolId) -> float:
         """Return for how long no VM of a pool could be maintained for want of room."""
--- a/currantstage/coordination/jobs/_placement_forecast.py
+++ b/currantstage/coordination/jobs/_placement_forecast.py
@@ -100,24 +100,27 @@
 
         If any of them has none, nothing changes and the result is False.
         """
+        return not self._withdraw(worker_state)
+
+    def remaining_tasks(self, worker_state: WorkerState) -> list[TaskRecord]:
+        """Return the tasks of a worker that have no other place; change nothing."""
+        return self._withdraw(worker_state, is_trial=True)
+
+    def _withdraw(
+        self, worker_state: WorkerState, *, is_trial: bool = False
+    ) -> list[TaskRecord]:
+        """Withdraw a worker unless tasks remain on it; return those that do."""
         worker = worker_state.entry.worker
         slot = self._slots.pop(worker, None)
         tasks = list(slot.tasks) if slot else staying_tasks(worker_state)
-        for index, task in enumerate(tasks):
-            if self.assign(task):
-                continue
-            for assigned in tasks[:index]:
-                self._unassign(assigned)
+        remaining = [task for task in tasks if not self.assign(task)]
+        if is_trial or remaining:
+            for task in tasks:
+                if task not in remaining:
+                    self._unassign(task)
             if slot is not None:
                 self._slots[worker] = slot
-            return False
-        return True
-
-    def require_places(self, worker_state: WorkerState) -> None:
-        """Count the tasks of a worker that can't leave as tasks without a place."""
-        slot = self._slots.get(worker_state.entry.worker)
-        tasks = slot.tasks if slot else staying_tasks(worker_state)
-        self.unplaced.extend(tasks)
+        return remaining
 
     def missing_vms(self, capacity: Resources) -> int:
         """Return how many VMs of `capacity` the tasks without a place need."""
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -180,3 +180,17 @@
     fleet.manager.plan(NOW_S)
     size = fleet.manager.pool_sizes[POOL]
     assert (size.vms, size.wanted_vms) == (1, 2)
+
+
+def test_tasks_with_a_place_leave_before_those_that_return_to_their_vm() -> None:
+    """A VM was never maintained, as not all its tasks might be away at once."""
+    fleet = _Fleet(2, _lasting(3))
+    for number, worker in enumerate(("w-0", "w-0", "w-1")):
+        fleet.run(number, worker)
+    fleet.maintain("w-0")
+    for tenths in range(60):
+        for run in fleet.step.runs():
+            run.listed_s = NOW_S + tenths / 10
+        fleet.manager.plan(NOW_S + tenths / 10)
+    assert fleet.cordoned() == ["w-0"]
+    assert len(fleet.stopping()) == 1
