Log how many VMs the long-running tasks without a place need

A pool may ask for more VMs than its work in sum calls for, so that long-running tasks get a place; the line pool-size did not tell why.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -118,6 +118,7 @@
                 arriving_cores=round(demand.arriving_cores, 1),
                 remaining_core_s=round(demand.remaining_core_s, 1),
                 capacity_cores=round(demand.capacity_cores, 1),
+                missing_vms=demand.missing_vms,
                 listed_ago_s=round(self._ports.clock.now_s() - self._listed_s, 3),
             )
 
