Date a worker's lists by its clock, not by when they are read

A scheduler whose loop was late took a list for recent that its worker had sent up to seconds before, and could stop a task for planned work while another of its step, listed there as available, had ended since.

The time of a list is now bounded from below: by the sending of the order that it answers, and by the worker's clock against earlier replies (that clock may run slow, never fast, so that the bound of an earlier reply stays valid). A run counts as recently listed by that time. A reply that is read in time is dated as before, to the network's delay.

The test, with injected times, failed before: a list of 0.5 s that was read at 3 s counted as recent.

--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -55,7 +55,7 @@
     is_listed : bool
         Whether the incarnation of the worker that runs it has listed it.
     listed_s : float
-        When its worker last listed it.
+        When its worker last listed it, at the earliest.
     is_adopted : bool
         An earlier scheduler placed it, and may have ordered its stop.
     settled_clock_ms : int
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -81,6 +81,8 @@
         Fence of the next order.
     answered_fence : Fence
         Highest fence that the worker has acknowledged; it rejects orders below it.
+    clock_offset_s : float
+        Least difference between the scheduler's clock and the worker's.
     lease_end_s : float
         When the last lease that may have been granted has certainly expired.
     processed_upto : EndNumber
@@ -116,6 +118,7 @@
     answered_fence: Fence = Fence(0)
     clock_ms: int = 0
     clock_read_s: float = 0.0
+    clock_offset_s: float = float("-inf")
     lease_end_s: float = 0.0
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
@@ -196,6 +199,18 @@
         """Invalidate all unanswered orders once the next one is answered."""
         self.fence = Fence(self.fence + 1)
 
+    def read_clock(self, clock_ms: int, sent_s: float, now_s: float) -> float:
+        """Record the worker's time in a reply; return when it was sent at the earliest.
+
+        A reply is sent after its order, and may have waited unread since. The worker's
+        clock may run slow, so that the bound of an earlier reply stays valid.
+        """
+        self.clock_ms = clock_ms
+        self.clock_read_s = now_s
+        clock_s = clock_ms / 1000
+        self.clock_offset_s = max(self.clock_offset_s, sent_s - clock_s)
+        return clock_s + self.clock_offset_s
+
     def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
         """Return the end of a new lease on the worker's clock, and record it."""
         if not self.clock_ms:
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -139,17 +139,16 @@
             changes.ended = _take_new_ends(state, reply)
             return changes
         state.newest_renewal_sent_s = sent_s
-        state.clock_ms = reply.clock_ms
-        state.clock_read_s = now_s
         if reply.born_ms != state.entry.born_ms:
             changes.lost = self._begin_incarnation(state, reply.born_ms)
             return changes
+        listed_s = state.read_clock(reply.clock_ms, sent_s, now_s)
         if order.fence < state.fence and not state.is_synced:
             return changes
         state.answered_fence = max(state.answered_fence, order.fence)
         state.acknowledged_upto = max(state.acknowledged_upto, order.seen_upto)
         state.is_synced = True
-        self._compare(state, order, reply, sent_s, now_s, changes)
+        self._compare(state, order, reply, sent_s, listed_s, now_s, changes)
         return changes
 
     def on_renewal_failure(
@@ -228,6 +227,7 @@
         state.raise_fence()
         state.is_synced = False
         state.clock_ms = 0
+        state.clock_offset_s = float("-inf")
         state.processed_upto = EndNumber(0)
         state.seen_upto = EndNumber(0)
         state.acknowledged_upto = EndNumber(0)
@@ -266,6 +266,7 @@
         order: RenewalOrder,
         reply: RenewalReply,
         sent_s: float,
+        listed_s: float,
         now_s: float,
         changes: RunChanges,
     ) -> None:
@@ -279,7 +280,7 @@
                 continue
             present.add(listed.task)
             self._record_clock(run, reply)
-            _record_running(run, listed, now_s)
+            _record_running(run, listed, listed_s, now_s)
             changes.running.append(run)
         state.has_orphans = bool(changes.stops)
         for ended in reply.ended:
@@ -324,7 +325,9 @@
     return run.phase is RunPhase.IN_DOUBT and run.fence < order.fence
 
 
-def _record_running(run: Run, listed: RunningTask, now_s: float) -> None:
+def _record_running(
+    run: Run, listed: RunningTask, listed_s: float, now_s: float
+) -> None:
     if run.phase is not RunPhase.RUNNING:
         run.phase = RunPhase.RUNNING
         run.accepted_s = now_s
@@ -332,7 +335,7 @@
         run.percent = listed.percent
         run.progressed_clock_ms = run.listed_clock_ms
     run.is_listed = True
-    run.listed_s = now_s
+    run.listed_s = listed_s
     run.gauge = listed.gauge
     if listed.checkpoint:
         run.task.checkpoint = listed.checkpoint
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -265,3 +265,16 @@
     scheduler.on_start_outcome(second, OrderOutcome.ACCEPTED, now_s=0.8)
     assert scheduler.can_settle_starts(WORKER)
     assert _hold(scheduler, 0.9).fence > first.fence
+
+
+def test_list_that_waited_unread_does_not_show_what_runs_now() -> None:
+    """A late scheduler took a list for recent that its worker had sent long before."""
+    scheduler, (run,) = _scheduler_with_runs(1)
+    scheduler.start_order(run, now_s=0.2)
+    scheduler.on_start_outcome(run, OrderOutcome.ACCEPTED, now_s=0.3)
+    running = (RunningTask(run.task.key, run.number, "", 10, 0),)
+    reply = RenewalReply(clock_ms=1500, born_ms=BornMs(1), running=running, ended=())
+    order = _hold(scheduler, 0.4)
+    scheduler.on_renewal_outcome(order, reply, sent_s=0.4, now_s=3.0)
+    assert run.listed_s == 0.5
+    assert not run.is_recently_listed(now_s=3.0)
