--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -279,7 +279,9 @@
                 )
                 continue
             present.add(listed.task)
-            self._record_clock(run, reply)
+            if run.is_adopted and not run.is_listed:
+                run.settled_clock_ms = self._settled_clock_ms(reply)
+            run.listed_clock_ms = reply.clock_ms
             _record_running(run, listed, listed_s, now_s)
             changes.running.append(run)
         state.has_orphans = bool(changes.stops)
@@ -298,15 +300,13 @@
         ]
         changes.lost.extend(self._remove_all(state, absent))
 
-    def _record_clock(self, run: Run, reply: RenewalReply) -> None:
-        """Record the worker's time of a list that contains `run`.
+    def _settled_clock_ms(self, first_list: RenewalReply) -> int:
+        """Return when the stops that earlier schedulers have ordered are over.
 
-        With the first list, the worker rejects the stop orders of earlier schedulers;
-        the run may still be ending by one that it has accepted before.
+        With the first list, the worker rejects their stop orders; a run may still be
+        ending by one that it has accepted before.
         """
-        if run.is_adopted and not run.is_listed:
-            run.settled_clock_ms = reply.clock_ms + self._tuning.max_stop_ms
-        run.listed_clock_ms = reply.clock_ms
+        return first_list.clock_ms + self._tuning.max_stop_ms
 
 
 def _take_new_ends(state: WorkerState, reply: RenewalReply) -> list[EndedTask]:
