Count no place on a worker that accepts no starts once uncordoned

A VM whose move is given up counted as a place for tasks even if its worker was silent or paused, so that a task of another VM could be stopped for a place that isn't there. The reason for that was taken from start_blocker, which named the cordon before all that remains without it. It names the cordon last now, and a worker is taken back into the forecast only if nothing else prevents starts.

Evidence: the new test fails before: task 1 is stopped for a silent worker.

--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -161,6 +161,10 @@
         if self._now_s - emptied_s < MAX_ORDER_DELAY_S:
             # Its tasks are to return to it after the order.
             return False
+        return self._accepts_uncordoned(worker_state)
+
+    def _accepts_uncordoned(self, worker_state: WorkerState) -> bool:
+        """Return whether a worker accepts starts once it is no longer cordoned."""
         blocker = worker_state.start_blocker(self._now_s)
         return blocker is None or blocker is StartBlocker.CORDONED
 
@@ -169,27 +173,28 @@
         if worker_state is None:
             return
         forecast = self._forecasts.get(worker_state.entry.pool)
-        homeless: list[TaskRecord] = []
+        remaining: list[TaskRecord] = []
         for task in staying_tasks(worker_state):
             if forecast is None or forecast.assign(task):
                 self._has_place.add(task)
             else:
-                homeless.append(task)
-        if forecast is None or not homeless:
+                remaining.append(task)
+        if forecast is None or not remaining:
             return
-        if self._is_hopeless(vm, homeless):
+        if self._is_hopeless(vm, remaining):
             self._vms.clear_goal(vm)
-            forecast.add_worker(worker_state)
+            if self._accepts_uncordoned(worker_state):
+                forecast.add_worker(worker_state)
         else:
-            forecast.unplaced.extend(homeless)
+            forecast.unplaced.extend(remaining)
 
-    def _is_hopeless(self, vm: VmState, homeless: list[TaskRecord]) -> bool:
+    def _is_hopeless(self, vm: VmState, remaining: list[TaskRecord]) -> bool:
         """Return whether a VM can't be emptied of the tasks that have no place."""
         assert vm.goal is not None
         if vm.goal.work is VmWork.MOVE:
             return True
         is_overdue = self._now_s - vm.goal_set_s > REPLACEMENT_WAIT_S
-        return is_overdue and vm.emptied_s is None and not self._may_return(homeless)
+        return is_overdue and vm.emptied_s is None and not self._may_return(remaining)
 
     def _long_running_tasks(self, vm: VmState) -> list[TaskRecord]:
         worker_state = self._worker_state(vm)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -178,22 +178,25 @@
         return self.start_blocker(now_s) is None
 
     def start_blocker(self, now_s: float) -> StartBlocker | None:
-        """Return why no task may be placed on the worker; None if tasks may be."""
+        """Return why no task may be placed on the worker; None if tasks may be.
+
+        `CORDONED` is returned only if nothing else prevents starts.
+        """
         if not self.is_synced:
             return StartBlocker.UNSYNCED
         if not self.is_listed:
             return StartBlocker.UNLISTED
         if self.entry.is_draining:
             return StartBlocker.DRAINING
-        if self.is_cordoned:
-            return StartBlocker.CORDONED
         if self.is_silent:
             return StartBlocker.SILENT
         if self.has_orphans:
             return StartBlocker.ORPHANS
         if now_s < self.blocked_until_s:
             return StartBlocker.PAUSED
-        return StartBlocker.START_IN_DOUBT if self.has_start_in_doubt() else None
+        if self.has_start_in_doubt():
+            return StartBlocker.START_IN_DOUBT
+        return StartBlocker.CORDONED if self.is_cordoned else None
 
     def raise_fence(self) -> None:
         """Invalidate all unanswered orders once the next one is answered."""
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -12,7 +12,7 @@
     VmWork,
 )
 from currantstage.standin.jobs import build_configuration
-from currantstage.state import DataCentreId, VmId
+from currantstage.state import DataCentreId, PoolId, VmId
 from currantstage.state.jobs import (
     MaintenanceWave,
     Resources,
@@ -194,3 +194,20 @@
         fleet.manager.plan(NOW_S + tenths / 10)
     assert fleet.cordoned() == ["w-0"]
     assert len(fleet.stopping()) == 1
+
+
+def test_silent_worker_whose_move_is_given_up_offers_no_place() -> None:
+    """A task was stopped for a place on a worker that accepts no starts."""
+    fleet = _Fleet(3, _lasting(5, max_per_worker=2))
+    for number, worker in enumerate(("w-0", "w-1", "w-1", "w-2", "w-2")):
+        fleet.run(number, worker)
+    silent = fleet.scheduler.workers.get(WorkerId("w-0"))
+    assert silent is not None
+    silent.missed_renewals = 2
+    move = VmGoal(VmWork.MOVE, pool=PoolId("parcels"))
+    fleet.manager.vms.set_goal(fleet.vm("w-0"), move, NOW_S)
+    upkeep = VmGoal(VmWork.MAINTENANCE, wave=1)
+    fleet.manager.vms.set_goal(fleet.vm("w-1"), upkeep, NOW_S)
+    fleet.maintain("w-1")
+    fleet.manager.plan(NOW_S)
+    assert fleet.stopping() == []
