Let the first write of the slow store's test wait until it is abandoned

The store answered it after 0.3 s, for a timeout of 0.2 s; on a machine whose loop is late by 0.1 s the timeout is extended beyond the answer, and the expected failure doesn't come. The first answer now waits until the write has been abandoned.

--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -353,7 +353,10 @@
     """Each write to a store slower than the shortest timeout was abandoned."""
     monkeypatch.setattr(_store, "MIN_TIMEOUT_S", 0.2)
 
+    first_is_abandoned = asyncio.Event()
+
     async def answer(request: web.Request) -> web.Response:
+        await first_is_abandoned.wait()
         await asyncio.sleep(0.3)
         return web.json_response({"Ver": 7})
 
@@ -361,6 +364,7 @@
         client = StoreClient(http, address)
         with pytest.raises(StoreUnavailable, match="timeout"):
             await client.transact((), (RowWrite(ROW, b"x"),))
+        first_is_abandoned.set()
         assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
 
     _run(answer, use)
