Stop the other members of a gang when one start is withheld

Cause: the withheld start was requeued by itself, unlike a refused one, which takes the other members along.

Evidence: the new test failed before in both orders of the starts.

--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -266,7 +266,7 @@
             until_ms = worker_state.grant_until_ms(now_s, self._tuning)
         if until_ms is None:
             self._release(run)
-            self.jobs.requeue(run.task)
+            self._retry(run.task)
             return None
         run.phase = RunPhase.SENT
         run.fence = worker_state.fence
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -114,6 +114,31 @@
     assert run.task.run is None
 
 
+@pytest.mark.parametrize("silent", [0, 1])
+def test_no_member_of_a_gang_runs_without_one_whose_start_is_withheld(
+    silent: int,
+) -> None:
+    """The others ran alone until the worker ended them."""
+    scheduler = Scheduler(Term(1), build_configuration(), TUNING)
+    workers = (entry("w-0"), entry("w-1"))
+    scheduler.update_workers(workers, now_s=0.0)
+    for worker in workers:
+        order = scheduler.next_renewal(worker.worker, 0.0)
+        assert order is not None
+        scheduler.on_renewal_outcome(order, _reply(), sent_s=0.0, now_s=0.1)
+    work = step(2, cpu=5000, is_gang=True)
+    scheduler.submit(submission(JobId("0" * 16), work), now_s=0.1)
+    scheduler.place(now_s=0.1, unix_ms=0)
+    runs = _store_batch(scheduler)
+    worker_state = scheduler.workers.get(runs[silent].worker)
+    assert worker_state is not None
+    worker_state.missed_renewals = 2
+    orders = [scheduler.start_order(run, now_s=0.2) for run in runs]
+    started = [run for run, order in zip(runs, orders, strict=True) if order]
+    assert runs[silent] not in started
+    assert all(run.is_stopping for run in started)
+
+
 def _end(number: int, run: Run) -> EndedTask:
     return EndedTask(EndNumber(number), run.task.key, run.number, EndKind.DONE, "")
 
