Let no task that has no place anywhere hold up a wave

Operators would have seen waves that never end. In a pool without spare VMs none was maintained any more while one long-running task had no place, be it larger than any VM, in want of a label that no VM has, or one more than fits. A VM whose tasks may not all be away at once held up the others, too, if it had the least work, as it was tried first in each round and no other after it.

Cause: may_maintain refused every VM while the forecast had any task without a place. What it has to prevent is that a second VM is emptied while tasks of another are away until it returns. Now that is what it asks.

--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -57,12 +57,17 @@
         self._forecasts: dict[PoolId, PlacementForecast] = {}
         self._blocked: dict[PoolId, BlockedPool] = {}
         self._has_place: set[TaskRecord] = set()
+        #: Pools in which tasks are, or are about to be, away until their VM returns.
+        self._awaiting_return: set[PoolId] = set()
         self._now_s = 0.0
 
     def update(self, now_s: float) -> None:
         """Forecast the places of waiting tasks and of those on cordoned VMs."""
         self._now_s = now_s
         self._has_place = set()
+        self._awaiting_return = {
+            vm.record.pool for vm in self._vms.states() if vm.emptied_s is not None
+        }
         self._forecasts = {
             each.pool: PlacementForecast(
                 worker_state
@@ -93,13 +98,18 @@
             return True
         worker_state = self._worker_state(vm)
         assert worker_state is not None
-        forecast = self._forecasts[worker_state.entry.pool]
-        if forecast.unplaced:
+        pool = worker_state.entry.pool
+        if pool in self._awaiting_return:
             return False
+        forecast = self._forecasts[pool]
         remaining = forecast.remaining_tasks(worker_state)
-        forecast.unplaced.extend(remaining)
-        waited_s = self._blocked_s(worker_state.entry.pool)
-        return waited_s >= REPLACEMENT_WAIT_S and self._may_return(remaining)
+        if not forecast.unplaced:
+            forecast.unplaced.extend(remaining)
+        waited_s = self._blocked_s(pool)
+        if waited_s < REPLACEMENT_WAIT_S or not self._may_return(remaining):
+            return False
+        self._awaiting_return.add(pool)
+        return True
 
     def may_interrupt(self, run: Run, vm: VmState, *, may_order: bool) -> bool:
         """Return whether a run on a cordoned VM has a place elsewhere, or may return.
@@ -187,6 +197,7 @@
                 forecast.add_worker(worker_state)
         else:
             forecast.unplaced.extend(remaining)
+            self._awaiting_return.add(worker_state.entry.pool)
 
     def _is_hopeless(self, vm: VmState, remaining: list[TaskRecord]) -> bool:
         """Return whether a VM can't be emptied of the tasks that have no place."""
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -211,3 +211,25 @@
     fleet.maintain("w-1")
     fleet.manager.plan(NOW_S)
     assert fleet.stopping() == []
+
+
+def test_vm_that_cannot_be_emptied_does_not_hold_up_the_others() -> None:
+    """The VM with the least work was tried first in each round, and no other."""
+    fleet = _Fleet(2, _lasting(2, cpu=3500))
+    fleet.run(0, "w-0")
+    fleet.run(1, "w-0")
+    others = []
+    worker_state = fleet.scheduler.workers.get(WorkerId("w-1"))
+    assert worker_state is not None
+    for number in range(1, 4):
+        work = _lasting(1, cpu=2500)
+        fleet.scheduler.submit(submission(str(number) * 16, work), NOW_S)
+        other = fleet.scheduler.jobs.open_steps()[-1]
+        others.append(running(other, 0, listed_s=NOW_S, worker="w-1"))
+        worker_state.add(others[-1])
+    fleet.maintain("w-0", "w-1")
+    for tenths in range(60):
+        for each in (*fleet.step.runs(), *others):
+            each.listed_s = NOW_S + tenths / 10
+        fleet.manager.plan(NOW_S + tenths / 10)
+    assert fleet.cordoned() == ["w-1"]
--- a/tests/jobs/test_planned_work_scenarios.py
+++ b/tests/jobs/test_planned_work_scenarios.py
@@ -5,13 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
 from currantstage.coordination.jobs import SchedulerTuning
 from currantstage.standin.jobs import POOLS, SPARE_POOL, SimulatedSite
 from currantstage.state.jobs import MaintenanceWave
 from tests.jobs.site import SETTLE_S, run_scenario, step
 
 if TYPE_CHECKING:
-    from currantstage.state.jobs import JobId
+    from currantstage.state.jobs import JobId, Step
 
 #: How long planned work may keep a long-running task from running, in seconds.
 MAX_AWAY_S = 6.0
@@ -99,6 +101,36 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize(
+    "unplaced",
+    [
+        step(1, cpu=9000, is_long_running=True),
+        step(1, needed_label="nowhere", is_long_running=True),
+        step(1, cpu=5000, is_long_running=True),
+    ],
+    ids=["too-large", "label", "no-room"],
+)
+def test_task_that_never_gets_a_place_does_not_hold_up_a_wave(unplaced: Step) -> None:
+    """No VM of its pool was maintained, not even after the deadline."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed=32)
+        for vm in _vms(SPARE_POOL):
+            site.vms.remove(vm)
+        work = step(
+            4, cpu=5000, is_long_running=True, max_unavailable=1, max_per_worker=1
+        )
+        jobs = {await site.submit((work,), pool): 4 for pool in POOLS}
+        await site.submit((unplaced,), POOLS[0])
+        await asyncio.sleep(1)
+        _announce(site, _vms(*POOLS), complete_by_s=40)
+        assert await longest_away_s(site, jobs, 40) < MAX_AWAY_S
+        assert {vm for _, vm in site.vms.maintained} == set(_vms(*POOLS))
+        assert site.oracle.violations == []
+
+    run_scenario(scenario())
+
+
 def test_long_running_tasks_that_fit_only_in_sum_get_another_vm() -> None:
     """Five tasks that use more than half of a VM waited in a pool of four VMs."""
 
