--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -233,3 +233,17 @@
             each.listed_s = NOW_S + tenths / 10
         fleet.manager.plan(NOW_S + tenths / 10)
     assert fleet.cordoned() == ["w-1"]
+
+
+def test_silent_vm_is_not_taken_for_the_place_of_a_waiting_task() -> None:
+    """Its maintenance was given up, and no other VM was requested."""
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    goal = VmGoal(VmWork.MAINTENANCE, wave=1)
+    fleet.manager.vms.set_goal(fleet.vm("w-1"), goal, NOW_S)
+    silent = fleet.scheduler.workers.get(WorkerId("w-1"))
+    assert silent is not None
+    silent.missed_renewals = 2
+    fleet.manager.plan(NOW_S)
+    assert fleet.vm("w-1").goal is goal
+    assert fleet.manager.pool_sizes[POOL].demand.missing_vms == 1
