Give other pools no dark VMs

Callers of a pool in need would have waited on: the pool that had VMs to spare gave away dark ones, as these have the least to drain, and the VMs counted as joining where they moved to, so that no others were requested.

Cause: surplus is counted without dark VMs (up to the share that is replaced), but the VMs to give were taken from all, by load.

Evidence: the new test failed before, with two and with five dark VMs of six: two dark VMs moved.

--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -185,7 +185,7 @@
             own = sorted((vm for vm in idle if vm.record.pool == pool), key=load)
             surplus_s = self._surplus_s(pool, surplus, now_s)
             if surplus_s >= REASSIGN_AFTER_S:
-                donors.extend(own[:surplus])
+                donors.extend(self._working_surplus(own, self.sizes[pool], presence))
             if surplus_s >= self._release_after_s:
                 unneeded.extend(own[:surplus])
         for pool in sorted(balance, key=lambda each: balance[each]):
@@ -208,13 +208,24 @@
         capacity = members[0].record.capacity if members else Resources(1, 1)
         wanted = self._sizing.wanted_vms(demand, capacity)
         counts = Counter(map(presence, members))
-        max_replaced = math.ceil(wanted * MAX_REPLACED_SHARE)
-        vms = len(members) - min(max_replaced, counts[VmPresence.DARK])
+        vms = len(members) - min(_max_replaced(wanted), counts[VmPresence.DARK])
         if demand.missing_vms:
             with_missing = vms + demand.missing_vms - counts[VmPresence.JOINING]
             wanted = max(wanted, min(with_missing, wanted + MAX_EXTRA_VMS))
         return PoolSize(vms, wanted, demand)
 
+    def _working_surplus(
+        self,
+        own: list[VmState],
+        size: PoolSize,
+        presence: Callable[[VmState], VmPresence],
+    ) -> list[VmState]:
+        """Return the first of a pool's own VMs that it can spare, without dark ones."""
+        working = [vm for vm in own if presence(vm) is not VmPresence.DARK]
+        dark = len(own) - len(working)
+        counted_dark = max(0, dark - _max_replaced(size.wanted_vms))
+        return working[: max(0, size.surplus - counted_dark)]
+
     def _surplus_s(self, pool: PoolId, surplus: int, now_s: float) -> float:
         """Return how long a pool has had surplus VMs; negative if it has none."""
         if surplus <= 0:
@@ -249,3 +260,8 @@
     def _move(self, vm: VmState, pool: PoolId, now_s: float) -> None:
         planned_s = vm.goal_set_s if vm.goal is not None else now_s
         self._vms.set_goal(vm, VmGoal(VmWork.MOVE, pool=pool), planned_s)
+
+
+def _max_replaced(wanted_vms: int) -> int:
+    """Return how many dark VMs of a pool are replaced at most."""
+    return math.ceil(wanted_vms * MAX_REPLACED_SHARE)
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from currantstage.coordination.jobs import (
     DemandSizing,
     FixedSizing,
@@ -169,3 +171,29 @@
             {BUSY: demand}, SPARE, lambda _: 0.0, lambda _: True, presence, now_s
         )
     assert _targets(table)["busy"] == 6
+
+
+@pytest.mark.parametrize(("dark_count", "moved"), [(2, 2), (5, 0)])
+def test_pool_gives_away_only_vms_that_work_and_that_it_can_spare(
+    dark_count: int, moved: int
+) -> None:
+    """Dark VMs have the least to drain; the other pool got those."""
+    table = _table(busy=1, idle=6, spare=0)
+    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
+    dark = [vm for vm in table.states() if vm.record.pool == IDLE][:dark_count]
+
+    def presence(vm: VmState) -> VmPresence:
+        return VmPresence.DARK if vm in dark else VmPresence.PRESENT
+
+    for now_s in (0.0, 0.5):
+        plan.choose(
+            {BUSY: demand, IDLE: PoolDemand()},
+            SPARE,
+            lambda vm: 0.0 if vm in dark else 1.0,
+            lambda _: True,
+            presence,
+            now_s,
+        )
+    assert _targets(table) == {"busy": 1 + moved, "idle": 6 - moved, "spare": 0}
+    assert {vm.target_pool() for vm in dark} == {IDLE}
