Look for no place for a task that waits for its team's limit

Operators would have paid for VMs that a pool took in for tasks that their team's upper limit keeps waiting, and VMs were called back from maintenance for such tasks.

Cause: the forecast counted every waiting long-running task as one that starts as soon as there is room. A task that is still being stopped keeps its place, as its own usage is what the limit counts.

Evidence: the new test failed before (one VM missing).

--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -15,7 +15,7 @@
 from currantstage.state.jobs import TaskPhase
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import Run, TaskRecord
+    from currantstage.coordination.jobs._records import Run, StepRecord, TaskRecord
     from currantstage.coordination.jobs._scheduler import Scheduler
     from currantstage.coordination.jobs._vm_table import VmState, VmTable
     from currantstage.coordination.jobs._worker_state import WorkerState
@@ -143,10 +143,19 @@
             forecast = self._forecasts.get(self._scheduler.pool_of(step))
             if forecast is None:
                 continue
+            may_start = self._team_allows(step)
             for task in step.tasks:
+                if task.run is None and not may_start:
+                    continue
                 if _needs_place(task) and not forecast.assign(task):
                     self._uncordon_for(task, forecast, leaving)
 
+    def _team_allows(self, step: StepRecord) -> bool:
+        """Return whether the upper limit of its team allows one more task of a step."""
+        return self._scheduler.teams.allows(
+            step.job.submission.team, step.step.resources, self._scheduler.configuration
+        )
+
     def _uncordon_for(
         self, task: TaskRecord, forecast: PlacementForecast, leaving: list[VmState]
     ) -> None:
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from currantstage.coordination.jobs import (
     FleetManager,
     Scheduler,
@@ -12,7 +14,7 @@
     VmWork,
 )
 from currantstage.standin.jobs import build_configuration
-from currantstage.state import DataCentreId, PoolId, VmId
+from currantstage.state import DataCentreId, PoolId, TeamId, VmId
 from currantstage.state.jobs import (
     MaintenanceWave,
     Resources,
@@ -247,3 +249,14 @@
     fleet.manager.plan(NOW_S)
     assert fleet.vm("w-1").goal is goal
     assert fleet.manager.pool_sizes[POOL].demand.missing_vms == 1
+
+
+def test_task_that_waits_for_its_team_requests_no_place() -> None:
+    """A pool got VMs for it, and VMs were called back from maintenance for it."""
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    fleet.run(0, "w-0")
+    west = replace(submission("1" * 16, _lasting(2, cpu=7000)), team=TeamId("west"))
+    fleet.scheduler.teams.add(west.team, Resources(7000, 0, 0))
+    fleet.scheduler.submit(west, NOW_S)
+    fleet.manager.plan(NOW_S)
+    assert fleet.manager.pool_sizes[POOL].demand.missing_vms == 0
