Wait longer for the changes of a slow store

Callers of a slow site would have waited for jobs that the scheduler had not learned of: a poll of the store's changes that was answered later than 1.9 s was given up, and so was each one after it, though the store answered all.

The poll took its timeout from reads, which a scheduler hardly makes, and taught it nothing itself. Now it has a timeout of its own, by the time that an answer takes beyond the wait that was asked for.

Evidence: the new test failed before.

--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -93,6 +93,7 @@
         self._base = f"http://{address}/currantstage"
         self._write_timeout = AdaptiveTimeout(MIN_TIMEOUT_S, MAX_TIMEOUT_S)
         self._read_timeout = AdaptiveTimeout(MIN_TIMEOUT_S, MAX_TIMEOUT_S)
+        self._changes_timeout = AdaptiveTimeout(MIN_TIMEOUT_S, MAX_TIMEOUT_S)
 
     async def transact(
         self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
@@ -143,10 +144,11 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table`; None if that history is unavailable."""
         query = {"Table": table, "After": str(after), "WaitMs": str(wait_ms)}
-        reply = await self._http.call(
+        reply = await self._call(
             "GET",
-            f"{self._base}/rows-feed?{urlencode(query)}",
-            wait_ms / 1000 + self._read_timeout.timeout_s(),
+            f"rows-feed?{urlencode(query)}",
+            self._changes_timeout,
+            wait_s=wait_ms / 1000,
         )
         if isinstance(reply, HttpReply) and reply.status == 410:
             return None
@@ -161,14 +163,16 @@
         path: str,
         adaptive_timeout: AdaptiveTimeout,
         body: _Transaction | None = None,
+        wait_s: float = 0.0,
     ) -> HttpReply | CallFailure:
         sent_s = time.monotonic()
         timeout_s = adaptive_timeout.timeout_s()
         reply = await self._http.call(
-            method, f"{self._base}/{path}", timeout_s, body=body
+            method, f"{self._base}/{path}", wait_s + timeout_s, body=body
         )
         if isinstance(reply, HttpReply):
-            adaptive_timeout.record_response(time.monotonic() - sent_s)
+            took_s = time.monotonic() - sent_s
+            adaptive_timeout.record_response(max(0.0, took_s - wait_s))
         elif reply is CallFailure.TIMEOUT:
             adaptive_timeout.record_timeout(timeout_s)
         return reply
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -17,6 +17,7 @@
     WorkerClient,
     _store,
 )
+from currantstage.platform._http import CallFailure, HttpReply
 from currantstage.state import EntryVmId, PoolId, VmId
 from currantstage.state.jobs import (
     Committed,
@@ -30,6 +31,7 @@
     RenewalReply,
     RowCondition,
     RowName,
+    RowPage,
     RowWrite,
     RunNumber,
     StartOrder,
@@ -368,3 +370,26 @@
         assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
 
     _run(answer, use)
+
+
+def test_poll_of_changes_waits_longer_after_one_that_was_answered_too_late() -> None:
+    """Each poll of a slow store was given up, so that no change was learned of."""
+    timeouts_s: list[float] = []
+
+    class _SlowHttp(PlatformHttp):
+        async def call(
+            self, method: str, url: str, timeout_s: float, **_: object
+        ) -> HttpReply | CallFailure:
+            timeouts_s.append(timeout_s)
+            if timeout_s < 2.0:
+                return CallFailure.TIMEOUT
+            return HttpReply(200, b'{"Ver":7}')
+
+    async def poll() -> RowPage | None:
+        client = StoreClient(_SlowHttp(), "127.0.0.1:1")
+        with pytest.raises(StoreUnavailable, match="timeout"):
+            await client.changes("jobs", 3, 1000)
+        return await client.changes("jobs", 3, 1000)
+
+    assert asyncio.run(poll()) == RowPage((), 7)
+    assert timeouts_s == pytest.approx([1.9, 2.8])
