Recognize a stored write of the scheduler whose answer is late or lost

Cause: a write is abandoned after 0.9 s, just before its answer. Its batch counted as failed, although it took effect. The next write met a conflict with the scheduler's own row, adopted its version and threw the knowledge away that the batch was stored; only a third write confirmed the starts.

Now each attempt of a term has a sequence number that no other attempt of it has (a failed attempt's number used to be given again), and `CommitAttempts` keeps the batches of the attempts in doubt. `StoreProbe`, which read the lease once beside an unanswered write, repeats that read and returns the lease as soon as it is newer than the version that the write is conditional on; this is what a conflict returns, too. If the row has the number of an attempt, that attempt is confirmed since it was sent.

Why it is safe: the row of the lease and the batch are one transaction, so the number proves that the batch is stored, in a stale read too. All attempts in doubt are conditional on the same version, so at most one of them can be. The lease counts from the sending of that attempt. A start is ordered only if its run is still that of its task and unsent, as after any write; runs that were stopped or placed anew meanwhile aren't. Jobs that were marked as changed when the attempt failed are stored once more. An ended job is now counted and logged at the first write that stores its end.

Weighed instead: a longer wait for writes with a batch while the store answers reads. It would help with a store that is slow, and cost up to 2.5 s for each answer that is lost for good.

--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -11,6 +11,10 @@
 
 from currantstage.application.jobs._activity_log import ActivityLog
 from currantstage.application.jobs._advice_driver import AdviceDriver
+from currantstage.application.jobs._commit_attempts import (
+    CommitAttempt,
+    CommitAttempts,
+)
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._repository import StoredLease
 from currantstage.application.jobs._store_probe import StoreProbe
@@ -95,6 +99,7 @@
     ) -> None:
         self._lease = lease
         self._version = version
+        self._attempts = CommitAttempts(lease)
         self._takeover = takeover
         self._held_lease = HeldLease(tuning, taken_s)
         self._repository = repository
@@ -321,44 +326,79 @@
         removed = () if batch else tuple(self._progress_to_remove[:MAX_REMOVED_ROWS])
         lease = replace(
             self._lease,
-            sequence=self._lease.sequence + 1,
+            sequence=self._attempts.next_sequence(),
             ordered_vms=self._vm_order_cooldown.recent(sent_s),
             earlier_acts_ms=self._earlier_orders_ms(sent_s),
         )
         if is_last:
             lease = replace(lease, holder=NO_HOLDER, address="")
+        attempt = CommitAttempt(lease, sent_s, batch, removed, is_last)
+        self._attempts.add(attempt)
         try:
-            async with StoreProbe(self._repository, self._tuning.hand_over_ms / 1000):
-                outcome = await self._repository.write_lease(
-                    lease, self._version, batch.progress if batch else (), removed
-                )
+            outcome = await self._write(attempt)
         except StoreUnavailable as error:
-            self._on_batch_failed(batch)
-            self._on_commit_failed(sent_s, is_refused=not error.is_in_doubt)
-            self._observe_commit("failed", sent_s)
-            log_message(
-                "currantstage:commit-failed",
-                reason=str(error),
-                in_doubt=error.is_in_doubt,
-            )
-            await asyncio.sleep(COMMIT_RETRY_S)
-            self._wake.set()
+            await self._on_attempt_failed(attempt, error)
             return
         if isinstance(outcome, StoredLease):
-            self._on_batch_failed(batch)
-            self._on_commit_conflict(outcome)
+            self._on_lease_read(attempt, outcome)
+        else:
+            self._on_attempt_stored(attempt, outcome)
+
+    async def _write(self, attempt: CommitAttempt) -> int | StoredLease:
+        probe = StoreProbe(self._repository, self._tuning.hand_over_ms / 1000)
+        progress = attempt.batch.progress if attempt.batch else ()
+        return await probe.watch(
+            self._repository.write_lease(
+                attempt.lease, self._version, progress, attempt.removed
+            ),
+            self._version,
+        )
+
+    async def _on_attempt_failed(
+        self, attempt: CommitAttempt, error: StoreUnavailable
+    ) -> None:
+        if not error.is_in_doubt:
+            self._attempts.discard(attempt)
+        self._on_batch_failed(attempt.batch)
+        self._on_commit_failed(attempt.sent_s, is_refused=not error.is_in_doubt)
+        self._observe_commit("failed", attempt.sent_s)
+        log_message(
+            "currantstage:commit-failed",
+            reason=str(error),
+            in_doubt=error.is_in_doubt,
+        )
+        await asyncio.sleep(COMMIT_RETRY_S)
+        self._wake.set()
+
+    def _on_lease_read(self, attempt: CommitAttempt, stored: StoredLease) -> None:
+        """Apply a lease that is newer than the version that `attempt` is based on."""
+        found = self._attempts.find(stored.row)
+        if found is not attempt:
+            self._on_batch_failed(attempt.batch)
+        if found is None:
+            self._on_commit_conflict(stored)
             return
-        self._version = outcome
-        self._lease = lease
-        self._held_lease.confirm(sent_s)
+        log_message(
+            "currantstage:commit-seen",
+            sequence=found.lease.sequence,
+            is_newest=found is attempt,
+            after_s=round(self._now_s() - found.sent_s, 3),
+        )
+        self._on_attempt_stored(found, stored.version)
+
+    def _on_attempt_stored(self, attempt: CommitAttempt, version: int) -> None:
+        self._version = version
+        self._lease = attempt.lease
+        self._attempts.confirm()
+        self._held_lease.confirm(attempt.sent_s)
         self._renewed.set()
         self._renewed = asyncio.Event()
         self._is_offered = False
-        del self._progress_to_remove[: len(removed)]
-        self._observe_commit("stored", sent_s)
-        self._on_batch_stored(batch)
-        if is_last:
-            log_message("currantstage:lease-released", term=lease.term)
+        del self._progress_to_remove[: len(attempt.removed)]
+        self._observe_commit("stored", attempt.sent_s)
+        self._on_batch_stored(attempt.batch)
+        if attempt.is_last:
+            log_message("currantstage:lease-released", term=attempt.lease.term)
             self._ended.set()
 
     def _observe_commit(self, outcome: str, sent_s: float) -> None:
@@ -411,17 +451,21 @@
     def _on_batch_stored(self, batch: ProgressBatch | None) -> None:
         if batch is None or self.scheduler is None:
             return
+        ended = [
+            (record, stored.state)
+            for record, stored in zip(batch.jobs, batch.progress, strict=True)
+            if stored.state.is_final and not record.stored_state.is_final
+        ]
         starts = self.scheduler.on_batch_stored(batch)
-        for record, stored in zip(batch.jobs, batch.progress, strict=True):
-            if stored.state.is_final:
-                age_s = self._now_s() - record.accepted_s
-                self._ports.metrics.count_job(stored.state, age_s)
-                log_message(
-                    "currantstage:job-ended",
-                    job=record.job,
-                    state=stored.state.value,
-                    age_s=round(age_s, 3),
-                )
+        for record, state in ended:
+            age_s = self._now_s() - record.accepted_s
+            self._ports.metrics.count_job(state, age_s)
+            log_message(
+                "currantstage:job-ended",
+                job=record.job,
+                state=state.value,
+                age_s=round(age_s, 3),
+            )
         if self._driver is not None:
             self._driver.start_runs(starts)
             self._driver.on_progress_stored()
--- a/currantstage/application/jobs/_store_probe.py
+++ b/currantstage/application/jobs/_store_probe.py
@@ -1,4 +1,4 @@
-"""Read of the store beside a write that stays unanswered."""
+"""Reads of the lease beside a write of it that stays unanswered."""
 
 from __future__ import annotations
 
@@ -10,54 +10,58 @@
 from currantstage.state.jobs import StoreUnavailable
 
 if TYPE_CHECKING:
-    from types import TracebackType
-    from typing import Self
+    from collections.abc import Coroutine
+    from typing import Any
 
-    from currantstage.application.jobs._repository import JobRepository
+    from currantstage.application.jobs._repository import JobRepository, StoredLease
 
 
 class StoreProbe:
-    """Context manager that reads the lease if its body takes longer than a delay.
+    """Reads the lease repeatedly while a write of it stays unanswered.
 
-    The response, recorded by `MonitoredStore`, tells a store that is slow to write from
-    one that is silent.
+    The responses, recorded by `MonitoredStore`, tell a store that is slow to write from
+    one that is silent. A lease that has changed tells the outcome of the write.
 
     Parameters
     ----------
     repository : JobRepository
-    delay_s : float
+    interval_s : float
+        Pause before each read.
     """
 
-    def __init__(self, repository: JobRepository, delay_s: float) -> None:
+    def __init__(self, repository: JobRepository, interval_s: float) -> None:
         self._repository = repository
-        self._delay_s = delay_s
-        self._timer: asyncio.TimerHandle | None = None
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        """Schedule the read."""
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._delay_s, self._start_read)
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Cancel the read."""
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
-    def _start_read(self) -> None:
-        self._task = asyncio.create_task(self._read())
-
-    async def _read(self) -> None:
+        self._interval_s = interval_s
+
+    async def watch(
+        self, write: Coroutine[Any, Any, int | StoredLease], version: int
+    ) -> int | StoredLease:
+        """Return the result of `write`, or the lease once it is newer than `version`.
+
+        Parameters
+        ----------
+        write : coroutine
+            Abandoned if the lease is seen to have changed first.
+        version : int
+            Version of the lease that the write is conditional on.
+        """
+        writing = asyncio.create_task(write)
+        reading = asyncio.create_task(self._read_newer(version))
         try:
-            await self._repository.read_lease()
-        except StoreUnavailable as error:
-            log_message("currantstage:store-probe-failed", reason=str(error))
+            await asyncio.wait({writing, reading}, return_when=asyncio.FIRST_COMPLETED)
+            return writing.result() if writing.done() else reading.result()
+        finally:
+            writing.cancel()
+            reading.cancel()
+            await asyncio.gather(writing, reading, return_exceptions=True)
+
+    async def _read_newer(self, version: int) -> StoredLease:
+        while True:
+            await asyncio.sleep(self._interval_s)
+            try:
+                stored = await self._repository.read_lease()
+            except StoreUnavailable as error:
+                log_message("currantstage:store-probe-failed", reason=str(error))
+                continue
+            if stored.version > version:
+                return stored
--- a/currantstage/standin/jobs/__init__.py
+++ b/currantstage/standin/jobs/__init__.py
@@ -9,7 +9,7 @@
     SimulatedSite,
     build_configuration,
 )
-from currantstage.standin.jobs._store import SimulatedStore
+from currantstage.standin.jobs._store import CALL_TIMEOUT_S, SimulatedStore
 from currantstage.standin.jobs._virtual_loop import (
     CURRENT_PROCESS,
     DeadlockError,
@@ -20,6 +20,7 @@
 from currantstage.standin.jobs._workers import SimulatedWorkers
 
 __all__ = [
+    "CALL_TIMEOUT_S",
     "CURRENT_PROCESS",
     "POOLS",
     "SPARE_POOL",
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -54,6 +54,10 @@
         #: that take effect late.
         self.lost_fraction = 0.0
         self.late_fraction = 0.0
+        #: Partitions whose writes are slow, and how long these take, in seconds; they
+        #: take effect at the end of that time even if their caller no longer waits.
+        self.slow_partitions: set[str] = set()
+        self.slow_write_s = 0.0
 
     def for_caller(self, caller: str) -> StoreConnection:
         """Return the connection of `caller` to the store."""
@@ -111,7 +115,10 @@
             self._check_partition(write.name.partition)
         if store.random.random() < store.lost_fraction:
             await self._lose_answer(conditions, writes)
-        outcome = store.apply(conditions, writes)
+        if any(write.name.partition in store.slow_partitions for write in writes):
+            outcome = await self._apply_slowly(conditions, writes)
+        else:
+            outcome = store.apply(conditions, writes)
         await asyncio.sleep(ONE_WAY_LATENCY_S)
         return outcome
 
@@ -171,6 +178,24 @@
             raise StoreUnavailable("timeout", is_in_doubt=is_write)
         await asyncio.sleep(ONE_WAY_LATENCY_S)
 
+    async def _apply_slowly(
+        self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> Committed | Conflicted:
+        loop = asyncio.get_running_loop()
+        outcome: asyncio.Future[Committed | Conflicted] = loop.create_future()
+
+        def apply() -> None:
+            applied = self._store.apply(conditions, writes)
+            if not outcome.done():
+                outcome.set_result(applied)
+
+        loop.call_later(self._store.slow_write_s, apply)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await outcome
+        except TimeoutError as error:
+            raise StoreUnavailable("timeout", is_in_doubt=True) from error
+
     async def _lose_answer(
         self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
     ) -> None:
