Log why workers accept no starts, without those whose VMs have moved

A worker that planned work has ended keeps its state, which counts as silent, and its VM has another worker by then. So the line read as if most of the fleet were dark, and didn't say why the others accepted no starts.

`workers` no longer counts workers that planned work has ended, and `blocked_workers` counts the others by the reason, in place of `silent_workers`. The test is new, as is the function that it calls; it fails if these workers are counted.

--- a/currantstage/application/jobs/_activity_log.py
+++ b/currantstage/application/jobs/_activity_log.py
@@ -8,7 +8,7 @@
 
 from eliot import log_message
 
-from currantstage.coordination.jobs import WaitReporter
+from currantstage.coordination.jobs import WaitReporter, count_blockers
 from currantstage.state.jobs import EndKind, JobState, OrderOutcome
 
 if TYPE_CHECKING:
@@ -95,9 +95,9 @@
             ends=dict(self._ends),
             waiting_tasks=sum(len(step.waiting_tasks(now_s)) for step in steps),
             running_tasks=sum(len(each.runs) for each in workers),
-            workers=len(workers),
+            workers=sum(not each.is_retired for each in workers),
             accepting_workers=sum(each.accepts_starts(now_s) for each in workers),
-            silent_workers=sum(each.is_silent for each in workers),
+            blocked_workers=count_blockers(workers, now_s),
             max_loop_lag_s=round(self._max_lag_s, 3),
             max_commit_s=round(self._max_commit_s, 3),
         )
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -55,7 +55,11 @@
     VmTable,
     VmWork,
 )
-from currantstage.coordination.jobs._wait_report import WaitingTask, WaitReporter
+from currantstage.coordination.jobs._wait_report import (
+    WaitingTask,
+    WaitReporter,
+    count_blockers,
+)
 from currantstage.coordination.jobs._worker_room import CandidateWorkers
 from currantstage.coordination.jobs._worker_state import (
     StartBlocker,
@@ -117,6 +121,7 @@
     "WorkerState",
     "RunChanges",
     "WorkerTable",
+    "count_blockers",
     "first_fence",
     "may_interrupt",
     "takeover_deference_s",
--- a/currantstage/coordination/jobs/_wait_report.py
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -104,6 +104,15 @@
         )
 
 
+def count_blockers(workers: Iterable[WorkerState], now_s: float) -> dict[str, int]:
+    """Count the workers that accept no starts by the reason.
+
+    Workers that planned work has ended are left out; their VMs have others.
+    """
+    blockers = (each.start_blocker(now_s) for each in workers if not each.is_retired)
+    return dict(Counter(blocker.value for blocker in blockers if blocker is not None))
+
+
 def _count_reasons(
     step: StepRecord, workers: Iterable[WorkerState], now_s: float
 ) -> dict[str, int]:
--- a/tests/jobs/test_wait_report.py
+++ b/tests/jobs/test_wait_report.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from currantstage.coordination.jobs import Scheduler, SchedulerTuning, WaitReporter
+from currantstage.coordination.jobs import (
+    Scheduler,
+    SchedulerTuning,
+    WaitReporter,
+    count_blockers,
+)
 from currantstage.standin.jobs import build_configuration
 from currantstage.state.jobs import BornMs, JobId, RenewalReply, Term, WorkerEntry
 from tests.jobs.records import entry, submission
@@ -62,3 +67,14 @@
         True,
         False,
     ]
+
+
+def test_worker_whose_vm_has_moved_is_not_counted_as_blocked() -> None:
+    """Each move of a VM left a worker that was reported as silent for good."""
+    scheduler = _scheduler(entry("moved"), entry("cordoned"), entry("sound"))
+    scheduler.retire_worker(entry("moved").worker)
+    cordoned = scheduler.workers.get(entry("cordoned").worker)
+    assert cordoned is not None
+    cordoned.is_cordoned = True
+    counts = count_blockers(scheduler.workers.states(), now_s=0.1)
+    assert counts == {"cordoned": 1}
