Replace VMs whose workers don't register after they have joined a pool

Cause: a VM that is up counts as joining as long as its worker is unknown, without an end. Behind a partition the worker can't register, so its pool counted it as capacity and asked for no other.

Now a VM that has been listed as up for 1 s without a known worker counts as dark. `PoolPlan` replaces dark VMs already, up to half of those wanted.

Ruled out: that these workers were cordoned, paused or silent.

`test_vm_whose_worker_does_not_register_is_replaced` fails with the code before and passes with this commit.

--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from functools import partial
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._evacuation_plan import EvacuationPlan
@@ -40,6 +41,8 @@
 LONG_RUNNING_WEIGHT = 100.0
 #: How long a VM that is to move waits for its tasks to end, in seconds.
 MOVE_DRAIN_TIMEOUT_S = 6.0
+#: Time within which the worker of a VM that is up registers, in seconds.
+REGISTRATION_TIMEOUT_S = 1.0
 
 
 class FleetManager:
@@ -86,7 +89,7 @@
             self._spare_pool(),
             self._load,
             self._evacuation.may_move,
-            self._presence,
+            partial(self._presence, now_s=now_s),
             now_s,
         )
         self._cordon()
@@ -192,7 +195,7 @@
     def _worker_state(self, vm: VmState) -> WorkerState | None:
         return self._scheduler.workers.get(vm.record.worker)
 
-    def _presence(self, vm: VmState) -> VmPresence:
+    def _presence(self, vm: VmState, now_s: float) -> VmPresence:
         """Return whether the VM can run tasks in the pool that it is in or moves to."""
         if vm.record.condition is VmCondition.DOWN:
             return VmPresence.DARK
@@ -203,7 +206,8 @@
             return VmPresence.JOINING
         worker_state = self._worker_state(vm)
         if worker_state is None:
-            return VmPresence.JOINING
+            is_overdue = now_s - vm.listed_s > REGISTRATION_TIMEOUT_S
+            return VmPresence.DARK if is_overdue else VmPresence.JOINING
         if worker_state.is_dark:
             return VmPresence.DARK
         if not worker_state.is_synced:
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -51,6 +51,8 @@
     ----------
     record : VmRecord
         Its entry in the platform's latest list.
+    listed_s : float
+        When the list was requested that first showed its worker and condition.
     goal : VmGoal, optional
     goal_set_s : float
         When the goal was set.
@@ -68,6 +70,7 @@
     """
 
     record: VmRecord
+    listed_s: float = 0.0
     goal: VmGoal | None = None
     goal_set_s: float = 0.0
     sent_s: float | None = None
@@ -118,9 +121,9 @@
         """Apply the platform's list, which was requested at `requested_s`."""
         listed = {record.vm: record for record in records}
         for vm, record in listed.items():
-            state = self._states.setdefault(vm, VmState(record))
+            state = self._states.setdefault(vm, VmState(record, requested_s))
             if state.done_s is None or requested_s > state.done_s:
-                state.record = record
+                _apply_record(state, record, requested_s)
             self._clear_finished_goal(state, requested_s)
         for vm in self._states.keys() - listed.keys():
             del self._states[vm]
@@ -172,3 +175,10 @@
         is_over = requested_s - state.done_s > downtime_ms / 1000
         if is_over and state.record.condition is VmCondition.UP:
             self.clear_goal(state)
+
+
+def _apply_record(state: VmState, record: VmRecord, requested_s: float) -> None:
+    listed = (state.record.worker, state.record.condition)
+    if (record.worker, record.condition) != listed:
+        state.listed_s = requested_s
+    state.record = record
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -184,6 +184,19 @@
     assert (size.vms, size.wanted_vms) == (1, 2)
 
 
+def test_vm_whose_worker_does_not_register_is_replaced() -> None:
+    """VMs that had joined a pool behind a partition counted as its capacity."""
+    fleet = _Fleet(2, _lasting(2, cpu=5000))
+    records = [_record("w-0"), replace(_record("w-1"), worker=WorkerId("unknown"))]
+    fleet.run(0, "w-0")
+    fleet.manager.observe(records, requested_s=NOW_S + 1)
+    fleet.manager.plan(NOW_S + 1.5)
+    assert fleet.manager.pool_sizes[POOL].vms == 2
+    fleet.manager.observe(records, requested_s=NOW_S + 2)
+    fleet.manager.plan(NOW_S + 2.5)
+    assert fleet.manager.pool_sizes[POOL].vms == 1
+
+
 def test_tasks_with_a_place_leave_before_those_that_return_to_their_vm() -> None:
     """A VM was never maintained, as not all its tasks might be away at once."""
     fleet = _Fleet(2, _lasting(3))
