Let a store write that was abandoned early lengthen the next timeout

Cause: a write that was seen to be stored is cancelled, and a cancelled call told `AdaptiveTimeout` nothing, so the timeout stayed near its minimum while the store was slow.

A cancelled call now counts as one that takes at least as long as it has been waited for.

`test_write_that_its_caller_abandoned_late_does_not_shorten_the_next_timeout` and the doctest are new.

--- a/currantstage/coordination/jobs/_adaptive_timeout.py
+++ b/currantstage/coordination/jobs/_adaptive_timeout.py
@@ -36,6 +36,14 @@
     >>> timeout.record_timeout(0.9)
     >>> timeout.timeout_s()
     1.8
+
+    So does a call that was abandoned for another reason, after a shorter time:
+
+    >>> timeout = AdaptiveTimeout(0.9, 3.0)
+    >>> for _ in range(20):
+    ...     timeout.record_abandoned(0.5)
+    >>> round(timeout.timeout_s(), 1)
+    2.0
     """
 
     def __init__(self, min_s: float, max_s: float) -> None:
@@ -51,6 +59,14 @@
         """Record a response that took `took_s` seconds."""
         self._average_s += NEWEST_WEIGHT * (took_s - self._average_s)
 
+    def record_abandoned(self, waited_s: float) -> None:
+        """Record a call that was abandoned after `waited_s` seconds.
+
+        Its response would have taken at least that long.
+        """
+        if waited_s > self._average_s:
+            self.record_response(waited_s)
+
     def record_timeout(self, timeout_s: float) -> None:
         """Record a call that got no response within `timeout_s` seconds."""
         backed_off_s = timeout_s * BACKOFF_FACTOR / TIMEOUT_FACTOR
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import time
@@ -167,9 +168,13 @@
     ) -> HttpReply | CallFailure:
         sent_s = time.monotonic()
         timeout_s = adaptive_timeout.timeout_s()
-        reply = await self._http.call(
-            method, f"{self._base}/{path}", wait_s + timeout_s, body=body
-        )
+        try:
+            reply = await self._http.call(
+                method, f"{self._base}/{path}", wait_s + timeout_s, body=body
+            )
+        except asyncio.CancelledError:
+            adaptive_timeout.record_abandoned(time.monotonic() - sent_s - wait_s)
+            raise
         if isinstance(reply, HttpReply):
             took_s = time.monotonic() - sent_s
             adaptive_timeout.record_response(max(0.0, took_s - wait_s))
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -393,3 +393,28 @@
 
     assert asyncio.run(poll()) == RowPage((), 7)
     assert timeouts_s == pytest.approx([1.9, 2.8])
+
+
+def test_write_that_its_caller_abandoned_late_does_not_shorten_the_next_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Writes seen to be stored before their answer left the timeout at its minimum."""
+    monkeypatch.setattr(_store, "MIN_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(_store, "MAX_TIMEOUT_S", 0.6)
+
+    all_are_abandoned = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.Response:
+        await all_are_abandoned.wait()
+        await asyncio.sleep(0.3)
+        return web.json_response({"Ver": 7})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        client = StoreClient(http, address)
+        for _ in range(8):
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(client.transact((), ()), 0.15)
+        all_are_abandoned.set()
+        assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
+
+    _run(answer, use)
