Move the batches of progress to store out of the scheduler

ProgressBatcher holds the runs whose start waits for a write and the workers with unstored ends; the scheduler delegates take_batch, on_batch_failed and on_batch_stored. The equivalence test reads the unsent runs at their new place.

--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -30,6 +30,11 @@
     PoolSizing,
     VmPresence,
 )
+from currantstage.coordination.jobs._progress_batch import (
+    MAX_JOBS_PER_WRITE,
+    ProgressBatch,
+    StorableEnds,
+)
 from currantstage.coordination.jobs._records import (
     JobRecord,
     Run,
@@ -37,12 +42,7 @@
     StepRecord,
     TaskRecord,
 )
-from currantstage.coordination.jobs._scheduler import (
-    MAX_JOBS_PER_WRITE,
-    ProgressBatch,
-    Scheduler,
-    StorableEnds,
-)
+from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._store_health import StoreHealth
 from currantstage.coordination.jobs._team_usage import TeamUsage
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -1,8 +1,7 @@
-"""Scheduling of tasks, and the progress to store before each order is sent."""
+"""Scheduling of tasks on the workers of all pools."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._arrivals import ArrivalMeter
@@ -11,6 +10,7 @@
 from currantstage.coordination.jobs._ordering import LeastWorkFirst, remaining_core_s
 from currantstage.coordination.jobs._pacing import PaceController
 from currantstage.coordination.jobs._placement import SpreadPlacement
+from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_usage import TeamUsage
@@ -33,6 +33,7 @@
     from currantstage.coordination.jobs._ordering import StepOrder
     from currantstage.coordination.jobs._owner_lease import LeaseTakeover
     from currantstage.coordination.jobs._placement import TaskPlacement
+    from currantstage.coordination.jobs._progress_batch import ProgressBatch
     from currantstage.coordination.jobs._records import (
         JobRecord,
         StepRecord,
@@ -42,9 +43,7 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import (
-        BornMs,
         EndedTask,
-        EndNumber,
         FleetConfiguration,
         JobId,
         JobProgress,
@@ -55,9 +54,6 @@
         WorkerId,
     )
 
-#: Maximum number of jobs in a write; the store accepts 100 rows, one of which is the
-#: lease.
-MAX_JOBS_PER_WRITE = 90
 #: How long no task is placed on a worker that refused one for lack of capacity, in
 #: seconds.
 NO_CAPACITY_PAUSE_S = 0.3
@@ -69,36 +65,6 @@
 STARTUP_TIMEOUT_S = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class ProgressBatch:
-    """Progress and ends that are stored by one write.
-
-    Parameters
-    ----------
-    jobs : tuple of JobRecord
-    progress : tuple of JobProgress
-        Progress to store for each of the jobs.
-    starts : tuple of Run
-        Runs whose start may be ordered once the write is confirmed.
-    ends : tuple of StorableEnds
-        Ends whose effects are stored by this write.
-    """
-
-    jobs: tuple[JobRecord, ...]
-    progress: tuple[JobProgress, ...]
-    starts: tuple[Run, ...]
-    ends: tuple[StorableEnds, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class StorableEnds:
-    """Ends of runs in a worker's incarnation that a write covers."""
-
-    worker: WorkerState
-    born_ms: BornMs
-    numbers: tuple[EndNumber, ...]
-
-
 class Scheduler:
     """The scheduler of all pools, for one term of its lease.
 
@@ -137,11 +103,10 @@
             order or LeastWorkFirst(),
             placement or SpreadPlacement(),
         )
+        self._batcher = ProgressBatcher(self.jobs)
         self._pace_controller = PaceController()
         #: Whether a worker has seen the fence of a later term.
         self.is_superseded = False
-        self._unsent: list[Run] = []
-        self._with_unstored_ends: dict[WorkerId, WorkerState] = {}
         self._stop_orders: list[StopOrder] = []
         self._pace_orders: list[PaceOrder] = []
 
@@ -207,7 +172,8 @@
     def place(self, now_s: float, unix_ms: float) -> None:
         """Place ready tasks that fit; their starts wait for the next write."""
         self.jobs.open_due(unix_ms)
-        self._unsent.extend(self._task_placer.place(self._configuration, now_s))
+        placed = self._task_placer.place(self._configuration, now_s)
+        self._batcher.add_starts(placed)
 
     def tick(self, now_s: float) -> None:
         """Release expired runs, stop stalled ones, resend unconfirmed stop orders."""
@@ -219,38 +185,15 @@
 
     def take_batch(self) -> ProgressBatch | None:
         """Return the next batch to store; None if nothing has changed."""
-        records = self.jobs.take_unsaved(MAX_JOBS_PER_WRITE)
-        ends = self._storable_ends()
-        if not records and not ends:
-            return None
-        taken = {record.job for record in records}
-        starts = [run for run in self._unsent if run.task.key.job in taken]
-        return ProgressBatch(
-            jobs=records,
-            progress=tuple(record.progress() for record in records),
-            starts=tuple(starts),
-            ends=ends,
-        )
+        return self._batcher.take()
 
     def on_batch_failed(self, batch: ProgressBatch) -> None:
         """Mark everything in `batch` as unsaved again."""
-        for record in batch.jobs:
-            self.jobs.mark_unsaved(record)
+        self._batcher.on_failed(batch)
 
     def on_batch_stored(self, batch: ProgressBatch) -> list[Run]:
         """Return the runs whose start may be ordered now that `batch` is stored."""
-        for record, stored in zip(batch.jobs, batch.progress, strict=True):
-            record.stored_state = stored.state
-        for ends in batch.ends:
-            if ends.worker.entry.born_ms == ends.born_ms:
-                ends.worker.record_ends_stored(ends.numbers)
-        stored_runs = set(map(id, batch.starts))
-        self._unsent = [run for run in self._unsent if id(run) not in stored_runs]
-        return [
-            run
-            for run in batch.starts
-            if run.task.run is run and run.phase is RunPhase.UNSENT
-        ]
+        return self._batcher.on_stored(batch)
 
     def start_order(self, run: Run, now_s: float) -> StartOrder | None:
         """Return the start order for a stored run; None if it is no longer valid."""
@@ -387,31 +330,12 @@
         task.run = run
         self.teams.add(run.team, run.step.resources)
 
-    def _storable_ends(self) -> tuple[StorableEnds, ...]:
-        """Return the ends all of whose effects are stored with the jobs just taken."""
-        self._with_unstored_ends = {
-            worker: worker_state
-            for worker, worker_state in self._with_unstored_ends.items()
-            if worker_state.unstored_ends
-        }
-        storable = []
-        for worker_state in self._with_unstored_ends.values():
-            numbers = tuple(
-                number
-                for number, job in worker_state.unstored_ends.items()
-                if not self.jobs.is_unsaved(job)
-            )
-            if numbers:
-                born_ms = worker_state.entry.born_ms
-                storable.append(StorableEnds(worker_state, born_ms, numbers))
-        return tuple(storable)
-
     def _apply_changes(
         self, worker: WorkerId, changes: RunChanges, now_s: float
     ) -> None:
         worker_state = self.workers.get(worker)
         if changes.ended and worker_state is not None:
-            self._with_unstored_ends[worker] = worker_state
+            self._batcher.with_unstored_ends[worker] = worker_state
         for ended in changes.ended:
             self._on_end(worker_state, ended, now_s)
         for run in changes.lost:
--- a/tests/jobs/test_placement_equivalence.py
+++ b/tests/jobs/test_placement_equivalence.py
@@ -137,7 +137,7 @@
         self.scheduler.place(self._now_s, self._now_s * 1000)
         placed = [
             (tuple(run.task.key), int(run.number), str(run.worker))
-            for run in self.scheduler._unsent
+            for run in self.scheduler._batcher.unsent
             if run.placed_s == self._now_s
         ]
         self._commit()
