--- /dev/null
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -0,0 +1,138 @@
+"""Transitions of runs, from the acceptance of their start to their end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.state.jobs import EndKind, JobState, TaskPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantstage.coordination.jobs._job_table import JobTable
+    from currantstage.coordination.jobs._records import JobRecord, TaskRecord
+    from currantstage.coordination.jobs._team_usage import TeamUsage
+    from currantstage.coordination.jobs._worker_state import WorkerState
+    from currantstage.coordination.jobs._worker_table import WorkerTable
+    from currantstage.state.jobs import EndedTask
+
+
+class RunLifecycle:
+    """Applies what happens to runs to their tasks, jobs, workers and teams.
+
+    A run takes up room on its worker and counts towards its team until it is released;
+    its task is then requeued, or its job fails if the task has no attempts left.
+
+    Parameters
+    ----------
+    jobs : JobTable
+    workers : WorkerTable
+    teams : TeamUsage
+    max_attempts : callable
+        Returns how many runs of a task of a job may fail.
+    """
+
+    def __init__(
+        self,
+        jobs: JobTable,
+        workers: WorkerTable,
+        teams: TeamUsage,
+        max_attempts: Callable[[JobRecord], int],
+    ) -> None:
+        self._jobs = jobs
+        self._workers = workers
+        self._teams = teams
+        self._max_attempts = max_attempts
+
+    def on_running(self, run: Run) -> None:
+        """Record that a run goes on; stop it if its job has ended."""
+        record = run.task.step.job
+        if not record.is_started:
+            record.is_started = True
+        if record.state is JobState.QUEUED:
+            record.state = JobState.RUNNING
+        if record.state.is_final and not run.is_stopping:
+            self.stop(run)
+
+    def on_accepted(self, run: Run, now_s: float) -> None:
+        """Record that a worker has accepted the start of a run."""
+        run.phase = RunPhase.RUNNING
+        run.accepted_s = min(run.accepted_s, now_s)
+        self.on_running(run)
+
+    def on_end(
+        self, worker_state: WorkerState | None, ended: EndedTask, now_s: float
+    ) -> None:
+        """Apply the end of a run that a worker lists."""
+        task = self._jobs.task(ended.task)
+        if task is None or worker_state is None:
+            return
+        run = worker_state.runs.get(ended.task)
+        is_current = run is not None and run.number == ended.run
+        if run is not None and is_current:
+            self.release(run)
+        if ended.kind is EndKind.DONE:
+            worker_state.record_success()
+            if not task.step.job.state.is_final:
+                self._on_done(task)
+            return
+        if task.step.job.state.is_final or task.phase is TaskPhase.DONE:
+            return
+        if ended.kind is EndKind.FAILED:
+            worker_state.record_failure(task.step.job.job, now_s)
+            task.failed_on.add(worker_state.entry.worker)
+            self._jobs.count_failure(task, ended.run)
+        if is_current:
+            task.checkpoint = ended.checkpoint or task.checkpoint
+        if task.run is None:
+            self.retry(task)
+
+    def retry(self, task: TaskRecord) -> None:
+        """Requeue a task, or fail its job if the task has no attempts left."""
+        record = task.step.job
+        if self._jobs.is_out_of_attempts(task, self._max_attempts(record)):
+            self._jobs.end(record, JobState.FAILED)
+            self.stop_runs(record)
+            return
+        self._jobs.requeue(task)
+        if task.step.step.is_gang:
+            self._stop_members(task)
+
+    def on_lost(self, run: Run) -> None:
+        """Apply the loss of a run that the worker table has already released."""
+        self._teams.remove(run.team, run.step.resources)
+        if run.task.run is run:
+            run.task.run = None
+            if not run.task.step.job.state.is_final:
+                self.retry(run.task)
+
+    def release(self, run: Run) -> None:
+        """Free the room of a run on its worker and its share of the team."""
+        worker_state = self._workers.get(run.worker)
+        if worker_state is not None and worker_state.runs.get(run.task.key) is run:
+            worker_state.remove(run)
+            self._teams.remove(run.team, run.step.resources)
+        if run.task.run is run:
+            run.task.run = None
+
+    def stop_runs(self, record: JobRecord) -> None:
+        """Stop all runs of a job."""
+        for run in record.runs():
+            self.stop(run)
+
+    def stop(self, run: Run) -> None:
+        """Mark a run for stopping, or release it if its start was never ordered."""
+        run.is_stopping = True
+        if run.phase is RunPhase.UNSENT:
+            self.release(run)
+            self._jobs.requeue(run.task)
+
+    def _on_done(self, task: TaskRecord) -> None:
+        self._jobs.complete_task(task)
+        if task.run is not None:
+            self.stop(task.run)
+
+    def _stop_members(self, task: TaskRecord) -> None:
+        for run in task.step.runs():
+            self.stop(run)
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -12,19 +12,18 @@
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
+from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._worker_state import UNHEALTHY_PAUSE_S
 from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
 from currantstage.state.jobs import (
-    EndKind,
     JobState,
     OrderOutcome,
     PaceOrder,
     RenewalReply,
     StartOrder,
     StopOrder,
-    TaskPhase,
 )
 
 if TYPE_CHECKING:
@@ -43,7 +42,6 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import (
-        EndedTask,
         FleetConfiguration,
         JobId,
         JobProgress,
@@ -104,6 +102,9 @@
             placement or SpreadPlacement(),
         )
         self._batcher = ProgressBatcher(self.jobs)
+        self._lifecycle = RunLifecycle(
+            self.jobs, self.workers, self.teams, self.max_attempts
+        )
         self._pace_controller = PaceController()
         #: Whether a worker has seen the fence of a later term.
         self.is_superseded = False
@@ -153,7 +154,7 @@
         if record is None or record.state.is_final:
             return
         self.jobs.end(record, JobState.CANCELLED)
-        self._stop_runs(record)
+        self._lifecycle.stop_runs(record)
 
     def state_of(self, job: JobId) -> JobState | None:
         """Return the state of a job that is reported to callers; None if unknown."""
@@ -167,7 +168,7 @@
     def update_workers(self, entries: Iterable[WorkerEntry], now_s: float) -> None:
         """Apply the list of workers."""
         for run in self.workers.update(entries, now_s):
-            self._on_lost(run)
+            self._lifecycle.on_lost(run)
 
     def place(self, now_s: float, unix_ms: float) -> None:
         """Place ready tasks that fit; their starts wait for the next write."""
@@ -178,7 +179,7 @@
     def tick(self, now_s: float) -> None:
         """Release expired runs, stop stalled ones, resend unconfirmed stop orders."""
         for run in self.workers.release_expired_runs(now_s):
-            self._on_lost(run)
+            self._lifecycle.on_lost(run)
         for worker_state in self.workers.states():
             for run in list(worker_state.runs.values()):
                 self._check_run(worker_state, run, now_s)
@@ -208,8 +209,8 @@
         if worker_state.is_synced and not worker_state.is_silent:
             until_ms = worker_state.grant_until_ms(now_s, self._tuning)
         if until_ms is None:
-            self._release(run)
-            self._retry(run.task)
+            self._lifecycle.release(run)
+            self._lifecycle.retry(run.task)
             return None
         run.phase = RunPhase.SENT
         run.fence = worker_state.fence
@@ -230,14 +231,14 @@
         if worker_state is None or run.task.run is not run:
             return
         if outcome is OrderOutcome.ACCEPTED:
-            self._on_accepted(run, now_s)
+            self._lifecycle.on_accepted(run, now_s)
         elif run.phase is RunPhase.RUNNING:
             return
         elif outcome is OrderOutcome.UNKNOWN:
             run.phase = RunPhase.IN_DOUBT
         elif outcome is OrderOutcome.OTHER_WORKER:
             for lost in self.workers.end_incarnation(worker_state):
-                self._on_lost(lost)
+                self._lifecycle.on_lost(lost)
         else:
             self._on_refused(worker_state, run, outcome, now_s)
 
@@ -267,7 +268,7 @@
             if reply is OrderOutcome.FENCED and is_newest:
                 self.is_superseded = True
             for run in self.workers.on_renewal_failure(order, reply, sent_s, now_s):
-                self._on_lost(run)
+                self._lifecycle.on_lost(run)
             return
         changes = self.workers.on_renewal_reply(order, reply, sent_s, now_s)
         self._apply_changes(order.worker.worker, changes, now_s)
@@ -297,7 +298,7 @@
         worker_state = self.workers.get(worker)
         if worker_state is not None:
             for run in self.workers.retire(worker_state):
-                self._on_lost(run)
+                self._lifecycle.on_lost(run)
 
     def interrupt(self, run: Run, now_s: float) -> bool:
         """Stop a run for planned work; return False if its budget forbids it now."""
@@ -305,7 +306,7 @@
             return True
         if not may_interrupt(run, now_s):
             return False
-        self._stop(run)
+        self._lifecycle.stop(run)
         return True
 
     def pool_of(self, step: StepRecord) -> PoolId:
@@ -337,29 +338,15 @@
         if changes.ended and worker_state is not None:
             self._batcher.with_unstored_ends[worker] = worker_state
         for ended in changes.ended:
-            self._on_end(worker_state, ended, now_s)
+            self._lifecycle.on_end(worker_state, ended, now_s)
         for run in changes.lost:
-            self._on_lost(run)
+            self._lifecycle.on_lost(run)
         self._stop_orders.extend(changes.stops)
         for run in changes.running:
-            self._on_running(run)
+            self._lifecycle.on_running(run)
         if worker_state is not None:
             self._pace_orders.extend(self._pace_controller.adjust(worker_state, now_s))
 
-    def _on_running(self, run: Run) -> None:
-        record = run.task.step.job
-        if not record.is_started:
-            record.is_started = True
-        if record.state is JobState.QUEUED:
-            record.state = JobState.RUNNING
-        if record.state.is_final and not run.is_stopping:
-            self._stop(run)
-
-    def _on_accepted(self, run: Run, now_s: float) -> None:
-        run.phase = RunPhase.RUNNING
-        run.accepted_s = min(run.accepted_s, now_s)
-        self._on_running(run)
-
     def _on_refused(
         self, worker_state: WorkerState, run: Run, outcome: OrderOutcome, now_s: float
     ) -> None:
@@ -378,81 +365,8 @@
             worker_state.missed_renewals += 1
         elif outcome is OrderOutcome.FENCED and run.fence >= worker_state.fence:
             self.is_superseded = True
-        self._release(run)
-        self._retry(run.task)
-
-    def _on_end(
-        self, worker_state: WorkerState | None, ended: EndedTask, now_s: float
-    ) -> None:
-        task = self.jobs.task(ended.task)
-        if task is None or worker_state is None:
-            return
-        run = worker_state.runs.get(ended.task)
-        is_current = run is not None and run.number == ended.run
-        if run is not None and is_current:
-            self._release(run)
-        if ended.kind is EndKind.DONE:
-            worker_state.record_success()
-            if not task.step.job.state.is_final:
-                self._on_done(task)
-            return
-        if task.step.job.state.is_final or task.phase is TaskPhase.DONE:
-            return
-        if ended.kind is EndKind.FAILED:
-            worker_state.record_failure(task.step.job.job, now_s)
-            task.failed_on.add(worker_state.entry.worker)
-            self.jobs.count_failure(task, ended.run)
-        if is_current:
-            task.checkpoint = ended.checkpoint or task.checkpoint
-        if task.run is None:
-            self._retry(task)
-
-    def _on_done(self, task: TaskRecord) -> None:
-        self.jobs.complete_task(task)
-        if task.run is not None:
-            self._stop(task.run)
-
-    def _retry(self, task: TaskRecord) -> None:
-        """Requeue a task, or fail its job if the task has no attempts left."""
-        record = task.step.job
-        if self.jobs.is_out_of_attempts(task, self.max_attempts(record)):
-            self.jobs.end(record, JobState.FAILED)
-            self._stop_runs(record)
-            return
-        self.jobs.requeue(task)
-        if task.step.step.is_gang:
-            self._stop_members(task)
-
-    def _on_lost(self, run: Run) -> None:
-        """Apply the loss of a run that the worker table has already released."""
-        self.teams.remove(run.team, run.step.resources)
-        if run.task.run is run:
-            run.task.run = None
-            if not run.task.step.job.state.is_final:
-                self._retry(run.task)
-
-    def _release(self, run: Run) -> None:
-        worker_state = self.workers.get(run.worker)
-        if worker_state is not None and worker_state.runs.get(run.task.key) is run:
-            worker_state.remove(run)
-            self.teams.remove(run.team, run.step.resources)
-        if run.task.run is run:
-            run.task.run = None
-
-    def _stop_runs(self, record: JobRecord) -> None:
-        for run in record.runs():
-            self._stop(run)
-
-    def _stop_members(self, task: TaskRecord) -> None:
-        for run in task.step.runs():
-            self._stop(run)
-
-    def _stop(self, run: Run) -> None:
-        """Mark a run for stopping, or release it if its start was never ordered."""
-        run.is_stopping = True
-        if run.phase is RunPhase.UNSENT:
-            self._release(run)
-            self.jobs.requeue(run.task)
+        self._lifecycle.release(run)
+        self._lifecycle.retry(run.task)
 
     def _check_run(self, worker_state: WorkerState, run: Run, now_s: float) -> None:
         if run.phase is not RunPhase.RUNNING:
@@ -462,7 +376,7 @@
             worker_state.blocked_until_s = max(
                 worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
             )
-            self._stop(run)
+            self._lifecycle.stop(run)
         retry_s = self._tuning.stop_retry_ms / 1000
         if run.is_stopping and now_s - run.stop_sent_s >= retry_s:
             run.stop_sent_s = now_s
