--- /dev/null
+++ b/currantstage/coordination/jobs/_run_supervisor.py
@@ -0,0 +1,85 @@
+"""Stop and pace orders to send to workers, and the stall checks of their runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from currantstage.coordination.jobs._pacing import PaceController
+from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.state.jobs import PaceOrder, StopOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
+    from currantstage.coordination.jobs._tuning import SchedulerTuning
+    from currantstage.coordination.jobs._worker_state import WorkerState
+
+#: How long no task is placed on a worker whose run has stalled, in seconds.
+STALLED_PAUSE_S = 4.0
+#: Maximum time without progress of a long-running task that starts up, in seconds.
+STARTUP_TIMEOUT_S = 4.0
+
+
+class RunSupervisor:
+    """Watches running tasks and collects the orders that stop or pace them.
+
+    A run that is to stop is sent stop orders, at intervals, until its worker reports
+    its end.
+
+    Parameters
+    ----------
+    lifecycle : RunLifecycle
+    tuning : SchedulerTuning
+    """
+
+    def __init__(self, lifecycle: RunLifecycle, tuning: SchedulerTuning) -> None:
+        self._lifecycle = lifecycle
+        self._tuning = tuning
+        self._pace_controller = PaceController()
+        self._stop_orders: list[StopOrder] = []
+        self._pace_orders: list[PaceOrder] = []
+
+    def check(self, worker_state: WorkerState, run: Run, now_s: float) -> None:
+        """Stop a run that has stalled; resend its stop order if it is due."""
+        if run.phase is not RunPhase.RUNNING:
+            return
+        if not run.is_stopping and self._is_stalled(run):
+            run.task.failed_on.add(run.worker)
+            worker_state.blocked_until_s = max(
+                worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
+            )
+            self._lifecycle.stop(run)
+        retry_s = self._tuning.stop_retry_ms / 1000
+        if run.is_stopping and now_s - run.stop_sent_s >= retry_s:
+            run.stop_sent_s = now_s
+            self._stop_orders.append(
+                StopOrder(
+                    worker_state.entry, run.task.key, run.number, worker_state.fence
+                )
+            )
+
+    def add_stops(self, orders: Sequence[StopOrder]) -> None:
+        """Add stop orders for runs that the scheduler doesn't know."""
+        self._stop_orders.extend(orders)
+
+    def adjust_pace(self, worker_state: WorkerState, now_s: float) -> None:
+        """Add the pace orders that a worker's latest lists call for."""
+        self._pace_orders.extend(self._pace_controller.adjust(worker_state, now_s))
+
+    def take_stops(self) -> Sequence[StopOrder]:
+        """Return the stop orders to send now."""
+        stops, self._stop_orders = self._stop_orders, []
+        return stops
+
+    def take_paces(self) -> Sequence[PaceOrder]:
+        """Return the pace orders to send now."""
+        paces, self._pace_orders = self._pace_orders, []
+        return paces
+
+    def _is_stalled(self, run: Run) -> bool:
+        if run.pace_percent < 100 or run.step.is_gang:
+            return False
+        if run.step.is_long_running:
+            return run.percent < 100 and run.idle_s > STARTUP_TIMEOUT_S
+        return run.idle_s > self._tuning.stall_ms / 1000
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -8,11 +8,11 @@
 from currantstage.coordination.jobs._availability import may_interrupt
 from currantstage.coordination.jobs._job_table import JobTable
 from currantstage.coordination.jobs._ordering import LeastWorkFirst, remaining_core_s
-from currantstage.coordination.jobs._pacing import PaceController
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
 from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
+from currantstage.coordination.jobs._run_supervisor import RunSupervisor
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._worker_state import UNHEALTHY_PAUSE_S
@@ -57,10 +57,6 @@
 NO_CAPACITY_PAUSE_S = 0.3
 #: How long a task waits after its order was rejected as malformed, in seconds.
 MALFORMED_PAUSE_S = 1.0
-#: How long no task is placed on a worker whose run has stalled, in seconds.
-STALLED_PAUSE_S = 4.0
-#: Maximum time without progress of a long-running task that starts up, in seconds.
-STARTUP_TIMEOUT_S = 4.0
 
 
 class Scheduler:
@@ -105,11 +101,9 @@
         self._lifecycle = RunLifecycle(
             self.jobs, self.workers, self.teams, self.max_attempts
         )
-        self._pace_controller = PaceController()
+        self._supervisor = RunSupervisor(self._lifecycle, tuning)
         #: Whether a worker has seen the fence of a later term.
         self.is_superseded = False
-        self._stop_orders: list[StopOrder] = []
-        self._pace_orders: list[PaceOrder] = []
 
     @property
     def configuration(self) -> FleetConfiguration:
@@ -182,7 +176,7 @@
             self._lifecycle.on_lost(run)
         for worker_state in self.workers.states():
             for run in list(worker_state.runs.values()):
-                self._check_run(worker_state, run, now_s)
+                self._supervisor.check(worker_state, run, now_s)
 
     def take_batch(self) -> ProgressBatch | None:
         """Return the next batch to store; None if nothing has changed."""
@@ -285,13 +279,11 @@
 
     def take_stop_orders(self) -> Sequence[StopOrder]:
         """Return the stop orders to send now."""
-        stops, self._stop_orders = self._stop_orders, []
-        return stops
+        return self._supervisor.take_stops()
 
     def take_pace_orders(self) -> Sequence[PaceOrder]:
         """Return the pace orders to send now."""
-        paces, self._pace_orders = self._pace_orders, []
-        return paces
+        return self._supervisor.take_paces()
 
     def retire_worker(self, worker: WorkerId) -> None:
         """Record that the platform has ended a worker, as ordered."""
@@ -341,11 +333,12 @@
             self._lifecycle.on_end(worker_state, ended, now_s)
         for run in changes.lost:
             self._lifecycle.on_lost(run)
-        self._stop_orders.extend(changes.stops)
+        if changes.stops:
+            self._supervisor.add_stops(changes.stops)
         for run in changes.running:
             self._lifecycle.on_running(run)
         if worker_state is not None:
-            self._pace_orders.extend(self._pace_controller.adjust(worker_state, now_s))
+            self._supervisor.adjust_pace(worker_state, now_s)
 
     def _on_refused(
         self, worker_state: WorkerState, run: Run, outcome: OrderOutcome, now_s: float
@@ -367,28 +360,3 @@
             self.is_superseded = True
         self._lifecycle.release(run)
         self._lifecycle.retry(run.task)
-
-    def _check_run(self, worker_state: WorkerState, run: Run, now_s: float) -> None:
-        if run.phase is not RunPhase.RUNNING:
-            return
-        if not run.is_stopping and self._is_stalled(run):
-            run.task.failed_on.add(run.worker)
-            worker_state.blocked_until_s = max(
-                worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
-            )
-            self._lifecycle.stop(run)
-        retry_s = self._tuning.stop_retry_ms / 1000
-        if run.is_stopping and now_s - run.stop_sent_s >= retry_s:
-            run.stop_sent_s = now_s
-            self._stop_orders.append(
-                StopOrder(
-                    worker_state.entry, run.task.key, run.number, worker_state.fence
-                )
-            )
-
-    def _is_stalled(self, run: Run) -> bool:
-        if run.pace_percent < 100 or run.step.is_gang:
-            return False
-        if run.step.is_long_running:
-            return run.percent < 100 and run.idle_s > STARTUP_TIMEOUT_S
-        return run.idle_s > self._tuning.stall_ms / 1000
