--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -11,11 +11,11 @@
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
+from currantstage.coordination.jobs._refusal import record_refusal
 from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
 from currantstage.coordination.jobs._run_supervisor import RunSupervisor
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_usage import TeamUsage
-from currantstage.coordination.jobs._worker_state import UNHEALTHY_PAUSE_S
 from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
 from currantstage.state.jobs import (
     JobState,
@@ -52,12 +52,6 @@
         WorkerId,
     )
 
-#: How long no task is placed on a worker that refused one for lack of capacity, in
-#: seconds.
-NO_CAPACITY_PAUSE_S = 0.3
-#: How long a task waits after its order was rejected as malformed, in seconds.
-MALFORMED_PAUSE_S = 1.0
-
 
 class Scheduler:
     """The scheduler of all pools, for one term of its lease.
@@ -343,20 +337,8 @@
     def _on_refused(
         self, worker_state: WorkerState, run: Run, outcome: OrderOutcome, now_s: float
     ) -> None:
-        if outcome is OrderOutcome.UNHEALTHY:
-            worker_state.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
-        elif outcome is OrderOutcome.NO_CAPACITY:
-            worker_state.blocked_until_s = now_s + NO_CAPACITY_PAUSE_S
-        elif outcome is OrderOutcome.MALFORMED:
-            run.task.not_before_s = now_s + MALFORMED_PAUSE_S
-        elif outcome is OrderOutcome.TOO_LATE:
-            worker_state.is_synced = False
-        elif outcome is OrderOutcome.NO_TICKET:
-            run.task.step.tickets.pop(run.worker, None)
-            run.task.step.advised_until_s = now_s
-        elif outcome is OrderOutcome.UNSENT:
-            worker_state.missed_renewals += 1
-        elif outcome is OrderOutcome.FENCED and run.fence >= worker_state.fence:
+        record_refusal(worker_state, run, outcome, now_s)
+        if outcome is OrderOutcome.FENCED and run.fence >= worker_state.fence:
             self.is_superseded = True
         self._lifecycle.release(run)
         self._lifecycle.retry(run.task)
