--- /dev/null
+++ b/currantstage/application/jobs/_progress_source.py
@@ -0,0 +1,79 @@
+"""Progress of the scheduler that is stored, and the orders that follow its storing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from eliot import log_message
+
+if TYPE_CHECKING:
+    from currantstage.application.jobs._activity_log import ActivityLog
+    from currantstage.application.jobs._ports import SchedulerPorts
+    from currantstage.application.jobs._worker_driver import WorkerDriver
+    from currantstage.coordination.jobs import ProgressBatch, Scheduler
+
+
+class ProgressSource:
+    """Gives the scheduler's progress to the writer of the lease, in batches.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+    driver : WorkerDriver
+        Sends the start orders that a stored batch permits.
+    activity : ActivityLog
+    ports : SchedulerPorts
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        driver: WorkerDriver,
+        activity: ActivityLog,
+        ports: SchedulerPorts,
+    ) -> None:
+        self._scheduler = scheduler
+        self._driver = driver
+        self._activity = activity
+        self._ports = ports
+
+    @property
+    def has_unsaved(self) -> bool:
+        """Whether there is progress that no batch has covered yet."""
+        return self._scheduler.jobs.has_unsaved
+
+    def next_batch(self, *, is_placing: bool) -> ProgressBatch | None:
+        """Return the next batch, after placing ready tasks if `is_placing`."""
+        if is_placing:
+            now_s = self._ports.clock.now_s()
+            unix_ms = int(self._ports.unix_clock.now_s() * 1000)
+            self._scheduler.place(now_s, unix_ms)
+        return self._scheduler.take_batch()
+
+    def on_failed(self, batch: ProgressBatch) -> None:
+        """Take back a batch that may not have been stored."""
+        self._scheduler.on_batch_failed(batch)
+
+    def on_stored(self, batch: ProgressBatch) -> None:
+        """Report the jobs that have ended, and send the starts of a stored batch."""
+        ended = [
+            (record, stored.state)
+            for record, stored in zip(batch.jobs, batch.progress, strict=True)
+            if stored.state.is_final and not record.stored_state.is_final
+        ]
+        starts = self._scheduler.on_batch_stored(batch)
+        for record, state in ended:
+            age_s = self._ports.clock.now_s() - record.accepted_s
+            self._ports.metrics.count_job(state, age_s)
+            log_message(
+                "currantstage:job-ended",
+                job=record.job,
+                state=state.value,
+                age_s=round(age_s, 3),
+            )
+        self._driver.start_runs(starts)
+        self._driver.on_progress_stored()
+
+    def observe_commit(self, duration_s: float) -> None:
+        """Record the duration of a write of the lease."""
+        self._activity.observe_commit(duration_s)
