--- /dev/null
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -0,0 +1,113 @@
+"""Loading of the state that earlier schedulers have stored."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from eliot import log_message
+
+from currantstage.coordination.jobs import Scheduler
+
+if TYPE_CHECKING:
+    from currantstage.application.jobs._ports import SchedulerPorts
+    from currantstage.application.jobs._repository import JobRepository
+    from currantstage.coordination.jobs import LeaseTakeover, SchedulerTuning
+    from currantstage.state.jobs import (
+        FleetConfiguration,
+        JobId,
+        Term,
+        WorkerEntry,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedScheduler:
+    """A scheduler with the stored state, and the versions from which to follow it.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+    workers : tuple of WorkerEntry
+    workers_version : int
+    jobs_version : int
+    orphaned_progress : frozenset of JobId
+        Jobs that have been removed, but whose progress is still stored.
+    """
+
+    scheduler: Scheduler
+    workers: tuple[WorkerEntry, ...]
+    workers_version: int
+    jobs_version: int
+    orphaned_progress: frozenset[JobId]
+
+
+async def load_scheduler(
+    term: Term,
+    configuration: FleetConfiguration,
+    takeover: LeaseTakeover,
+    repository: JobRepository,
+    ports: SchedulerPorts,
+    tuning: SchedulerTuning,
+) -> LoadedScheduler:
+    """Read the stored state and restore a scheduler from it.
+
+    Parameters
+    ----------
+    term : Term
+    configuration : FleetConfiguration
+    takeover : LeaseTakeover
+        Why the lease of `term` was taken over.
+    repository : JobRepository
+    ports : SchedulerPorts
+    tuning : SchedulerTuning
+
+    Returns
+    -------
+    LoadedScheduler
+
+    Raises
+    ------
+    StoreUnavailable
+        If a part of the state can't be read now.
+    """
+    workers = await ports.workers.read()
+    # Progress is read before jobs: if a job is removed in between, its progress is
+    # ignored. In the reverse order, the job would be read without its progress,
+    # and would run again.
+    progress = {each.job: each for each in await repository.read_progress()}
+    jobs = await repository.read_jobs()
+    scheduler = Scheduler(term, configuration, tuning)
+    now_s = ports.clock.now_s()
+    scheduler.jobs.open_due(_unix_ms(ports))
+    scheduler.update_workers(workers.entries, now_s)
+    cancelled = set(jobs.cancelled)
+    for submission in jobs.submissions:
+        job = submission.job
+        scheduler.restore(
+            submission,
+            progress.get(job),
+            job in cancelled,
+            takeover,
+            now_s,
+            _unix_ms(ports),
+        )
+    log_message(
+        "currantstage:scheduler-started",
+        term=term,
+        jobs=len(jobs.submissions),
+        workers=len(workers.entries),
+        store_version=jobs.version,
+    )
+    stored_jobs = {each.job for each in jobs.submissions}
+    return LoadedScheduler(
+        scheduler=scheduler,
+        workers=tuple(workers.entries),
+        workers_version=workers.version,
+        jobs_version=jobs.version,
+        orphaned_progress=frozenset(progress.keys() - stored_jobs),
+    )
+
+
+def _unix_ms(ports: SchedulerPorts) -> int:
+    return int(ports.unix_clock.now_s() * 1000)
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -12,8 +12,8 @@
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._lease_writer import LeaseWriter
 from currantstage.application.jobs._progress_source import ProgressSource
+from currantstage.application.jobs._scheduler_loader import load_scheduler
 from currantstage.application.jobs._worker_driver import WorkerDriver
-from currantstage.coordination.jobs import Scheduler
 from currantstage.state.jobs import StoreUnavailable
 from currantstage.util import TaskSet, wait_for_event
 
@@ -26,6 +26,7 @@
     from currantstage.coordination.jobs import (
         LeaseRow,
         LeaseTakeover,
+        Scheduler,
         SchedulerTuning,
         StoreHealth,
     )
@@ -166,8 +167,6 @@
             self.scheduler.configure(self._follower.current)
             self._lease_writer.wake()
 
-    # Loading of the state that earlier schedulers have stored.
-
     async def _start_scheduler(self) -> None:
         while self.scheduler is None:
             try:
@@ -179,35 +178,16 @@
     async def _load(self) -> None:
         configuration = self._follower.current
         assert configuration is not None, "lease was taken over without a configuration"
-        workers = await self._ports.workers.read()
-        # Progress is read before jobs: if a job is removed in between, its progress is
-        # ignored. In the reverse order, the job would be read without its progress,
-        # and would run again.
-        progress = {each.job: each for each in await self._repository.read_progress()}
-        jobs = await self._repository.read_jobs()
-        scheduler = Scheduler(self.lease.term, configuration, self._tuning)
-        now_s = self._now_s()
-        self._entries = {each.worker: each for each in workers.entries}
-        scheduler.jobs.open_due(self._unix_ms())
-        scheduler.update_workers(workers.entries, now_s)
-        cancelled = set(jobs.cancelled)
-        for submission in jobs.submissions:
-            job = submission.job
-            scheduler.restore(
-                submission,
-                progress.get(job),
-                job in cancelled,
-                self._takeover,
-                now_s,
-                self._unix_ms(),
-            )
-        log_message(
-            "currantstage:scheduler-started",
-            term=self.lease.term,
-            jobs=len(jobs.submissions),
-            workers=len(workers.entries),
-            store_version=jobs.version,
+        loaded = await load_scheduler(
+            self.lease.term,
+            configuration,
+            self._takeover,
+            self._repository,
+            self._ports,
+            self._tuning,
         )
+        scheduler = loaded.scheduler
+        self._entries = {each.worker: each for each in loaded.workers}
         activity = ActivityLog(scheduler, self._ports.clock)
         self._driver = WorkerDriver(
             scheduler,
@@ -218,8 +198,8 @@
             self._ended.set,
         )
         await self._driver.start()
-        self._tasks.spawn(self._follow_workers(workers.version))
-        self._tasks.spawn(self._follow_jobs(jobs.version))
+        self._tasks.spawn(self._follow_workers(loaded.workers_version))
+        self._tasks.spawn(self._follow_jobs(loaded.jobs_version))
         self._tasks.spawn(self._tick_forever())
         self._tasks.spawn(self._manage_fleet(scheduler))
         self._tasks.spawn(
@@ -227,9 +207,7 @@
         )
         self._tasks.spawn(self._clean_up_forever(scheduler))
         self._tasks.spawn(activity.run())
-        self._lease_writer.remove_progress(
-            progress.keys() - {each.job for each in jobs.submissions}
-        )
+        self._lease_writer.remove_progress(loaded.orphaned_progress)
         self._lease_writer.add_source(
             ProgressSource(scheduler, self._driver, activity, self._ports)
         )
