--- a/bench/guards.py
+++ b/bench/guards.py
@@ -270,7 +270,7 @@
     ),
     Removal(
         "jobs: void one's own start first",
-        "jobs/_worker_table.py",
+        "jobs/_reply_comparison.py",
         "return run.phase is RunPhase.IN_DOUBT and run.fence < order.fence",
         "return run.phase is RunPhase.IN_DOUBT",
         _JOBS,
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -42,6 +42,7 @@
     StepRecord,
     TaskRecord,
 )
+from currantstage.coordination.jobs._reply_comparison import RunChanges
 from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._store_health import StoreHealth
@@ -66,7 +67,7 @@
     WorkerState,
     first_fence,
 )
-from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
+from currantstage.coordination.jobs._worker_table import WorkerTable
 
 __all__ = [
     "MAX_JOBS_PER_WRITE",
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -16,7 +16,7 @@
 from currantstage.coordination.jobs._run_supervisor import RunSupervisor
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_usage import TeamUsage
-from currantstage.coordination.jobs._worker_table import RunChanges, WorkerTable
+from currantstage.coordination.jobs._worker_table import WorkerTable
 from currantstage.state.jobs import (
     JobState,
     OrderOutcome,
@@ -38,6 +38,7 @@
         StepRecord,
         TaskRecord,
     )
+    from currantstage.coordination.jobs._reply_comparison import RunChanges
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -1,13 +1,17 @@
-"""Workers and the reconciliation of their runs with their replies."""
+"""Workers, their incarnations, and the runs that end with them."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._reply_comparison import (
+    RunChanges,
+    compare_lists,
+    take_new_ends,
+)
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
     CLOCK_DRIFT,
@@ -21,7 +25,6 @@
     NO_RESOURCES,
     EndNumber,
     OrderOutcome,
-    StopOrder,
     WorkerEntry,
 )
 
@@ -32,10 +35,8 @@
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.state.jobs import (
         BornMs,
-        EndedTask,
         RenewalOrder,
         RenewalReply,
-        RunningTask,
         Term,
         WorkerId,
     )
@@ -44,28 +45,6 @@
 UNLISTED_RETENTION_S = 30.0
 
 
-@dataclass(slots=True)
-class RunChanges:
-    """Changes of runs that follow from a worker's reply.
-
-    Parameters
-    ----------
-    ended : list of EndedTask
-        Ends that had not been processed.
-    lost : list of Run
-        Runs that have certainly ended, but whose end is not listed.
-    stops : list of StopOrder
-        Stop orders for runs that the scheduler doesn't know.
-    running : list of Run
-        Runs that the worker lists as running.
-    """
-
-    ended: list[EndedTask] = field(default_factory=list)
-    lost: list[Run] = field(default_factory=list)
-    stops: list[StopOrder] = field(default_factory=list)
-    running: list[Run] = field(default_factory=list)
-
-
 class WorkerTable:
     """Workers by id.
 
@@ -129,26 +108,27 @@
         self, order: RenewalOrder, reply: RenewalReply, sent_s: float, now_s: float
     ) -> RunChanges:
         """Apply a worker's lists of running and ended tasks."""
-        changes = RunChanges()
         state = self._states.get(order.worker.worker)
         if state is None:
-            return changes
+            return RunChanges()
         state.missed_renewals = 0
         if sent_s < state.newest_renewal_sent_s:
             # A newer reply has overtaken this one; only its ends are of use.
-            changes.ended = _take_new_ends(state, reply)
-            return changes
+            return RunChanges(ended=take_new_ends(state, reply))
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
-            changes.lost = self._begin_incarnation(state, reply.born_ms)
-            return changes
+            return RunChanges(lost=self._begin_incarnation(state, reply.born_ms))
         listed_s = state.read_clock(reply.clock_ms, sent_s, now_s)
         if order.fence < state.fence and not state.is_synced:
-            return changes
+            return RunChanges()
         state.answered_fence = max(state.answered_fence, order.fence)
         state.acknowledged_upto = max(state.acknowledged_upto, order.seen_upto)
         state.is_synced = True
-        self._compare(state, order, reply, sent_s, listed_s, now_s, changes)
+        settled_clock_ms = reply.clock_ms + self._tuning.max_stop_ms
+        changes = compare_lists(
+            state, order, reply, settled_clock_ms, sent_s, listed_s, now_s
+        )
+        self._remove_all(state, changes.lost)
         return changes
 
     def on_renewal_failure(
@@ -260,86 +240,6 @@
             del self._unlisted_since_s[worker]
             self.room.discard(worker)
 
-    def _compare(
-        self,
-        state: WorkerState,
-        order: RenewalOrder,
-        reply: RenewalReply,
-        sent_s: float,
-        listed_s: float,
-        now_s: float,
-        changes: RunChanges,
-    ) -> None:
-        present = set()
-        for listed in reply.running:
-            run = state.runs.get(listed.task)
-            if run is None or run.number != listed.run:
-                changes.stops.append(
-                    StopOrder(state.entry, listed.task, listed.run, state.fence)
-                )
-                continue
-            present.add(listed.task)
-            if run.is_adopted and not run.is_listed:
-                run.settled_clock_ms = self._settled_clock_ms(reply)
-            run.listed_clock_ms = reply.clock_ms
-            _record_running(run, listed, listed_s, now_s)
-            changes.running.append(run)
-        state.has_orphans = bool(changes.stops)
-        for ended in reply.ended:
-            run = state.runs.get(ended.task)
-            if run is not None and run.number == ended.run:
-                present.add(ended.task)
-        changes.ended = _take_new_ends(state, reply)
-        if reply.has_more_ends:
-            # A run that is in neither list may have ended.
-            return
-        absent = [
-            run
-            for key, run in state.runs.items()
-            if key not in present and _has_certainly_ended(run, order, sent_s)
-        ]
-        changes.lost.extend(self._remove_all(state, absent))
-
-    def _settled_clock_ms(self, first_list: RenewalReply) -> int:
-        """Return when the stops that earlier schedulers have ordered are over.
-
-        With the first list, the worker rejects their stop orders; a run may still be
-        ending by one that it has accepted before.
-        """
-        return first_list.clock_ms + self._tuning.max_stop_ms
-
-
-def _take_new_ends(state: WorkerState, reply: RenewalReply) -> list[EndedTask]:
-    """Return the ends that are new, and count them as processed."""
-    if reply.born_ms != state.entry.born_ms:
-        return []
-    new_ends = [each for each in reply.ended if each.number > state.processed_upto]
-    state.record_ends(new_ends)
-    return new_ends
-
-
-def _has_certainly_ended(run: Run, order: RenewalOrder, sent_s: float) -> bool:
-    """Return whether a run that is missing from the lists has certainly ended."""
-    if run.phase is RunPhase.RUNNING:
-        return run.accepted_s < sent_s
-    return run.phase is RunPhase.IN_DOUBT and run.fence < order.fence
-
-
-def _record_running(
-    run: Run, listed: RunningTask, listed_s: float, now_s: float
-) -> None:
-    if run.phase is not RunPhase.RUNNING:
-        run.phase = RunPhase.RUNNING
-        run.accepted_s = now_s
-    if not run.is_listed or listed.percent != run.percent:
-        run.percent = listed.percent
-        run.progressed_clock_ms = run.listed_clock_ms
-    run.is_listed = True
-    run.listed_s = listed_s
-    run.gauge = listed.gauge
-    if listed.checkpoint:
-        run.task.checkpoint = listed.checkpoint
-
 
 def _unlisted_entry(worker: WorkerId, born_ms: BornMs) -> WorkerEntry:
     return WorkerEntry(
