--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -22,7 +22,7 @@
     VmOrderCooldown,
 )
 from currantstage.state.jobs import StoreUnavailable
-from currantstage.util import wait_for_event
+from currantstage.util import Notifier, wait_for_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -101,7 +101,7 @@
         self._offer = offer
         self._source: ProgressSource | None = None
         self._wake = asyncio.Event()
-        self._renewed = asyncio.Event()
+        self._renewed = Notifier()
         self._is_releasing = False
         self._is_offered = False
         self._progress_to_remove: list[JobId] = []
@@ -258,8 +258,7 @@
         self.lease = attempt.lease
         self._attempts.confirm()
         self.held_lease.confirm(attempt.sent_s)
-        self._renewed.set()
-        self._renewed = asyncio.Event()
+        self._renewed.notify_all()
         self._is_offered = False
         del self._progress_to_remove[: len(attempt.removed)]
         self._observe_commit("stored", attempt.sent_s)
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from currantstage.state.jobs import OrderOutcome, RenewalReply
-from currantstage.util import TaskSet, wait_for_event
+from currantstage.util import Notifier, TaskSet, wait_for_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -74,7 +74,7 @@
         self._on_superseded = on_superseded
         self._tasks = TaskSet(on_superseded)
         self._wake_events: dict[WorkerId, asyncio.Event] = {}
-        self._progress_stored = asyncio.Event()
+        self._progress_stored = Notifier()
 
     async def start(self) -> None:
         """Start renewing the leases of all known workers."""
@@ -91,8 +91,7 @@
 
     def on_progress_stored(self) -> None:
         """Resume the renewals that wait until ends of runs are stored."""
-        self._progress_stored.set()
-        self._progress_stored = asyncio.Event()
+        self._progress_stored.notify_all()
 
     def send_orders(self) -> None:
         """Send the stop and pace orders that the scheduler has decided on."""
@@ -184,7 +183,7 @@
                 continue
             pause_s = MIN_SILENT_RETRY_S
             if reply.ended:
-                await wait_for_event(self._progress_stored, MAX_STORE_WAIT_S)
+                await self._progress_stored.wait(MAX_STORE_WAIT_S)
             elif not order.wait_ms:
                 await wait_for_event(wake, MIN_RENEWAL_INTERVAL_S)
         del self._wake_events[worker]
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -13,6 +13,7 @@
     StoredRow,
     StoreUnavailable,
 )
+from currantstage.util import Notifier
 
 if TYPE_CHECKING:
     import random
@@ -43,7 +44,7 @@
         self.rows: dict[RowName, StoredRow] = {}
         self.history: list[StoredRow] = []
         self.compacted_version = 0
-        self.changed = asyncio.Event()
+        self.changed = Notifier()
         #: Callers whose calls time out; ``*`` stands for all callers.
         self.unreachable_for: set[str] = set()
         #: Callers whose calls are refused at once.
@@ -81,8 +82,7 @@
                 self.rows.pop(write.name, None)
             else:
                 self.rows[write.name] = row
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.changed.notify_all()
         return Committed(self.version)
 
     def compact_history(self) -> None:
@@ -155,11 +155,7 @@
             left_s = until_s - loop.time()
             if rows or left_s <= 0:
                 break
-            try:
-                async with asyncio.timeout(left_s):
-                    await store.changed.wait()
-            except TimeoutError:
-                continue
+            await store.changed.wait(left_s)
         if store.is_unreachable_for(self._caller):
             raise StoreUnavailable("timeout", is_in_doubt=False)
         newest = {row.name: row for row in rows}
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -20,6 +20,7 @@
     RowWrite,
     RunningTask,
 )
+from currantstage.util import Notifier
 
 if TYPE_CHECKING:
     import random
@@ -86,7 +87,7 @@
         self._fleet = fleet
         self._ended_runs: dict[TaskKey, RunNumber] = {}
         self._ends = 0
-        self._changed = asyncio.Event()
+        self._changed = Notifier()
 
     @property
     def name(self) -> str:
@@ -149,11 +150,7 @@
         if order.until_ms is not None:
             self.extend_lease(order.until_ms)
         if order.wait_ms and not self.ended:
-            try:
-                async with asyncio.timeout(order.wait_ms / 1000):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
+            await self._changed.wait(order.wait_ms / 1000)
         return RenewalReply(
             clock_ms=self.clock_ms(),
             born_ms=self.entry.born_ms,
@@ -202,8 +199,7 @@
         self.ended.append(
             EndedTask(EndNumber(self._ends), run.task, run.number, kind, "")
         )
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.notify_all()
 
     def _remove_run(self, run: SimulatedRun, *, is_done: bool = False) -> None:
         del self.runs[run.task]
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -5,6 +5,7 @@
 from currantstage.util._clock import MonotonicClock, StepFilteredUnixClock, UnixClock
 from currantstage.util._lag_tolerant_timeout import LagTolerantTimeout, LoopLagMeter
 from currantstage.util._log_sink import LogSink
+from currantstage.util._notifier import Notifier
 from currantstage.util._periodic_task import PeriodicTask
 from currantstage.util._signals import catch_reload_signal, catch_stop_signals
 from currantstage.util._task_set import TaskSet
@@ -15,6 +16,7 @@
     "LogSink",
     "LoopLagMeter",
     "MonotonicClock",
+    "Notifier",
     "PeriodicTask",
     "StepFilteredUnixClock",
     "TaskSet",
