Keep the lease while the store refuses the writes of all alike

What callers would see: a store under overload refuses writes with 429 (a part of it does once over a second of transactions waits), for all daemons alike, and answers reads. The holder took that for being turned away and handed its lease over, and so would the next one.

Now a refused write is followed by one read of the lease. A daemon that is turned away is refused that as well, and hands over as before; one whom the store answers keeps its lease while it is valid.

--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -93,6 +93,7 @@
         self.vm_order_cooldown = VmOrderCooldown(lease.ordered_vms, taken_s, tuning)
         self._version = version
         self._attempts = CommitAttempts(lease)
+        self._probe = StoreProbe(repository, tuning.hand_over_ms / 1000)
         self._repository = repository
         self._ports = ports
         self._tuning = tuning
@@ -180,9 +181,8 @@
             self._on_attempt_stored(attempt, outcome)
 
     async def _write(self, attempt: CommitAttempt) -> int | StoredLease:
-        probe = StoreProbe(self._repository, self._tuning.hand_over_ms / 1000)
         progress = attempt.batch.progress if attempt.batch else ()
-        return await probe.watch(
+        return await self._probe.watch(
             self._repository.write_lease(
                 attempt.lease, self._version, progress, attempt.removed
             ),
@@ -221,10 +221,11 @@
     async def _on_attempt_failed(
         self, attempt: CommitAttempt, error: StoreUnavailable
     ) -> None:
+        self._on_batch_failed(attempt.batch)
         if not error.is_in_doubt:
             self._attempts.discard(attempt)
-        self._on_batch_failed(attempt.batch)
-        self.held_lease.record_failure(attempt.sent_s, is_refused=not error.is_in_doubt)
+            await self._probe.read_once()
+        self.held_lease.record_failure(attempt.sent_s)
         if self.needs_successor() and not self._is_offered:
             self._is_offered = True
             self._offer()
--- a/currantstage/application/jobs/_store_probe.py
+++ b/currantstage/application/jobs/_store_probe.py
@@ -26,7 +26,7 @@
     ----------
     repository : JobRepository
     interval_s : float
-        Pause before each read.
+        Pause before each read beside a write, and maximum time of a single read.
     """
 
     def __init__(self, repository: JobRepository, interval_s: float) -> None:
@@ -55,6 +55,14 @@
             reading.cancel()
             await asyncio.gather(writing, reading, return_exceptions=True)
 
+    async def read_once(self) -> None:
+        """Read the lease once, to learn whether the store answers at all."""
+        try:
+            async with asyncio.timeout(self._interval_s):
+                await self._repository.read_lease()
+        except (StoreUnavailable, TimeoutError) as error:
+            log_message("currantstage:store-probe-failed", reason=repr(error))
+
     async def _read_newer(self, version: int) -> StoredLease:
         while True:
             await asyncio.sleep(self._interval_s)
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -193,7 +193,6 @@
         self._tuning = tuning
         self._confirmed_s = confirmed_s
         self._failing_since_s: float | None = None
-        self._is_refused = False
 
     def confirm(self, sent_s: float) -> None:
         """Record that a write sent at `sent_s` was confirmed."""
@@ -208,16 +207,8 @@
         if self._failing_since_s is not None:
             self.confirm(self._failing_since_s)
 
-    def record_failure(self, sent_s: float, *, is_refused: bool = False) -> None:
-        """Record that a write sent at `sent_s` was not confirmed.
-
-        Parameters
-        ----------
-        sent_s : float
-        is_refused : bool
-            Whether the store has refused it, rather than not answered.
-        """
-        self._is_refused = is_refused
+    def record_failure(self, sent_s: float) -> None:
+        """Record that a write sent at `sent_s` was not confirmed."""
         if self._failing_since_s is None:
             self._failing_since_s = sent_s
 
@@ -238,9 +229,8 @@
     ) -> bool:
         """Return whether a daemon that can reach the store should take over.
 
-        While the store refuses none of the holder's writes and answers calls sent after
-        a failed one, writes are merely slow, and those of a successor would be no
-        faster.
+        While the store answers calls that the holder has sent after a failed write, it
+        is merely slow or overloaded, and would be so for a successor.
 
         Parameters
         ----------
@@ -252,7 +242,7 @@
             return False
         is_recent = now_s - answered_call_s < self._tuning.takeover_ms / 1000
         is_answering = is_recent and answered_call_s > self._failing_since_s
-        if is_answering and not self._is_refused and self.is_valid(now_s):
+        if is_answering and self.is_valid(now_s):
             return False
         return now_s - self._failing_since_s >= self._tuning.hand_over_ms / 1000
 
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -49,6 +49,8 @@
         self.unreachable_for: set[str] = set()
         #: Callers whose calls are refused at once.
         self.refused_for: set[str] = set()
+        #: Whether the writes of all callers are refused, as by a store under overload.
+        self.refuses_writes = False
         #: Partitions on which reads and writes are refused.
         self.refused_partitions: set[str] = set()
         #: Fraction of the writes whose answer is lost, and the fraction of these writes
@@ -111,6 +113,8 @@
         """Apply all of `writes` if every condition holds, otherwise none."""
         await self._reach(is_write=True)
         store = self._store
+        if store.refuses_writes:
+            raise StoreUnavailable("overloaded", is_in_doubt=False)
         for write in writes:
             self._check_partition(write.name.partition)
         if store.random.random() < store.lost_fraction:
--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -47,6 +47,26 @@
         run_scenario(scenario(seed))
 
 
+def test_lease_is_not_handed_over_while_the_store_refuses_every_write() -> None:
+    """A store under overload refuses writes of all callers alike, and answers reads."""
+
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        name = site.scheduler_name()
+        assert name is not None
+        term = _term(site, name)
+        site.store.refuses_writes = True
+        await asyncio.sleep(SLOW_S)
+        site.store.refuses_writes = False
+        await asyncio.sleep(SETTLED_S)
+        assert site.scheduler_name() == name
+        assert _term(site, name) == term
+        assert site.oracle.violations == []
+
+    for seed in range(41, 51):
+        run_scenario(scenario(seed))
+
+
 def test_start_does_not_wait_for_the_lost_answer_of_a_stored_write() -> None:
     """Starts waited until the write had timed out and was repeated."""
 
