Test that every guard is found where its removal is tried

`bench.guards` names guards by their text. The text of 'store what ended before it is acknowledged' had gone with the code that it named, and nobody noticed, as a test only imports the module.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -291,11 +291,30 @@
     ),
     Removal(
         "jobs: store what ended before it is acknowledged",
-        "jobs/_scheduler.py",
-        "watermark.worker.seen_upto = max(\n"
-        "                    watermark.worker.seen_upto, watermark.upto\n"
-        "                )",
-        "watermark.worker.seen_upto = watermark.worker.processed_upto",
+        "jobs/_worker_state.py",
+        "self.seen_upto = EndNumber(first_unstored - 1)",
+        "self.seen_upto = self.processed_upto",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: find a place before planned work stops a task",
+        "jobs/_evacuation_plan.py",
+        "not run.step.is_long_running or run.task in self._has_place",
+        "True",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: count a task as away that an earlier scheduler may have stopped",
+        "jobs/_records.py",
+        "is_settled and self.percent >= 100",
+        "self.percent >= 100",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: hand a lease over that can't be renewed for long",
+        "jobs/_owner_lease.py",
+        "if is_answering and self.is_valid(now_s)",
+        "if is_answering",
         _JOBS,
     ),
     Removal(
@@ -315,6 +334,11 @@
 )
 
 
+def read_module(removal: Removal, root: Path = ROOT) -> str:
+    """Return the text of the module that contains the guard."""
+    return (root / _CODE / removal.module).read_text(encoding="utf-8")
+
+
 def is_caught(removal: Removal) -> bool:
     """Return whether the test fails on a copy of the code without the guard."""
     with tempfile.TemporaryDirectory() as folder:
@@ -327,7 +351,7 @@
                 shutil.copy(source, copy / name)
         (copy / "conftest.py").write_text(_CONFTEST, encoding="utf-8")
         path = copy / _CODE / removal.module
-        text = path.read_text(encoding="utf-8")
+        text = read_module(removal, copy)
         if text.count(removal.old) != 1:
             raise click.ClickException(
                 f"{removal.guard}: expected its text exactly once in {removal.module}, "
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -12,6 +12,7 @@
 
 import bench
 import spec
+from bench.guards import REMOVALS, Removal, read_module
 from bench.request_site import serving_path
 from currantstage.coordination.requests import Outcome
 from currantstage.protocol import CallerOptions
@@ -33,6 +34,12 @@
     importlib.import_module(name)
 
 
+@pytest.mark.parametrize("removal", REMOVALS, ids=lambda removal: removal.guard)
+def test_guard_is_found_where_it_is_removed(removal: Removal) -> None:
+    """Guards against guards that have moved, whose removal nobody can test any more."""
+    assert read_module(removal).count(removal.old) == 1
+
+
 def test_request_site_of_the_benchmarks_serves_a_request() -> None:
     """Guards against arguments of `RequestPath.build` that the benchmarks lack."""
 
