Admit a call in one step, as both front ends do the same two

They are one asynchronous step now, which takes how the call names its queue (CallTarget), so that there is a single place in which a call is refused by the configuration.

--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -34,9 +34,9 @@
     from currantstage.application.jobs._ownership import LeaseOwnership
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import StoreHealth
-    from currantstage.protocol.jobs import PeerQuery, PeerReply
-    from currantstage.state import Clock, QueueId
-    from currantstage.state.jobs import JobId, JobQueue
+    from currantstage.protocol.jobs import CallTarget, PeerQuery, PeerReply
+    from currantstage.state import Clock
+    from currantstage.state.jobs import JobId
 
 #: Part of a caller's timeout that is reserved for sending the response, in seconds.
 ANSWER_MARGIN_S = 0.25
@@ -78,39 +78,14 @@
         """Return the retry delay for callers that were refused temporarily."""
         return self._health.retry_after_s(self._clock.now_s())
 
-    def route(self, host: str, path: str) -> Result[JobQueue, CallRefusal]:
-        """Return the queue that serves a host and a path."""
-        configuration = self._follower.current
-        if configuration is None:
-            return Failure(CallRefusal.NO_CONFIGURATION)
-        queue = configuration.route(host, path)
-        if queue is None:
-            self._log_refusal(CallRefusal.NO_SUCH_QUEUE, host + path)
-            return Failure(CallRefusal.NO_SUCH_QUEUE)
-        return Success(queue)
-
-    def find_queue(self, queue: QueueId) -> Result[JobQueue, CallRefusal]:
-        """Return the queue with a given id."""
-        configuration = self._follower.current
-        if configuration is None:
-            return Failure(CallRefusal.NO_CONFIGURATION)
-        found = configuration.queue(queue)
-        return Success(found) if found else Failure(CallRefusal.NO_SUCH_QUEUE)
-
-    def admit(
-        self, queue: JobQueue, key: str, deadline_ms: int | None
+    async def admit(
+        self, target: CallTarget, key: str, deadline_ms: int | None
     ) -> Result[AdmittedCall, CallRefusal]:
-        """Check a call's key; `deadline_ms` is the time that the caller waits."""
-        configuration = self._follower.current
-        team = configuration.team_of_key(key) if configuration and key else None
-        if team is None and not queue.is_public:
-            self._log_refusal(CallRefusal.UNKNOWN_KEY, queue.queue)
-            return Failure(CallRefusal.UNKNOWN_KEY)
-        limit_ms = min(deadline_ms or queue.timeout_ms, queue.timeout_ms)
-        deadline_s = self._clock.now_s() + limit_ms / 1000 - ANSWER_MARGIN_S
-        return Success(
-            AdmittedCall(queue, team.team if team else TeamId(""), deadline_s)
-        )
+        """Find a call's queue and check its key; the caller waits `deadline_ms`."""
+        admitted = self._check(target, key, deadline_ms)
+        if isinstance(admitted, Failure):
+            self._log_refusal(admitted.failure(), target)
+        return admitted
 
     async def submit(
         self, call: AdmittedCall, job: JobId, body: JobBody
@@ -173,6 +148,25 @@
             return reply.count
         return CallRefusal.UNAVAILABLE
 
+    def _check(
+        self, target: CallTarget, key: str, deadline_ms: int | None
+    ) -> Result[AdmittedCall, CallRefusal]:
+        """Check a call against the configuration in force."""
+        configuration = self._follower.current
+        if configuration is None:
+            return Failure(CallRefusal.NO_CONFIGURATION)
+        queue = target.find_queue(configuration)
+        if queue is None:
+            return Failure(CallRefusal.NO_SUCH_QUEUE)
+        team = configuration.team_of_key(key) if key else None
+        if team is None and not queue.is_public:
+            return Failure(CallRefusal.UNKNOWN_KEY)
+        limit_ms = min(deadline_ms or queue.timeout_ms, queue.timeout_ms)
+        deadline_s = self._clock.now_s() + limit_ms / 1000 - ANSWER_MARGIN_S
+        return Success(
+            AdmittedCall(queue, team.team if team else TeamId(""), deadline_s)
+        )
+
     async def _show(self, job: JobId) -> JobState | CallRefusal:
         reply = await self._query_scheduler(StateQuery(job))
         if isinstance(reply, StateReply) and reply.state is not None:
@@ -191,11 +185,11 @@
             return JobState.CANCELLED
         return stored.progress.state if stored.progress else JobState.QUEUED
 
-    def _log_refusal(self, refusal: CallRefusal, target: str) -> None:
+    def _log_refusal(self, refusal: CallRefusal, target: CallTarget) -> None:
         configuration = self._follower.current
         log_message(
             "currantstage:call-refused",
-            asked=target,
+            asked=str(target),
             reason=refusal.value,
             configuration=configuration.version if configuration else None,
             confirmed_ago_s=loggable_age_s(self._follower.confirmed_age_s()),
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -83,7 +83,7 @@
             "currantstage_configuration_age",
             [observe_age],
             unit="s",
-            description="Time since the configuration was last confirmed as the newest.",
+            description="Time since the configuration was last confirmed.",
         )
 
     def count_call(self, kind: str, outcome: str, duration_s: float) -> None:
--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -10,7 +10,7 @@
 from sanic import HTTPResponse
 
 from currantstage.platform._decoding import DecodingError, decode_job
-from currantstage.protocol.jobs import STATUS_OF_REFUSAL, CallRefusal
+from currantstage.protocol.jobs import STATUS_OF_REFUSAL, CallRefusal, RoutedTarget
 from currantstage.state.jobs import JobId, is_job_id
 
 if TYPE_CHECKING:
@@ -64,17 +64,15 @@
 
 async def _handle(request: Request, calls: JobService) -> HTTPResponse:
     host = request.headers.get("host", "").partition(":")[0].lower()
-    routed = calls.route(host, request.path)
-    if isinstance(routed, Failure):
-        return _refusal_response(routed.failure())
-    queue = routed.unwrap()
-    admitted = calls.admit(
-        queue, request.headers.get(KEY_HEADER, ""), _deadline_ms(request)
+    admitted = await calls.admit(
+        RoutedTarget(host, request.path),
+        request.headers.get(KEY_HEADER, ""),
+        _deadline_ms(request),
     )
     if isinstance(admitted, Failure):
         return _refusal_response(admitted.failure())
     call = admitted.unwrap()
-    job_id = request.path[len(queue.path_prefix) :]
+    job_id = request.path[len(call.queue.path_prefix) :]
     if not job_id and request.method == "GET":
         return await _count_waiting(call, calls)
     if not is_job_id(job_id):
--- a/currantstage/protocol/jobs/__init__.py
+++ b/currantstage/protocol/jobs/__init__.py
@@ -5,8 +5,11 @@
 from currantstage.protocol.jobs._calls import (
     AdmittedCall,
     CallRefusal,
+    CallTarget,
     JobBody,
     JobService,
+    QueueTarget,
+    RoutedTarget,
 )
 from currantstage.protocol.jobs._interface import (
     JOB_KEY_HEADER,
@@ -58,6 +61,7 @@
     "Acknowledged",
     "AdmittedCall",
     "CallRefusal",
+    "CallTarget",
     "ConfigurationQuery",
     "ConfigurationReply",
     "JOB_KEY_HEADER",
@@ -78,6 +82,8 @@
     "PeerQuery",
     "PeerReply",
     "QUEUE_PATH",
+    "QueueTarget",
+    "RoutedTarget",
     "STATUS_OF_REFUSAL",
     "StateQuery",
     "StateReply",
--- a/currantstage/protocol/jobs/_calls.py
+++ b/currantstage/protocol/jobs/_calls.py
@@ -14,7 +14,7 @@
     from returns.result import Result
 
     from currantstage.state import QueueId, TeamId
-    from currantstage.state.jobs import JobId, JobQueue
+    from currantstage.state.jobs import FleetConfiguration, JobId, JobQueue
 
 
 class CallRefusal(Enum):
@@ -55,22 +55,52 @@
     deadline_s: float
 
 
+class CallTarget(Protocol):
+    """How a call names its queue."""
+
+    def find_queue(self, configuration: FleetConfiguration) -> JobQueue | None:
+        """Return the queue, or None if the configuration has no such queue."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedTarget:
+    """The queue that requests to a host and path are routed to."""
+
+    host: str
+    path: str
+
+    def __str__(self) -> str:
+        return self.host + self.path
+
+    def find_queue(self, configuration: FleetConfiguration) -> JobQueue | None:
+        """Return the queue, or None if the configuration has no such route."""
+        return configuration.route(self.host, self.path)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueTarget:
+    """The queue with a given id."""
+
+    queue: QueueId
+
+    def __str__(self) -> str:
+        return self.queue
+
+    def find_queue(self, configuration: FleetConfiguration) -> JobQueue | None:
+        """Return the queue, or None if the configuration has no such queue."""
+        return configuration.queue(self.queue)
+
+
 class JobService(Protocol):
     """Serves all calls about jobs; one implementation for all front ends."""
 
     def retry_after_s(self) -> int:
         """Return the delay, in seconds, before retrying a temporarily refused call."""
 
-    def route(self, host: str, path: str) -> Result[JobQueue, CallRefusal]:
-        """Return the queue that a host and path are routed to."""
-
-    def find_queue(self, queue: QueueId) -> Result[JobQueue, CallRefusal]:
-        """Return the queue with the given identifier."""
-
-    def admit(
-        self, queue: JobQueue, key: str, deadline_ms: int | None
+    async def admit(
+        self, target: CallTarget, key: str, deadline_ms: int | None
     ) -> Result[AdmittedCall, CallRefusal]:
-        """Check the key of a call; the caller waits for `deadline_ms`."""
+        """Find a call's queue and check its key; the caller waits `deadline_ms`."""
 
     async def submit(
         self, call: AdmittedCall, job: JobId, body: JobBody
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -10,7 +10,7 @@
 
 from currantstage.application.jobs import JobCore, JobMetrics, SchedulerPorts
 from currantstage.coordination.jobs import SchedulerCapacity, SchedulerTuning
-from currantstage.protocol.jobs import CallRefusal, JobBody, MemberRow
+from currantstage.protocol.jobs import CallRefusal, JobBody, MemberRow, QueueTarget
 from currantstage.standin.jobs._advice import SimulatedAdvice
 from currantstage.standin.jobs._oracle import Oracle
 from currantstage.standin.jobs._store import SimulatedStore
@@ -233,8 +233,8 @@
         core = await self._pick_daemon()
         if not core.is_configured():
             return False
-        queue = core.calls.find_queue(self.oracle.submitted[job].queue)
-        call = core.calls.admit(queue.unwrap(), "key-east", CALL_DEADLINE_MS)
+        target = QueueTarget(self.oracle.submitted[job].queue)
+        call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
         if await core.calls.cancel(call.unwrap(), job) is not None:
             return False
         self.oracle.cancelled_s[job] = _now_s()
@@ -243,8 +243,8 @@
     async def show(self, job: JobId) -> JobState | None:
         """Return a job's state as a caller sees it."""
         core = await self._pick_daemon()
-        queue = core.calls.find_queue(self.oracle.submitted[job].queue)
-        call = core.calls.admit(queue.unwrap(), "key-east", CALL_DEADLINE_MS)
+        target = QueueTarget(self.oracle.submitted[job].queue)
+        call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
         state = await core.calls.show(call.unwrap(), job)
         return None if isinstance(state, CallRefusal) else state
 
@@ -257,11 +257,11 @@
         self, submission: Submission, daemon: str
     ) -> CallRefusal | None:
         core = self.daemons[daemon] if daemon else await self._pick_daemon()
-        found = core.calls.find_queue(submission.queue)
         if not core.is_configured():
             return CallRefusal.NO_CONFIGURATION
         key = f"key-{submission.team}"
-        call = core.calls.admit(found.unwrap(), key, CALL_DEADLINE_MS)
+        target = QueueTarget(submission.queue)
+        call = await core.calls.admit(target, key, CALL_DEADLINE_MS)
         body = JobBody(submission.spec, submission.steps, submission.schedule)
         work = asyncio.ensure_future(
             core.calls.submit(call.unwrap(), submission.job, body)
--- a/currantstage/transport/_job_routes.py
+++ b/currantstage/transport/_job_routes.py
@@ -15,6 +15,7 @@
     STATUS_OF_REFUSAL,
     CallRefusal,
     JobAnswer,
+    QueueTarget,
     decode_job_body,
     encode_answer,
 )
@@ -31,7 +32,7 @@
     """Serve the HTTP API for jobs through `service`."""
 
     async def handle_job(request: Request, queue: str, job: str) -> HTTPResponse:
-        admitted = _admit(request, queue, service)
+        admitted = await _admit(request, queue, service)
         if isinstance(admitted, Failure):
             return _job_response(admitted.failure(), service)
         if not is_job_id(job):
@@ -39,7 +40,7 @@
         return await _handle_job(request, service, admitted.unwrap(), JobId(job))
 
     async def handle_queue(request: Request, queue: str) -> HTTPResponse:
-        admitted = _admit(request, queue, service)
+        admitted = await _admit(request, queue, service)
         if isinstance(admitted, Failure):
             return _job_response(admitted.failure(), service)
         count = await service.count_waiting(admitted.unwrap())
@@ -51,13 +52,11 @@
     app.add_route(handle_queue, QUEUE_PATH, methods=["GET"], name="job-queue")
 
 
-def _admit(
+async def _admit(
     request: Request, queue: str, service: JobService
 ) -> Result[AdmittedCall, CallRefusal]:
     key = request.headers.get(JOB_KEY_HEADER, "")
-    return service.find_queue(QueueId(queue)).bind(
-        lambda job_queue: service.admit(job_queue, key, None)
-    )
+    return await service.admit(QueueTarget(QueueId(queue)), key, None)
 
 
 async def _handle_job(
--- a/tests/cmd/test_job_commands.py
+++ b/tests/cmd/test_job_commands.py
@@ -11,7 +11,12 @@
 from returns.result import Failure, Success
 
 from currantstage.cmd import main
-from currantstage.protocol.jobs import AdmittedCall, CallRefusal, JobBody
+from currantstage.protocol.jobs import (
+    AdmittedCall,
+    CallRefusal,
+    JobBody,
+    QueueTarget,
+)
 from currantstage.state import PoolId, QueueId, TeamId
 from currantstage.state.jobs import JobId, JobQueue, JobState
 from currantstage.transport import HttpServer, add_job_routes
@@ -21,8 +26,11 @@
 
     from returns.result import Result
 
+    from currantstage.protocol.jobs import CallTarget
+
 ADDRESS = "127.0.0.1:18173"
 JOB = "5c0e7a21d94b36f8"
+QUEUE = QueueId("complaints")
 
 
 class _Calls:
@@ -35,18 +43,12 @@
     def retry_after_s(self) -> int:
         return 3
 
-    def route(self, host: str, path: str) -> Result[JobQueue, CallRefusal]:
-        return Failure(CallRefusal.NO_SUCH_QUEUE)
-
-    def find_queue(self, queue: QueueId) -> Result[JobQueue, CallRefusal]:
-        if queue != "complaints":
-            return Failure(CallRefusal.NO_SUCH_QUEUE)
-        found = JobQueue(queue=queue, host="h", path_prefix="/", pool=PoolId("p"))
-        return Success(found)
-
-    def admit(
-        self, queue: JobQueue, key: str, deadline_ms: int | None
+    async def admit(
+        self, target: CallTarget, key: str, deadline_ms: int | None
     ) -> Result[AdmittedCall, CallRefusal]:
+        if target != QueueTarget(QUEUE):
+            return Failure(CallRefusal.NO_SUCH_QUEUE)
+        queue = JobQueue(queue=QUEUE, host="h", path_prefix="/", pool=PoolId("p"))
         if key != "right":
             return Failure(CallRefusal.UNKNOWN_KEY)
         return Success(AdmittedCall(queue, TeamId("east"), 0.0))
