--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -143,8 +143,8 @@
         self.store.apply((), (RowWrite(name, msgspec.json.encode(wave)),))
         self.vms.waves[wave.number] = wave
 
-    async def start_daemon(self, name: str) -> None:
-        """Start a daemon."""
+    async def start_daemon(self, name: str, seeds: tuple[str, ...] = ()) -> None:
+        """Start a daemon; `seeds` are the peers that its settings name."""
         token = CURRENT_PROCESS.set(name)
         store = self.store.for_caller(name)
         clock = LoopClock()
@@ -164,7 +164,7 @@
             capacity=self.capacities.get(name, DEFAULT_CAPACITY),
         )
         peers = _Peers(self, name)
-        core = JobCore(own, (), store, ports, peers, self.tuning, self.random)
+        core = JobCore(own, seeds, store, ports, peers, self.tuning, self.random)
         self.daemons[name] = core
         await core.follower.start()
         await core.directory.start()
--- /dev/null
+++ b/tests/jobs/test_configuration_follower.py
@@ -0,0 +1,197 @@
+"""How soon a change of the configuration is in force, and that no older one returns."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from currantstage.application.jobs._configuration import ConfigurationFollower
+from currantstage.standin.jobs import SimulatedSite, build_configuration
+from currantstage.standin.jobs._virtual_loop import LoopClock
+from currantstage.state.jobs import (
+    ConfigurationVersion,
+    FleetConfiguration,
+    OperatorChanges,
+    StoreUnavailable,
+)
+from tests.jobs.site import run_scenario, start_site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+#: Time after which an operator's change must be in force on a reachable daemon.
+APPLY_S = 2.0
+#: The same while the store turns a daemon away that reaches its peers.
+APPLY_BY_PEERS_S = 7.0
+#: Time after which the store's client gives up a read of changes.
+CLIENT_TIMEOUT_S = 3.5
+V1, V2, V3 = (ConfigurationVersion(number) for number in (1, 2, 3))
+
+
+class ScriptedSource:
+    """Implements `OperatorSource`; loses what is sent before `answers_from_s`."""
+
+    def __init__(self) -> None:
+        self.configuration = build_configuration(1)
+        self.answers_from_s = 0.0
+        self.answers_until_s = float("inf")
+        self.errors: list[Exception] = []
+        self._changed = asyncio.Event()
+
+    def write(self, version: ConfigurationVersion) -> None:
+        self.configuration = build_configuration(version)
+        self._changed.set()
+
+    async def read(self) -> OperatorChanges:
+        await self._reach()
+        return self._changes()
+
+    async def changes(self, after: int, wait_ms: int) -> OperatorChanges | None:
+        await self._reach()
+        if self.errors:
+            raise self.errors.pop()
+        if self.configuration.version <= after:
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
+            except TimeoutError:
+                return OperatorChanges(None, b"", (), after)
+        return self._changes()
+
+    def decode(self, raw_configuration: bytes) -> FleetConfiguration | None:
+        return msgspec.json.decode(raw_configuration, type=FleetConfiguration)
+
+    async def write_wave_state(self, wave: int, *, is_completed: bool) -> None:
+        raise NotImplementedError
+
+    async def _reach(self) -> None:
+        if not self.answers_from_s <= _now_s() < self.answers_until_s:
+            await asyncio.sleep(CLIENT_TIMEOUT_S)
+            raise StoreUnavailable("timeout", is_in_doubt=False)
+
+    def _changes(self) -> OperatorChanges:
+        raw = msgspec.json.encode(self.configuration)
+        return OperatorChanges(
+            self.configuration, raw, (), int(self.configuration.version)
+        )
+
+
+class NoPeers:
+    """Peers that know nothing."""
+
+    async def query_configuration(self, newer_than: ConfigurationVersion) -> bytes:
+        return b""
+
+
+@asynccontextmanager
+async def _following(source: ScriptedSource) -> AsyncIterator[ConfigurationFollower]:
+    peers = NoPeers()
+    follower = ConfigurationFollower(source, peers.query_configuration, LoopClock())
+    await follower.start()
+    try:
+        await asyncio.sleep(0.5)
+        yield follower
+    finally:
+        await follower.close()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _version(follower: ConfigurationFollower) -> ConfigurationVersion:
+    assert follower.current is not None
+    return follower.current.version
+
+
+def test_poll_lost_just_before_the_store_is_back_does_not_delay_a_change() -> None:
+    async def scenario() -> None:
+        source = ScriptedSource()
+        async with _following(source) as follower:
+            source.answers_from_s = _now_s() + 1.0
+            await asyncio.sleep(0.9)
+            source.write(V2)
+            await asyncio.sleep(APPLY_S)
+            assert _version(follower) == V2
+
+    run_scenario(scenario())
+
+
+def test_unexpected_exception_does_not_end_the_following_of_changes() -> None:
+    async def scenario() -> None:
+        source = ScriptedSource()
+        async with _following(source) as follower:
+            source.errors.append(RuntimeError("the handler is closed"))
+            await asyncio.sleep(3)
+            assert not source.errors
+            source.write(V2)
+            await asyncio.sleep(APPLY_S)
+            assert _version(follower) == V2
+
+    run_scenario(scenario())
+
+
+def test_start_without_the_store_takes_the_newest_version_of_the_peers() -> None:
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        behind, ahead, _ = site.daemons
+        # From now on, one peer misses every change.
+        await site.daemons[behind].follower.close()
+        site.configure(build_configuration(V2))
+        await asyncio.sleep(0.1)
+        site.store.unreachable_for = {"late"}
+        await site.start_daemon("late", seeds=(behind, ahead))
+        follower = site.daemons["late"].follower
+        while follower.current is None:
+            await asyncio.sleep(0.001)
+        assert _version(follower) == V2
+
+    for seed in range(6):
+        run_scenario(scenario(seed))
+
+
+def test_daemon_that_the_store_turns_away_finds_the_one_peer_with_a_change() -> None:
+    async def scenario(seed: int) -> None:
+        site = SimulatedSite(seed, daemon_count=20, vms_per_pool=1)
+        await site.start()
+        await asyncio.sleep(3)
+        scheduler = site.scheduler_name()
+        informed, asking = [name for name in site.daemons if name != scheduler][:2]
+        site.store.unreachable_for = set(site.daemons) - {informed}
+        # Only this peer learns of changes; the others can't pass them on.
+        for name, core in site.daemons.items():
+            if name not in (informed, asking):
+                await core.follower.close()
+        site.configure(build_configuration(V2))
+        await asyncio.sleep(APPLY_BY_PEERS_S)
+        assert _version(site.daemons[asking].follower) == V2
+
+    for seed in range(4):
+        run_scenario(scenario(seed))
+
+
+def test_change_during_a_takeover_reaches_the_new_scheduler() -> None:
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        old = site.scheduler_name()
+        assert old is not None
+        site.kill_daemon(old)
+        loading = None
+        while loading is None:
+            await asyncio.sleep(0.001)
+            loading = next(
+                (each for each in site.daemons.values() if each.is_scheduler()), None
+            )
+        site.configure(build_configuration(V3))
+        await asyncio.sleep(1)
+        session = loading.ownership.session
+        assert session is not None
+        assert session.scheduler is not None
+        version = session.scheduler.configuration.version
+        assert version == V3
+
+    for seed in range(3):
+        run_scenario(scenario(seed))
