Go on following configuration, members and lease after an unexpected exception (CONFIG)

What callers saw: a daemon in rotation that refuses calls by a version that is minutes old, or that serves withdrawn keys; nothing in its log says so.

Cause: the tasks that follow the configuration, the members and the lease survive StoreUnavailable only. Any other exception (a transport closed under the HTTP library, a value that can't be decoded, a listener) ended them silently; the daemon stayed ready with what it last knew. Class: background work without an owner that notices its end.

Ruled out: the listener itself; Scheduler.configure only stores the configuration.

The tasks of a term still end the term instead (TaskSet), and a term whose code raises is closed before the lease is followed again. The same cause was looked for in all tasks of the daemon: these three were the only ones without an owner.

--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -15,6 +15,7 @@
     MaintenanceWave,
     StoreUnavailable,
 )
+from currantstage.util import SupervisedTask
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -56,7 +57,7 @@
         self._waves: dict[int, MaintenanceWave] = {}
         self._version: int | None = None
         self._listeners: list[Callable[[], None]] = []
-        self._task: asyncio.Task[None] | None = None
+        self._task = SupervisedTask("configuration", self._follow)
 
     @property
     def current(self) -> FleetConfiguration | None:
@@ -84,13 +85,11 @@
 
     async def start(self) -> None:
         """Start tracking changes."""
-        self._task = asyncio.create_task(self._follow())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop tracking changes."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     async def _follow(self) -> None:
         while True:
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -16,6 +16,7 @@
 )
 from currantstage.state.jobs import StoreUnavailable
 from currantstage.transport import PeerFailure
+from currantstage.util import SupervisedTask
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -74,19 +75,17 @@
         self._random = random
         self._scheduler_answered_s = float("-inf")
         self._members: tuple[MemberRow, ...] = ()
-        self._task: asyncio.Task[None] | None = None
+        self._task = SupervisedTask("members", self._follow_members)
         #: The scheduler's lease as it was last read.
         self.lease: LeaseRow | None = None
 
     async def start(self) -> None:
         """Add this daemon to the members, and start reading the list of them."""
-        self._task = asyncio.create_task(self._follow_members())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop, and remove this daemon from the members."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
         try:
             await self._repository.leave(self.own.entry_vm)
         except StoreUnavailable:
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -25,7 +25,7 @@
 )
 from currantstage.state.jobs import StoreUnavailable, Term
 from currantstage.transport import PeerFailure
-from currantstage.util import wait_for_event
+from currantstage.util import SupervisedTask, wait_for_event
 
 if TYPE_CHECKING:
     import random
@@ -75,13 +75,13 @@
         self._wake = asyncio.Event()
         self._is_closing = False
         self._offered_term = NO_TERM
-        self._task: asyncio.Task[None] | None = None
+        self._task = SupervisedTask("lease", self._run)
         self.session: SchedulerSession | None = None
         follower.add_listener(self._configure)
 
     async def start(self) -> None:
         """Start observing the lease."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Release the lease if this daemon holds it, and stop."""
@@ -89,9 +89,7 @@
         if self.session is not None:
             await self.session.release()
             await self._notify_peers(LeaseReleased())
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
         if self.session is not None:
             await self.session.close()
             self.session = None
@@ -214,11 +212,13 @@
             self._health,
             self._offer,
         )
-        await session.start()
-        await session.wait_ended()
-        if not self._is_closing:
-            await session.close()
-            self.session = None
+        try:
+            await session.start()
+            await session.wait_ended()
+        finally:
+            if not self._is_closing:
+                await session.close()
+                self.session = None
 
     async def _offer(self, term: Term) -> None:
         await self._notify_peers(LeaseOffer(term))
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -8,6 +8,7 @@
 from currantstage.util._notifier import Notifier
 from currantstage.util._periodic_task import PeriodicTask
 from currantstage.util._signals import catch_reload_signal, catch_stop_signals
+from currantstage.util._supervised_task import SupervisedTask
 from currantstage.util._task_set import TaskSet
 from currantstage.util._waiting import wait_for_event
 
@@ -19,6 +20,7 @@
     "Notifier",
     "PeriodicTask",
     "StepFilteredUnixClock",
+    "SupervisedTask",
     "TaskSet",
     "UnixClock",
     "catch_reload_signal",
--- a/tests/jobs/test_configuration_follower.py
+++ b/tests/jobs/test_configuration_follower.py
@@ -195,3 +195,35 @@
 
     for seed in range(3):
         run_scenario(scenario(seed))
+
+
+def test_unexpected_exception_does_not_end_the_following_of_members_or_lease() -> None:
+    async def scenario() -> None:
+        site = await start_site(seed=1)
+        old = site.scheduler_name()
+        assert old is not None
+        other = next(name for name in site.daemons if name != old)
+        core = site.daemons[other]
+        _raise_once(core.directory._repository, "read_members")
+        _raise_once(core.directory._repository, "read_lease")
+        await asyncio.sleep(3)
+        for name in list(site.daemons):
+            if name != other:
+                site.kill_daemon(name)
+        await site.start_daemon("late")
+        await asyncio.sleep(4)
+        assert "late" in core.directory.peer_addresses()
+        assert site.scheduler_name() is not None
+
+    run_scenario(scenario())
+
+
+def _raise_once(target: object, method: str) -> None:
+    """Let the next call of a method raise what no caller expects."""
+    original = getattr(target, method)
+
+    async def fail(*_: object) -> None:
+        setattr(target, method, original)
+        raise RuntimeError("the handler is closed")
+
+    setattr(target, method, fail)
