--- a/tests/jobs/site.py
+++ b/tests/jobs/site.py
@@ -23,12 +23,18 @@
     try:
         loop.run_until_complete(scenario)
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        loop.run_until_complete(_cancel_all())
         loop.close()
 
 
+async def _cancel_all() -> None:
+    """Cancel what is left of a scenario, and wait until it has ended."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def start_site(
     seed: int, vms_per_pool: int = 3, settle_s: float = SETTLE_S
 ) -> SimulatedSite:
