Take the newest configuration of all peers, not the first of three (CONFIG)

What callers saw: a daemon that came back older than what it or others had served: after a restart while the store turned it away, it served the version of a peer that was behind.

Cause: three peers were drawn at random, each sent its whole configuration if it was newer, and the first answer was taken. Class: one replica's word taken for the newest state.

A version that a peer confirms counts as confirmed as of then.

--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -5,11 +5,12 @@
 import asyncio
 import math
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from eliot import log_message
 
 from currantstage.coordination.jobs import Confirmation
+from currantstage.protocol.jobs import ConfigurationStatus
 from currantstage.state.jobs import (
     ConfigurationVersion,
     FleetConfiguration,
@@ -19,8 +20,9 @@
 from currantstage.util import OverlappingCalls, SupervisedTask
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
+    from currantstage.application.jobs._peer_configuration import PeerConfiguration
     from currantstage.state import Clock
     from currantstage.state.jobs import OperatorChanges, OperatorSource
 
@@ -48,25 +50,31 @@
     changes: OperatorChanges | None
 
 
+class ConfigurationPeers(Protocol):
+    """What other daemons know of the configuration."""
+
+    async def query(self, newer_than: ConfigurationVersion) -> PeerConfiguration | None:
+        """Return the newest configuration of some peers; None if none has one."""
+
+
 class ConfigurationFollower:
     """Keeps the newest configuration; never reverts to an older one.
 
     Parameters
     ----------
     source : OperatorSource
-    query_peers : callable
-        Returns a newer configuration from a peer, or empty bytes if there is none.
+    peers : ConfigurationPeers
     clock : Clock
     """
 
     def __init__(
         self,
         source: OperatorSource,
-        query_peers: Callable[[ConfigurationVersion], Awaitable[bytes]],
+        peers: ConfigurationPeers,
         clock: Clock,
     ) -> None:
         self._source = source
-        self._query_peers = query_peers
+        self._peers = peers
         self._clock = clock
         self._confirmation = Confirmation()
         self._current: FleetConfiguration | None = None
@@ -94,6 +102,13 @@
         """All waves that operators have announced."""
         return tuple(self._waves.values())
 
+    def status(self) -> ConfigurationStatus:
+        """Return what a peer is told about the configuration in force."""
+        return ConfigurationStatus(
+            version=self._current.version if self._current else None,
+            confirmed_ago_s=loggable_age_s(self.confirmed_age_s()),
+        )
+
     def confirmed_age_s(self) -> float:
         """Return the time since the store last confirmed the configuration in force."""
         return self._confirmation.age_s(self._clock.now_s())
@@ -170,11 +185,17 @@
             self._notify_listeners()
 
     async def _read_from_peers(self) -> None:
-        version = self._current.version if self._current else _NO_VERSION
-        raw = await self._query_peers(version)
-        configuration = self._source.decode(raw) if raw else None
+        answer = await self._peers.query(self._version_in_force())
+        if answer is None:
+            return
+        configuration = self._source.decode(answer.raw) if answer.raw else None
         if configuration is not None:
-            self._adopt(configuration, raw, "peer")
+            self._adopt(configuration, answer.raw, "peer")
+        if self._version_in_force() >= answer.version:
+            self._confirmation.confirm(answer.confirmed_s)
+
+    def _version_in_force(self) -> ConfigurationVersion:
+        return self._current.version if self._current else _NO_VERSION
 
     def _adopt(
         self, configuration: FleetConfiguration, raw: bytes, source: str
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -10,6 +10,7 @@
 from currantstage.application.jobs._job_writer import JobWriter
 from currantstage.application.jobs._monitored_store import MonitoredStore
 from currantstage.application.jobs._ownership import LeaseOwnership
+from currantstage.application.jobs._peer_configuration import PeerConfigurationSource
 from currantstage.application.jobs._peer_query_handler import PeerQueryHandler
 from currantstage.application.jobs._repository import JobRepository
 from currantstage.coordination.jobs import StoreHealth
@@ -56,7 +57,9 @@
             own, seeds, repository, peers, ports.clock, random
         )
         self.follower = ConfigurationFollower(
-            ports.operators, self.directory.query_configuration, ports.clock
+            ports.operators,
+            PeerConfigurationSource(self.directory, ports.clock),
+            ports.clock,
         )
         ports.metrics.observe_configuration(self.follower)
         self.ownership = LeaseOwnership(
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING, Protocol
 
 from currantstage.protocol.jobs import (
-    ConfigurationQuery,
-    ConfigurationReply,
     LeaseHolderQuery,
     LeaseLookup,
     LeaseReply,
@@ -25,7 +23,6 @@
     from currantstage.coordination.jobs import LeaseRow, SchedulerCapacity
     from currantstage.protocol.jobs import PeerQuery, PeerReply
     from currantstage.state import Clock
-    from currantstage.state.jobs import ConfigurationVersion
 
 #: Default timeout of a query to a peer, in seconds.
 PEER_TIMEOUT_S = 0.5
@@ -75,6 +72,8 @@
         self._random = random
         self._scheduler_answered_s = float("-inf")
         self._members: tuple[MemberRow, ...] = ()
+        # Peers that `query_next_peers` has not asked yet in this round.
+        self._not_asked: list[str] = []
         self._task = SupervisedTask("members", self._follow_members)
         #: The scheduler's lease as it was last read.
         self.lease: LeaseRow | None = None
@@ -125,15 +124,22 @@
         """Return the reply of the peer at `address`, or the reason for the failure."""
         return await self._client.send_query(address, query, timeout_s)
 
-    async def query_configuration(self, newer_than: ConfigurationVersion) -> bytes:
-        """Return a newer configuration that some peer has; empty if there is none."""
-        replies = await self._query_sample(ConfigurationQuery(newer_than))
-        values = [
-            reply.value
-            for reply in replies
-            if isinstance(reply, ConfigurationReply) and reply.value
-        ]
-        return values[0] if values else b""
+    async def query_next_peers(
+        self, query: PeerQuery, count: int
+    ) -> dict[str, PeerReply | PeerFailure]:
+        """Return the replies of the next `count` peers, by address.
+
+        All peers have been asked before one of them is asked again.
+        """
+        known = self.peer_addresses()
+        self._not_asked = [each for each in self._not_asked if each in known]
+        if not self._not_asked:
+            self._not_asked = self._random.sample(known, len(known))
+        addresses, self._not_asked = self._not_asked[:count], self._not_asked[count:]
+        replies = await asyncio.gather(
+            *(self.send_query(each, query) for each in addresses)
+        )
+        return dict(zip(addresses, replies, strict=True))
 
     async def _query_sample(self, query: PeerQuery) -> list[PeerReply | PeerFailure]:
         addresses = self.peer_addresses()
--- a/currantstage/application/jobs/_peer_query_handler.py
+++ b/currantstage/application/jobs/_peer_query_handler.py
@@ -8,6 +8,7 @@
     Acknowledged,
     ConfigurationQuery,
     ConfigurationReply,
+    ConfigurationStatusQuery,
     JobAccepted,
     JobCancelled,
     LeaseHolderQuery,
@@ -52,6 +53,8 @@
 
     async def handle(self, query: PeerQuery) -> PeerReply:
         """Return the reply to `query`."""
+        if isinstance(query, ConfigurationStatusQuery):
+            return self._follower.status()
         if isinstance(query, ConfigurationQuery):
             return ConfigurationReply(self._follower.newer_than(query.newer_than))
         if isinstance(query, LeaseReleased):
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -70,6 +70,10 @@
     queue: QueueId
 
 
+class ConfigurationStatusQuery(Struct, frozen=True, tag="configuration-status"):
+    """Queries which configuration the receiver has, without its content."""
+
+
 class ConfigurationQuery(Struct, frozen=True, tag="configuration"):
     """Queries a configuration newer than the sender's."""
 
@@ -133,6 +137,23 @@
     count: int
 
 
+class ConfigurationStatus(
+    Struct, frozen=True, kw_only=True, tag="configuration-status-reply"
+):
+    """The configuration in force at the replying daemon.
+
+    Parameters
+    ----------
+    version : ConfigurationVersion, optional
+        None if it has none yet.
+    confirmed_ago_s : float, optional
+        Time since the store last confirmed it as the newest; None if it never did.
+    """
+
+    version: ConfigurationVersion | None
+    confirmed_ago_s: float | None
+
+
 class ConfigurationReply(Struct, frozen=True, tag="configuration-reply"):
     """Configuration as written by operators; None if the peer has no newer one."""
 
@@ -147,6 +168,7 @@
     | LeaseLookup
     | StateQuery
     | WaitingQuery
+    | ConfigurationStatusQuery
     | ConfigurationQuery
     | LeaseHolderQuery
     | LeaseRequest
@@ -160,6 +182,7 @@
     | LeaseReply
     | StateReply
     | WaitingReply
+    | ConfigurationStatus
     | ConfigurationReply
 )
 
--- a/tests/jobs/test_configuration_follower.py
+++ b/tests/jobs/test_configuration_follower.py
@@ -82,14 +82,13 @@
 class NoPeers:
     """Peers that know nothing."""
 
-    async def query_configuration(self, newer_than: ConfigurationVersion) -> bytes:
-        return b""
+    async def query(self, newer_than: ConfigurationVersion) -> None:
+        return None
 
 
 @asynccontextmanager
 async def _following(source: ScriptedSource) -> AsyncIterator[ConfigurationFollower]:
-    peers = NoPeers()
-    follower = ConfigurationFollower(source, peers.query_configuration, LoopClock())
+    follower = ConfigurationFollower(source, NoPeers(), LoopClock())
     await follower.start()
     try:
         await asyncio.sleep(0.5)
