Apply a change of the configuration that comes while a scheduler loads its state (CONFIG)

What callers saw: jobs of a route that had been added wait, or run on the pool of the version before, until the next change of the configuration, although every daemon accepts them by the new version.

Cause: a new scheduler is loaded with the configuration in force when the load begins. A change that arrives during the load finds no scheduler to configure and is dropped. Class: a value that is read before a wait and used after it.

Ruled out as the cause of the reported refusal: calls are refused by each daemon's own follower, not by the scheduler's copy.

Fix: the scheduler is configured again at the moment at which it is published; from then on each change reaches it. The same pattern was looked for: load_scheduler reads workers, progress and jobs with the versions from which changes are followed, so that none is missed there.

--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -212,7 +212,8 @@
             ProgressSource(scheduler, self._driver, activity, self._ports)
         )
         self.scheduler = scheduler
-        self._lease_writer.wake()
+        # A change that has come into force during the load has not been applied.
+        self.configure()
 
     async def _clean_up_forever(self, scheduler: Scheduler) -> None:
         """Remove jobs whose retention period is over: first the job, then its progress.
