--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -45,6 +45,8 @@
         self.history: list[StoredRow] = []
         self.compacted_version = 0
         self.changed = Notifier()
+        #: Number of calls that have been sent.
+        self.calls = 0
         #: Callers whose calls time out; ``*`` stands for all callers.
         self.unreachable_for: set[str] = set()
         #: Callers whose calls are refused at once.
@@ -170,6 +172,7 @@
             raise StoreUnavailable("partition refused", is_in_doubt=False)
 
     async def _reach(self, *, is_write: bool) -> None:
+        self._store.calls += 1
         if self._caller in self._store.refused_for:
             await asyncio.sleep(ONE_WAY_LATENCY_S)
             raise StoreUnavailable("refused", is_in_doubt=False)
