--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from currantstage.standin.jobs import CALL_TIMEOUT_S, SimulatedSite
+from currantstage.standin.jobs._store import ONE_WAY_LATENCY_S
 from currantstage.state.jobs import JobState, Term
 from tests.jobs.site import run_scenario, start_site, step
 
@@ -85,6 +86,15 @@
         run_scenario(scenario(seed))
 
 
+async def _wait_for_a_renewal(site: SimulatedSite) -> None:
+    """Wait until the lease has been renewed, so that no write is under way."""
+    lease = next(name for name in site.store.rows if name.key == "lease")
+    version = site.store.rows[lease].version
+    while site.store.rows[lease].version == version:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(2 * ONE_WAY_LATENCY_S)
+
+
 def _slow_down_writes_of_the_scheduler(site: SimulatedSite) -> None:
     site.store.slow_partitions = {"scheduler"}
     site.store.slow_write_s = CALL_TIMEOUT_S + MARGIN_S
@@ -95,6 +105,7 @@
 
     async def scenario(seed: int) -> None:
         site = await start_site(seed)
+        await _wait_for_a_renewal(site)
         _slow_down_writes_of_the_scheduler(site)
         job = await site.submit((step(4, run_ms=1000),))
         await asyncio.sleep(CALL_TIMEOUT_S + PROMPT_S)
