Refuse calls only by a configuration known to be the newest (CONFIG)

What callers saw: 404 for a route that had been added, 401 for a key that had been added, later after the change was confirmed than the bound allows. Both are final for a client: it doesn't try another daemon.

Cause: a daemon refuses by whatever version it has, however long ago the store last confirmed it. Any delay on the way of a change, whatever its reason, becomes a wrong refusal. Class: a negative answer from a replica whose age nobody checks.

Fix: before a call is refused for an unknown queue or key, the configuration is confirmed: a confirmation counts if the store (or a peer that had it from the store) was asked 0.5 s before the call at the earliest. If there is none, the store is asked at once, and peers after 0.2 s; all refusals that wait share one question. A newer version that is found decides. Without an answer in 1 s, the call is refused with 503 and Retry-After, which says that it did not run and that another try may succeed. Calls that the configuration allows don't wait.

--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -82,7 +82,14 @@
         self, target: CallTarget, key: str, deadline_ms: int | None
     ) -> Result[AdmittedCall, CallRefusal]:
         """Find a call's queue and check its key; the caller waits `deadline_ms`."""
-        admitted = self._check(target, key, deadline_ms)
+        arrived_s = self._clock.now_s()
+        admitted = self._check(target, key, deadline_ms, arrived_s)
+        if _is_by_configuration(admitted):
+            # A newer version may have the queue or the key.
+            is_newest = await self._follower.confirm()
+            admitted = self._check(target, key, deadline_ms, arrived_s)
+            if _is_by_configuration(admitted) and not is_newest:
+                admitted = Failure(CallRefusal.UNAVAILABLE)
         if isinstance(admitted, Failure):
             self._log_refusal(admitted.failure(), target)
         return admitted
@@ -149,7 +156,11 @@
         return CallRefusal.UNAVAILABLE
 
     def _check(
-        self, target: CallTarget, key: str, deadline_ms: int | None
+        self,
+        target: CallTarget,
+        key: str,
+        deadline_ms: int | None,
+        arrived_s: float,
     ) -> Result[AdmittedCall, CallRefusal]:
         """Check a call against the configuration in force."""
         configuration = self._follower.current
@@ -162,7 +173,7 @@
         if team is None and not queue.is_public:
             return Failure(CallRefusal.UNKNOWN_KEY)
         limit_ms = min(deadline_ms or queue.timeout_ms, queue.timeout_ms)
-        deadline_s = self._clock.now_s() + limit_ms / 1000 - ANSWER_MARGIN_S
+        deadline_s = arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S
         return Success(
             AdmittedCall(queue, team.team if team else TeamId(""), deadline_s)
         )
@@ -223,5 +234,13 @@
             session.cancel(message.job)
 
 
+def _is_by_configuration(admitted: Result[AdmittedCall, CallRefusal]) -> bool:
+    """Return whether a call is refused for what the configuration doesn't have."""
+    return isinstance(admitted, Failure) and admitted.failure() in (
+        CallRefusal.NO_SUCH_QUEUE,
+        CallRefusal.UNKNOWN_KEY,
+    )
+
+
 def _outcome(refusal: CallRefusal | None) -> str:
     return refusal.value if refusal else "accepted"
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -17,7 +17,7 @@
     MaintenanceWave,
     StoreUnavailable,
 )
-from currantstage.util import OverlappingCalls, SupervisedTask
+from currantstage.util import Notifier, OverlappingCalls, SupervisedTask, TaskSet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +35,13 @@
 MAX_POLLS = 3
 #: Pause after a failed read from the store, and between questions to peers, in seconds.
 RETRY_S = 0.25
+#: Age of a confirmation up to which calls are refused without another one, in seconds;
+#: well below the time in which operators expect a change to be in force.
+MAX_REFUSAL_AGE_S = 0.5
+#: Maximum time that a refusal waits for a confirmation, in seconds.
+CONFIRM_TIMEOUT_S = 1.0
+#: Time after which peers are asked as well, if the store has not confirmed, in seconds.
+CONFIRM_PATIENCE_S = 0.2
 
 _NO_VERSION = ConfigurationVersion(-1)
 
@@ -85,6 +92,9 @@
         self._polls = OverlappingCalls(
             self._poll, POLL_PATIENCE_S, MAX_POLLS, self._on_late_poll
         )
+        self._confirmed = Notifier()
+        self._checks = TaskSet()
+        self._is_checking = False
         # Whether the store has not answered in time; peers are then asked.
         self._is_store_late = asyncio.Event()
         self._tasks = (
@@ -113,6 +123,24 @@
         """Return the time since the store last confirmed the configuration in force."""
         return self._confirmation.age_s(self._clock.now_s())
 
+    async def confirm(self) -> bool:
+        """Check that the configuration in force is the newest; return whether it is.
+
+        Takes `CONFIRM_TIMEOUT_S` at most; a newer configuration that is found comes into
+        force.
+        """
+        now_s = self._clock.now_s()
+        needed_s, until_s = now_s - MAX_REFUSAL_AGE_S, now_s + CONFIRM_TIMEOUT_S
+        while not self._confirmation.is_as_of(needed_s):
+            left_s = until_s - self._clock.now_s()
+            if left_s <= 0:
+                return False
+            if not self._is_checking:
+                self._is_checking = True
+                self._checks.spawn(self._check())
+            await self._confirmed.wait(min(left_s, CONFIRM_PATIENCE_S))
+        return True
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
         self._listeners.append(listener)
@@ -132,6 +160,7 @@
         """Stop tracking changes."""
         for task in self._tasks:
             await task.close()
+        await self._checks.close()
 
     async def _follow_store(self) -> None:
         while True:
@@ -151,13 +180,31 @@
             await self._read_from_peers()
             await asyncio.sleep(RETRY_S)
 
-    async def _poll(self) -> _Answer:
+    async def _poll(self, wait_ms: int = CHANGES_WAIT_MS) -> _Answer:
         asked_s = self._clock.now_s()
         if self._version is None:
             return _Answer(asked_s, await self._source.read())
-        changes = await self._source.changes(self._version, CHANGES_WAIT_MS)
+        changes = await self._source.changes(self._version, wait_ms)
         return _Answer(asked_s, changes)
 
+    async def _check(self) -> None:
+        """Ask the store at once, and peers if it doesn't answer at once."""
+        try:
+            await asyncio.gather(self._check_with_store(), self._check_with_peers())
+        finally:
+            self._is_checking = False
+
+    async def _check_with_store(self) -> None:
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                self._apply(await self._poll(wait_ms=0))
+        except (StoreUnavailable, TimeoutError) as error:
+            self._log_unread(str(error) or "no answer in time")
+
+    async def _check_with_peers(self) -> None:
+        if not await self._confirmed.wait(CONFIRM_PATIENCE_S):
+            await self._read_from_peers()
+
     def _on_late_poll(self) -> None:
         self._is_store_late.set()
         self._log_unread("no answer in time")
@@ -175,14 +222,15 @@
         if changes is None:
             self._version = None
             return
-        self._version = changes.version
-        self._confirmation.confirm(answer.asked_s)
+        # A later poll may have been answered before.
+        self._version = max(self._version or 0, changes.version)
         for wave in changes.waves:
             self._waves[wave.number] = wave
         if changes.configuration is not None:
             self._adopt(changes.configuration, changes.raw_configuration, "store")
         if changes.waves:
             self._notify_listeners()
+        self._confirm(answer.asked_s)
 
     async def _read_from_peers(self) -> None:
         answer = await self._peers.query(self._version_in_force())
@@ -192,7 +240,11 @@
         if configuration is not None:
             self._adopt(configuration, answer.raw, "peer")
         if self._version_in_force() >= answer.version:
-            self._confirmation.confirm(answer.confirmed_s)
+            self._confirm(answer.confirmed_s)
+
+    def _confirm(self, asked_s: float) -> None:
+        self._confirmation.confirm(asked_s)
+        self._confirmed.notify_all()
 
     def _version_in_force(self) -> ConfigurationVersion:
         return self._current.version if self._current else _NO_VERSION
