--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -126,8 +126,8 @@
     async def confirm(self) -> bool:
         """Check that the configuration in force is the newest; return whether it is.
 
-        Takes `CONFIRM_TIMEOUT_S` at most; a newer configuration that is found comes into
-        force.
+        Takes `CONFIRM_TIMEOUT_S` at most. A newer configuration that is found comes
+        into force.
         """
         now_s = self._clock.now_s()
         needed_s, until_s = now_s - MAX_REFUSAL_AGE_S, now_s + CONFIRM_TIMEOUT_S
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -17,7 +17,11 @@
     WorkerClient,
     _store,
 )
-from currantstage.platform._http import CallFailure, HttpReply
+from currantstage.platform._http import (
+    MAX_CONNECTIONS_PER_ADDRESS,
+    CallFailure,
+    HttpReply,
+)
 from currantstage.state import EntryVmId, PoolId, VmId
 from currantstage.state.jobs import (
     Committed,
@@ -418,3 +422,53 @@
         assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
 
     _run(answer, use)
+
+
+def test_connections_gone_silent_cost_the_store_client_one_timeout() -> None:
+    silent: set[int] = set()
+    seen: set[int] = set()
+    all_arrived = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        connection = id(request.transport)
+        if connection in silent:
+            await asyncio.sleep(60)
+        if not silent:
+            seen.add(connection)
+            if len(seen) == 4:
+                all_arrived.set()
+            await all_arrived.wait()
+        return web.json_response({"Ver": 7, "rows": []})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        client = StoreClient(http, address)
+        await asyncio.gather(*(client.read("op", "") for _ in range(4)))
+        silent.update(seen)
+        with pytest.raises(StoreUnavailable):
+            await client.read("op", "")
+        assert (await client.read("op", "")).version == 7
+
+    _run(answer, use)
+
+
+def test_poll_does_not_wait_for_the_connections_that_writes_use() -> None:
+    poll_answered = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if request.path.endswith("rows-tx"):
+            await poll_answered.wait()
+        return web.json_response({"Ver": 7, "rows": []})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        client = StoreClient(http, address)
+        writes = [
+            asyncio.ensure_future(client.transact((), ()))
+            for _ in range(MAX_CONNECTIONS_PER_ADDRESS + 4)
+        ]
+        await asyncio.sleep(0)
+        page = await client.changes("op", 7, 0)
+        assert page is not None
+        poll_answered.set()
+        await asyncio.gather(*writes)
+
+    _run(answer, use)
