Don't send polls over silent connections, nor behind writes (CONFIG)

What callers saw: as before, a version that is late; here after all open connections have gone silent without a reset, or while many writes are under way.

Cause: after a call without an answer, the next one was sent over the next idle connection of the pool. If all have gone silent at once, each of up to 12 cost a timeout of its own. And long polls shared the 12 connections of an address with the writes: with all of them busy, a poll waited for a connection until it timed out. Class: a pool that trusts what the failure of one of its members has put in doubt; a watch behind bulk work.

Fix: calls to the store and its long polls have a connection group each. A store call without an answer makes its group open new connections from then on, while calls under way go on (RenewableSession); the same for each peer. Orders to workers keep their connections: there, a missing answer is common (late orders) and new connections are dear.

--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Struct
 
+from currantstage.transport import RenewableSession
 from currantstage.util import LagTolerantTimeout, LoopLagMeter
 
 if TYPE_CHECKING:
@@ -23,6 +24,23 @@
 UNUSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
+class ConnectionGroup(Enum):
+    """Calls that share connections, which none of another group has to wait for.
+
+    Long polls of the store have connections of their own, since writes under way may
+    take up all others.
+    """
+
+    ORDERS = "orders"
+    STORE = "store"
+    STORE_POLLS = "store-polls"
+
+
+#: Groups whose connections all lead to one address. One call without an answer says
+#: that the other open ones may have gone silent as well.
+_RENEWED_GROUPS = frozenset({ConnectionGroup.STORE, ConnectionGroup.STORE_POLLS})
+
+
 class CallFailure(Enum):
     """Reason why a call got no response."""
 
@@ -62,29 +80,22 @@
     """
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions = {
+            group: RenewableSession(_open_session) for group in ConnectionGroup
+        }
         self._lag_meter = LoopLagMeter()
 
     async def start(self) -> None:
-        """Open the connection pool."""
+        """Open the connection pools."""
         await self._lag_meter.start()
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            limit_per_host=MAX_CONNECTIONS_PER_ADDRESS,
-            keepalive_timeout=IDLE_CONNECTION_S,
-        )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            skip_auto_headers=UNUSED_HEADERS,
-        )
+        for sessions in self._sessions.values():
+            sessions.start()
 
     async def close(self) -> None:
         """Close all connections."""
         await self._lag_meter.close()
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        for sessions in self._sessions.values():
+            await sessions.close()
 
     async def call(
         self,
@@ -94,25 +105,42 @@
         *,
         body: object = None,
         headers: Mapping[str, str] | None = None,
+        group: ConnectionGroup = ConnectionGroup.ORDERS,
     ) -> HttpReply | CallFailure:
         """Send one call; only `CallFailure.REFUSED` means that nothing was sent."""
-        assert self._session is not None
+        sessions = self._sessions[group]
         sent_headers = dict(headers or {})
         data = None
         if body is not None:
             data = msgspec.json.encode(body)
             sent_headers["Content-Type"] = "application/json"
-        try:
-            async with (
-                LagTolerantTimeout(self._lag_meter, timeout_s),
-                self._session.request(
-                    method, url, data=data, headers=sent_headers
-                ) as response,
-            ):
-                return HttpReply(response.status, await response.read())
-        except aiohttp.ClientConnectorError:
-            return CallFailure.REFUSED
-        except TimeoutError:
-            return CallFailure.TIMEOUT
-        except aiohttp.ClientError:
-            return CallFailure.BROKEN
+        async with sessions.lend() as session:
+            try:
+                async with (
+                    LagTolerantTimeout(self._lag_meter, timeout_s),
+                    session.request(
+                        method, url, data=data, headers=sent_headers
+                    ) as response,
+                ):
+                    return HttpReply(response.status, await response.read())
+            except aiohttp.ClientConnectorError:
+                return CallFailure.REFUSED
+            except TimeoutError:
+                if group in _RENEWED_GROUPS:
+                    sessions.renew(session)
+                return CallFailure.TIMEOUT
+            except aiohttp.ClientError:
+                return CallFailure.BROKEN
+
+
+def _open_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=MAX_CONNECTIONS_PER_ADDRESS,
+        keepalive_timeout=IDLE_CONNECTION_S,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=UNUSED_HEADERS,
+    )
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -13,7 +13,12 @@
 from msgspec import Struct, field
 
 from currantstage.coordination.jobs import AdaptiveTimeout
-from currantstage.platform._http import CallFailure, HttpReply, PlatformHttp
+from currantstage.platform._http import (
+    CallFailure,
+    ConnectionGroup,
+    HttpReply,
+    PlatformHttp,
+)
 from currantstage.state.jobs import (
     Committed,
     Conflicted,
@@ -150,6 +155,7 @@
             f"rows-feed?{urlencode(query)}",
             self._changes_timeout,
             wait_s=wait_ms / 1000,
+            group=ConnectionGroup.STORE_POLLS,
         )
         if isinstance(reply, HttpReply) and reply.status == 410:
             return None
@@ -165,12 +171,17 @@
         adaptive_timeout: AdaptiveTimeout,
         body: _Transaction | None = None,
         wait_s: float = 0.0,
+        group: ConnectionGroup = ConnectionGroup.STORE,
     ) -> HttpReply | CallFailure:
         sent_s = time.monotonic()
         timeout_s = adaptive_timeout.timeout_s()
         try:
             reply = await self._http.call(
-                method, f"{self._base}/{path}", wait_s + timeout_s, body=body
+                method,
+                f"{self._base}/{path}",
+                wait_s + timeout_s,
+                body=body,
+                group=group,
             )
         except asyncio.CancelledError:
             adaptive_timeout.record_abandoned(time.monotonic() - sent_s - wait_s)
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -47,6 +47,7 @@
     PeerSockets,
 )
 from currantstage.transport._platform import PlatformClient
+from currantstage.transport._renewable_session import RenewableSession
 from currantstage.transport._routes import (
     CallerService,
     HealthService,
@@ -82,6 +83,7 @@
     "OperatorService",
     "PROBE_TIMEOUT_S",
     "PeerFailure",
+    "RenewableSession",
     "PeerSockets",
     "PlatformClient",
     "RECONNECT_MAX_MS",
--- a/currantstage/transport/_job_peers.py
+++ b/currantstage/transport/_job_peers.py
@@ -21,6 +21,7 @@
     decode_peer_reply,
     encode_peer_message,
 )
+from currantstage.transport._renewable_session import RenewableSession
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -45,41 +46,56 @@
 
 
 class JobPeerClient:
-    """Sends queries to peers."""
+    """Sends queries to peers, over connection pools of their own.
+
+    After a query without a reply, the peer's other open connections aren't trusted
+    either.
+    """
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: dict[str, RenewableSession] = {}
 
     async def start(self) -> None:
-        """Open the connection pool."""
-        connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=MAX_CONNECTIONS_PER_PEER
-        )
-        self._session = aiohttp.ClientSession(connector=connector)
+        """Do nothing; a peer's pool is opened by the first query to it."""
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        for sessions in self._sessions.values():
+            await sessions.close()
+        self._sessions.clear()
 
     async def send_query(
         self, address: str, query: PeerQuery, timeout_s: float
     ) -> PeerReply | PeerFailure:
         """Send a query; return the reply, or why there is none."""
-        assert self._session is not None
-        try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._session.post(
-                    f"http://{address}{PEER_PATH}", data=encode_peer_message(query)
-                ) as response,
-            ):
-                return decode_peer_reply(await response.read())
-        except aiohttp.ClientConnectorError:
-            return PeerFailure.REFUSED
-        except (TimeoutError, aiohttp.ClientError, DecodeError):
-            return PeerFailure.NO_REPLY
+        sessions = self._sessions_to(address)
+        async with sessions.lend() as session:
+            try:
+                async with (
+                    asyncio.timeout(timeout_s),
+                    session.post(
+                        f"http://{address}{PEER_PATH}", data=encode_peer_message(query)
+                    ) as response,
+                ):
+                    return decode_peer_reply(await response.read())
+            except aiohttp.ClientConnectorError:
+                return PeerFailure.REFUSED
+            except TimeoutError:
+                sessions.renew(session)
+                return PeerFailure.NO_REPLY
+            except (aiohttp.ClientError, DecodeError):
+                return PeerFailure.NO_REPLY
+
+    def _sessions_to(self, address: str) -> RenewableSession:
+        if address not in self._sessions:
+            self._sessions[address] = RenewableSession(_open_session)
+            self._sessions[address].start()
+        return self._sessions[address]
+
+
+def _open_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS_PER_PEER)
+    return aiohttp.ClientSession(connector=connector)
 
 
 def add_job_peer_route(
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -428,11 +428,12 @@
     silent: set[int] = set()
     seen: set[int] = set()
     all_arrived = asyncio.Event()
+    is_over = asyncio.Event()
 
     async def answer(request: web.Request) -> web.StreamResponse:
         connection = id(request.transport)
         if connection in silent:
-            await asyncio.sleep(60)
+            await is_over.wait()
         if not silent:
             seen.add(connection)
             if len(seen) == 4:
@@ -444,9 +445,12 @@
         client = StoreClient(http, address)
         await asyncio.gather(*(client.read("op", "") for _ in range(4)))
         silent.update(seen)
-        with pytest.raises(StoreUnavailable):
-            await client.read("op", "")
-        assert (await client.read("op", "")).version == 7
+        try:
+            with pytest.raises(StoreUnavailable):
+                await client.read("op", "")
+            assert (await client.read("op", "")).version == 7
+        finally:
+            is_over.set()
 
     _run(answer, use)
 
@@ -466,9 +470,10 @@
             for _ in range(MAX_CONNECTIONS_PER_ADDRESS + 4)
         ]
         await asyncio.sleep(0)
-        page = await client.changes("op", 7, 0)
-        assert page is not None
-        poll_answered.set()
-        await asyncio.gather(*writes)
+        try:
+            assert await client.changes("op", 7, 0) is not None
+        finally:
+            poll_answered.set()
+            await asyncio.gather(*writes, return_exceptions=True)
 
     _run(answer, use)
--- a/tests/jobs/test_slow_link.py
+++ b/tests/jobs/test_slow_link.py
@@ -10,7 +10,7 @@
 
 from currantstage.application.jobs._repository import JOB_PARTITIONS, JobRepository
 from currantstage.platform import PlatformHttp, StoreClient
-from currantstage.platform._http import CallFailure, HttpReply
+from currantstage.platform._http import CallFailure, ConnectionGroup, HttpReply
 from tests.jobs.site import run_scenario
 
 if TYPE_CHECKING:
@@ -43,6 +43,7 @@
         *,
         body: object = None,
         headers: Mapping[str, str] | None = None,
+        group: ConnectionGroup = ConnectionGroup.ORDERS,
     ) -> HttpReply | CallFailure:
         """Return one page of rows; calls at the same time take turns by row."""
         query = {name: each for name, (each,) in parse_qs(urlsplit(url).query).items()}
