--- a/currantstage/transport/_renewable_session.py
+++ b/currantstage/transport/_renewable_session.py
@@ -16,8 +16,8 @@
     """Lends an `aiohttp.ClientSession`, and replaces it on request.
 
     Open connections can go silent without a reset, all at the same moment. After a call
-    without an answer, the next ones would be sent over the other silent connections, one
-    after the other. A new session opens new ones, while calls under way go on.
+    without an answer, the next ones would be sent over the other silent connections,
+    one after the other. A new session opens new ones, while calls under way go on.
 
     Parameters
     ----------
