--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -95,6 +95,7 @@
 
     def send_orders(self) -> None:
         """Send the stop and pace orders that the scheduler has decided on."""
+        self._log_lost_runs()
         if not self._held_lease.is_valid(self._now_s()):
             return
         if self._scheduler.is_superseded:
@@ -215,6 +216,22 @@
         self.send_orders()
         self._on_change()
 
+    def _log_lost_runs(self) -> None:
+        for lost in self._scheduler.take_lost_runs():
+            task = lost.run.task.key
+            now_s = self._now_s()
+            log_message(
+                "currantstage:task-lost",
+                job=task.job,
+                task=_format_task(task),
+                run=lost.run.number,
+                worker=lost.run.worker,
+                cause=lost.loss.cause.value,
+                companions=lost.loss.companions,
+                phase=lost.run.phase.value,
+                placed_ago_s=round(now_s - lost.run.placed_s, 3),
+            )
+
     async def _stop_run(self, order: StopOrder) -> None:
         outcome = await self._ports.orders.stop(order)
         log_message(
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -20,6 +20,7 @@
 )
 
 if TYPE_CHECKING:
+    from currantstage.coordination.jobs._run_loss import RunLoss
     from currantstage.state import TeamId
     from currantstage.state.jobs import JobId, Resources, Step, Submission
 
@@ -70,6 +71,8 @@
     stop_sent_s : float
         When the stop order was last issued.
     pace_percent : int
+    loss : RunLoss, optional
+        How it was lost, or will have been if its worker's next list lacks it.
     """
 
     task: TaskRecord
@@ -90,6 +93,7 @@
     is_stopping: bool = False
     stop_sent_s: float = float("-inf")
     pace_percent: int = 100
+    loss: RunLoss | None = None
 
     @property
     def step(self) -> Step:
--- a/currantstage/coordination/jobs/_reply_comparison.py
+++ b/currantstage/coordination/jobs/_reply_comparison.py
@@ -126,6 +126,7 @@
         run.percent = listed.percent
         run.progressed_clock_ms = run.listed_clock_ms
     run.is_listed = True
+    run.loss = None
     run.listed_s = listed_s
     run.gauge = listed.gauge
     if listed.checkpoint:
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run_loss import LostRun
 from currantstage.state.jobs import EndKind, JobState, TaskPhase
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         self._workers = workers
         self._teams = teams
         self._max_attempts = max_attempts
+        self._lost: list[LostRun] = []
 
     def on_running(self, run: Run) -> None:
         """Record that a run goes on; stop it if its job has ended."""
@@ -102,11 +104,18 @@
     def on_lost(self, run: Run) -> None:
         """Apply the loss of a run that the worker table has already released."""
         self._teams.remove(run.team, run.step.resources)
+        if run.loss is not None:
+            self._lost.append(LostRun(run, run.loss))
         if run.task.run is run:
             run.task.run = None
             if not run.task.step.job.state.is_final:
                 self.retry(run.task)
 
+    def take_lost(self) -> list[LostRun]:
+        """Return the runs that were lost since the last call."""
+        lost, self._lost = self._lost, []
+        return lost
+
     def release(self, run: Run) -> None:
         """Free the room of a run on its worker and its share of the team."""
         worker_state = self._workers.get(run.worker)
--- /dev/null
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -0,0 +1,51 @@
+"""Why runs are lost without an end that their worker lists."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from currantstage.coordination.jobs._records import Run
+
+
+class LossCause(Enum):
+    """What has ended a run that no worker lists as ended."""
+
+    #: The process of the worker has ended: another one has its address or its id.
+    WORKER_ENDED = "worker-ended"
+    #: The worker was silent until the run's lease had certainly expired.
+    LEASE_EXPIRED = "lease-expired"
+    #: The worker has left, or planned work has ended it.
+    PLANNED = "planned"
+    #: The worker lists neither the run nor its end.
+    NOT_LISTED = "not-listed"
+
+
+@dataclass(frozen=True, slots=True)
+class RunLoss:
+    """The loss of a run.
+
+    Parameters
+    ----------
+    cause : LossCause
+    companions : int
+        Number of other runs that had been sent to the worker and were lost with it.
+    """
+
+    cause: LossCause
+    companions: int
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether the worker has ended unexpectedly, as far as is known."""
+        return self.cause in (LossCause.WORKER_ENDED, LossCause.LEASE_EXPIRED)
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was lost, as it is reported."""
+
+    run: Run
+    loss: RunLoss
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -39,6 +39,7 @@
         TaskRecord,
     )
     from currantstage.coordination.jobs._reply_comparison import RunChanges
+    from currantstage.coordination.jobs._run_loss import LostRun
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
@@ -219,6 +220,9 @@
         worker_state = self.workers.get(run.worker)
         if worker_state is None or run.task.run is not run:
             return
+        if outcome is OrderOutcome.OTHER_WORKER:
+            # The answer of another process: this run never started.
+            run.phase = RunPhase.UNSENT
         if outcome is OrderOutcome.ACCEPTED:
             self._lifecycle.on_accepted(run, now_s)
         elif run.phase is RunPhase.RUNNING:
@@ -280,6 +284,10 @@
         """Return the pace orders to send now."""
         return self._supervisor.take_paces()
 
+    def take_lost_runs(self) -> Sequence[LostRun]:
+        """Return the runs that were lost since the last call, to be reported."""
+        return self._lifecycle.take_lost()
+
     def retire_worker(self, worker: WorkerId) -> None:
         """Record that the platform has ended a worker, as ordered."""
         worker_state = self.workers.get(worker)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -148,6 +148,11 @@
         """Whether no task may be placed on it until it is heard of again."""
         return self.is_silent or not self.is_listed or self.entry.is_draining
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its end is planned, by itself or by the scheduler."""
+        return self.is_cordoned or self.is_retired or self.entry.is_draining
+
     @property
     def free(self) -> Resources:
         """The capacity that is not reserved."""
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -12,6 +12,7 @@
     compare_lists,
     take_new_ends,
 )
+from currantstage.coordination.jobs._run_loss import LossCause, RunLoss
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
     CLOCK_DRIFT,
@@ -128,7 +129,9 @@
         changes = compare_lists(
             state, order, reply, settled_clock_ms, sent_s, listed_s, now_s
         )
-        self._remove_all(state, changes.lost)
+        if changes.lost:
+            _record_loss(state, changes.lost, LossCause.NOT_LISTED)
+            self._remove_all(state, changes.lost)
         return changes
 
     def on_renewal_failure(
@@ -158,9 +161,8 @@
         lost: list[Run] = []
         for state in self._states.values():
             if (state.is_silent or not state.is_synced) and now_s > state.lease_end_s:
-                ended = [
-                    r for r in state.runs.values() if r.phase is not RunPhase.UNSENT
-                ]
+                ended = _sent_runs(state)
+                _record_loss(state, ended, LossCause.LEASE_EXPIRED)
                 lost.extend(self._remove_all(state, ended))
         return lost
 
@@ -168,6 +170,7 @@
         """Record that a worker's process has ended; return the runs lost with it."""
         state.is_synced = False
         state.missed_renewals = SILENT_AFTER_MISSED_RENEWALS
+        _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         return self._remove_all(state, list(state.runs.values()))
 
     def retire(self, state: WorkerState) -> list[Run]:
@@ -202,6 +205,7 @@
 
     def _begin_incarnation(self, state: WorkerState, born_ms: BornMs) -> list[Run]:
         """Reset the state of a worker that has restarted under its id."""
+        _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         state.entry = _with_incarnation(state.entry, born_ms)
         state.is_retired = False
         state.raise_fence()
@@ -241,6 +245,20 @@
             self.room.discard(worker)
 
 
+def _sent_runs(state: WorkerState) -> list[Run]:
+    """Return the runs whose start may have reached the worker."""
+    return [run for run in state.runs.values() if run.phase is not RunPhase.UNSENT]
+
+
+def _record_loss(state: WorkerState, runs: list[Run], cause: LossCause) -> None:
+    """Record why runs are lost, unless an earlier loss of theirs is on record."""
+    if state.is_leaving:
+        cause = LossCause.PLANNED
+    for run in runs:
+        if run.loss is None:
+            run.loss = RunLoss(cause, companions=len(runs) - 1)
+
+
 def _unlisted_entry(worker: WorkerId, born_ms: BornMs) -> WorkerEntry:
     return WorkerEntry(
         worker=worker,
