--- a/currantstage/standin/jobs/_oracle.py
+++ b/currantstage/standin/jobs/_oracle.py
@@ -12,6 +12,10 @@
     from currantstage.standin.jobs._workers import SimulatedRun, SimulatedWorker
     from currantstage.state.jobs import FleetConfiguration, JobId, Submission
 
+#: Workers that may crash under a task before its starts are counted, and the number of
+#: these starts that is one too many.
+MAX_CRASHES = 3
+FORBIDDEN_START = 3
 #: Time after an acknowledged cancellation in which tasks may still start, in seconds.
 CANCEL_GRACE_S = 3.0
 
@@ -39,6 +43,10 @@
         default_factory=lambda: defaultdict(int)
     )
     started_jobs: set[JobId] = field(default_factory=set)
+    crashes: dict[TaskKey, int] = field(default_factory=lambda: defaultdict(int))
+    starts_after_crashes: dict[TaskKey, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
 
     def on_start(
         self, worker: SimulatedWorker, run: SimulatedRun, now_s: float, *, is_late: bool
@@ -67,8 +75,14 @@
         step = submission.steps[task.step]
         if not step.is_long_running and self.acknowledged_failures[task] >= attempts:
             self._add_violation("BUDGET", f"{task} after {attempts} failed runs")
+        self._check_crashes(task)
         self.running[task].append(run)
 
+    def on_worker_crash(self, worker: SimulatedWorker) -> None:
+        """Record that a task has crashed a worker with all its runs."""
+        for task in worker.runs:
+            self.crashes[task] += 1
+
     def on_end(self, run: SimulatedRun, *, is_done: bool) -> None:
         """Record the end of a run."""
         if run in self.running[run.task]:
@@ -114,6 +128,13 @@
         if run.task in self.acknowledged_done:
             self._add_violation("TWICE", f"{run.task} after its end was acknowledged")
 
+    def _check_crashes(self, task: TaskKey) -> None:
+        if self.crashes[task] < MAX_CRASHES:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] >= FORBIDDEN_START:
+            self._add_violation("BUDGET", f"{task} after {self.crashes[task]} crashes")
+
     def _check_order(self, submission: Submission, task: TaskKey) -> None:
         for predecessor in submission.steps[task.step].after:
             for number in range(submission.steps[predecessor].task_count):
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -19,6 +19,7 @@
     RowName,
     RowWrite,
     RunningTask,
+    WorkerId,
 )
 from currantstage.util import Notifier
 
@@ -35,7 +36,6 @@
         StopOrder,
         TaskKey,
         WorkerEntry,
-        WorkerId,
     )
 
 WORKERS_TABLE = "servers"
@@ -51,6 +51,12 @@
 STOP_DURATION_S = 0.1
 #: Time for which an entry stays in the store after its worker ended, in seconds.
 ENTRY_EXPIRY_S = 4.5
+#: Time from the start of a task that crashes its worker to the crash, and from the crash
+#: to the worker's return, in seconds.
+CRASH_DELAY_S = 0.01
+CRASH_RETURN_S = 3.0
+#: Payload of a job whose first task of each step crashes every worker that starts it.
+DEADLY_SPEC = "deadly"
 #: Bounds of the delay after which a late order is carried out, in seconds.
 LATE_MIN_S = 2.0
 LATE_MAX_S = 12.0
@@ -115,6 +121,10 @@
         run = SimulatedRun(order.task, order.run, self, _now_s(), run_duration_s)
         self.runs[order.task] = run
         self._fleet.oracle.on_start(self, run, _now_s(), is_late=is_late)
+        if self._fleet.is_deadly(order.task):
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_S, self._fleet.crash_and_return, self
+            )
         if run_duration_s is not None:
             run.timer = asyncio.get_running_loop().call_later(
                 run_duration_s, self._finish, run
@@ -234,6 +244,8 @@
         self.late_fraction = 0.0
         self.late_hold_fraction = 0.0
         self.failing_fraction = 0.0
+        #: Whether a worker that a task has crashed comes back under another id.
+        self.returns_under_new_id = False
         self._store = store
 
     def add(self, entry: WorkerEntry) -> SimulatedWorker:
@@ -264,6 +276,30 @@
         self.silent.discard(worker)
         self.add(msgspec.structs.replace(old.entry, born_ms=born_ms))
 
+    def is_deadly(self, task: TaskKey) -> bool:
+        """Return whether a task crashes every worker that starts it."""
+        spec = self.oracle.submitted[task.job].spec
+        return spec == DEADLY_SPEC and task.number == 0
+
+    def crash_and_return(self, worker: SimulatedWorker) -> None:
+        """Crash a worker; its VM runs another one after a while."""
+        if not worker.is_up:
+            return
+        self.oracle.on_worker_crash(worker)
+        worker.crash()
+        asyncio.get_running_loop().call_later(CRASH_RETURN_S, self._return, worker)
+
+    def _return(self, worker: SimulatedWorker) -> None:
+        if not self.returns_under_new_id:
+            self.restart(worker.entry.worker)
+            return
+        self._expire(worker.entry)
+        now_ms = int(_now_s() * 1000)
+        new_id = WorkerId(f"{worker.entry.worker.partition('@')[0]}@{now_ms}")
+        self.add(
+            msgspec.structs.replace(worker.entry, worker=new_id, born_ms=BornMs(now_ms))
+        )
+
     def run_duration_s(self, task: TaskKey) -> float | None:
         """Return the run time of a task; None if it runs until it is stopped."""
         step = self.oracle.submitted[task.job].steps[task.step]
