--- a/currantstage/application/jobs/_progress_source.py
+++ b/currantstage/application/jobs/_progress_source.py
@@ -65,11 +65,14 @@
         for record, state in ended:
             age_s = self._ports.clock.now_s() - record.accepted_s
             self._ports.metrics.count_job(state, age_s)
+            failure = record.failure
             log_message(
                 "currantstage:job-ended",
                 job=record.job,
                 state=state.value,
                 age_s=round(age_s, 3),
+                reason=failure.reason.value if failure else None,
+                failed_task=".".join(map(str, failure.task)) if failure else None,
             )
         self._driver.start_runs(starts)
         self._driver.on_progress_stored()
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -4,8 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import JobRecord, StepRecord, TaskRecord
-from currantstage.state.jobs import JobState, RunNumber, TaskPhase
+from currantstage.coordination.jobs._records import (
+    JobFailure,
+    JobRecord,
+    StepRecord,
+    TaskRecord,
+)
+from currantstage.state.jobs import CrashRecord, JobState, RunNumber, TaskPhase
 
 if TYPE_CHECKING:
     from currantstage.state import QueueId
@@ -21,6 +26,7 @@
         self._open: dict[JobId, JobRecord] = {}
         self._scheduled: dict[JobId, JobRecord] = {}
         self._changed: dict[JobId, JobRecord] = {}
+        self._trials: dict[TaskKey, TaskRecord] = {}
         self._unix_ms = 0
 
     def __len__(self) -> int:
@@ -62,6 +68,8 @@
             task.phase = stored.phase
             task.run_number = stored.run
             task.failed_runs = set(stored.failed_runs)
+            task.crashes = {each.run: each for each in stored.crashes}
+            self._note_trial(task)
             task.checkpoint = stored.checkpoint
             if stored.phase is TaskPhase.DONE:
                 task.step.done_count += 1
@@ -165,6 +173,42 @@
             counted.failed_runs.add(run)
             self.mark_unsaved(task.step.job)
 
+    def count_crash(self, task: TaskRecord, crash: CrashRecord) -> None:
+        """Count a run whose worker crashed."""
+        task.crashes[crash.run] = crash
+        self._note_trial(task)
+        self.mark_unsaved(task.step.job)
+
+    def clear_crash(self, task: TaskRecord, run: RunNumber) -> None:
+        """Take back a crash: the worker has turned out to live."""
+        if task.crashes.pop(run, None) is not None:
+            self.mark_unsaved(task.step.job)
+
+    def clear_crashes(self, task: TaskRecord) -> None:
+        """Take back all crashes under a task that is at work on a worker."""
+        if task.crashes:
+            task.crashes.clear()
+            self.mark_unsaved(task.step.job)
+
+    def waiting_trials(self) -> list[TaskRecord]:
+        """Return the waiting tasks that are to be tried alone on a worker."""
+        self._trials = {
+            key: task
+            for key, task in self._trials.items()
+            if task.needs_trial and not task.step.job.state.is_final
+        }
+        return [
+            task
+            for task in self._trials.values()
+            if task.phase is TaskPhase.WAITING and task.step.is_ready
+        ]
+
+    def fail(self, record: JobRecord, failure: JobFailure) -> None:
+        """End a job as failed."""
+        if not record.state.is_final:
+            record.failure = failure
+            self.end(record, JobState.FAILED)
+
     def is_out_of_attempts(self, task: TaskRecord, max_attempts: int) -> bool:
         """Return whether a task has no attempt left."""
         step = task.step
@@ -214,6 +258,10 @@
             if record.stored_state.is_final and 0 < record.ended_unix_ms < unix_ms
         ]
 
+    def _note_trial(self, task: TaskRecord) -> None:
+        if task.needs_trial:
+            self._trials[task.key] = task
+
     def _open_occurrence(self, record: JobRecord, occurrence: int) -> None:
         self._refresh_ready(record.open_occurrence(occurrence))
         self._changed[record.job] = record
--- a/currantstage/coordination/jobs/_placement.py
+++ b/currantstage/coordination/jobs/_placement.py
@@ -41,6 +41,8 @@
         """Return the worker for `task`, or None if no worker can take it now."""
         needs = StepNeeds(task.step)
         rack = _preferred_rack(task.step, needs, workers)
+        if task.crashes:
+            return _choose_for_suspect(task, needs, rack, workers)
         best: WorkerState | None = None
         best_suits = (False, False)
         for each in _by_preference(task.step, needs, workers):
@@ -57,6 +59,31 @@
         return best
 
 
+def _choose_for_suspect(
+    task: TaskRecord, needs: StepNeeds, rack: str, workers: CandidateWorkers
+) -> WorkerState | None:
+    """Return the worker with the fewest other suspects, then as for other tasks.
+
+    Tasks that were lost with a worker are spread, so that the next crash tells which of
+    them caused it, and takes few others along.
+    """
+
+    def rank(worker: WorkerState) -> tuple[bool, int, bool, int]:
+        return (
+            worker.entry.worker in task.failed_on,
+            worker.suspect_runs,
+            bool(rack) and worker.entry.rack != rack,
+            len(worker.runs),
+        )
+
+    fitting = (
+        each
+        for each in _by_preference(task.step, needs, workers)
+        if needs.obstacle(each) is None
+    )
+    return min(fitting, key=rank, default=None)
+
+
 class StepNeeds:
     """What a worker must have to take one more task of a step.
 
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -8,6 +8,7 @@
 
 from currantstage.state.jobs import (
     BornMs,
+    CrashRecord,
     Fence,
     JobProgress,
     JobState,
@@ -26,10 +27,33 @@
 
 #: Maximum attempts of a task whose queue is not in the configuration.
 DEFAULT_MAX_ATTEMPTS = 3
+#: Progress of a long-running task that is fully at work.
+FULL_WORK_PERCENT = 100
+#: Weight of the crashes under a task from which on it is tried alone on a worker.
+TRIAL_WEIGHT = 2
+#: Weight of the crashes under a task from which on it is not started any more.
+GIVE_UP_WEIGHT = 4
 #: How long a run counts as running after its worker has listed it, in seconds.
 LISTING_VALID_S = 1.6
 
 
+class FailureReason(Enum):
+    """Why a job has failed."""
+
+    #: A task has failed as often as its queue allows.
+    ATTEMPTS = "attempts"
+    #: A task crashes the workers that start it.
+    CRASHES = "crashes-workers"
+
+
+@dataclass(frozen=True, slots=True)
+class JobFailure:
+    """Why a job has failed, and by which task."""
+
+    reason: FailureReason
+    task: TaskKey
+
+
 class RunPhase(Enum):
     """State of the order that starts a run."""
 
@@ -73,6 +97,10 @@
     pace_percent : int
     loss : RunLoss, optional
         How it was lost, or will have been if its worker's next list lacks it.
+    is_suspect : bool
+        Its task may have crashed a worker before.
+    is_trial : bool
+        No other run is started on its worker, so that a crash tells who caused it.
     """
 
     task: TaskRecord
@@ -94,6 +122,8 @@
     stop_sent_s: float = float("-inf")
     pace_percent: int = 100
     loss: RunLoss | None = None
+    is_suspect: bool = False
+    is_trial: bool = False
 
     @property
     def step(self) -> Step:
@@ -115,6 +145,11 @@
         """How long its worker has listed it without progress, on the worker's clock."""
         return (self.listed_clock_ms - self.progressed_clock_ms) / 1000
 
+    @property
+    def is_settled_in(self) -> bool:
+        """Whether it is long-running and at work, so that it crashes no worker."""
+        return self.step.is_long_running and self.percent >= FULL_WORK_PERCENT
+
     def is_recently_listed(self, now_s: float) -> bool:
         """Return whether its worker has listed it recently."""
         return (
@@ -124,7 +159,11 @@
     def is_available(self, now_s: float) -> bool:
         """Return whether a long-running task is known to be fully available."""
         is_settled = self.listed_clock_ms >= self.settled_clock_ms
-        return self.is_recently_listed(now_s) and is_settled and self.percent >= 100
+        return (
+            self.is_recently_listed(now_s)
+            and is_settled
+            and self.percent >= FULL_WORK_PERCENT
+        )
 
 
 @dataclass(slots=True, eq=False)
@@ -149,6 +188,10 @@
         a later scheduler and must be counted only once.
     failed_on : set of WorkerId
         Workers on which a run of the task has failed or stalled.
+    crashes : dict of RunNumber to CrashRecord
+        Runs whose worker crashed.
+    trial_since_s : float
+        When its trial was first due and no worker was free for it.
     """
 
     key: TaskKey
@@ -162,6 +205,19 @@
     checkpoint: str = ""
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before_s: float = 0.0
+    crashes: dict[RunNumber, CrashRecord] = field(default_factory=dict)
+    trial_since_s: float = float("inf")
+
+    @property
+    def crash_weight(self) -> int:
+        """Evidence that the task crashes workers; alone with it, one counts twice."""
+        return sum(2 if each.was_alone else 1 for each in self.crashes.values())
+
+    @property
+    def needs_trial(self) -> bool:
+        """Whether the task is to be started on a worker without other runs."""
+        is_in_doubt = bool(self.crashes) and self.crash_weight >= TRIAL_WEIGHT
+        return is_in_doubt and not self.step.step.is_gang
 
     def progress(self) -> TaskProgress:
         """Return the progress to store for the task."""
@@ -174,6 +230,7 @@
             worker=self.worker if self.phase is TaskPhase.PLACED else WorkerId(""),
             born_ms=self.born_ms if self.phase is TaskPhase.PLACED else BornMs(0),
             failed_runs=tuple(sorted(self.failed_runs)),
+            crashes=tuple(self.crashes.values()),
             checkpoint=self.checkpoint if self.phase is not TaskPhase.DONE else "",
         )
 
@@ -257,6 +314,8 @@
         Whether any task has started.
     accepted_s : float
         When the job was accepted, on the scheduler's clock.
+    failure : JobFailure, optional
+        Why this scheduler has ended the job as failed.
     """
 
     submission: Submission
@@ -265,6 +324,7 @@
     is_started: bool = False
     accepted_s: float = 0.0
     ended_unix_ms: int = 0
+    failure: JobFailure | None = None
     occurrences: dict[int, list[StepRecord]] = field(default_factory=dict)
 
     @property
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -4,9 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import Run, RunPhase
-from currantstage.coordination.jobs._run_loss import LostRun
-from currantstage.state.jobs import EndKind, JobState, TaskPhase
+from currantstage.coordination.jobs._records import (
+    GIVE_UP_WEIGHT,
+    FailureReason,
+    JobFailure,
+    Run,
+    RunPhase,
+)
+from currantstage.coordination.jobs._run_loss import LossCause, LostRun, RunLoss
+from currantstage.state.jobs import CrashRecord, EndKind, JobState, TaskPhase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,6 +62,8 @@
             record.state = JobState.RUNNING
         if record.state.is_final and not run.is_stopping:
             self.stop(run)
+        if run.is_suspect and run.is_settled_in:
+            self._end_suspicion(run)
 
     def on_accepted(self, run: Run, now_s: float) -> None:
         """Record that a worker has accepted the start of a run."""
@@ -74,6 +82,9 @@
         is_current = run is not None and run.number == ended.run
         if run is not None and is_current:
             self.release(run)
+        if task.crashes:
+            # A worker that lists the end of a run has not crashed under it.
+            self._jobs.clear_crash(task, ended.run)
         if ended.kind is EndKind.DONE:
             worker_state.record_success()
             if not task.step.job.state.is_final:
@@ -93,8 +104,9 @@
     def retry(self, task: TaskRecord) -> None:
         """Requeue a task, or fail its job if the task has no attempts left."""
         record = task.step.job
-        if self._jobs.is_out_of_attempts(task, self._max_attempts(record)):
-            self._jobs.end(record, JobState.FAILED)
+        reason = self._failure_reason(task)
+        if reason is not None:
+            self._jobs.fail(record, JobFailure(reason, task.key))
             self.stop_runs(record)
             return
         self._jobs.requeue(task)
@@ -106,6 +118,7 @@
         self._teams.remove(run.team, run.step.resources)
         if run.loss is not None:
             self._lost.append(LostRun(run, run.loss))
+            self._count_crash(run, run.loss)
         if run.task.run is run:
             run.task.run = None
             if not run.task.step.job.state.is_final:
@@ -137,6 +150,29 @@
             self.release(run)
             self._jobs.requeue(run.task)
 
+    def _failure_reason(self, task: TaskRecord) -> FailureReason | None:
+        """Return why a task must not be started again; None if it may be."""
+        if task.crash_weight >= GIVE_UP_WEIGHT:
+            return FailureReason.CRASHES
+        max_attempts = self._max_attempts(task.step.job)
+        if self._jobs.is_out_of_attempts(task, max_attempts):
+            return FailureReason.ATTEMPTS
+        return None
+
+    def _count_crash(self, run: Run, loss: RunLoss) -> None:
+        """Hold a crash against the task of a run that was lost with its worker."""
+        if loss.is_crash and not run.is_settled_in:
+            is_certain = run.is_trial or loss.cause is LossCause.WORKER_ENDED
+            was_alone = is_certain and not loss.companions
+            self._jobs.count_crash(run.task, CrashRecord(run.number, was_alone))
+
+    def _end_suspicion(self, run: Run) -> None:
+        """Clear a long-running task that is at work, and open its worker to others."""
+        self._jobs.clear_crashes(run.task)
+        worker_state = self._workers.get(run.worker)
+        if run.is_trial and worker_state is not None:
+            worker_state.end_trial(run)
+
     def _on_done(self, task: TaskRecord) -> None:
         self._jobs.complete_task(task)
         if task.run is not None:
--- a/currantstage/coordination/jobs/_run_loss.py
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -31,7 +31,8 @@
     ----------
     cause : LossCause
     companions : int
-        Number of other runs that had been sent to the worker and were lost with it.
+        Number of other runs lost with it that can have crashed the worker: all but
+        long-running ones that were at work.
     """
 
     cause: LossCause
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -9,6 +9,7 @@
 from currantstage.coordination.jobs._records import Run, RunPhase
 from currantstage.coordination.jobs._waiting_steps import WaitingSteps
 from currantstage.coordination.jobs._worker_room import CandidateWorkers
+from currantstage.coordination.jobs._worker_state import WorkerState
 from currantstage.state.jobs import Resources, RunNumber
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
     from currantstage.state import PoolId
     from currantstage.state.jobs import FleetConfiguration, JobQueue
 
+#: Maximum time that a task waits for a worker without other runs, in seconds.
+MAX_TRIAL_WAIT_S = 2.0
 #: Fits every worker, also one whose reserved resources exceed its capacity.
 ANY_AMOUNT = Resources(-sys.maxsize, -sys.maxsize, -sys.maxsize)
 
@@ -63,7 +66,7 @@
         configuration: FleetConfiguration,
         now_s: float,
     ) -> list[Run]:
-        placed: list[Run] = []
+        placed, workers = self._place_trials(pool, workers, configuration, now_s)
         selection = self._waiting.in_pool(pool).select(workers.has_room)
         for step in selection:
             tasks = step.waiting_tasks(now_s)
@@ -74,6 +77,8 @@
                 )
                 continue
             for task in tasks:
+                if task.crashes and task.needs_trial:
+                    continue
                 run = self._place_task(task, allowed, configuration, now_s, None)
                 if run is None:
                     self._skip_lines(selection, step, workers, configuration)
@@ -83,6 +88,37 @@
                 placed.append(run)
         return placed
 
+    def _place_trials(
+        self,
+        pool: PoolId,
+        workers: CandidateWorkers,
+        configuration: FleetConfiguration,
+        now_s: float,
+    ) -> tuple[list[Run], CandidateWorkers]:
+        """Place the tasks that are to be tried alone, each on a worker of its own.
+
+        Returns their runs, and the workers without one that is held for a trial.
+        """
+        placed: list[Run] = []
+        is_held = False
+        for task in self._jobs.waiting_trials():
+            queue = self._waiting.queue_of(task.step)
+            if pool_of(task.step, configuration) != pool or task.not_before_s > now_s:
+                continue
+            allowed = _advised(task.step, queue, workers, now_s)
+            task.trial_since_s = min(task.trial_since_s, now_s)
+            may_wait = now_s - task.trial_since_s < MAX_TRIAL_WAIT_S
+            if may_wait:
+                allowed = allowed.only(WorkerState.is_open_to_trial)
+            run = self._place_task(task, allowed, configuration, now_s, None)
+            if run is not None:
+                task.trial_since_s = float("inf")
+                placed.append(run)
+            elif may_wait and not is_held:
+                is_held = True
+                workers = _without_next_free(workers)
+        return placed, workers
+
     def _skip_lines(
         self,
         selection: StepSelection,
@@ -149,6 +185,8 @@
             worker_state.entry.worker,
             RunPhase.UNSENT,
             placed_s=now_s,
+            is_suspect=bool(task.crashes),
+            is_trial=bool(task.crashes) and task.needs_trial,
         )
         worker_state.add(run)
         self._teams.add(team, amount)
@@ -174,6 +212,21 @@
     return queue.pool if queue else submission.pool
 
 
+def _without_next_free(workers: CandidateWorkers) -> CandidateWorkers:
+    """Hold the worker that will be free first, as far as is known, for a trial."""
+    held = next(
+        (
+            each
+            for each in workers.most_free_first(ANY_AMOUNT)
+            if not any(run.step.is_long_running for run in each.runs.values())
+        ),
+        None,
+    )
+    if held is None:
+        return workers
+    return workers.only(lambda each: each is not held)
+
+
 def _without_held(
     task: TaskRecord, allowed: CandidateWorkers, workers: CandidateWorkers
 ) -> CandidateWorkers:
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -59,6 +59,7 @@
     CORDONED = "cordoned"
     SILENT = "silent"
     ORPHANS = "orphans"
+    TRIAL = "trial"
     PAUSED = "paused"
     START_IN_DOUBT = "start-in-doubt"
 
@@ -110,6 +111,9 @@
         It runs tasks that are being stopped and are not counted in `used`.
     blocked_until_s : float
         No task is placed on the worker before this time.
+    suspect_runs, trial_runs : int
+        Number of its runs whose task may crash workers, and of those that are tried
+        alone.
     room_observer : RoomObserver, optional
     """
 
@@ -136,6 +140,8 @@
     failures: list[JobId] = field(default_factory=list)
     used: Resources = NO_RESOURCES
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    suspect_runs: int = 0
+    trial_runs: int = 0
     room_observer: RoomObserver | None = None
 
     @property
@@ -162,14 +168,29 @@
         """Reserve resources for `run`."""
         self.runs[run.task.key] = run
         self.used = self.used.plus(run.reserved_resources)
+        if run.is_suspect:
+            self.suspect_runs += 1
+            self.trial_runs += run.is_trial
         self._report_room()
 
     def remove(self, run: Run) -> None:
         """Release the resources of `run`."""
         del self.runs[run.task.key]
         self.used = self.used.minus(run.reserved_resources)
+        if run.is_suspect:
+            self.suspect_runs -= 1
+            self.trial_runs -= run.is_trial
         self._report_room()
 
+    def end_trial(self, run: Run) -> None:
+        """Open the worker to other runs beside one that has been tried."""
+        self.trial_runs -= run.is_trial
+        run.is_trial = False
+
+    def is_open_to_trial(self) -> bool:
+        """Return whether a crash would tell that one more run has caused it."""
+        return all(run.is_settled_in for run in self.runs.values())
+
     def has_start_in_doubt(self) -> bool:
         """Return whether the outcome of any start is unknown."""
         return any(run.phase is RunPhase.IN_DOUBT for run in self.runs.values())
@@ -197,6 +218,8 @@
             return StartBlocker.SILENT
         if self.has_orphans:
             return StartBlocker.ORPHANS
+        if self.trial_runs:
+            return StartBlocker.TRIAL
         if now_s < self.blocked_until_s:
             return StartBlocker.PAUSED
         if self.has_start_in_doubt():
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -254,9 +254,11 @@
     """Record why runs are lost, unless an earlier loss of theirs is on record."""
     if state.is_leaving:
         cause = LossCause.PLANNED
+    suspects = sum(not run.is_settled_in for run in runs)
     for run in runs:
         if run.loss is None:
-            run.loss = RunLoss(cause, companions=len(runs) - 1)
+            companions = suspects - (not run.is_settled_in)
+            run.loss = RunLoss(cause, companions)
 
 
 def _unlisted_entry(worker: WorkerId, born_ms: BornMs) -> WorkerEntry:
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -51,8 +51,8 @@
 STOP_DURATION_S = 0.1
 #: Time for which an entry stays in the store after its worker ended, in seconds.
 ENTRY_EXPIRY_S = 4.5
-#: Time from the start of a task that crashes its worker to the crash, and from the crash
-#: to the worker's return, in seconds.
+#: Time from the start of a task that crashes its worker to the crash, and from then to
+#: the worker's return, in seconds.
 CRASH_DELAY_S = 0.01
 CRASH_RETURN_S = 3.0
 #: Payload of a job whose first task of each step crashes every worker that starts it.
--- a/currantstage/state/jobs/__init__.py
+++ b/currantstage/state/jobs/__init__.py
@@ -26,6 +26,7 @@
 )
 from currantstage.state.jobs._jobs import (
     NO_RESOURCES,
+    CrashRecord,
     JobProgress,
     JobState,
     Resources,
@@ -79,6 +80,7 @@
     "BornMs",
     "Committed",
     "ConfigurationVersion",
+    "CrashRecord",
     "Conflicted",
     "EndKind",
     "EndNumber",
--- a/currantstage/state/jobs/_jobs.py
+++ b/currantstage/state/jobs/_jobs.py
@@ -179,6 +179,20 @@
     FAILED = "failed"
 
 
+class CrashRecord(Struct, frozen=True, omit_defaults=True):
+    """A run whose worker crashed.
+
+    Parameters
+    ----------
+    run : RunNumber
+    was_alone : bool
+        Whether no other run can have caused the crash.
+    """
+
+    run: RunNumber
+    was_alone: bool = False
+
+
 class TaskProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Stored state of a task that has been placed at least once."""
 
@@ -190,6 +204,7 @@
     worker: WorkerId = WorkerId("")
     born_ms: BornMs = BornMs(0)
     failed_runs: tuple[RunNumber, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
     checkpoint: str = ""
 
 
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs import LeastWorkFirst, Run, RunPhase
+from currantstage.coordination.jobs._task_placer import MAX_TRIAL_WAIT_S
 from currantstage.state.jobs import RunNumber
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
         TaskRecord,
         WorkerState,
     )
-    from currantstage.state import PoolId
+    from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import FleetConfiguration, JobQueue, Resources
 
 
@@ -48,8 +49,7 @@
                 for each in self._workers.in_pool(pool)
                 if each.accepts_starts(now_s)
             ]
-            if workers:
-                placed.extend(self._place_pool(steps, workers, configuration, now_s))
+            placed.extend(self._place_pool(steps, workers, configuration, now_s))
         return placed
 
     def _place_pool(
@@ -65,7 +65,9 @@
                 step, queues.get(step.job.submission.queue), now_s
             )
         )
-        placed: list[Run] = []
+        placed, workers = self._place_trials(
+            steps, queues, workers, configuration, now_s
+        )
         too_large: set[Resources] = set()
         for step in steps:
             is_too_large = step.step.reserved_resources in too_large
@@ -80,6 +82,8 @@
                 )
                 continue
             for task in tasks:
+                if task.needs_trial:
+                    continue
                 run = self._place_task(task, allowed, configuration, now_s, None)
                 if run is None:
                     if not any(
@@ -92,6 +96,36 @@
                 placed.append(run)
         return placed
 
+    def _place_trials(
+        self,
+        steps: list[StepRecord],
+        queues: dict[QueueId, JobQueue],
+        workers: list[WorkerState],
+        configuration: FleetConfiguration,
+        now_s: float,
+    ) -> tuple[list[Run], list[WorkerState]]:
+        placed: list[Run] = []
+        held: WorkerState | None = None
+        for task in self._jobs.waiting_trials():
+            if task.step not in steps or task.not_before_s > now_s:
+                continue
+            task.trial_since_s = min(task.trial_since_s, now_s)
+            may_wait = now_s - task.trial_since_s < MAX_TRIAL_WAIT_S
+            queue = queues.get(task.step.job.submission.queue)
+            allowed = [
+                each
+                for each in _advised(task.step, queue, workers, now_s)
+                if each is not held and (not may_wait or each.is_open_to_trial())
+            ]
+            run = self._place_task(task, allowed, configuration, now_s, None)
+            if run is not None:
+                task.trial_since_s = float("inf")
+                placed.append(run)
+            elif may_wait and held is None:
+                held = _next_free(workers)
+        left = [each for each in workers if each is not held and not each.trial_runs]
+        return placed, left
+
     def _waits_for_room(
         self, step: StepRecord, configuration: FleetConfiguration
     ) -> bool:
@@ -142,6 +176,8 @@
             worker_state.entry.worker,
             RunPhase.UNSENT,
             placed_s=now_s,
+            is_suspect=bool(task.crashes),
+            is_trial=task.needs_trial,
         )
         worker_state.add(run)
         self._teams.add(team, amount)
@@ -167,6 +203,18 @@
         return None
     preferred_rack = _preferred_rack(task.step, allowed)
     sign = -1 if task.step.step.is_long_running else 1
+    if task.crashes:
+        return min(
+            allowed,
+            key=lambda each: (
+                each.entry.worker in task.failed_on,
+                each.suspect_runs,
+                bool(preferred_rack) and each.entry.rack != preferred_rack,
+                len(each.runs),
+                -sign * each.free.cpu_millicores,
+                -sign * each.free.memory_mb,
+            ),
+        )
     return max(
         allowed,
         key=lambda each: (
@@ -178,8 +226,25 @@
     )
 
 
+def _next_free(workers: Sequence[WorkerState]) -> WorkerState | None:
+    """Return the worker that will be free first, as far as is known."""
+    candidates = [
+        each
+        for each in workers
+        if not each.trial_runs
+        and not any(run.step.is_long_running for run in each.runs.values())
+    ]
+    return max(
+        candidates,
+        key=lambda each: (each.free.cpu_millicores, each.free.memory_mb),
+        default=None,
+    )
+
+
 def _allows(step: StepRecord, worker: WorkerState) -> bool:
     spec = step.step
+    if worker.trial_runs:
+        return False
     if spec.needed_label and spec.needed_label not in worker.entry.labels:
         return False
     if not spec.reserved_resources.fits(worker.free):
