--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -29,7 +29,6 @@
     EndKind,
     EndNumber,
     Fence,
-    JobId,
     OrderOutcome,
     RenewalOrder,
     RenewalReply,
@@ -37,61 +36,20 @@
     RowName,
     RowPage,
     RowWrite,
-    RunNumber,
-    StartOrder,
     StoreUnavailable,
-    TaskKey,
     Term,
     VmCondition,
     VmOrderOutcome,
 )
+from tests.jobs.platform_server import TASK, run_with_server, start_order
 from tests.jobs.records import entry
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    pass
 
 #: Time for which a late event loop does nothing; longer than the timeout of an order.
 LAG_S = 0.8
 ROW = RowName("scheduler", "p", "lease")
-TASK = TaskKey(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
-
-
-async def _with_server(
-    answer: Callable[[web.Request], Awaitable[web.StreamResponse]],
-    use: Callable[[PlatformHttp, str], Awaitable[None]],
-) -> None:
-    """Serve all paths with `answer` while `use` runs."""
-    app = web.Application()
-    app.router.add_route("*", "/{path:.*}", answer)
-    runner = web.AppRunner(app)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    host, port = runner.addresses[0][:2]
-    http = PlatformHttp()
-    await http.start()
-    try:
-        await use(http, f"{host}:{port}")
-    finally:
-        await http.close()
-        await runner.cleanup()
-
-
-def _run(answer: Any, use: Any) -> None:
-    asyncio.run(_with_server(answer, use))
-
-
-def _start_order(address: str) -> StartOrder:
-    return StartOrder(
-        worker=entry("i-1", address=address),
-        task=TASK,
-        run=RunNumber(2),
-        spec="x",
-        fence=Fence(7),
-        until_ms=486000,
-        checkpoint="c",
-        ticket="",
-    )
 
 
 def test_transaction_sends_versions_and_base64_values() -> None:
@@ -107,7 +65,7 @@
         )
         assert outcome == Committed(412)
 
-    _run(answer, use)
+    run_with_server(answer, use)
     name = {"Table": "scheduler", "part": "p", "Key": "lease"}
     assert seen == [
         {
@@ -134,7 +92,7 @@
         assert isinstance(outcome, Conflicted)
         assert (outcome.rows[0].value, outcome.rows[0].version) == (b"x", 9)
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 @pytest.mark.parametrize(
@@ -151,7 +109,7 @@
             await StoreClient(http, address).transact((), ())
         assert caught.value.is_in_doubt is is_in_doubt
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_refused_connection_is_not_in_doubt() -> None:
@@ -162,7 +120,7 @@
             with pytest.raises(StoreUnavailable) as caught:
                 await StoreClient(http, "127.0.0.1:1").transact((), ())
             assert not caught.value.is_in_doubt
-            outcome = await WorkerClient(http).start(_start_order("127.0.0.1:1"))
+            outcome = await WorkerClient(http).start(start_order("127.0.0.1:1"))
             assert outcome is OrderOutcome.UNSENT
         finally:
             await http.close()
@@ -182,7 +140,7 @@
         assert [row.name.key for row in page.rows] == ["a", "b"]
         assert page.version == 10
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_lost_history_and_removed_rows_are_distinguished() -> None:
@@ -199,7 +157,7 @@
         assert page is not None
         assert page.rows[0].value is None
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 @pytest.mark.parametrize(
@@ -228,9 +186,9 @@
         return web.json_response(body, status=status)
 
     async def use(http: PlatformHttp, address: str) -> None:
-        assert await WorkerClient(http).start(_start_order(address)) is outcome
+        assert await WorkerClient(http).start(start_order(address)) is outcome
 
-    _run(answer, use)
+    run_with_server(answer, use)
     path, headers, sent = seen[0]
     assert path == "/currantstage/run-start"
     assert headers["X-Currantstage-Expect-Instance"] == "i-1"
@@ -261,7 +219,7 @@
         assert (reply.running[0].task, reply.running[0].gauge) == (TASK, 12.0)
         assert reply.ended[0].kind is EndKind.PEER_ENDED
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_list_of_vms_follows_its_pages() -> None:
@@ -277,7 +235,7 @@
         assert [record.vm for record in records] == ["m-False", "m-True"]
         assert records[0].condition is VmCondition.UP
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 @pytest.mark.parametrize(("count", "has_more"), [(499, False), (500, True)])
@@ -299,7 +257,7 @@
         assert isinstance(reply, RenewalReply)
         assert reply.has_more_ends is has_more
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_vm_order_carries_holder_and_fencing_token() -> None:
@@ -314,7 +272,7 @@
         outcome = await client.move(VmId("m"), PoolId("p"), Term(12))
         assert outcome is VmOrderOutcome.FENCED
 
-    _run(answer, use)
+    run_with_server(answer, use)
     assert seen[0]["X-Currantstage-Lease-Holder"] == "entry-1"
     assert seen[0]["X-Currantstage-Fencing-Token"] == "12"
 
@@ -327,10 +285,10 @@
 
     async def use(http: PlatformHttp, address: str) -> None:
         asyncio.get_running_loop().call_soon(time.sleep, LAG_S)
-        outcome = await WorkerClient(http).start(_start_order(address))
+        outcome = await WorkerClient(http).start(start_order(address))
         assert outcome is OrderOutcome.ACCEPTED
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_order_carries_no_headers_that_only_fill_the_link() -> None:
@@ -341,10 +299,10 @@
         return web.json_response({})
 
     async def use(http: PlatformHttp, address: str) -> None:
-        outcome = await WorkerClient(http).start(_start_order(address))
+        outcome = await WorkerClient(http).start(start_order(address))
         assert outcome is OrderOutcome.ACCEPTED
 
-    _run(answer, use)
+    run_with_server(answer, use)
     assert seen == {
         "Host",
         "Content-Type",
@@ -373,7 +331,7 @@
         first_is_abandoned.set()
         assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_poll_of_changes_waits_longer_after_one_that_was_answered_too_late() -> None:
@@ -421,7 +379,7 @@
         all_are_abandoned.set()
         assert await client.transact((), (RowWrite(ROW, b"x"),)) == Committed(7)
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_connections_gone_silent_cost_the_store_client_one_timeout() -> None:
@@ -452,7 +410,7 @@
         finally:
             is_over.set()
 
-    _run(answer, use)
+    run_with_server(answer, use)
 
 
 def test_poll_does_not_wait_for_the_connections_that_writes_use() -> None:
@@ -476,4 +434,4 @@
             poll_answered.set()
             await asyncio.gather(*writes, return_exceptions=True)
 
-    _run(answer, use)
+    run_with_server(answer, use)
