Refuse text that is nested too deep as malformed, wherever it comes from (odd entries)

What operators of other systems saw: one odd entry among the workers', and the processes that read the list end again and again, or stop following it.

Cause, here: text nested deeper than the interpreter's stack raises RecursionError in the decoder, which no decoder turned into its layer's error. In the list of workers it ended the term of the scheduler (TaskSet), and of each one after it; in a row of operators it ended the following of the configuration; in an answer of a worker, the term. Class: a decoder that names some of the failures that a message of somebody else can cause.

Fix: all messages of others are decoded by decode_json and decode_msgpack, which raise one error, UndecodableError, whatever the bytes contain; each layer turns it into its own.

--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -36,6 +36,7 @@
     StoredRow,
     StoreUnavailable,
 )
+from currantstage.util import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -209,7 +210,7 @@
         page = await self._store.read(_WAVES_TABLE, "", str(wave))
         for row in page.rows:
             if row.name.key == str(wave) and row.value is not None:
-                return tuple(msgspec.json.decode(row.value, type=list[str]))
+                return tuple(decode_json(row.value, list[str]))
         return ()
 
     async def join(self, member: MemberRow) -> None:
--- a/currantstage/platform/_advice.py
+++ b/currantstage/platform/_advice.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 from eliot import log_message
 from msgspec import Struct, field
 
 from currantstage.platform._http import CallFailure, PlatformHttp
 from currantstage.state.jobs import Advice, Ticket, WorkerId
+from currantstage.util import UndecodableError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -58,8 +58,8 @@
             )
             return None
         try:
-            response = msgspec.json.decode(reply.body, type=_AdviceResponse)
-        except msgspec.DecodeError as error:
+            response = decode_json(reply.body, _AdviceResponse)
+        except UndecodableError as error:
             log_message(
                 "currantstage:advice-unavailable", job=step.job, reason=str(error)
             )
--- a/currantstage/platform/_decoding.py
+++ b/currantstage/platform/_decoding.py
@@ -4,7 +4,6 @@
 
 from typing import TypeVar
 
-import msgspec
 from msgspec import Struct, field
 
 from currantstage.errors import CurrantstageError
@@ -25,6 +24,7 @@
     WorkerEntry,
     WorkerId,
 )
+from currantstage.util import UndecodableError, decode_json
 
 _WireT = TypeVar("_WireT")
 
@@ -260,6 +260,6 @@
 
 def _decode(value: bytes, wire_type: type[_WireT]) -> _WireT:
     try:
-        return msgspec.json.decode(value, type=wire_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(value, wire_type)
+    except UndecodableError as error:
         raise DecodingError(str(error)) from error
--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -11,7 +11,12 @@
 from msgspec import Struct
 
 from currantstage.transport import RenewableSession
-from currantstage.util import LagTolerantTimeout, LoopLagMeter
+from currantstage.util import (
+    LagTolerantTimeout,
+    LoopLagMeter,
+    UndecodableError,
+    decode_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -68,8 +73,8 @@
     'fence'
     """
     try:
-        return msgspec.json.decode(reply.body, type=_Refusal).reason
-    except msgspec.DecodeError:
+        return decode_json(reply.body, _Refusal).reason
+    except UndecodableError:
         return ""
 
 
--- a/currantstage/platform/_machines.py
+++ b/currantstage/platform/_machines.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
-import msgspec
 from msgspec import Struct, field
 
 from currantstage.platform._decoding import WireResources
@@ -23,6 +22,7 @@
     VmRecord,
     WorkerId,
 )
+from currantstage.util import UndecodableError, decode_json
 
 if TYPE_CHECKING:
     from currantstage.state import EntryVmId
@@ -106,9 +106,9 @@
             if isinstance(reply, CallFailure) or reply.status != 200:
                 raise StoreUnavailable(f"list of VMs: {reply}", is_in_doubt=False)
             try:
-                page = msgspec.json.decode(reply.body, type=_Machines)
+                page = decode_json(reply.body, _Machines)
                 records.extend(each.decoded() for each in page.machines)
-            except (msgspec.DecodeError, ValueError) as error:
+            except (UndecodableError, ValueError) as error:
                 raise StoreUnavailable(str(error), is_in_doubt=False) from error
             token = page.next_token
             if not token:
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
-import msgspec
 from msgspec import Struct, field
 
 from currantstage.coordination.jobs import AdaptiveTimeout
@@ -29,6 +28,7 @@
     StoredRow,
     StoreUnavailable,
 )
+from currantstage.util import UndecodableError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -116,10 +116,8 @@
         _raise_for_failure(reply, is_write=True)
         assert isinstance(reply, HttpReply)
         try:
-            return Committed(
-                msgspec.json.decode(reply.body, type=_TransactionResult).version
-            )
-        except msgspec.DecodeError as error:
+            return Committed(decode_json(reply.body, _TransactionResult).version)
+        except UndecodableError as error:
             raise StoreUnavailable(str(error), is_in_doubt=True) from error
 
     async def read(self, table: str, partition: str, prefix: str = "") -> RowPage:
@@ -233,8 +231,8 @@
     reply: HttpReply, page_type: type[_Rows]
 ) -> tuple[tuple[StoredRow, ...], int, bool]:
     try:
-        page = msgspec.json.decode(reply.body, type=page_type)
-    except msgspec.DecodeError as error:
+        page = decode_json(reply.body, page_type)
+    except UndecodableError as error:
         raise StoreUnavailable(str(error), is_in_doubt=False) from error
     return tuple(map(_decode_row, page.rows)), page.version, page.has_more
 
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-import msgspec
 from eliot import log_message
 from msgspec import Struct, field
 
@@ -30,6 +29,7 @@
     StopOrder,
     TaskKey,
 )
+from currantstage.util import UndecodableError, decode_json
 
 #: Timeout of an order in seconds, added to the wait that the order requests.
 ORDER_TIMEOUT_S = 0.5
@@ -142,7 +142,7 @@
             return _outcome(reply)
         try:
             return _decode_hold_response(reply.body)
-        except (msgspec.DecodeError, ValueError, KeyError) as error:
+        except (UndecodableError, ValueError, KeyError) as error:
             log_message(
                 "currantstage:worker-lists-malformed",
                 worker=order.worker.worker,
@@ -204,7 +204,7 @@
 
 
 def _decode_hold_response(body: bytes) -> RenewalReply:
-    response = msgspec.json.decode(body, type=_HoldResponse)
+    response = decode_json(body, _HoldResponse)
     return RenewalReply(
         clock_ms=response.clock_ms,
         born_ms=BornMs(response.born),
--- a/currantstage/protocol/_fleet_parts.py
+++ b/currantstage/protocol/_fleet_parts.py
@@ -10,6 +10,7 @@
 
 from currantstage.protocol._errors import DecodeError
 from currantstage.state import FIRST_GENERATION, Fleet, Generation
+from currantstage.util import UndecodableError, decode_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -76,6 +77,6 @@
     decompressor = zlib.decompressobj()
     try:
         content = decompressor.decompress(body, MAX_FLEET_BYTES)
-        return msgspec.msgpack.decode(content, type=Fleet)
-    except (zlib.error, msgspec.DecodeError) as error:
+        return decode_msgpack(content, Fleet)
+    except (zlib.error, UndecodableError) as error:
         raise DecodeError(str(error)) from error
--- a/currantstage/protocol/_note_codec.py
+++ b/currantstage/protocol/_note_codec.py
@@ -11,6 +11,7 @@
 
 from currantstage.protocol._errors import NoteSyntaxError
 from currantstage.state import ReleaseNote
+from currantstage.util import UndecodableError, decode_json
 
 #: Maximum size of a release note, in bytes.
 MAX_NOTE_BYTES = 4 * 1024 * 1024
@@ -59,8 +60,8 @@
 
 def _parse_json(text: str) -> ReleaseNote:
     try:
-        return msgspec.json.decode(text, type=ReleaseNote)
-    except msgspec.DecodeError as error:
+        return decode_json(text, ReleaseNote)
+    except UndecodableError as error:
         raise NoteSyntaxError((str(error),)) from error
 
 
--- a/currantstage/protocol/_peers.py
+++ b/currantstage/protocol/_peers.py
@@ -31,6 +31,7 @@
     IncarnationId,
     QueueId,
 )
+from currantstage.util import UndecodableError, decode_msgpack
 
 #: Maximum size of a frame that is sent or accepted, in bytes.
 MAX_FRAME_BYTES = 64 * 1024
@@ -111,6 +112,6 @@
     if not hmac.compare_digest(code, hmac.digest(secret, body, "sha256")):
         raise DecodeError("authentication code of the frame does not match")
     try:
-        return msgspec.msgpack.decode(body, type=PeerFrame)
-    except msgspec.DecodeError as error:
+        return decode_msgpack(body, PeerFrame)
+    except UndecodableError as error:
         raise DecodeError(str(error)) from error
--- a/currantstage/protocol/_store_codec.py
+++ b/currantstage/protocol/_store_codec.py
@@ -23,6 +23,7 @@
     TransactionOutcome,
     VersionedRow,
 )
+from currantstage.util import UndecodableError, decode_json
 
 T = TypeVar("T")
 
@@ -162,6 +163,6 @@
 def decode(body: bytes, expected: type[T]) -> T:
     """Decode the JSON message in `body`; raises `DecodeError`."""
     try:
-        return msgspec.json.decode(body, type=expected)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(body, expected)
+    except UndecodableError as error:
         raise DecodeError(str(error)) from error
--- a/currantstage/protocol/jobs/_interface.py
+++ b/currantstage/protocol/jobs/_interface.py
@@ -8,6 +8,7 @@
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol.jobs._calls import CallRefusal, JobBody
 from currantstage.state.jobs import JobState
+from currantstage.util import UndecodableError, decode_json
 
 #: Path of a queue, where ``GET`` returns the number of waiting jobs.
 QUEUE_PATH = "/v1/queues/<queue:str>/jobs"
@@ -53,8 +54,8 @@
     'sort'
     """
     try:
-        decoded = msgspec.json.decode(body, type=JobBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_json(body, JobBody)
+    except UndecodableError as error:
         raise DecodeError(str(error)) from error
     if not decoded.steps:
         raise DecodeError("a job has at least one step")
@@ -69,6 +70,6 @@
 def decode_answer(body: bytes) -> JobAnswer:
     """Decode a response body; raises `DecodeError`."""
     try:
-        return msgspec.json.decode(body, type=JobAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(body, JobAnswer)
+    except UndecodableError as error:
         raise DecodeError(str(error)) from error
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -18,6 +18,7 @@
     Submission,
     Term,
 )
+from currantstage.util import UndecodableError, decode_msgpack
 
 
 class StoreOutcome(Enum):
@@ -206,6 +207,6 @@
 
 def _decode(body: bytes, message_type: Any) -> Any:
     try:
-        return msgspec.msgpack.decode(body, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_msgpack(body, message_type)
+    except UndecodableError as error:
         raise DecodeError(str(error)) from error
--- a/currantstage/protocol/jobs/_rows.py
+++ b/currantstage/protocol/jobs/_rows.py
@@ -10,6 +10,7 @@
 from currantstage.protocol._errors import ProtocolError
 from currantstage.state import EntryVmId
 from currantstage.state.jobs import JobProgress, Submission
+from currantstage.util import UndecodableError, decode_json
 
 UNKNOWN_CAPACITY = SchedulerCapacity()
 _RecordT = TypeVar("_RecordT")
@@ -52,6 +53,6 @@
 
 def _decode(value: bytes, record_type: type[_RecordT]) -> _RecordT:
     try:
-        return msgspec.json.decode(value, type=record_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(value, record_type)
+    except UndecodableError as error:
         raise ProtocolError(str(error)) from error
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from currantstage.util._clock import MonotonicClock, StepFilteredUnixClock, UnixClock
+from currantstage.util._decoding import (
+    UndecodableError,
+    decode_json,
+    decode_msgpack,
+)
 from currantstage.util._lag_tolerant_timeout import LagTolerantTimeout, LoopLagMeter
 from currantstage.util._log_sink import LogSink
 from currantstage.util._notifier import Notifier
@@ -24,8 +29,11 @@
     "StepFilteredUnixClock",
     "SupervisedTask",
     "TaskSet",
+    "UndecodableError",
     "UnixClock",
     "catch_reload_signal",
     "catch_stop_signals",
+    "decode_json",
+    "decode_msgpack",
     "wait_for_event",
 ]
