Refuse rows with numbers out of range or an address that can't be called (odd entries)

Cause, here: numbers of any size were taken, and fail where they are used, far from the entry: a birth of 30 digits can't be stored with the progress of a task placed there (OverflowError in the write of the lease), cores of 400 digits can't be divided for a log line. Negative amounts add room that isn't there (LIMIT). An address is put into a URL as it is: a host name of 300 letters raises UnicodeError in the HTTP client and ends the term; other names need a resolver. Class: values that are checked for their type only.

Fix: the wire types state what each number may be (0 to 2^31-1 for amounts, 2^53 for versions and times), and an address is an IP address with a port from 1 to 65535.

--- a/currantstage/platform/_decoding.py
+++ b/currantstage/platform/_decoding.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, TypeVar
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from currantstage.errors import CurrantstageError
 from currantstage.protocol.jobs import JobBody
@@ -33,12 +34,24 @@
     """Bytes that don't have the expected format."""
 
 
+#: Bounds of what a message may contain. Far above what occurs, and so low that sums of
+#: many such numbers can be stored and sent.
+MAX_AMOUNT = 2**31 - 1
+MAX_NUMBER = 2**53
+MAX_PORT = 65_535
+
+#: Amount of a resource, number of things, or duration in milliseconds.
+Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+#: Version, Unix time in milliseconds, or another counter.
+Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+
+
 class WireResources(Struct, rename="pascal"):
     """Amount of millicores, megabytes of memory and accelerators."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
     def decoded(self) -> Resources:
         """Convert to `Resources`."""
@@ -46,9 +59,9 @@
 
 
 class _Advice(Struct, rename="pascal"):
-    decide_ms: int = 0
-    interval_ms: int = 0
-    valid_ms: int = 3000
+    decide_ms: Amount = 0
+    interval_ms: Amount = 0
+    valid_ms: Amount = 3000
 
 
 class _Route(Struct, rename="pascal"):
@@ -58,11 +71,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int = 3000
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: Amount = 3000
+    priority: Amount = 0
+    max_attempts: Amount = 1
     stretch: float = 1.0
-    target_latency_ms: int = 0
+    target_latency_ms: Amount = 0
     public: bool = False
     advice: _Advice | None = None
 
@@ -81,11 +94,11 @@
 
 
 class _Limits(Struct, rename="pascal"):
-    max_body_bytes: int = 262_144
+    max_body_bytes: Amount = 262_144
 
 
 class _Configuration(Struct, rename="pascal"):
-    version: int
+    version: Number
     routes: list[_Route] = field(default_factory=list)
     services: list[_Service] = field(default_factory=list)
     tenants: list[_Tenant] = field(default_factory=list)
@@ -93,10 +106,10 @@
 
 
 class _Wave(Struct, rename="pascal"):
-    wave: int
+    wave: Amount
     machines: list[str]
     complete_by_s: float = 60.0
-    cap: int = 1
+    cap: Amount = 1
 
 
 class _WorkerEntry(Struct, rename="pascal"):
@@ -106,8 +119,8 @@
     capacity: WireResources
     labels: list[str]
     zone: str = ""
-    remaining_ms: int = 0
-    born: int = field(name="born", default=0)
+    remaining_ms: Amount = 0
+    born: Number = field(name="born", default=0)
 
 
 class _Step(Struct, rename="pascal"):
@@ -228,8 +241,9 @@
     wire = _decode(value, _WorkerEntry)
     if wire.state not in ("ready", "draining"):
         raise DecodingError(f"unknown worker state {wire.state!r}")
-    if len(wire.labels) < 1 or not wire.address:
-        raise DecodingError("worker entry has no label or no address")
+    if not wire.labels:
+        raise DecodingError("worker entry has no label")
+    _check_address(wire.address)
     return WorkerEntry(
         worker=WorkerId(key),
         pool=PoolId(wire.service),
@@ -243,6 +257,18 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Check that an address is ``IP:port``; raises `DecodingError`."""
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise DecodingError(f"no IP address: {error}") from error
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise DecodingError(f"no port: {port!r}")
+
+
 def decode_job(body: bytes) -> JobBody:
     """Decode the body of a submission; raises `DecodingError`."""
     wire = _decode(body, _Job)
