Take an answer with a wrong row as no answer, and leave out a wrong VM (odd entries)

Cause: a worker's lists were rows of anything, converted one value at a time; a number in place of a task's name, a list in place of a number or null raised TypeError or AttributeError, which nobody expected there, and ended the term. One wrong VM in the platform's list made the whole list unreadable, so that pools and waves stood still. A row of the store that is no base64 could raise ValueError.

Fix: the rows of a worker's lists are typed messages, with bounded numbers; a wrong one makes the renewal count as unanswered. VMs are decoded one by one, and a wrong one is left out with a line in the log. A URL that can't be called means that nothing was sent.

--- a/currantstage/platform/_advice.py
+++ b/currantstage/platform/_advice.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 from msgspec import Struct, field
 
+from currantstage.platform._decoding import Amount
 from currantstage.platform._http import CallFailure, PlatformHttp
 from currantstage.state.jobs import Advice, Ticket, WorkerId
 from currantstage.util import UndecodableError, decode_json
@@ -29,7 +30,7 @@
 
 class _AdviceResponse(Struct, rename="pascal"):
     good: list[tuple[str, str]] = field(default_factory=list)
-    valid_ms: int = 1000
+    valid_ms: Amount = 1000
 
 
 class AdviceClient:
--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -128,7 +128,7 @@
                     ) as response,
                 ):
                     return HttpReply(response.status, await response.read())
-            except aiohttp.ClientConnectorError:
+            except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
                 return CallFailure.REFUSED
             except TimeoutError:
                 if group in _RENEWED_GROUPS:
--- a/currantstage/platform/_machines.py
+++ b/currantstage/platform/_machines.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
-from msgspec import Struct, field
+from eliot import log_message
+from msgspec import Raw, Struct, field
 
 from currantstage.platform._decoding import WireResources
 from currantstage.platform._http import (
@@ -63,7 +64,7 @@
 
 
 class _Machines(Struct, rename="pascal"):
-    machines: list[_Machine]
+    machines: list[Raw]
     next_token: str | None = None
 
 
@@ -107,9 +108,10 @@
                 raise StoreUnavailable(f"list of VMs: {reply}", is_in_doubt=False)
             try:
                 page = decode_json(reply.body, _Machines)
-                records.extend(each.decoded() for each in page.machines)
-            except (UndecodableError, ValueError) as error:
+            except UndecodableError as error:
                 raise StoreUnavailable(str(error), is_in_doubt=False) from error
+            for row in page.machines:
+                records.extend(_decode_row(row))
             token = page.next_token
             if not token:
                 return tuple(records)
@@ -138,6 +140,15 @@
         return _outcome(reply)
 
 
+def _decode_row(row: Raw) -> list[VmRecord]:
+    """Decode the entry of one VM; return nothing if it is malformed."""
+    try:
+        return [decode_json(bytes(row), _Machine).decoded()]
+    except (UndecodableError, ValueError) as error:
+        log_message("currantstage:vm-entry-malformed", reason=str(error))
+        return []
+
+
 def _outcome(reply: HttpReply | CallFailure) -> VmOrderOutcome:
     if isinstance(reply, CallFailure):
         return VmOrderOutcome.UNAVAILABLE
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import binascii
 import time
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
@@ -12,6 +11,7 @@
 from msgspec import Struct, field
 
 from currantstage.coordination.jobs import AdaptiveTimeout
+from currantstage.platform._decoding import Number
 from currantstage.platform._http import (
     CallFailure,
     ConnectionGroup,
@@ -50,18 +50,18 @@
     key: str = field(name="Key")
     partition: str = field(name="part", default="")
     value: str = field(name="Value", default="")
-    version: int = field(name="Ver", default=0)
+    version: Number = field(name="Ver", default=0)
     is_removed: bool = field(name="Deleted", default=False)
 
 
 class _Rows(Struct):
-    version: int = field(name="Ver")
+    version: Number = field(name="Ver")
     rows: list[_Row] = field(name="rows", default_factory=list)
     has_more: bool = field(name="MorePages", default=False)
 
 
 class _TransactionResult(Struct):
-    version: int = field(name="Ver")
+    version: Number = field(name="Ver")
 
 
 class _Name(Struct):
@@ -243,7 +243,7 @@
         return StoredRow(name, None, row.version)
     try:
         value = base64.b64decode(row.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # An empty value fails to decode where it is used.
         value = b""
     return StoredRow(name, value, row.version)
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from eliot import log_message
 from msgspec import Struct, field
 
+from currantstage.platform._decoding import Number
 from currantstage.platform._http import (
     CallFailure,
     HttpReply,
@@ -86,11 +85,29 @@
     wait_ms: int = 0
 
 
+class _Running(Struct, array_like=True):
+    """Row of a running task; the gauge is left out where there is none."""
+
+    task: str
+    run: Number
+    checkpoint: str
+    percent: float
+    gauge: float = 0.0
+
+
+class _Ended(Struct, array_like=True):
+    number: Number
+    task: str
+    run: Number
+    kind: str
+    checkpoint: str
+
+
 class _HoldResponse(Struct, rename="pascal"):
-    clock_ms: int
-    running: list[list[Any]] = field(default_factory=list)
-    ended: list[list[Any]] = field(default_factory=list)
-    born: int = field(name="born", default=0)
+    clock_ms: Number
+    running: list[_Running] = field(default_factory=list)
+    ended: list[_Ended] = field(default_factory=list)
+    born: Number = field(name="born", default=0)
 
 
 class WorkerClient:
@@ -214,20 +231,21 @@
     )
 
 
-def _decode_running(row: list[Any]) -> RunningTask:
-    task, run, checkpoint, percent = row[:4]
-    gauge = float(row[4]) if len(row) > 4 else 0.0
+def _decode_running(row: _Running) -> RunningTask:
     return RunningTask(
-        parse_task(task), RunNumber(int(run)), str(checkpoint), int(percent), gauge
+        parse_task(row.task),
+        RunNumber(row.run),
+        row.checkpoint,
+        int(row.percent),
+        row.gauge,
     )
 
 
-def _decode_ended(row: list[Any]) -> EndedTask:
-    number, task, run, kind, checkpoint = row[:5]
+def _decode_ended(row: _Ended) -> EndedTask:
     return EndedTask(
-        EndNumber(int(number)),
-        parse_task(task),
-        RunNumber(int(run)),
-        _END_KINDS[kind],
-        str(checkpoint),
+        EndNumber(row.number),
+        parse_task(row.task),
+        RunNumber(row.run),
+        _END_KINDS[row.kind],
+        row.checkpoint,
     )
