Refuse jobs that no scheduler can handle (odd entries)

What callers could do: a job whose step comes after a step that it doesn't have was accepted and stored. The scheduler raised IndexError when it added it, the term ended, and so did that of each daemon that took over and read the job: nobody schedules (LOST). Steps without or with negative amounts took room away or made it up; 10^9 tasks or times ran out of memory.

Cause: the body of a submission was checked for the types of its fields only.

Fix: check_job, which both front ends share, refuses such a job with status 400 before it is stored.

--- a/currantstage/platform/_decoding.py
+++ b/currantstage/platform/_decoding.py
@@ -8,7 +8,8 @@
 from msgspec import Meta, Struct, field
 
 from currantstage.errors import CurrantstageError
-from currantstage.protocol.jobs import JobBody
+from currantstage.protocol import DecodeError
+from currantstage.protocol.jobs import JobBody, check_job
 from currantstage.state import DataCentreId, PoolId, QueueId, TeamId
 from currantstage.state.jobs import (
     AdvicePolicy,
@@ -272,8 +273,6 @@
 def decode_job(body: bytes) -> JobBody:
     """Decode the body of a submission; raises `DecodingError`."""
     wire = _decode(body, _Job)
-    if not wire.steps:
-        raise DecodingError("job has no steps")
     schedule = None
     if wire.repeat_count > 0:
         schedule = Schedule(
@@ -281,7 +280,12 @@
             start_unix_ms=wire.start_at_ms,
             period_ms=wire.period_ms,
         )
-    return JobBody(wire.spec, tuple(each.decoded() for each in wire.steps), schedule)
+    job = JobBody(wire.spec, tuple(each.decoded() for each in wire.steps), schedule)
+    try:
+        check_job(job)
+    except DecodeError as error:
+        raise DecodingError(str(error)) from error
+    return job
 
 
 def _decode(value: bytes, wire_type: type[_WireT]) -> _WireT:
--- a/currantstage/protocol/jobs/__init__.py
+++ b/currantstage/protocol/jobs/__init__.py
@@ -21,6 +21,7 @@
     decode_job_body,
     encode_answer,
 )
+from currantstage.protocol.jobs._job_check import check_job
 from currantstage.protocol.jobs._peers import (
     Acknowledged,
     ConfigurationQuery,
@@ -97,6 +98,7 @@
     "StoreReply",
     "WaitingQuery",
     "WaitingReply",
+    "check_job",
     "decode_answer",
     "decode_job_body",
     "decode_lease",
--- a/currantstage/protocol/jobs/_interface.py
+++ b/currantstage/protocol/jobs/_interface.py
@@ -7,6 +7,7 @@
 
 from currantstage.protocol._errors import DecodeError
 from currantstage.protocol.jobs._calls import CallRefusal, JobBody
+from currantstage.protocol.jobs._job_check import check_job
 from currantstage.state.jobs import JobState
 from currantstage.util import UndecodableError, decode_json
 
@@ -57,8 +58,7 @@
         decoded = decode_json(body, JobBody)
     except UndecodableError as error:
         raise DecodeError(str(error)) from error
-    if not decoded.steps:
-        raise DecodeError("a job has at least one step")
+    check_job(decoded)
     return decoded
 
 
