--- a/currantstage/protocol/jobs/_job_check.py
+++ b/currantstage/protocol/jobs/_job_check.py
@@ -51,9 +51,7 @@
     if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
         raise DecodeError(f"step {index}: an amount is out of range")
     if not all(0 <= earlier < index for earlier in step.after):
-        raise DecodeError(
-            f"step {index}: comes after a step that isn't earlier"
-        )
+        raise DecodeError(f"step {index}: comes after a step that isn't earlier")
 
 
 def _check_schedule(schedule: Schedule) -> None:
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -25,6 +25,8 @@
 ONE_WAY_LATENCY_S = 0.004
 #: Timeout of a call, in seconds.
 CALL_TIMEOUT_S = 0.9
+#: Longest timeout of a poll, added to the time that the store waits, in seconds.
+MAX_POLL_TIMEOUT_S = 2.5
 #: Bounds of the delay after which a late write takes effect, in seconds.
 LATE_MIN_S = 0.5
 LATE_MAX_S = 6.0
@@ -49,6 +51,8 @@
         self.calls = 0
         #: Callers whose calls time out; ``*`` stands for all callers.
         self.unreachable_for: set[str] = set()
+        #: Callers whose polls of changes get no answer.
+        self.loses_polls_of: set[str] = set()
         #: Callers whose calls are refused at once.
         self.refused_for: set[str] = set()
         #: Whether the writes of all callers are refused, as by a store under overload.
@@ -146,6 +150,9 @@
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table`; None if the history was compacted."""
+        if self._caller in self._store.loses_polls_of:
+            await asyncio.sleep(wait_ms / 1000 + MAX_POLL_TIMEOUT_S)
+            raise StoreUnavailable("timeout", is_in_doubt=False)
         await self._reach(is_write=False)
         store = self._store
         loop = asyncio.get_running_loop()
