--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -9,6 +9,11 @@
 
 from eliot import log_message
 
+from currantstage.application.jobs._change_feed import (
+    CHANGES_WAIT_MS,
+    MAX_POLLS,
+    POLL_PATIENCE_S,
+)
 from currantstage.coordination.jobs import Confirmation
 from currantstage.protocol.jobs import ConfigurationStatus
 from currantstage.state.jobs import (
@@ -26,13 +31,6 @@
     from currantstage.state import Clock
     from currantstage.state.jobs import OperatorChanges, OperatorSource
 
-#: Long-poll timeout of the store's changes, in milliseconds.
-CHANGES_WAIT_MS = 1000
-#: Time without an answer after which another poll is sent beside it, in seconds: the
-#: wait at the store, and a time in which a store in order answers.
-POLL_PATIENCE_S = CHANGES_WAIT_MS / 1000 + 0.5
-#: Maximum number of polls under way.
-MAX_POLLS = 3
 #: Pause after a failed read from the store, and between questions to peers, in seconds.
 RETRY_S = 0.25
 #: Age of a confirmation up to which calls are refused without another one, in seconds;
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -9,6 +9,7 @@
 
 from currantstage.application.jobs._activity_log import ActivityLog
 from currantstage.application.jobs._advice_driver import AdviceDriver
+from currantstage.application.jobs._change_feed import ChangeFeed
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._lease_writer import LeaseWriter
 from currantstage.application.jobs._progress_source import ProgressSource
@@ -36,8 +37,6 @@
 RELEASE_TIMEOUT_S = 1.0
 #: Pause after a failed attempt to load the stored state, in seconds.
 LOAD_RETRY_S = 0.05
-#: Long-poll timeout of the store's changes, in milliseconds.
-CHANGES_WAIT_MS = 1000
 #: Pause between reads of changes, in seconds; batches several into one response.
 CHANGES_PAUSE_S = 0.1
 #: Interval between removals of jobs whose retention period is over, in seconds.
@@ -251,17 +250,18 @@
     # Tracking of changes during the term.
 
     async def _follow_workers(self, version: int) -> None:
+        source = self._ports.workers
+        feed = ChangeFeed("workers", source.read, source.changes, version)
         while not self._ended.is_set():
             await asyncio.sleep(CHANGES_PAUSE_S)
             try:
-                changes = await self._ports.workers.changes(version, CHANGES_WAIT_MS)
-                if changes is None:
-                    changes = await self._ports.workers.read()
-                    self._entries = {}
+                update = await feed.next()
             except StoreUnavailable as error:
                 log_message("currantstage:workers-read-failed", reason=str(error))
                 continue
-            version = changes.version
+            changes = update.changes
+            if update.is_complete:
+                self._entries = {}
             for worker in changes.removed:
                 self._entries.pop(worker, None)
             for entry in changes.entries:
@@ -273,16 +273,15 @@
             self._lease_writer.wake()
 
     async def _follow_jobs(self, version: int) -> None:
+        source = self._repository
+        feed = ChangeFeed("jobs", source.read_jobs, source.job_changes, version)
         while not self._ended.is_set():
             await asyncio.sleep(CHANGES_PAUSE_S)
             try:
-                changes = await self._repository.job_changes(version, CHANGES_WAIT_MS)
-                if changes is None:
-                    changes = await self._repository.read_jobs()
+                changes = (await feed.next()).changes
             except StoreUnavailable as error:
                 log_message("currantstage:jobs-read-failed", reason=str(error))
                 continue
-            version = changes.version
             for submission in changes.submissions:
                 self.accept(submission)
             for job in changes.cancelled:
