--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -220,9 +220,6 @@
         worker_state = self.workers.get(run.worker)
         if worker_state is None or run.task.run is not run:
             return
-        if outcome is OrderOutcome.OTHER_WORKER:
-            # The answer of another process: this run never started.
-            run.phase = RunPhase.UNSENT
         if outcome is OrderOutcome.ACCEPTED:
             self._lifecycle.on_accepted(run, now_s)
         elif run.phase is RunPhase.RUNNING:
@@ -230,6 +227,8 @@
         elif outcome is OrderOutcome.UNKNOWN:
             run.phase = RunPhase.IN_DOUBT
         elif outcome is OrderOutcome.OTHER_WORKER:
+            # The answer of another process: this run never started.
+            run.phase = RunPhase.UNSENT
             for lost in self.workers.end_incarnation(worker_state):
                 self._lifecycle.on_lost(lost)
         else:
