--- a/currantstage/util/_overlapping_calls.py
+++ b/currantstage/util/_overlapping_calls.py
@@ -53,7 +53,7 @@
                 self._on_late()
         finally:
             for task in pending:
-                task.cancel()
+                _give_up(task)
 
     async def _next_answered(
         self, pending: list[asyncio.Task[_ResultT]]
@@ -72,3 +72,9 @@
                 pending.remove(task)
                 if task.exception() is None or not pending:
                     return task
+
+
+def _give_up(call: asyncio.Task[Any]) -> None:
+    """Cancel a call that is no longer needed, or drop its failure."""
+    if not call.cancel() and not call.cancelled():
+        call.exception()
