--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -31,8 +31,11 @@
     from currantstage.state import Clock
     from currantstage.state.jobs import OperatorChanges, OperatorSource
 
-#: Pause after a failed read from the store, and between questions to peers, in seconds.
+#: Pause after a failed read from the store, in seconds.
 RETRY_S = 0.25
+#: Pause between questions to peers, in seconds; all peers of a large fleet have been
+#: asked after a few.
+PEERS_INTERVAL_S = 0.5
 #: Age of a confirmation up to which calls are refused without another one, in seconds;
 #: well below the time in which operators expect a change to be in force.
 MAX_REFUSAL_AGE_S = 0.5
@@ -176,7 +179,7 @@
         while True:
             await self._is_store_late.wait()
             await self._read_from_peers()
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(PEERS_INTERVAL_S)
 
     async def _poll(self, wait_ms: int = CHANGES_WAIT_MS) -> _Answer:
         asked_s = self._clock.now_s()
