--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -36,14 +36,9 @@
     ProgressBatch,
     StorableEnds,
 )
-from currantstage.coordination.jobs._records import (
-    JobRecord,
-    Run,
-    RunPhase,
-    StepRecord,
-    TaskRecord,
-)
+from currantstage.coordination.jobs._records import JobRecord, StepRecord, TaskRecord
 from currantstage.coordination.jobs._reply_comparison import RunChanges
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._store_health import StoreHealth
--- a/currantstage/coordination/jobs/_availability.py
+++ b/currantstage/coordination/jobs/_availability.py
@@ -7,7 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination.jobs._records import Run, TaskRecord
+    from currantstage.coordination.jobs._records import TaskRecord
+    from currantstage.coordination.jobs._run import Run
 
 
 def may_interrupt(run: Run, now_s: float) -> bool:
--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -15,7 +15,8 @@
 from currantstage.state.jobs import TaskPhase
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import Run, StepRecord, TaskRecord
+    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._run import Run
     from currantstage.coordination.jobs._scheduler import Scheduler
     from currantstage.coordination.jobs._vm_table import VmState, VmTable
     from currantstage.coordination.jobs._worker_state import WorkerState
--- a/currantstage/coordination/jobs/_pacing.py
+++ b/currantstage/coordination/jobs/_pacing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.state.jobs import PaceOrder
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/jobs/_progress_batch.py
+++ b/currantstage/coordination/jobs/_progress_batch.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run import Run, RunPhase
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/currantstage/coordination/jobs/_refusal.py
+++ b/currantstage/coordination/jobs/_refusal.py
@@ -8,7 +8,7 @@
 from currantstage.state.jobs import OrderOutcome
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import Run
+    from currantstage.coordination.jobs._run import Run
     from currantstage.coordination.jobs._worker_state import WorkerState
 
 #: How long no task is placed on a worker that refused one for lack of capacity, in
--- a/currantstage/coordination/jobs/_reply_comparison.py
+++ b/currantstage/coordination/jobs/_reply_comparison.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.state.jobs import EndedTask, StopOrder
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -8,9 +8,8 @@
     GIVE_UP_WEIGHT,
     FailureReason,
     JobFailure,
-    Run,
-    RunPhase,
 )
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, LostRun, RunLoss
 from currantstage.state.jobs import CrashRecord, EndKind, JobState, TaskPhase
 
--- a/currantstage/coordination/jobs/_run_loss.py
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import Run
+    from currantstage.coordination.jobs._run import Run
 
 
 class LossCause(Enum):
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -10,8 +10,9 @@
 from currantstage.coordination.jobs._ordering import LeastWorkFirst, remaining_core_s
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
-from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS, Run, RunPhase
+from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS
 from currantstage.coordination.jobs._refusal import record_refusal
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
 from currantstage.coordination.jobs._run_supervisor import RunSupervisor
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._placement_forecast import ForecastSlot
-from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._waiting_steps import WaitingSteps
 from currantstage.coordination.jobs._worker_room import CandidateWorkers
 from currantstage.coordination.jobs._worker_state import WorkerState
@@ -103,7 +103,8 @@
         is_held = False
         for task in self._jobs.waiting_trials():
             queue = self._waiting.queue_of(task.step)
-            if pool_of(task.step, configuration) != pool or task.not_before_s > now_s:
+            task_pool = queue.pool if queue else task.step.job.submission.pool
+            if task_pool != pool or task.not_before_s > now_s:
                 continue
             allowed = _advised(task.step, queue, workers, now_s)
             task.trial_since_s = min(task.trial_since_s, now_s)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -7,7 +7,7 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING, Protocol
 
-from currantstage.coordination.jobs._records import Run, RunPhase
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.state.jobs import (
     NO_RESOURCES,
     EndNumber,
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from currantstage.coordination.jobs._records import Run, RunPhase
 from currantstage.coordination.jobs._reply_comparison import (
     RunChanges,
     compare_lists,
     take_new_ends,
 )
+from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, RunLoss
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
