--- a/bench/guards.py
+++ b/bench/guards.py
@@ -305,9 +305,9 @@
     ),
     Removal(
         "jobs: count a task as away that an earlier scheduler may have stopped",
-        "jobs/_records.py",
-        "is_settled and self.percent >= 100",
-        "self.percent >= 100",
+        "jobs/_run.py",
+        "            and is_settled\n",
+        "",
         _JOBS,
     ),
     Removal(
