--- a/currantstage/state/jobs/_fleet.py
+++ b/currantstage/state/jobs/_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+
 from msgspec import Struct
 
 from currantstage.state._ids import PoolId, QueueId, TeamId
@@ -72,8 +74,12 @@
     upper_limit: Resources = NO_RESOURCES
 
 
-class FleetConfiguration(Struct, frozen=True, kw_only=True):
-    """One version of the operators' configuration."""
+class FleetConfiguration(Struct, frozen=True, kw_only=True, dict=True):
+    """One version of the operators' configuration.
+
+    Queues and teams are found through indexes, which are built when they are first
+    needed. Of several with the same name, the first counts.
+    """
 
     version: ConfigurationVersion
     queues: tuple[JobQueue, ...]
@@ -83,7 +89,7 @@
 
     def queue(self, queue: QueueId) -> JobQueue | None:
         """Return the queue named `queue`, or None if there is none."""
-        return next((each for each in self.queues if each.queue == queue), None)
+        return self._queues_by_id.get(queue)
 
     def pool(self, pool: PoolId) -> JobPool | None:
         """Return the pool named `pool`, or None if there is none."""
@@ -91,21 +97,40 @@
 
     def team(self, team: TeamId) -> JobTeam | None:
         """Return the team named `team`, or None if there is none."""
-        return next((each for each in self.teams if each.team == team), None)
+        return self._teams_by_id.get(team)
 
     def team_of_key(self, key: str) -> JobTeam | None:
         """Return the team that `key` belongs to, or None if the key is unknown."""
-        return next((each for each in self.teams if key in each.keys), None)
+        return self._teams_by_key.get(key)
 
     def route(self, host: str, path: str) -> JobQueue | None:
         """Return the queue of `host` with the longest prefix matching `path`."""
         matching = [
             each
-            for each in self.queues
-            if each.host == host and path.startswith(each.path_prefix)
+            for each in self._queues_by_host.get(host, ())
+            if path.startswith(each.path_prefix)
         ]
         return max(matching, key=lambda each: len(each.path_prefix), default=None)
 
+    @cached_property
+    def _queues_by_id(self) -> dict[QueueId, JobQueue]:
+        return {each.queue: each for each in reversed(self.queues)}
+
+    @cached_property
+    def _teams_by_id(self) -> dict[TeamId, JobTeam]:
+        return {each.team: each for each in reversed(self.teams)}
+
+    @cached_property
+    def _teams_by_key(self) -> dict[str, JobTeam]:
+        return {key: each for each in reversed(self.teams) for key in each.keys}
+
+    @cached_property
+    def _queues_by_host(self) -> dict[str, list[JobQueue]]:
+        by_host: dict[str, list[JobQueue]] = {}
+        for each in self.queues:
+            by_host.setdefault(each.host, []).append(each)
+        return by_host
+
 
 class MaintenanceWave(Struct, frozen=True, kw_only=True):
     """A set of VMs that are due for maintenance.
