--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 from returns.result import Failure, Result, Success
 
+from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.protocol.jobs import (
     AdmittedCall,
     CallRefusal,
@@ -197,6 +198,7 @@
             asked=target,
             reason=refusal.value,
             configuration=configuration.version if configuration else None,
+            confirmed_ago_s=loggable_age_s(self._follower.confirmed_age_s()),
         )
 
     def _count_call(
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from eliot import log_message
 
+from currantstage.coordination.jobs import Confirmation
 from currantstage.state.jobs import (
     ConfigurationVersion,
     FleetConfiguration,
@@ -17,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from currantstage.state import Clock
     from currantstage.state.jobs import OperatorChanges, OperatorSource
 
 #: Long-poll timeout of the store's changes, in milliseconds.
@@ -35,15 +38,19 @@
     source : OperatorSource
     query_peers : callable
         Returns a newer configuration from a peer, or empty bytes if there is none.
+    clock : Clock
     """
 
     def __init__(
         self,
         source: OperatorSource,
         query_peers: Callable[[ConfigurationVersion], Awaitable[bytes]],
+        clock: Clock,
     ) -> None:
         self._source = source
         self._query_peers = query_peers
+        self._clock = clock
+        self._confirmation = Confirmation()
         self._current: FleetConfiguration | None = None
         self._raw = b""
         self._waves: dict[int, MaintenanceWave] = {}
@@ -61,6 +68,10 @@
         """All waves that operators have announced."""
         return tuple(self._waves.values())
 
+    def confirmed_age_s(self) -> float:
+        """Return the time since the store last confirmed the configuration in force."""
+        return self._confirmation.age_s(self._clock.now_s())
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
         self._listeners.append(listener)
@@ -86,11 +97,17 @@
             try:
                 await self._read_once()
             except StoreUnavailable as error:
-                log_message("currantstage:configuration-unread", reason=str(error))
+                log_message(
+                    "currantstage:configuration-unread",
+                    reason=str(error),
+                    version=self._current.version if self._current else None,
+                    confirmed_ago_s=loggable_age_s(self.confirmed_age_s()),
+                )
                 await self._read_from_peers()
                 await asyncio.sleep(RETRY_S)
 
     async def _read_once(self) -> None:
+        asked_s = self._clock.now_s()
         if self._version is None:
             changes: OperatorChanges | None = await self._source.read()
         else:
@@ -99,6 +116,7 @@
             self._version = None
             return
         self._version = changes.version
+        self._confirmation.confirm(asked_s)
         for wave in changes.waves:
             self._waves[wave.number] = wave
         if changes.configuration is not None:
@@ -131,3 +149,8 @@
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
+
+
+def loggable_age_s(age_s: float) -> float | None:
+    """Return an age rounded to milliseconds; None if there has been no answer yet."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -56,8 +56,9 @@
             own, seeds, repository, peers, ports.clock, random
         )
         self.follower = ConfigurationFollower(
-            ports.operators, self.directory.query_configuration
+            ports.operators, self.directory.query_configuration, ports.clock
         )
+        ports.metrics.observe_configuration(self.follower)
         self.ownership = LeaseOwnership(
             self.directory, repository, self.follower, ports, tuning, health, random
         )
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -16,6 +16,7 @@
 
     from opentelemetry.metrics import CallbackOptions
 
+    from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.state.jobs import EndKind, JobState, OrderOutcome
 
 
@@ -63,6 +64,28 @@
             description="One at the daemon that holds the scheduler's lease.",
         )
 
+    def observe_configuration(self, follower: ConfigurationFollower) -> None:
+        """Export the version and the age of the configuration, at each scrape."""
+
+        def observe_version(_: CallbackOptions) -> Iterable[Observation]:
+            if follower.current is not None:
+                yield Observation(follower.current.version)
+
+        def observe_age(_: CallbackOptions) -> Iterable[Observation]:
+            yield Observation(follower.confirmed_age_s())
+
+        self._registry.meter.create_observable_gauge(
+            "currantstage_configuration_version",
+            [observe_version],
+            description="Version of the configuration in force.",
+        )
+        self._registry.meter.create_observable_gauge(
+            "currantstage_configuration_age",
+            [observe_age],
+            unit="s",
+            description="Time since the configuration was last confirmed as the newest.",
+        )
+
     def count_call(self, kind: str, outcome: str, duration_s: float) -> None:
         """Count a caller's call that has been answered."""
         self._calls.add(1, {"kind": kind, "outcome": outcome})
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -5,6 +5,7 @@
 from currantstage.coordination.jobs._adaptive_timeout import AdaptiveTimeout
 from currantstage.coordination.jobs._advice_tracker import AdviceTracker
 from currantstage.coordination.jobs._availability import may_interrupt
+from currantstage.coordination.jobs._confirmation import Confirmation
 from currantstage.coordination.jobs._fleet_manager import FleetManager
 from currantstage.coordination.jobs._job_table import JobTable
 from currantstage.coordination.jobs._maintenance_plan import MaintenancePlan, WaveState
@@ -74,6 +75,7 @@
     "StorableEnds",
     "AdaptiveTimeout",
     "AdviceTracker",
+    "Confirmation",
     "CandidateWorkers",
     "DemandSizing",
     "FixedSizing",
--- a/currantstage/util/_task_set.py
+++ b/currantstage/util/_task_set.py
@@ -47,10 +47,16 @@
         error = None if task.cancelled() else task.exception()
         if error is None:
             return
-        log_message(
-            "currantstage:task-failed",
-            reason=repr(error),
-            trace="".join(traceback.format_exception(error)),
-        )
+        log_task_failure(task.get_name(), error)
         if self._on_failure is not None:
             self._on_failure()
+
+
+def log_task_failure(name: str, error: BaseException) -> None:
+    """Log the exception that has ended a background task."""
+    log_message(
+        "currantstage:task-failed",
+        task_name=name,
+        reason=repr(error),
+        trace="".join(traceback.format_exception(error)),
+    )
