--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import re
 import secrets
 import shutil
@@ -23,6 +24,8 @@
 DEADLINE_HEADER = "X-Currantstage-Deadline-Ms"
 DEADLINE_MS = 3000
 START_TIMEOUT_S = 20.0
+#: Ports of the daemons.
+FIRST_PORT, LAST_PORT = 15_000, 30_000
 #: Exit statuses of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -223,20 +226,25 @@
 
     async def wait_ready(self, daemon: Daemon) -> None:
         """Wait until a daemon reports itself ready."""
-        url = f"http://{daemon.readiness}/currantstage/readyz"
         until_s = self.record.now_s() + START_TIMEOUT_S
         while self.record.now_s() < until_s:
             if not daemon.is_running():
                 raise CaseError(f"{daemon.name} has ended: {daemon.log_text()[-2000:]}")
-            try:
-                async with self._http.get(url) as response:
-                    if response.status == 200:
-                        return
-            except aiohttp.ClientError:
-                pass
+            if await self.is_ready(daemon):
+                return
             await asyncio.sleep(0.1)
         raise CaseError(f"{daemon.name} is not ready")
 
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Ask a daemon whether it is ready, as the platform does."""
+        url = f"http://{daemon.readiness}/currantstage/readyz"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self._http.get(url, timeout=timeout) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
     async def call(
         self,
         method: str,
@@ -273,11 +281,11 @@
         return status, answer
 
     async def submit(
-        self, queue: str, tenant_name: str, steps: list[dict], **fields: object
+        self, queue: str, tenant_name: str, steps: list[dict], job: str = ""
     ) -> str:
         """Submit a job until it is accepted; return its id."""
-        job = new_job_id()
-        body = {"Spec": "work", "Steps": steps, **fields}
+        job = job or new_job_id()
+        body = {"Spec": "work", "Steps": steps}
         for attempt in range(5):
             daemon = self.daemons[attempt % len(self.daemons)]
             path = f"/{queue}/{job}"
@@ -338,12 +346,20 @@
 
 
 def _free_addresses(count: int) -> list[str]:
-    sockets = []
-    for _ in range(count):
-        each = socket.socket()
-        each.bind(("127.0.0.1", 0))
-        sockets.append(each)
-    addresses = [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return free loopback addresses, of ports that no outgoing connection is given."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        address = f"127.0.0.1:{random.randint(FIRST_PORT, LAST_PORT)}"
+        if address not in addresses and _is_free(address):
+            addresses.append(address)
     return addresses
+
+
+def _is_free(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    with socket.socket() as each:
+        try:
+            each.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -372,6 +372,8 @@
         self.site = site
         self.name = name
         self.service = service
+        #: Speed of the worker's clock, which may be 2% slow.
+        self.clock_rate = 1.0
         self.capacity = {"Cpu": cpu, "MemMb": 65_536, "Gpu": 0}
         self.labels = ["a", rack]
         self.running: dict[str, TaskRun] = {}
@@ -393,6 +395,15 @@
 
     async def start(self) -> None:
         """Start to listen, to register and to work."""
+        await self.listen()
+        await self._beat()
+        self._tasks = [
+            asyncio.create_task(self._beat_forever()),
+            asyncio.create_task(self._work_forever()),
+        ]
+
+    async def listen(self) -> None:
+        """Accept connections; after `stop`, a cut that refused them is over."""
         base = "/currantstage"
         await self.serve(
             [
@@ -403,11 +414,6 @@
                 web.get("/healthz", self._on_health),
             ]
         )
-        await self._beat()
-        self._tasks = [
-            asyncio.create_task(self._beat_forever()),
-            asyncio.create_task(self._work_forever()),
-        ]
 
     async def crash(self) -> None:
         """End at once, with everything that runs; the entry goes later."""
@@ -424,7 +430,8 @@
 
     def clock_ms(self) -> int:
         """Return the worker's clock."""
-        return int((time.monotonic() - self._started_s) * 1000) + 1
+        elapsed_s = time.monotonic() - self._started_s
+        return int(elapsed_s * self.clock_rate * 1000) + 1
 
     async def _beat_forever(self) -> None:
         while True:
