--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -184,6 +184,8 @@
         self.site = Site(self.record, self.store)
         self.machines = Machines(self.site)
         self.daemons: list[Daemon] = []
+        #: Tasks of the script that run beside it.
+        self.background: list[asyncio.Task[None]] = []
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._http = aiohttp.ClientSession()
 
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -378,6 +378,7 @@
         self.labels = ["a", rack]
         self.running: dict[str, TaskRun] = {}
         self._tasks: list[asyncio.Task] = []
+        self._is_back = asyncio.Event()
         self._begin()
 
     def _begin(self) -> None:
@@ -423,8 +424,27 @@
             self._end(run, "crashed")
         await self.stop()
 
+    async def go_dark(self) -> None:
+        """End at once like `crash`, but as a machine that gives no sign of it.
+
+        Connections are accepted and calls get no response, until `restart`.
+        """
+        await self.crash()
+        self._is_back = asyncio.Event()
+        await self.serve([web.route("*", "/{path:.*}", self._leave_unanswered)])
+
+    async def _leave_unanswered(self, request: web.Request) -> web.Response:
+        body = await request.text()
+        self.site.record.write(f"worker {self.name} is dark: {request.path} {body}")
+        await self._is_back.wait()
+        if request.transport is not None:
+            request.transport.close()
+        return web.Response(status=503)
+
     async def restart(self) -> None:
         """Start again after a crash, under the same id and at the same address."""
+        self._is_back.set()
+        await self.stop()
         self._begin()
         await self.start()
 
