--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -91,10 +91,22 @@
         self._calls.add(1, {"kind": kind, "outcome": outcome})
         self._latencies["job_call_duration"].record(duration_s, {"kind": kind})
 
-    def count_start(self, outcome: OrderOutcome, waited_s: float) -> None:
-        """Count a start order; `waited_s` is the time since the task was placed."""
+    def count_start(
+        self, outcome: OrderOutcome, waited_s: float, clock_age_s: float
+    ) -> None:
+        """Count a start order.
+
+        Parameters
+        ----------
+        outcome : OrderOutcome
+        waited_s : float
+            Time since the task was placed, in seconds.
+        clock_age_s : float
+            Age of the reading of the worker's clock that its lease is reckoned from.
+        """
         self._starts.add(1, {"outcome": outcome.value})
         self._latencies["task_start_wait"].record(waited_s)
+        self._latencies["worker_clock_age"].record(clock_age_s)
 
     def count_end(self, kind: EndKind) -> None:
         """Count the end of a run."""
@@ -122,6 +134,7 @@
 _HISTOGRAMS = {
     "job_call_duration": "Time from a call's arrival to its answer.",
     "task_start_wait": "Time from a task's placement until its start is ordered.",
+    "worker_clock_age": "Age of the reading of a worker's clock that a lease is from.",
     "job_duration": "Time from a job's acceptance until its end is stored.",
     "commit_duration": "Time that a write of the scheduler takes.",
 }
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -127,13 +127,14 @@
         now_s = self._now_s()
         if not self._held_lease.is_valid(now_s):
             return
+        clock_age_s = self._scheduler.clock_age_s(run.worker, now_s)
         order = self._scheduler.start_order(run, now_s)
         if order is None:
             self._on_change()
             return
         outcome = await self._ports.orders.start(order)
         self._scheduler.on_start_outcome(run, outcome, self._now_s())
-        self._ports.metrics.count_start(outcome, now_s - run.placed_s)
+        self._ports.metrics.count_start(outcome, now_s - run.placed_s, clock_age_s)
         self._activity.count_start(outcome)
         log_message(
             "currantstage:task-start",
@@ -144,6 +145,8 @@
             fence=order.fence,
             outcome=outcome.value,
             waited_s=round(now_s - run.placed_s, 3),
+            until_ms=order.until_ms,
+            clock_age_s=round(clock_age_s, 3),
             configuration=self._scheduler.configuration.version,
         )
         self._wake_worker(order.worker.worker)
@@ -230,6 +233,9 @@
                 companions=lost.loss.companions,
                 phase=lost.run.phase.value,
                 placed_ago_s=round(now_s - lost.run.placed_s, 3),
+                clock_age_s=round(
+                    self._scheduler.clock_age_s(lost.run.worker, now_s), 3
+                ),
             )
 
     async def _stop_run(self, order: StopOrder) -> None:
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -243,7 +243,7 @@
     def next_renewal(self, worker: WorkerId, now_s: float) -> RenewalOrder | None:
         """Return the next renewal for a worker; None if none is due."""
         worker_state = self.workers.get(worker)
-        if worker_state is None or not worker_state.is_renewal_due():
+        if worker_state is None or not worker_state.is_renewal_due(now_s):
             return None
         return worker_state.next_renewal(now_s, self._tuning)
 
@@ -276,6 +276,11 @@
         worker_state = self.workers.get(worker)
         return worker_state is not None and worker_state.is_silent
 
+    def clock_age_s(self, worker: WorkerId, now_s: float) -> float:
+        """Return the age of the latest reading of a worker's clock, in seconds."""
+        worker_state = self.workers.get(worker)
+        return worker_state.clock.age_s(now_s) if worker_state is not None else 0.0
+
     def take_stop_orders(self) -> Sequence[StopOrder]:
         """Return the stop orders to send now."""
         return self._supervisor.take_stops()
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from currantstage.coordination.jobs._run import Run, RunPhase
+from currantstage.coordination.jobs._worker_clock import WorkerClock, longest_lease_s
 from currantstage.state.jobs import (
     NO_RESOURCES,
     EndNumber,
@@ -25,10 +26,6 @@
 
 #: Fences reserved for a term; a term that used more would overlap the next one.
 FENCES_PER_TERM = 1_000_000
-#: Maximum relative drift by which a worker's clock may run slow.
-CLOCK_DRIFT = 0.02
-#: Added to the end of a lease for network delay, in seconds.
-LEASE_MARGIN_S = 0.25
 #: How long no task is placed on an unhealthy worker, in seconds.
 UNHEALTHY_PAUSE_S = 1.0
 #: How long no task is placed on a quarantined worker, in seconds.
@@ -82,8 +79,7 @@
         Fence of the next order.
     answered_fence : Fence
         Highest fence that the worker has acknowledged; it rejects orders below it.
-    clock_offset_s : float
-        Least difference between the scheduler's clock and the worker's.
+    clock : WorkerClock
     lease_end_s : float
         When the last lease that may have been granted has certainly expired.
     processed_upto : EndNumber
@@ -120,9 +116,7 @@
     entry: WorkerEntry
     fence: Fence
     answered_fence: Fence = Fence(0)
-    clock_ms: int = 0
-    clock_read_s: float = 0.0
-    clock_offset_s: float = float("-inf")
+    clock: WorkerClock = field(default_factory=WorkerClock)
     lease_end_s: float = 0.0
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
@@ -230,30 +224,23 @@
         """Invalidate all unanswered orders once the next one is answered."""
         self.fence = Fence(self.fence + 1)
 
-    def read_clock(self, clock_ms: int, sent_s: float, now_s: float) -> float:
-        """Record the worker's time in a reply; return when it was sent at the earliest.
+    def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
+        """Return the end of a new lease on the worker's clock, and record it.
 
-        A reply is sent after its order, and may have waited unread since. The worker's
-        clock may run slow, so that the bound of an earlier reply stays valid.
+        An order that is delayed or carried out late doesn't move that end.
         """
-        self.clock_ms = clock_ms
-        self.clock_read_s = now_s
-        clock_s = clock_ms / 1000
-        self.clock_offset_s = max(self.clock_offset_s, sent_s - clock_s)
-        return clock_s + self.clock_offset_s
-
-    def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
-        """Return the end of a new lease on the worker's clock, and record it."""
-        if not self.clock_ms:
+        if not self.clock.reading_ms:
             return None
-        elapsed_ms = (now_s - self.clock_read_s) * 1000
-        lease_s = tuning.worker_lease_ms / 1000
-        end_s = now_s + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
-        self.lease_end_s = max(self.lease_end_s, end_s)
-        return int(self.clock_ms + elapsed_ms + tuning.worker_lease_ms)
-
-    def is_renewal_due(self) -> bool:
-        """Return whether the worker has to be sent a renewal."""
+        end_s = now_s + longest_lease_s(tuning.worker_lease_ms)
+        if end_s > self.lease_end_s:
+            self.lease_end_s = end_s
+        return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
+
+    def is_renewal_due(self, now_s: float) -> bool:
+        """Return whether the worker has to be sent a renewal.
+
+        One that has no runs is sent renewals at long intervals, to read its clock.
+        """
         if self.is_retired or not self.entry.address:
             return False
         if not self.is_listed and not self.runs:
@@ -264,6 +251,7 @@
             or self.has_orphans
             or self.is_silent
             or self.seen_upto > self.acknowledged_upto
+            or self.clock.is_outdated(now_s)
         )
 
     def next_renewal(self, now_s: float, tuning: SchedulerTuning) -> RenewalOrder:
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -13,10 +13,9 @@
 )
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, RunLoss
+from currantstage.coordination.jobs._worker_clock import WorkerClock, longest_lease_s
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
-    CLOCK_DRIFT,
-    LEASE_MARGIN_S,
     SILENT_AFTER_MISSED_RENEWALS,
     WorkerState,
     first_fence,
@@ -119,7 +118,7 @@
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
             return RunChanges(lost=self._begin_incarnation(state, reply.born_ms))
-        listed_s = state.read_clock(reply.clock_ms, sent_s, now_s)
+        listed_s = state.clock.record(reply.clock_ms, sent_s, now_s)
         if order.fence < state.fence and not state.is_synced:
             return RunChanges()
         state.answered_fence = max(state.answered_fence, order.fence)
@@ -180,9 +179,8 @@
 
     def takeover_bound_s(self, now_s: float, takeover: LeaseTakeover) -> float:
         """Return when leases granted by earlier schedulers have certainly expired."""
-        bound_s = now_s + LEASE_MARGIN_S
-        bound_s += self._tuning.worker_lease_ms / 1000 * (1 + CLOCK_DRIFT)
-        return bound_s + takeover.holder_active_s
+        lease_s = longest_lease_s(self._tuning.worker_lease_ms)
+        return now_s + takeover.holder_active_s + lease_s
 
     def _add(self, entry: WorkerEntry) -> WorkerState:
         state = WorkerState(entry, first_fence(self._term), room_observer=self.room)
@@ -210,8 +208,7 @@
         state.is_retired = False
         state.raise_fence()
         state.is_synced = False
-        state.clock_ms = 0
-        state.clock_offset_s = float("-inf")
+        state.clock = WorkerClock()
         state.processed_upto = EndNumber(0)
         state.seen_upto = EndNumber(0)
         state.acknowledged_upto = EndNumber(0)
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -16,7 +16,11 @@
 from currantstage.standin.jobs._store import SimulatedStore
 from currantstage.standin.jobs._virtual_loop import CURRENT_PROCESS, LoopClock
 from currantstage.standin.jobs._vms import SimulatedVms
-from currantstage.standin.jobs._workers import WORKERS_TABLE, SimulatedWorkers
+from currantstage.standin.jobs._workers import (
+    CLOCK_RATES,
+    WORKERS_TABLE,
+    SimulatedWorkers,
+)
 from currantstage.state import DataCentreId, EntryVmId, PoolId, QueueId, TeamId
 from currantstage.state.jobs import (
     BornMs,
@@ -41,6 +45,8 @@
 from currantstage.transport import PeerFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantstage.protocol.jobs import PeerQuery, PeerReply
     from currantstage.standin.jobs._store import StoreConnection
     from currantstage.state.jobs import RowPage
@@ -100,15 +106,25 @@
     seed : int
     daemon_count : int
     vms_per_pool : int
+    clock_rates : sequence of float
+        Rates of the workers' clocks, in turn.
     """
 
-    def __init__(self, seed: int, daemon_count: int = 3, vms_per_pool: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        daemon_count: int = 3,
+        vms_per_pool: int = 3,
+        clock_rates: Sequence[float] = CLOCK_RATES,
+    ) -> None:
         self.random = random.Random(seed)
         self.tuning = SchedulerTuning(min_vms_per_pool=1)
         self.configuration = build_configuration()
         self.store = SimulatedStore(self.random)
         self.oracle = Oracle(self.configuration)
-        self.workers = SimulatedWorkers(self.store, self.oracle, self.random)
+        self.workers = SimulatedWorkers(
+            self.store, self.oracle, self.random, clock_rates
+        )
         self.vms = SimulatedVms(self.workers, self.oracle)
         self.daemons: dict[str, JobCore] = {}
         #: Daemons that do not answer peers, and those whose connections are reset.
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from itertools import cycle
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from currantstage.standin.jobs._oracle import Oracle
     from currantstage.standin.jobs._store import SimulatedStore
@@ -47,6 +49,8 @@
 MAX_LISTED_ENDS = 500
 #: Longest lease that a worker grants, in seconds.
 MAX_LEASE_S = 6.0
+#: Rates of the workers' clocks, in turn; a clock may be 2% slow.
+CLOCK_RATES = (1.0, 0.98, 0.99)
 #: Time that it takes to stop a run, in seconds.
 STOP_DURATION_S = 0.1
 #: Time for which an entry stays in the store after its worker ended, in seconds.
@@ -81,10 +85,15 @@
     ----------
     entry : WorkerEntry
     fleet : SimulatedWorkers
+    clock_rate : float
+        Seconds on the worker's clock for each second that passes.
     """
 
-    def __init__(self, entry: WorkerEntry, fleet: SimulatedWorkers) -> None:
+    def __init__(
+        self, entry: WorkerEntry, fleet: SimulatedWorkers, clock_rate: float
+    ) -> None:
         self.entry = entry
+        self.clock_rate = clock_rate
         self.is_up = True
         self.fence = Fence(0)
         self.lease_end_s = 0.0
@@ -102,7 +111,8 @@
 
     def clock_ms(self) -> int:
         """Return the time on the worker's own clock, in milliseconds."""
-        return int((_now_s() - self.entry.born_ms / 1000) * 1000) + 1
+        age_s = _now_s() - self.entry.born_ms / 1000
+        return int(age_s * self.clock_rate * 1000) + 1
 
     def start(self, order: StartOrder, *, is_late: bool) -> OrderOutcome:
         """Carry out an order to start a run."""
@@ -176,7 +186,8 @@
 
     def extend_lease(self, until_ms: int) -> None:
         """Extend the lease to `until_ms`, but to `MAX_LEASE_S` from now at most."""
-        duration_s = min(MAX_LEASE_S, (until_ms - self.clock_ms()) / 1000)
+        clock_duration_s = min(MAX_LEASE_S, (until_ms - self.clock_ms()) / 1000)
+        duration_s = clock_duration_s / self.clock_rate
         self.lease_end_s = max(self.lease_end_s, _now_s() + duration_s)
         asyncio.get_running_loop().call_at(self.lease_end_s + 0.001, self._expire_lease)
 
@@ -227,10 +238,16 @@
         Store of the workers' entries.
     oracle : Oracle
     random : random.Random
+    clock_rates : sequence of float
+        Rates of the workers' clocks, in turn.
     """
 
     def __init__(
-        self, store: SimulatedStore, oracle: Oracle, random: random.Random
+        self,
+        store: SimulatedStore,
+        oracle: Oracle,
+        random: random.Random,
+        clock_rates: Sequence[float] = CLOCK_RATES,
     ) -> None:
         self.oracle = oracle
         self.random = random
@@ -247,10 +264,11 @@
         #: Whether a worker that a task has crashed comes back under another id.
         self.returns_under_new_id = False
         self._store = store
+        self._clock_rates = cycle(clock_rates)
 
     def add(self, entry: WorkerEntry) -> SimulatedWorker:
         """Start a worker and write its entry."""
-        worker = SimulatedWorker(entry, self)
+        worker = SimulatedWorker(entry, self, next(self._clock_rates))
         self.workers[entry.worker] = worker
         self.publish(entry)
         return worker
--- a/tests/jobs/site.py
+++ b/tests/jobs/site.py
@@ -36,10 +36,10 @@
 
 
 async def start_site(
-    seed: int, vms_per_pool: int = 3, settle_s: float = SETTLE_S
+    seed: int, vms_per_pool: int = 3, settle_s: float = SETTLE_S, **options: Any
 ) -> SimulatedSite:
     """Return a running site, `settle_s` after its start."""
-    site = SimulatedSite(seed, vms_per_pool=vms_per_pool)
+    site = SimulatedSite(seed, vms_per_pool=vms_per_pool, **options)
     await site.start()
     await asyncio.sleep(settle_s)
     return site
