--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -117,6 +117,8 @@
             job=job,
             queue=call.queue.queue,
             team=call.team,
+            steps=len(body.steps),
+            tasks=submission.task_count,
             configuration=configuration.version if configuration else None,
             outcome=_outcome(refusal),
         )
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -122,6 +122,10 @@
         self._commits.add(1, {"outcome": outcome})
         self._latencies["commit_duration"].record(duration_s)
 
+    def observe_turn(self, work: str, duration_s: float) -> None:
+        """Record how long a computation over jobs has kept the event loop."""
+        self._latencies["turn_duration"].record(duration_s, {"work": work})
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return self._registry.render()
@@ -136,5 +140,6 @@
     "task_start_wait": "Time from a task's placement until its start is ordered.",
     "worker_clock_age": "Age of the reading of a worker's clock that a lease is from.",
     "job_duration": "Time from a job's acceptance until its end is stored.",
+    "turn_duration": "Time that a computation over jobs keeps the event loop.",
     "commit_duration": "Time that a write of the scheduler takes.",
 }
--- a/currantstage/application/jobs/_progress_source.py
+++ b/currantstage/application/jobs/_progress_source.py
@@ -6,6 +6,8 @@
 
 from eliot import log_message
 
+from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
+
 if TYPE_CHECKING:
     from currantstage.application.jobs._activity_log import ActivityLog
     from currantstage.application.jobs._ports import SchedulerPorts
@@ -36,6 +38,7 @@
         self._driver = driver
         self._activity = activity
         self._ports = ports
+        self._turns = TurnWatch(ports.clock, ports.metrics)
 
     @property
     def has_unsaved(self) -> bool:
@@ -47,7 +50,8 @@
         if is_placing:
             now_s = self._ports.clock.now_s()
             unix_ms = int(self._ports.unix_clock.now_s() * 1000)
-            self._scheduler.place(now_s, unix_ms)
+            with self._turns.watch(TurnWork.PLACE, self._scheduler.jobs.largest_open):
+                self._scheduler.place(now_s, unix_ms)
         return self._scheduler.take_batch()
 
     def on_failed(self, batch: ProgressBatch) -> None:
--- a/currantstage/application/jobs/_scheduler_loader.py
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from eliot import log_message
 
+from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
 from currantstage.coordination.jobs import Scheduler
 
 if TYPE_CHECKING:
@@ -20,6 +23,9 @@
         WorkerEntry,
     )
 
+#: Number of restored tasks after which other work of the event loop gets its turn.
+TASKS_PER_TURN = 2000
+
 
 @dataclass(frozen=True, slots=True)
 class LoadedScheduler:
@@ -82,16 +88,24 @@
     scheduler.jobs.open_due(_unix_ms(ports))
     scheduler.update_workers(workers.entries, now_s)
     cancelled = set(jobs.cancelled)
+    turns = TurnWatch(ports.clock, ports.metrics)
+    restored_tasks = 0
     for submission in jobs.submissions:
         job = submission.job
-        scheduler.restore(
-            submission,
-            progress.get(job),
-            job in cancelled,
-            takeover,
-            now_s,
-            _unix_ms(ports),
-        )
+        with turns.watch(TurnWork.RESTORE, partial(scheduler.jobs.get, job)):
+            scheduler.restore(
+                submission,
+                progress.get(job),
+                job in cancelled,
+                takeover,
+                now_s,
+                _unix_ms(ports),
+            )
+        restored_tasks += submission.task_count
+        if restored_tasks >= TASKS_PER_TURN:
+            # Meanwhile the lease is renewed.
+            await asyncio.sleep(0)
+            restored_tasks = 0
     log_message(
         "currantstage:scheduler-started",
         term=term,
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -14,6 +14,7 @@
 from currantstage.application.jobs._lease_writer import LeaseWriter
 from currantstage.application.jobs._progress_source import ProgressSource
 from currantstage.application.jobs._scheduler_loader import load_scheduler
+from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
 from currantstage.application.jobs._worker_driver import WorkerDriver
 from currantstage.state.jobs import StoreUnavailable
 from currantstage.util import TaskSet, wait_for_event
@@ -85,6 +86,7 @@
         self._follower = follower
         self._ports = ports
         self._tuning = tuning
+        self._turns = TurnWatch(ports.clock, ports.metrics)
         self._entries: dict[WorkerId, WorkerEntry] = {}
         self._ended = asyncio.Event()
         # A background task that fails ends the term, so that another daemon takes over.
@@ -149,7 +151,9 @@
         """Schedule a job that has been stored."""
         if self.scheduler is None:
             return
-        self.scheduler.submit(submission, self._now_s())
+        jobs = self.scheduler.jobs
+        with self._turns.watch(TurnWork.ACCEPT, lambda: jobs.get(submission.job)):
+            self.scheduler.submit(submission, self._now_s())
         self._lease_writer.wake()
 
     def cancel(self, job: JobId) -> None:
@@ -284,6 +288,8 @@
                 continue
             for submission in changes.submissions:
                 self.accept(submission)
+                # Many jobs that come at once must not keep the lease from its renewal.
+                await asyncio.sleep(0)
             for job in changes.cancelled:
                 self.cancel(job)
 
--- a/currantstage/coordination/jobs/_advice_tracker.py
+++ b/currantstage/coordination/jobs/_advice_tracker.py
@@ -36,7 +36,7 @@
 
     def candidates(self, step: StepRecord, now_s: float) -> list[WorkerId]:
         """Return the workers to request advice about."""
-        pool = self._scheduler.pool_of(step)
+        pool = self._scheduler.pool_of(step.job)
         return [
             worker_state.entry.worker
             for worker_state in self._scheduler.workers.in_pool(pool)
--- a/currantstage/coordination/jobs/_availability.py
+++ b/currantstage/coordination/jobs/_availability.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.coordination.jobs._records import TaskRecord
     from currantstage.coordination.jobs._run import Run
+    from currantstage.state.jobs import StepKey
 
 
 def may_interrupt(run: Run, now_s: float) -> bool:
@@ -25,24 +26,28 @@
         return True
     if run.pace_percent < 100 and run.is_recently_listed(now_s) and run.percent < 100:
         return True
-    return _unavailable_others((run,), run, now_s) < step.max_unavailable
+    return _unavailable_others((run,), now_s) < step.max_unavailable
 
 
 def may_interrupt_all(runs: Sequence[Run], now_s: float) -> bool:
     """Return whether planned work may stop all of `runs` at the same time."""
+    stopped_by_step: dict[StepKey, list[Run]] = defaultdict(list)
     for run in runs:
-        budget = run.step.max_unavailable
-        stopped = sum(each.task.step is run.task.step for each in runs)
-        if budget > 0 and _unavailable_others(runs, run, now_s) + stopped > budget:
+        stopped_by_step[run.task.step.key].append(run)
+    for stopped in stopped_by_step.values():
+        budget = stopped[0].step.max_unavailable
+        if budget > 0 and _unavailable_others(stopped, now_s) + len(stopped) > budget:
             return False
     return True
 
 
-def _unavailable_others(stopped: Sequence[Run], run: Run, now_s: float) -> int:
-    """Count the tasks of a run's step that are unavailable, without those `stopped`."""
-    tasks: list[TaskRecord] = [each.task for each in stopped]
-    others = [task.run for task in run.task.step.tasks if task not in tasks]
-    return sum(
-        other is None or other.is_stopping or not other.is_available(now_s)
-        for other in others
+def _unavailable_others(stopped: Sequence[Run], now_s: float) -> int:
+    """Count the unavailable tasks of a step without those of its runs in `stopped`."""
+    step = stopped[0].task.step
+    others = len(step.tasks) - len(stopped)
+    available = sum(
+        not other.is_stopping and other.is_available(now_s)
+        for other in step.runs()
+        if other not in stopped
     )
+    return others - available
--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -12,7 +12,6 @@
 )
 from currantstage.coordination.jobs._vm_table import VmWork
 from currantstage.coordination.jobs._worker_state import StartBlocker
-from currantstage.state.jobs import TaskPhase
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._records import StepRecord, TaskRecord
@@ -29,6 +28,9 @@
 #: How long the order for a VM may be delayed after its tasks have been interrupted
 #: without another place, in seconds.
 MAX_ORDER_DELAY_S = 2.0
+#: Maximum number of waiting tasks of one step that a forecast includes; those without a
+#: place request more VMs than a pool is given at once.
+MAX_FORECAST_TASKS = 256
 
 
 @dataclass(slots=True)
@@ -141,14 +143,14 @@
         for step in self._scheduler.jobs.ready_steps():
             if not step.step.is_long_running:
                 continue
-            forecast = self._forecasts.get(self._scheduler.pool_of(step))
+            forecast = self._forecasts.get(self._scheduler.pool_of(step.job))
             if forecast is None:
                 continue
-            may_start = self._team_allows(step)
-            for task in step.tasks:
-                if task.run is None and not may_start:
-                    continue
-                if _needs_place(task) and not forecast.assign(task):
+            tasks = [run.task for run in step.runs() if run.is_stopping]
+            if self._team_allows(step):
+                tasks.extend(step.first_waiting(MAX_FORECAST_TASKS))
+            for task in tasks:
+                if not forecast.assign(task):
                     self._uncordon_for(task, forecast, leaving)
 
     def _team_allows(self, step: StepRecord) -> bool:
@@ -161,7 +163,7 @@
         self, task: TaskRecord, forecast: PlacementForecast, leaving: list[VmState]
     ) -> None:
         """Give up the goal of a VM that has room for a task that has none elsewhere."""
-        pool = self._scheduler.pool_of(task.step)
+        pool = self._scheduler.pool_of(task.step.job)
         for vm in leaving:
             worker_state = self._worker_state(vm)
             if worker_state is None or worker_state.entry.pool != pool:
@@ -240,10 +242,3 @@
 
     def _worker_state(self, vm: VmState) -> WorkerState | None:
         return self._scheduler.workers.get(vm.record.worker)
-
-
-def _needs_place(task: TaskRecord) -> bool:
-    """Return whether a long-running task waits or is about to."""
-    if task.run is not None:
-        return task.run.is_stopping
-    return task.phase is TaskPhase.WAITING
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -8,7 +8,6 @@
 
 from currantstage.coordination.jobs._evacuation_plan import EvacuationPlan
 from currantstage.coordination.jobs._maintenance_plan import MaintenancePlan
-from currantstage.coordination.jobs._ordering import remaining_core_s
 from currantstage.coordination.jobs._pool_plan import (
     DemandSizing,
     PoolDemand,
@@ -247,16 +246,13 @@
                 capacity[worker_state.entry.pool] += (
                     worker_state.entry.capacity.cpu_millicores / 1000
                 )
-        for step in self._scheduler.jobs.open_steps():
-            pool = self._scheduler.pool_of(step)
-            if step.step.is_long_running:
-                for _ in step.tasks:
-                    long_running[pool] = long_running[pool].plus(
-                        step.step.reserved_resources
-                    )
+        for record in self._scheduler.jobs.open_jobs():
+            pool = self._scheduler.pool_of(record)
+            remaining[pool] += record.remaining_short_core_s
+            for step in record.long_running_steps:
+                amount = step.step.reserved_resources.times(len(step.tasks))
+                long_running[pool] = long_running[pool].plus(amount)
                 min_vms[pool] = max(min_vms[pool], _min_workers(step))
-            else:
-                remaining[pool] += remaining_core_s(step)
         return {
             each.pool: PoolDemand(
                 long_running[each.pool],
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -16,6 +16,10 @@
     from currantstage.state import QueueId
     from currantstage.state.jobs import JobId, JobProgress, Submission, TaskKey
 
+#: Number of tasks of a job opened at once from which on its further occurrences are
+#: left to the next pass.
+MAX_OPENED_TASKS = 1000
+
 
 class JobTable:
     """Jobs by id, and which of them have changed since they were last stored."""
@@ -65,20 +69,16 @@
         for stored in progress.tasks:
             steps = record.open_occurrence(stored.occurrence)
             task = steps[stored.step].tasks[stored.index]
-            task.phase = stored.phase
+            task.move_to(stored.phase)
             task.run_number = stored.run
-            task.failed_runs = set(stored.failed_runs)
+            task.failed_runs = frozenset(stored.failed_runs)
             task.crashes = {each.run: each for each in stored.crashes}
             self._note_trial(task)
             task.checkpoint = stored.checkpoint
-            if stored.phase is TaskPhase.DONE:
-                task.step.done_count += 1
             if stored.phase is TaskPhase.PLACED:
                 task.worker = stored.worker
                 task.born_ms = stored.born_ms
                 placed.append(task)
-        for steps in record.occurrences.values():
-            self._refresh_ready(steps)
         self._finish_if_done(record)
         return placed
 
@@ -92,9 +92,7 @@
                 continue
             period_ms = max(schedule.period_ms, 1)
             due = int((unix_ms - schedule.start_unix_ms) // period_ms) + 1
-            for occurrence in range(max(0, min(due, schedule.count))):
-                if occurrence not in record.occurrences:
-                    self._open_occurrence(record, occurrence)
+            self._open_upto(record, min(due, schedule.count))
 
     def task(self, key: TaskKey) -> TaskRecord | None:
         """Return the task of that key, if its occurrence is open."""
@@ -105,19 +103,14 @@
         tasks = steps[key.step].tasks
         return tasks[key.number] if key.number < len(tasks) else None
 
-    def open_steps(self) -> list[StepRecord]:
-        """Return the steps of open jobs that are not done."""
+    def ready_steps(self) -> list[StepRecord]:
+        """Return the steps of open jobs that may have tasks to place."""
         return [
-            step
+            record.ready[key]
             for record in self._open.values()
-            for step in record.steps()
-            if not step.is_done
+            for key in sorted(record.ready)
         ]
 
-    def ready_steps(self) -> list[StepRecord]:
-        """Return the steps that may have tasks to place."""
-        return [step for step in self.open_steps() if step.is_ready]
-
     def mark_unsaved(self, record: JobRecord) -> None:
         """Mark the job's progress for the next write."""
         self._unsaved[record.job] = record
@@ -127,6 +120,14 @@
         """Return the jobs that have not ended."""
         return list(self._open.values())
 
+    def largest_open(self) -> JobRecord | None:
+        """Return the job with the most tasks of those that have not ended."""
+        return max(
+            self._open.values(),
+            key=lambda each: each.submission.task_count,
+            default=None,
+        )
+
     def take_changed(self) -> list[JobRecord]:
         """Return the jobs that are new or have changed since the last call."""
         changed = list(self._changed.values())
@@ -157,20 +158,15 @@
             return
         members = step.tasks if step.step.is_gang else [task]
         for member in members:
-            if member.phase is not TaskPhase.DONE:
-                member.phase = TaskPhase.DONE
-                step.done_count += 1
-        record = step.job
-        self.mark_unsaved(record)
-        if step.is_done:
-            self._refresh_ready(record.occurrences[task.key.occurrence])
-            self._finish_if_done(record)
+            member.move_to(TaskPhase.DONE)
+        self.mark_unsaved(step.job)
+        self._finish_if_done(step.job)
 
     def count_failure(self, task: TaskRecord, run: RunNumber) -> None:
         """Count a failed run; failures in a gang are counted together."""
         counted = task.step.tasks[0] if task.step.step.is_gang else task
         if run not in counted.failed_runs:
-            counted.failed_runs.add(run)
+            counted.failed_runs |= {run}
             self.mark_unsaved(task.step.job)
 
     def count_crash(self, task: TaskRecord, crash: CrashRecord) -> None:
@@ -220,12 +216,12 @@
     def requeue(self, task: TaskRecord) -> None:
         """Return a placed task to the waiting state."""
         if task.phase is TaskPhase.PLACED:
-            task.phase = TaskPhase.WAITING
+            task.move_to(TaskPhase.WAITING)
             self.mark_unsaved(task.step.job)
 
     def place(self, task: TaskRecord, run_number: RunNumber) -> None:
         """Record that a task is being placed."""
-        task.phase = TaskPhase.PLACED
+        task.move_to(TaskPhase.PLACED)
         task.run_number = run_number
         self.mark_unsaved(task.step.job)
 
@@ -262,14 +258,19 @@
         if task.needs_trial:
             self._trials[task.key] = task
 
+    def _open_upto(self, record: JobRecord, due: int) -> None:
+        """Open a job's first `due` occurrences, or a part of them if they are many."""
+        opened_tasks = 0
+        while record.next_occurrence < due and opened_tasks < MAX_OPENED_TASKS:
+            if record.next_occurrence not in record.occurrences:
+                self._open_occurrence(record, record.next_occurrence)
+                opened_tasks += record.graph.task_offsets[-1]
+            record.next_occurrence += 1
+
     def _open_occurrence(self, record: JobRecord, occurrence: int) -> None:
-        self._refresh_ready(record.open_occurrence(occurrence))
+        record.open_occurrence(occurrence)
         self._changed[record.job] = record
 
-    def _refresh_ready(self, steps: list[StepRecord]) -> None:
-        for step in steps:
-            step.is_ready = all(steps[index].is_done for index in step.step.after)
-
     def _finish_if_done(self, record: JobRecord) -> None:
         if record.is_all_done():
             self.end(record, JobState.COMPLETED)
@@ -277,3 +278,7 @@
     def _close(self, record: JobRecord) -> None:
         self._open.pop(record.job, None)
         self._scheduled.pop(record.job, None)
+
+
+def _task_count(record: JobRecord) -> int:
+    return record.submission.task_count
--- a/currantstage/coordination/jobs/_ordering.py
+++ b/currantstage/coordination/jobs/_ordering.py
@@ -6,10 +6,7 @@
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._records import JobRecord, StepRecord
-    from currantstage.state.jobs import JobQueue, Step
-
-#: Run time assumed if the caller gives no estimate, in milliseconds.
-DEFAULT_RUN_MS = 1000
+    from currantstage.state.jobs import JobQueue
 
 
 class Rank(NamedTuple):
@@ -27,7 +24,8 @@
     def rank(self, step: StepRecord, queue: JobQueue | None, now_s: float) -> Rank:
         """Return the sort key of `step` among the waiting steps of its pool.
 
-        It depends on the job, the queue and the time only.
+        It depends on the job, the queue, the time, and whether the step is long-running
+        and late only.
         """
 
     def stable_until_s(
@@ -48,8 +46,9 @@
         priority = queue.priority if queue else 0
         if step.step.is_long_running:
             return Rank(priority, False, 0.0, step.job.accepted_s)
-        work = sum(map(remaining_core_s, step.job.steps()))
-        return Rank(priority, is_late(step, queue, now_s), work, step.job.accepted_s)
+        work_core_s = step.job.remaining_core_s
+        is_job_late = is_late(step, queue, now_s)
+        return Rank(priority, is_job_late, work_core_s, step.job.accepted_s)
 
     def stable_until_s(
         self, step: StepRecord, queue: JobQueue | None, now_s: float
@@ -74,37 +73,10 @@
 
 def deadline_s(job: JobRecord, queue: JobQueue) -> float:
     """Return the deadline of `job`, on the scheduler's clock."""
-    steps = job.submission.steps
-    longest_s = max(_longest_path_s(steps, index) for index in range(len(steps)))
+    longest_s = job.graph.longest_path_s
     return job.accepted_s + longest_s * queue.stretch + queue.slack_ms / 1000
 
 
 def critical_path_s(step: StepRecord) -> float:
-    """Return the estimated least time from the start of `step` to its job's end."""
-    steps = step.job.submission.steps
-    tail_s = 0.0
-    for index in range(step.key.step + 1, len(steps)):
-        if step.key.step in steps[index].after:
-            tail_s = max(tail_s, _estimated_run_s(steps[index]))
-    return _estimated_run_s(step.step) + tail_s
-
-
-def remaining_core_s(step: StepRecord) -> float:
-    """Return the remaining core-seconds of `step`, by the caller's estimate."""
-    remaining = len(step.tasks) - step.done_count
-    return (
-        remaining
-        * step.step.resources.cpu_millicores
-        / 1000
-        * _estimated_run_s(step.step)
-    )
-
-
-def _longest_path_s(steps: tuple[Step, ...], index: int) -> float:
-    own_s = _estimated_run_s(steps[index])
-    before = [each for each in steps[index].after if each < index]
-    return own_s + max((_longest_path_s(steps, each) for each in before), default=0.0)
-
-
-def _estimated_run_s(step: Step) -> float:
-    return (step.estimated_run_ms or DEFAULT_RUN_MS) / 1000
+    """Return the estimated least time for `step` and the steps directly after it."""
+    return step.job.graph.critical_paths_s[step.key.step]
--- a/currantstage/coordination/jobs/_placement.py
+++ b/currantstage/coordination/jobs/_placement.py
@@ -96,12 +96,8 @@
         spec = step.step
         self.resources = spec.reserved_resources
         self._label = spec.needed_label
-        self._full_workers: frozenset[WorkerId] = frozenset()
-        if spec.max_per_worker:
-            tasks = Counter(run.worker for run in step.runs())
-            self._full_workers = frozenset(
-                worker for worker in tasks if tasks[worker] >= spec.max_per_worker
-            )
+        self._max_per_worker = spec.max_per_worker
+        self._runs_by_worker = step.runs_by_worker
 
     def obstacle(self, worker: WorkerState) -> PlacementObstacle | None:
         """Return why `worker` may run no more task of the step; None if it may."""
@@ -109,10 +105,15 @@
             return PlacementObstacle.LABEL
         if not self.resources.fits(worker.free):
             return PlacementObstacle.CAPACITY
-        if worker.entry.worker in self._full_workers:
+        if self._is_full(worker.entry.worker):
             return PlacementObstacle.TASKS_PER_WORKER
         return None
 
+    def _is_full(self, worker: WorkerId) -> bool:
+        if not self._max_per_worker:
+            return False
+        return self._runs_by_worker[worker] >= self._max_per_worker
+
 
 def _by_preference(
     step: StepRecord, needs: StepNeeds, workers: CandidateWorkers
@@ -139,7 +140,10 @@
     if not allowed:
         return ""
     racks = {each.entry.worker: each.entry.rack for each in allowed}
-    used = Counter(racks[run.worker] for run in step.runs() if run.worker in racks)
+    used: Counter[str] = Counter()
+    for worker, runs in step.runs_by_worker.items():
+        if runs and worker in racks:
+            used[racks[worker]] += runs
     if used:
         return used.most_common(1)[0][0]
     free_cpu_millicores: Counter[str] = Counter()
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._step_graph import StepGraph
+from currantstage.coordination.jobs._work_left import WorkLeft
 from currantstage.state.jobs import (
     BornMs,
     CrashRecord,
@@ -20,6 +24,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from currantstage.coordination.jobs._run import Run
     from currantstage.state.jobs import JobId, Step, Submission
 
@@ -29,6 +35,8 @@
 TRIAL_WEIGHT = 2
 #: Weight of the crashes under a task from which on it is not started any more.
 GIVE_UP_WEIGHT = 4
+#: Number of waiting tasks that a step offers before it looks for more of them.
+WAITING_CHUNK = 64
 
 
 class FailureReason(Enum):
@@ -57,6 +65,7 @@
     key : TaskKey
     step : StepRecord
     phase : TaskPhase
+        Set by `move_to`.
     run_number : RunNumber
         Number of the latest run; the next one is higher.
     worker : WorkerId
@@ -64,11 +73,11 @@
     born_ms : BornMs
         Incarnation of that worker.
     run : Run, optional
-        The run in progress.
-    failed_runs : set of RunNumber
+        The run in progress; set by `assign`.
+    failed_runs : frozenset of RunNumber
         Runs that failed. They are kept by number, since an end may be listed again to
         a later scheduler and must be counted only once.
-    failed_on : set of WorkerId
+    failed_on : frozenset of WorkerId
         Workers on which a run of the task has failed or stalled.
     crashes : dict of RunNumber to CrashRecord
         Runs whose worker crashed.
@@ -83,13 +92,24 @@
     worker: WorkerId = WorkerId("")
     born_ms: BornMs = BornMs(0)
     run: Run | None = None
-    failed_runs: set[RunNumber] = field(default_factory=set)
+    failed_runs: frozenset[RunNumber] = frozenset()
     checkpoint: str = ""
-    failed_on: set[WorkerId] = field(default_factory=set)
+    failed_on: frozenset[WorkerId] = frozenset()
     not_before_s: float = 0.0
     crashes: dict[RunNumber, CrashRecord] = field(default_factory=dict)
     trial_since_s: float = float("inf")
 
+    def move_to(self, phase: TaskPhase) -> None:
+        """Change the phase; a task that is done stays so."""
+        if phase is not self.phase and self.phase is not TaskPhase.DONE:
+            self.phase = phase
+            self.step.on_phase_changed(self)
+
+    def assign(self, run: Run | None) -> None:
+        """Set the run in progress."""
+        earlier, self.run = self.run, run
+        self.step.on_run_changed(self, earlier)
+
     @property
     def crash_weight(self) -> int:
         """Evidence that the task crashes workers; alone with it, one counts twice."""
@@ -103,14 +123,15 @@
 
     def progress(self) -> TaskProgress:
         """Return the progress to store for the task."""
+        is_placed = self.phase is TaskPhase.PLACED
         return TaskProgress(
             occurrence=self.key.occurrence,
             step=self.key.step,
             index=self.key.number,
             phase=self.phase,
             run=self.run_number,
-            worker=self.worker if self.phase is TaskPhase.PLACED else WorkerId(""),
-            born_ms=self.born_ms if self.phase is TaskPhase.PLACED else BornMs(0),
+            worker=self.worker if is_placed else WorkerId(""),
+            born_ms=self.born_ms if is_placed else BornMs(0),
             failed_runs=tuple(sorted(self.failed_runs)),
             crashes=tuple(self.crashes.values()),
             checkpoint=self.checkpoint if self.phase is not TaskPhase.DONE else "",
@@ -131,30 +152,45 @@
 
     Parameters
     ----------
+    key : StepKey
+    job : JobRecord
+    step : Step
+    open_predecessors : int
+        Number of steps that have to be done before this one may start.
+    tasks : list of TaskRecord
+    done_count : int
+        Number of tasks that have succeeded.
     tickets : dict of WorkerId to HeldTicket
         Workers that may run the step, if its queue requires advice.
     advised_until_s : float
         When advice has to be requested again.
+    runs_by_worker : Counter of WorkerId
+        Number of runs in progress on each worker.
     """
 
     key: StepKey
     job: JobRecord
     step: Step
+    open_predecessors: int = 0
     tasks: list[TaskRecord] = field(default_factory=list)
     done_count: int = 0
-    is_ready: bool = False
     tickets: dict[WorkerId, HeldTicket] = field(default_factory=dict)
     advised_until_s: float = float("-inf")
+    runs_by_worker: Counter[WorkerId] = field(default_factory=Counter)
+    _waiting: dict[int, TaskRecord] = field(default_factory=dict)
+    _running: dict[int, Run] = field(default_factory=dict)
 
     @classmethod
     def for_step(cls, job: JobRecord, occurrence: int, index: int) -> StepRecord:
         """Return the record of a step with no task placed yet."""
         key = StepKey(job.submission.job, occurrence, index)
-        record = cls(key, job, job.submission.steps[index])
+        step = job.submission.steps[index]
+        record = cls(key, job, step, job.graph.predecessor_counts[index])
         record.tasks = [
             TaskRecord(TaskKey(*key, number), record)
-            for number in range(record.step.task_count)
+            for number in range(step.task_count)
         ]
+        record._waiting = dict(enumerate(record.tasks))
         return record
 
     @property
@@ -162,22 +198,74 @@
         """Whether all tasks have succeeded."""
         return self.done_count >= len(self.tasks)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether all steps are done that this one comes after."""
+        return not self.open_predecessors
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of tasks that wait to be placed, now or after a pause."""
+        return len(self._waiting)
+
     def ticket(self, worker: WorkerId, now_s: float) -> str | None:
         """Return the valid ticket for `worker`, or None."""
         held = self.tickets.get(worker)
         return held.text if held is not None and held.until_s > now_s else None
 
+    def iter_waiting(self, now_s: float) -> Iterator[TaskRecord]:
+        """Yield the tasks that may be placed now; they may be placed meanwhile."""
+        passed = 0
+        while chunk := list(
+            islice(self._waiting.values(), passed, passed + WAITING_CHUNK)
+        ):
+            for task in chunk:
+                if task.not_before_s <= now_s:
+                    yield task
+            passed += sum(task.phase is TaskPhase.WAITING for task in chunk)
+
     def waiting_tasks(self, now_s: float) -> list[TaskRecord]:
         """Return the tasks that may be placed now."""
-        return [
-            task
-            for task in self.tasks
-            if task.phase is TaskPhase.WAITING and task.not_before_s <= now_s
-        ]
+        return list(self.iter_waiting(now_s))
+
+    def first_waiting(self, limit: int) -> list[TaskRecord]:
+        """Return up to `limit` tasks that wait to be placed, now or after a pause."""
+        return list(islice(self._waiting.values(), limit))
+
+    def has_waiting(self, now_s: float) -> bool:
+        """Return whether any task may be placed now."""
+        return any(task.not_before_s <= now_s for task in self._waiting.values())
+
+    def paused_until_s(self) -> float:
+        """Return when the first waiting task may be placed; infinity without one."""
+        return min(
+            (task.not_before_s for task in self._waiting.values()),
+            default=float("inf"),
+        )
 
     def runs(self) -> list[Run]:
         """Return the runs in progress."""
-        return [task.run for task in self.tasks if task.run is not None]
+        return list(self._running.values())
+
+    def on_phase_changed(self, task: TaskRecord) -> None:
+        """Count a task under its new phase."""
+        if task.phase is TaskPhase.WAITING:
+            self._waiting[task.key.number] = task
+        else:
+            self._waiting.pop(task.key.number, None)
+        self.job.changed_steps[self.key] = self
+        if task.phase is TaskPhase.DONE:
+            self.done_count += 1
+            self.job.on_task_done(self)
+
+    def on_run_changed(self, task: TaskRecord, earlier: Run | None) -> None:
+        """Keep the run that a task has now, in place of an `earlier` one."""
+        if earlier is not None:
+            del self._running[task.key.number]
+            self.runs_by_worker[earlier.worker] -= 1
+        if task.run is not None:
+            self._running[task.key.number] = task.run
+            self.runs_by_worker[task.run.worker] += 1
 
 
 @dataclass(slots=True, eq=False)
@@ -198,6 +286,16 @@
         When the job was accepted, on the scheduler's clock.
     failure : JobFailure, optional
         Why this scheduler has ended the job as failed.
+    occurrences : dict of int to list of StepRecord
+        Steps of the occurrences that have been due.
+    ready : dict of StepKey to StepRecord
+        Steps that are not done and may have tasks to place.
+    long_running_steps : list of StepRecord
+    next_occurrence : int
+        All occurrences before this one are open.
+    changed_steps : dict of StepKey to StepRecord
+        Steps whose waiting tasks have changed since they were last taken.
+    graph : StepGraph
     """
 
     submission: Submission
@@ -208,6 +306,16 @@
     ended_unix_ms: int = 0
     failure: JobFailure | None = None
     occurrences: dict[int, list[StepRecord]] = field(default_factory=dict)
+    ready: dict[StepKey, StepRecord] = field(default_factory=dict)
+    long_running_steps: list[StepRecord] = field(default_factory=list)
+    next_occurrence: int = 0
+    changed_steps: dict[StepKey, StepRecord] = field(default_factory=dict)
+    graph: StepGraph = field(init=False)
+    _open_steps: int = 0
+    _work: WorkLeft = field(default_factory=WorkLeft)
+
+    def __post_init__(self) -> None:
+        self.graph = StepGraph.for_steps(self.submission.steps)
 
     @property
     def job(self) -> JobId:
@@ -228,13 +336,31 @@
         """Whether the job runs until it is cancelled."""
         return any(step.is_long_running for step in self.submission.steps)
 
+    @property
+    def remaining_core_s(self) -> float:
+        """Remaining core-seconds of the occurrences that have been due."""
+        return self._work.all_core_s
+
+    @property
+    def remaining_short_core_s(self) -> float:
+        """The part of `remaining_core_s` that is not of long-running steps."""
+        return self._work.short_core_s
+
     def open_occurrence(self, occurrence: int) -> list[StepRecord]:
         """Return the steps of an occurrence, creating their records if needed."""
         if occurrence not in self.occurrences:
-            self.occurrences[occurrence] = [
+            steps = [
                 StepRecord.for_step(self, occurrence, index)
                 for index in range(len(self.submission.steps))
             ]
+            self.occurrences[occurrence] = steps
+            self._open_steps += len(steps)
+            for step in steps:
+                self._work.add(step.step, len(step.tasks))
+                if step.is_ready:
+                    self._mark_ready(step)
+                if step.step.is_long_running:
+                    self.long_running_steps.append(step)
         return self.occurrences[occurrence]
 
     def steps(self) -> list[StepRecord]:
@@ -247,9 +373,21 @@
 
     def is_all_done(self) -> bool:
         """Return whether every task of every occurrence has succeeded."""
-        if len(self.occurrences) < self.submission.occurrence_count:
-            return False
-        return all(step.is_done for step in self.steps())
+        is_complete = len(self.occurrences) >= self.submission.occurrence_count
+        return is_complete and not self._open_steps
+
+    def take_changed_steps(self) -> list[StepRecord]:
+        """Return the steps whose waiting tasks have changed since the last call."""
+        changed, self.changed_steps = self.changed_steps, {}
+        return list(changed.values())
+
+    def on_task_done(self, step: StepRecord) -> None:
+        """Count a task that has succeeded, and what its step's end makes ready."""
+        self._work.add(step.step, -1)
+        if step.is_done:
+            self._open_steps -= 1
+            self.ready.pop(step.key, None)
+            self._release_successors(step)
 
     def progress(self) -> JobProgress:
         """Return the progress to store for the job."""
@@ -268,3 +406,15 @@
             tasks=tasks,
             ended_unix_ms=self.ended_unix_ms,
         )
+
+    def _release_successors(self, step: StepRecord) -> None:
+        steps = self.occurrences[step.key.occurrence]
+        for index in self.graph.successors[step.key.step]:
+            successor = steps[index]
+            successor.open_predecessors -= 1
+            if successor.is_ready and not successor.is_done:
+                self._mark_ready(successor)
+
+    def _mark_ready(self, step: StepRecord) -> None:
+        self.ready[step.key] = step
+        self.changed_steps[step.key] = step
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -93,7 +93,7 @@
             return
         if ended.kind is EndKind.FAILED:
             worker_state.record_failure(task.step.job.job, now_s)
-            task.failed_on.add(worker_state.entry.worker)
+            task.failed_on |= {worker_state.entry.worker}
             self._jobs.count_failure(task, ended.run)
         if is_current:
             task.checkpoint = ended.checkpoint or task.checkpoint
@@ -119,7 +119,7 @@
             self._lost.append(LostRun(run, run.loss))
             self._count_crash(run, run.loss)
         if run.task.run is run:
-            run.task.run = None
+            run.task.assign(None)
             if not run.task.step.job.state.is_final:
                 self.retry(run.task)
 
@@ -135,7 +135,7 @@
             worker_state.remove(run)
             self._teams.remove(run.team, run.step.resources)
         if run.task.run is run:
-            run.task.run = None
+            run.task.assign(None)
 
     def stop_runs(self, record: JobRecord) -> None:
         """Stop all runs of a job."""
--- a/currantstage/coordination/jobs/_run_supervisor.py
+++ b/currantstage/coordination/jobs/_run_supervisor.py
@@ -45,7 +45,7 @@
         if run.phase is not RunPhase.RUNNING:
             return
         if not run.is_stopping and self._is_stalled(run):
-            run.task.failed_on.add(run.worker)
+            run.task.failed_on |= {run.worker}
             worker_state.blocked_until_s = max(
                 worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
             )
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -7,7 +7,7 @@
 from currantstage.coordination.jobs._arrivals import ArrivalMeter
 from currantstage.coordination.jobs._availability import may_interrupt
 from currantstage.coordination.jobs._job_table import JobTable
-from currantstage.coordination.jobs._ordering import LeastWorkFirst, remaining_core_s
+from currantstage.coordination.jobs._ordering import LeastWorkFirst
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS
@@ -36,7 +36,6 @@
     from currantstage.coordination.jobs._progress_batch import ProgressBatch
     from currantstage.coordination.jobs._records import (
         JobRecord,
-        StepRecord,
         TaskRecord,
     )
     from currantstage.coordination.jobs._reply_comparison import RunChanges
@@ -135,9 +134,9 @@
         if self.jobs.get(submission.job) is not None:
             return
         record = self.jobs.add(submission, now_s)
-        for step in record.steps():
-            if not step.step.is_long_running:
-                self.arrivals.add(self.pool_of(step), remaining_core_s(step), now_s)
+        if record.remaining_short_core_s:
+            pool = self.pool_of(record)
+            self.arrivals.add(pool, record.remaining_short_core_s, now_s)
 
     def cancel(self, job: JobId) -> None:
         """Cancel a job whose cancellation is stored."""
@@ -309,9 +308,9 @@
         self._lifecycle.stop(run)
         return True
 
-    def pool_of(self, step: StepRecord) -> PoolId:
-        """Return the pool that the step's queue is routed to now."""
-        return pool_of(step, self._configuration)
+    def pool_of(self, job: JobRecord) -> PoolId:
+        """Return the pool that the job's queue is routed to now."""
+        return pool_of(job, self._configuration)
 
     def max_attempts(self, record: JobRecord) -> int:
         """Return how many runs of a task of `record` may fail."""
@@ -328,7 +327,7 @@
             is_adopted=True,
         )
         self.workers.adopt(run, task.born_ms, until_s)
-        task.run = run
+        task.assign(run)
         self.teams.add(run.team, run.step.resources)
 
     def _apply_changes(
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._placement_forecast import ForecastSlot
@@ -13,20 +14,24 @@
 from currantstage.state.jobs import Resources, RunNumber
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from currantstage.coordination.jobs._job_table import JobTable
     from currantstage.coordination.jobs._ordering import StepOrder
     from currantstage.coordination.jobs._placement import TaskPlacement
-    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._records import (
+        JobRecord,
+        StepRecord,
+        TaskRecord,
+    )
+    from currantstage.coordination.jobs._step_lines import StepSelection
     from currantstage.coordination.jobs._team_usage import TeamUsage
-    from currantstage.coordination.jobs._waiting_steps import StepSelection
     from currantstage.coordination.jobs._worker_table import WorkerTable
     from currantstage.state import PoolId
     from currantstage.state.jobs import FleetConfiguration, JobQueue
 
 #: Maximum time that a task waits for a worker without other runs, in seconds.
 MAX_TRIAL_WAIT_S = 2.0
+#: Number of tasks of a pool placed from which on others are left to the next pass.
+MAX_PLACED_PER_POOL = 256
 #: Fits every worker, also one whose reserved resources exceed its capacity.
 ANY_AMOUNT = Resources(-sys.maxsize, -sys.maxsize, -sys.maxsize)
 
@@ -69,14 +74,13 @@
         placed, workers = self._place_trials(pool, workers, configuration, now_s)
         selection = self._waiting.in_pool(pool).select(workers.has_room)
         for step in selection:
-            tasks = step.waiting_tasks(now_s)
+            if len(placed) >= MAX_PLACED_PER_POOL:
+                break
             allowed = _advised(step, self._waiting.queue_of(step), workers, now_s)
             if step.step.is_gang:
-                placed.extend(
-                    self._place_gang(step, tasks, allowed, configuration, now_s)
-                )
+                placed.extend(self._place_gang(step, allowed, configuration, now_s))
                 continue
-            for task in tasks:
+            for task in islice(step.iter_waiting(now_s), MAX_PLACED_PER_POOL):
                 if task.crashes and task.needs_trial:
                     continue
                 run = self._place_task(task, allowed, configuration, now_s, None)
@@ -146,12 +150,12 @@
     def _place_gang(
         self,
         step: StepRecord,
-        tasks: Sequence[TaskRecord],
         workers: CandidateWorkers,
         configuration: FleetConfiguration,
         now_s: float,
     ) -> list[Run]:
         """Place all members of a gang, or none of them."""
+        tasks = step.waiting_tasks(now_s)
         if len(tasks) < len(step.tasks) or step.runs():
             return []
         number = RunNumber(1 + max(task.run_number for task in tasks))
@@ -191,7 +195,7 @@
         )
         worker_state.add(run)
         self._teams.add(team, amount)
-        task.run = run
+        task.assign(run)
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
         self._jobs.place(task, run.number)
@@ -202,13 +206,13 @@
         if worker_state is not None:
             worker_state.remove(run)
         self._teams.remove(run.team, run.step.resources)
-        run.task.run = None
+        run.task.assign(None)
         self._jobs.requeue(run.task)
 
 
-def pool_of(step: StepRecord, configuration: FleetConfiguration) -> PoolId:
-    """Return the pool that the step's queue is routed to now."""
-    submission = step.job.submission
+def pool_of(job: JobRecord, configuration: FleetConfiguration) -> PoolId:
+    """Return the pool that the job's queue is routed to now."""
+    submission = job.submission
     queue = configuration.queue(submission.queue)
     return queue.pool if queue else submission.pool
 
--- a/currantstage/coordination/jobs/_wait_report.py
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -89,7 +89,7 @@
     def _explain(self, task: TaskRecord, now_s: float) -> WaitingTask:
         scheduler = self._scheduler
         step = task.step
-        pool = scheduler.pool_of(step)
+        pool = scheduler.pool_of(step.job)
         team = step.job.submission.team
         is_allowed = scheduler.teams.allows(
             team, step.step.resources, scheduler.configuration
--- a/currantstage/state/jobs/_jobs.py
+++ b/currantstage/state/jobs/_jobs.py
@@ -25,7 +25,7 @@
         return self in _FINAL_STATES
 
 
-_FINAL_STATES = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
+_FINAL_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
 class Resources(Struct, frozen=True):
@@ -58,6 +58,18 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return the sum of `count` equal amounts.
+
+        >>> Resources(500, 256).times(3)
+        Resources(cpu_millicores=1500, memory_mb=768, accelerators=0)
+        """
+        return Resources(
+            self.cpu_millicores * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
     def fits(self, available: Resources) -> bool:
         """Return whether this amount fits into the amount `available`.
 
@@ -169,6 +181,11 @@
         """Number of times that the steps run."""
         return self.schedule.count if self.schedule else 1
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks over all occurrences."""
+        return self.occurrence_count * sum(step.task_count for step in self.steps)
+
 
 class TaskPhase(Enum):
     """Stored lifecycle state of a task."""
--- a/tests/jobs/records.py
+++ b/tests/jobs/records.py
@@ -46,8 +46,8 @@
     run = Run(task, RunNumber(1), WorkerId(worker), RunPhase.RUNNING, placed_s=0.0)
     run.percent = 100
     run.listed_s = listed_s
-    task.run = run
-    task.phase = TaskPhase.PLACED
+    task.assign(run)
+    task.move_to(TaskPhase.PLACED)
     return run
 
 
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -181,7 +181,7 @@
         )
         worker_state.add(run)
         self._teams.add(team, amount)
-        task.run = run
+        task.assign(run)
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
         self._jobs.place(task, run.number)
@@ -192,7 +192,7 @@
         if worker_state is not None:
             worker_state.remove(run)
         self._teams.remove(run.team, run.step.resources)
-        run.task.run = None
+        run.task.assign(None)
         self._jobs.requeue(run.task)
 
 
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -46,7 +46,7 @@
         for worker_state in self.scheduler.workers.states():
             worker_state.is_synced = True
         self.scheduler.submit(submission("0" * 16, work), NOW_S)
-        (self.step,) = self.scheduler.jobs.open_steps()
+        (self.step,) = self.scheduler.jobs.ready_steps()
 
     def run(self, number: int, worker: str) -> None:
         """Let a task run on a worker."""
@@ -239,7 +239,7 @@
     for number in range(1, 4):
         work = _lasting(1, cpu=2500)
         fleet.scheduler.submit(submission(str(number) * 16, work), NOW_S)
-        other = fleet.scheduler.jobs.open_steps()[-1]
+        other = fleet.scheduler.jobs.ready_steps()[-1]
         others.append(running(other, 0, listed_s=NOW_S, worker="w-1"))
         worker_state.add(others[-1])
     fleet.maintain("w-0", "w-1")
--- a/tests/jobs/test_placement_and_order.py
+++ b/tests/jobs/test_placement_and_order.py
@@ -79,7 +79,7 @@
 def test_worker_on_which_a_task_has_failed_comes_last() -> None:
     states = [_worker_state("large", 8000), _worker_state("small", 2000)]
     task = open_step(step(1)).tasks[0]
-    task.failed_on.add(WorkerId("large"))
+    task.failed_on |= {WorkerId("large")}
     chosen = _choose(task, states)
     assert chosen is not None
     assert chosen.entry.worker == "small"
--- a/tests/jobs/test_wait_report.py
+++ b/tests/jobs/test_wait_report.py
@@ -50,7 +50,7 @@
     assert reporter.report(now_s=0.1) == []
     scheduler.place(now_s=0.2, unix_ms=0)
     assert reporter.report(now_s=1.5) == []
-    for run in scheduler.jobs.open_steps()[0].runs():
+    for run in scheduler.jobs.ready_steps()[0].runs():
         scheduler.interrupt(run, now_s=2.0)
     assert reporter.report(now_s=2.0) == []
     assert len(reporter.report(now_s=3.0)) == 1
