Divide progress into pages and writes by their size (LOST after a job of many tasks)

Cause: the progress of a job was one row, written whole at each change; past 64 KiB the store refuses the transaction, which renews the lease as well. The refusal was handled like an outage and the write repeated for ever. A batch counted jobs, not bytes.

Ruled out: the limits of a call (1 MB, 100 entries), and a store that is overloaded: in a simulated store with the platform's limits it comes with the row alone, and stays.

Why it works: progress is divided into pages that fit a row whatever their tasks hold, each stored after those that follow it; a write holds 90 pages and about 128 KiB; ends and starts wait for the pages that they depend on. A rejected write is told from an outage: the lease is written alone, then the pages one by one, and only the job that is rejected ends.

Rows of the version before are read.

Removals of old progress go with writes of progress as well.

--- a/currantstage/application/jobs/_commit_attempts.py
+++ b/currantstage/application/jobs/_commit_attempts.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs import LeaseRow, ProgressBatch
-    from currantstage.state.jobs import JobId
+    from currantstage.state.jobs import PageKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,8 +19,8 @@
     lease : LeaseRow
     sent_s : float
     batch : ProgressBatch or None
-    removed : tuple of JobId
-        Jobs whose progress is removed.
+    removed : tuple of PageKey
+        Rows of progress that are removed.
     is_last : bool
         Whether the write releases the lease.
     """
@@ -28,7 +28,7 @@
     lease: LeaseRow
     sent_s: float
     batch: ProgressBatch | None = None
-    removed: tuple[JobId, ...] = ()
+    removed: tuple[PageKey, ...] = ()
     is_last: bool = False
 
 
--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -21,7 +21,7 @@
     LeaseRow,
     VmOrderCooldown,
 )
-from currantstage.state.jobs import StoreUnavailable
+from currantstage.state.jobs import StoreRefused, StoreUnavailable
 from currantstage.util import Notifier, wait_for_event
 
 if TYPE_CHECKING:
@@ -37,14 +37,15 @@
         StoreHealth,
     )
     from currantstage.state import VmId
-    from currantstage.state.jobs import JobId
+    from currantstage.state.jobs import PageKey
 
 #: Minimum interval between writes, in seconds; a partition takes 150 a second.
 COMMIT_INTERVAL_S = 0.012
 #: Pause after a failed write, in seconds.
 COMMIT_RETRY_S = 0.05
-#: Maximum number of progress rows that one write removes.
+#: Maximum number of progress rows that one write removes, alone and beside others.
 MAX_REMOVED_ROWS = 50
+MAX_REMOVED_BESIDE = 8
 
 
 class LeaseWriter:
@@ -105,7 +106,9 @@
         self._renewed = Notifier()
         self._is_releasing = False
         self._is_offered = False
-        self._progress_to_remove: list[JobId] = []
+        #: A batch that the store has refused; the next write is of the lease alone.
+        self._refused: ProgressBatch | None = None
+        self._progress_to_remove: list[PageKey] = []
         self._earlier_orders_until_s = taken_s + takeover.holder_active_s
         #: When a VM was last added to those that the lease has to list.
         self._vm_added_s = float("-inf")
@@ -128,9 +131,9 @@
         """Store the progress of `source` from now on."""
         self._source = source
 
-    def remove_progress(self, jobs: Iterable[JobId]) -> None:
-        """Remove the progress of jobs that are no longer stored."""
-        self._progress_to_remove.extend(jobs)
+    def remove_progress(self, pages: Iterable[PageKey]) -> None:
+        """Remove progress that is not needed any more."""
+        self._progress_to_remove.extend(pages)
 
     def request_release(self) -> None:
         """Release the lease once all progress is stored."""
@@ -161,12 +164,12 @@
 
     async def _commit_once(self) -> None:
         self._wake.clear()
-        batch = self._next_batch()
+        batch = None if self._refused is not None else self._next_batch()
         sent_s = self._now_s()
         if batch is None and not self._is_write_due(sent_s):
             return
         is_last = self._is_releasing and not self._has_unsaved()
-        removed = () if batch else tuple(self._progress_to_remove[:MAX_REMOVED_ROWS])
+        removed = tuple(self._progress_to_remove[: _max_removed(batch)])
         lease = self._next_lease(sent_s, is_last=is_last)
         attempt = CommitAttempt(lease, sent_s, batch, removed, is_last)
         self._attempts.add(attempt)
@@ -181,7 +184,7 @@
             self._on_attempt_stored(attempt, outcome)
 
     async def _write(self, attempt: CommitAttempt) -> int | StoredLease:
-        progress = attempt.batch.progress if attempt.batch else ()
+        progress = attempt.batch.rows if attempt.batch else ()
         return await self._probe.watch(
             self._repository.write_lease(
                 attempt.lease, self._version, progress, attempt.removed
@@ -198,6 +201,7 @@
         """Return whether the lease is to be written even without progress."""
         return (
             self._is_releasing
+            or self._refused is not None
             or self.held_lease.is_renewal_due(now_s)
             or not self.held_lease.is_confirmed_since(self._vm_added_s)
         )
@@ -222,6 +226,7 @@
         self, attempt: CommitAttempt, error: StoreUnavailable
     ) -> None:
         self._on_batch_failed(attempt.batch)
+        self._refused = attempt.batch if isinstance(error, StoreRefused) else None
         if not error.is_in_doubt:
             self._attempts.discard(attempt)
             await self._probe.read_once()
@@ -264,6 +269,7 @@
         del self._progress_to_remove[: len(attempt.removed)]
         self._observe_commit("stored", attempt.sent_s)
         self._on_batch_stored(attempt.batch)
+        self._blame_refused_batch()
         if attempt.is_last:
             log_message("currantstage:lease-released", term=attempt.lease.term)
             self._ended.set()
@@ -292,10 +298,17 @@
             self._source.on_failed(batch)
             self._wake.set()
 
+    def _blame_refused_batch(self) -> None:
+        """Look for what the store rejects, as it takes the lease by itself."""
+        if self._refused is not None and self._source is not None:
+            self._source.on_refused(self._refused)
+            self._wake.set()
+        self._refused = None
+
     def _on_batch_stored(self, batch: ProgressBatch | None) -> None:
         if batch is None or self._source is None:
             return
-        self._source.on_stored(batch)
+        self.remove_progress(self._source.on_stored(batch))
         if self._source.has_unsaved:
             self._wake.set()
 
@@ -307,3 +320,8 @@
 
     def _now_s(self) -> float:
         return self._ports.clock.now_s()
+
+
+def _max_removed(batch: ProgressBatch | None) -> int:
+    """Return how many rows a write may remove that stores `batch`."""
+    return MAX_REMOVED_BESIDE if batch and batch.writes else MAX_REMOVED_ROWS
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -19,6 +19,9 @@
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.state.jobs import EndKind, JobState, OrderOutcome
 
+#: Boundaries of the sizes of pages of progress, in bytes.
+PAGE_SIZE_BUCKETS_BYTES = (256, 1024, 4096, 16_384, 49_152, 65_536)
+
 
 class JobMetrics:
     """Counters and latency histograms of calls, tasks and writes."""
@@ -42,6 +45,12 @@
         self._commits = meter.create_counter(
             "currantstage_commits", description="Writes of the scheduler by outcome."
         )
+        self._page_sizes = meter.create_histogram(
+            "currantstage_progress_page_size",
+            unit="By",
+            description="Bound of the size of a stored page of progress.",
+            explicit_bucket_boundaries_advisory=PAGE_SIZE_BUCKETS_BYTES,
+        )
         self._latencies = {
             name: meter.create_histogram(
                 f"currantstage_{name}",
@@ -122,6 +131,10 @@
         self._commits.add(1, {"outcome": outcome})
         self._latencies["commit_duration"].record(duration_s)
 
+    def count_page(self, size_bytes: int) -> None:
+        """Count a stored page of progress, by a bound of its size."""
+        self._page_sizes.record(size_bytes)
+
     def observe_turn(self, work: str, duration_s: float) -> None:
         """Record how long a computation over jobs has kept the event loop."""
         self._latencies["turn_duration"].record(duration_s, {"work": work})
--- a/currantstage/application/jobs/_monitored_store.py
+++ b/currantstage/application/jobs/_monitored_store.py
@@ -6,7 +6,7 @@
 
 from eliot import log_message
 
-from currantstage.state.jobs import StoreUnavailable
+from currantstage.state.jobs import StoreRefused, StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Sequence
@@ -18,8 +18,10 @@
         Conflicted,
         PartitionedStore,
         RowCondition,
+        RowName,
         RowPage,
         RowWrite,
+        StoredRow,
     )
 
 _ResultT = TypeVar("_ResultT")
@@ -46,6 +48,10 @@
         """Return the rows of a partition whose keys begin with `prefix`."""
         return await self._monitor(self._store.read(table, partition, prefix))
 
+    async def read_row(self, name: RowName) -> StoredRow | None:
+        """Return a row, or None if it does not exist."""
+        return await self._monitor(self._store.read_row(name))
+
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table`; None if that history is unavailable."""
         return await self._monitor(self._store.changes(table, after, wait_ms))
@@ -54,6 +60,9 @@
         sent_s = self._clock.now_s()
         try:
             result = await call
+        except StoreRefused:
+            self._health.record_success(sent_s, self._clock.now_s())
+            raise
         except StoreUnavailable as error:
             self._health.record_failure(sent_s)
             self._log_transition(self._clock.now_s(), str(error))
--- a/currantstage/application/jobs/_progress_source.py
+++ b/currantstage/application/jobs/_progress_source.py
@@ -12,7 +12,8 @@
     from currantstage.application.jobs._activity_log import ActivityLog
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.application.jobs._worker_driver import WorkerDriver
-    from currantstage.coordination.jobs import ProgressBatch, Scheduler
+    from currantstage.coordination.jobs import PageWrite, ProgressBatch, Scheduler
+    from currantstage.state.jobs import PageKey
 
 
 class ProgressSource:
@@ -58,12 +59,30 @@
         """Take back a batch that may not have been stored."""
         self._scheduler.on_batch_failed(batch)
 
-    def on_stored(self, batch: ProgressBatch) -> None:
-        """Report the jobs that have ended, and send the starts of a stored batch."""
+    def on_refused(self, batch: ProgressBatch) -> None:
+        """Look for the job for which the store rejects a batch, and end it."""
+        refused = self._scheduler.on_batch_refused(batch)
+        largest = max(batch.writes, key=_size_bytes, default=None)
+        log_message(
+            "currantstage:progress-refused",
+            pages=len(batch.writes),
+            largest_job=largest.page.key.job if largest else None,
+            largest_bytes=largest.size_bytes if largest else 0,
+            refused_job=refused.job if refused else None,
+        )
+
+    def on_stored(self, batch: ProgressBatch) -> list[PageKey]:
+        """Report the jobs that have ended, and send the starts of a stored batch.
+
+        Returns
+        -------
+        list of PageKey
+            Rows that are not needed any more.
+        """
         ended = [
-            (record, stored.state)
-            for record, stored in zip(batch.jobs, batch.progress, strict=True)
-            if stored.state.is_final and not record.stored_state.is_final
+            (record, head.state)
+            for record, head in batch.heads
+            if head.state.is_final and not record.stored_state.is_final
         ]
         starts = self._scheduler.on_batch_stored(batch)
         for record, state in ended:
@@ -78,9 +97,16 @@
                 reason=failure.reason.value if failure else None,
                 failed_task=".".join(map(str, failure.task)) if failure else None,
             )
+        for write in batch.writes:
+            self._ports.metrics.count_page(write.size_bytes)
         self._driver.start_runs(starts)
         self._driver.on_progress_stored()
+        return self._scheduler.take_obsolete_pages()
 
     def observe_commit(self, duration_s: float) -> None:
         """Record the duration of a write of the lease."""
         self._activity.observe_commit(duration_s)
+
+
+def _size_bytes(write: PageWrite) -> int:
+    return write.size_bytes
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -23,18 +23,24 @@
     MemberRow,
     decode_lease,
     decode_member,
+    decode_page,
     decode_progress,
     decode_submission,
     encode_row,
 )
 from currantstage.state.jobs import (
+    HEAD_PAGE,
     Committed,
     JobId,
+    JobProgress,
+    PageKey,
     RowCondition,
     RowName,
     RowWrite,
+    StoredProgress,
     StoredRow,
     StoreUnavailable,
+    TaskPage,
 )
 from currantstage.util import decode_json
 
@@ -44,7 +50,6 @@
     from currantstage.coordination.jobs import LeaseRow
     from currantstage.state import EntryVmId
     from currantstage.state.jobs import (
-        JobProgress,
         PartitionedStore,
         RowPage,
         Submission,
@@ -131,12 +136,9 @@
                 continue
             changes = _decode_changes(page.rows, page.version)
             for submission in changes.submissions:
-                progress = await self._store.read(
-                    _PROGRESS_TABLE, _SCHEDULER_PARTITION, job
-                )
                 return StoredJob(
                     submission,
-                    next(iter(_decode_progress_rows(progress.rows)), None),
+                    await self._read_head(job),
                     is_cancelled=job in changes.cancelled,
                 )
         if failure is not None:
@@ -154,10 +156,10 @@
         rows = [row for page in pages for row in page.rows]
         return _decode_changes(rows, min(page.version for page in pages))
 
-    async def read_progress(self) -> tuple[JobProgress, ...]:
+    async def read_progress(self) -> dict[JobId, StoredProgress]:
         """Return the progress of all jobs."""
         page = await self._store.read(_PROGRESS_TABLE, _SCHEDULER_PARTITION)
-        return tuple(_decode_progress_rows(page.rows))
+        return StoredProgress.by_job(_decode_progress_rows(page.rows))
 
     async def job_changes(self, after: int, wait_ms: int) -> JobChanges | None:
         """Return the changes since `after`; None if that history is unavailable."""
@@ -175,8 +177,8 @@
         self,
         lease: LeaseRow,
         expected_version: int,
-        progress: Sequence[JobProgress] = (),
-        removed: Sequence[JobId] = (),
+        progress: Sequence[JobProgress | TaskPage] = (),
+        removed: Sequence[PageKey] = (),
     ) -> int | StoredLease:
         """Write the lease together with progress; return the lease's new version.
 
@@ -184,9 +186,9 @@
         """
         writes = [RowWrite(_LEASE, encode_row(lease))]
         writes.extend(
-            RowWrite(_progress_row(each.job), encode_row(each)) for each in progress
+            RowWrite(_progress_row(each.key), encode_row(each)) for each in progress
         )
-        writes.extend(RowWrite(_progress_row(job), None) for job in removed)
+        writes.extend(RowWrite(_progress_row(key), None) for key in removed)
         outcome = await self._store.transact(
             (RowCondition(_LEASE, expected_version),), writes
         )
@@ -194,6 +196,14 @@
             return outcome.version
         return _decode_lease_row(outcome.rows)
 
+    async def _read_head(self, job: JobId) -> JobProgress | None:
+        name = _progress_row(PageKey(job, HEAD_PAGE))
+        row = await self._store.read_row(name)
+        if row is None:
+            return None
+        heads = _decode_progress_rows((row,))
+        return next((each for each in heads if isinstance(each, JobProgress)), None)
+
     async def remove_job(self, job: JobId) -> None:
         """Remove an ended job and its cancellation, from both places."""
         for place in JobPlace:
@@ -249,8 +259,9 @@
     return RowName(JOBS_TABLE, _partition(job, place), job + _CANCEL_SUFFIX)
 
 
-def _progress_row(job: JobId) -> RowName:
-    return RowName(_PROGRESS_TABLE, _SCHEDULER_PARTITION, job)
+def _progress_row(page: PageKey) -> RowName:
+    key = page.job if page.first == HEAD_PAGE else f"{page.job}.{page.first}"
+    return RowName(_PROGRESS_TABLE, _SCHEDULER_PARTITION, key)
 
 
 def _decode_changes(rows: Sequence[StoredRow], version: int) -> JobChanges:
@@ -272,11 +283,14 @@
     return JobChanges(tuple(submissions.values()), tuple(cancelled), version)
 
 
-def _decode_progress_rows(rows: Sequence[StoredRow]) -> list[JobProgress]:
-    progress = []
+def _decode_progress_rows(
+    rows: Sequence[StoredRow],
+) -> list[JobProgress | TaskPage]:
+    progress: list[JobProgress | TaskPage] = []
     for row in rows:
+        decode = decode_page if "." in row.name.key else decode_progress
         try:
-            progress.append(decode_progress(row.value or b""))
+            progress.append(decode(row.value or b""))
         except ProtocolError as error:
             _log_malformed(row, error)
     return progress
--- a/currantstage/application/jobs/_scheduler_loader.py
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -13,12 +13,16 @@
 from currantstage.coordination.jobs import Scheduler
 
 if TYPE_CHECKING:
+    from collections.abc import Container, Iterator, Mapping
+
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import LeaseTakeover, SchedulerTuning
     from currantstage.state.jobs import (
         FleetConfiguration,
         JobId,
+        PageKey,
+        StoredProgress,
         Term,
         WorkerEntry,
     )
@@ -37,15 +41,16 @@
     workers : tuple of WorkerEntry
     workers_version : int
     jobs_version : int
-    orphaned_progress : frozenset of JobId
-        Jobs that have been removed, but whose progress is still stored.
+    obsolete_progress : tuple of PageKey
+        Stored progress of jobs that have been removed, and pages of jobs that have
+        ended.
     """
 
     scheduler: Scheduler
     workers: tuple[WorkerEntry, ...]
     workers_version: int
     jobs_version: int
-    orphaned_progress: frozenset[JobId]
+    obsolete_progress: tuple[PageKey, ...]
 
 
 async def load_scheduler(
@@ -81,7 +86,7 @@
     # Progress is read before jobs: if a job is removed in between, its progress is
     # ignored. In the reverse order, the job would be read without its progress,
     # and would run again.
-    progress = {each.job: each for each in await repository.read_progress()}
+    progress = await repository.read_progress()
     jobs = await repository.read_jobs()
     scheduler = Scheduler(term, configuration, tuning)
     now_s = ports.clock.now_s()
@@ -119,9 +124,19 @@
         workers=tuple(workers.entries),
         workers_version=workers.version,
         jobs_version=jobs.version,
-        orphaned_progress=frozenset(progress.keys() - stored_jobs),
+        obsolete_progress=tuple(_obsolete_pages(progress, stored_jobs)),
     )
 
 
+def _obsolete_pages(
+    progress: Mapping[JobId, StoredProgress], stored_jobs: Container[JobId]
+) -> Iterator[PageKey]:
+    for job, stored in progress.items():
+        if job not in stored_jobs:
+            yield from (row.key for row in stored.rows())
+        elif stored.head is not None and stored.head.state.is_final:
+            yield from (page.key for page in stored.pages.values())
+
+
 def _unix_ms(ports: SchedulerPorts) -> int:
     return int(ports.unix_clock.now_s() * 1000)
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -16,7 +16,7 @@
 from currantstage.application.jobs._scheduler_loader import load_scheduler
 from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
 from currantstage.application.jobs._worker_driver import WorkerDriver
-from currantstage.state.jobs import StoreUnavailable
+from currantstage.state.jobs import HEAD_PAGE, PageKey, StoreUnavailable
 from currantstage.util import TaskSet, wait_for_event
 
 if TYPE_CHECKING:
@@ -210,7 +210,7 @@
         )
         self._tasks.spawn(self._clean_up_forever(scheduler))
         self._tasks.spawn(activity.run())
-        self._lease_writer.remove_progress(loaded.orphaned_progress)
+        self._lease_writer.remove_progress(loaded.obsolete_progress)
         self._lease_writer.add_source(
             ProgressSource(scheduler, self._driver, activity, self._ports)
         )
@@ -234,7 +234,7 @@
                     log_message("currantstage:clean-up-failed", reason=str(error))
                     break
                 scheduler.jobs.discard(record)
-                self._lease_writer.remove_progress([record.job])
+                self._lease_writer.remove_progress([PageKey(record.job, HEAD_PAGE)])
 
     async def _manage_fleet(self, scheduler: Scheduler) -> None:
         driver = FleetDriver(
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -32,7 +32,6 @@
     VmPresence,
 )
 from currantstage.coordination.jobs._progress_batch import (
-    MAX_JOBS_PER_WRITE,
     ProgressBatch,
     StorableEnds,
 )
@@ -44,6 +43,11 @@
 from currantstage.coordination.jobs._store_health import StoreHealth
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._tuning import SchedulerTuning
+from currantstage.coordination.jobs._unsaved_pages import (
+    MAX_PAGES_PER_WRITE,
+    MAX_WRITE_BYTES,
+    PageWrite,
+)
 from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
 from currantstage.coordination.jobs._vm_table import (
     VmGoal,
@@ -66,7 +70,9 @@
 from currantstage.coordination.jobs._worker_table import WorkerTable
 
 __all__ = [
-    "MAX_JOBS_PER_WRITE",
+    "MAX_PAGES_PER_WRITE",
+    "MAX_WRITE_BYTES",
+    "PageWrite",
     "StorableEnds",
     "AdaptiveTimeout",
     "AdviceTracker",
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -4,17 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._progress_pages import JobPages
 from currantstage.coordination.jobs._records import (
     JobFailure,
     JobRecord,
     StepRecord,
     TaskRecord,
 )
+from currantstage.coordination.jobs._unsaved_pages import UnsavedPages
 from currantstage.state.jobs import CrashRecord, JobState, RunNumber, TaskPhase
 
 if TYPE_CHECKING:
     from currantstage.state import QueueId
-    from currantstage.state.jobs import JobId, JobProgress, Submission, TaskKey
+    from currantstage.state.jobs import (
+        JobId,
+        PageKey,
+        StoredProgress,
+        Submission,
+        TaskKey,
+        TaskProgress,
+    )
 
 #: Number of tasks of a job opened at once from which on its further occurrences are
 #: left to the next pass.
@@ -26,7 +35,8 @@
 
     def __init__(self) -> None:
         self._jobs: dict[JobId, JobRecord] = {}
-        self._unsaved: dict[JobId, JobRecord] = {}
+        #: Pages of progress to store.
+        self.unsaved = UnsavedPages()
         self._open: dict[JobId, JobRecord] = {}
         self._scheduled: dict[JobId, JobRecord] = {}
         self._changed: dict[JobId, JobRecord] = {}
@@ -55,33 +65,50 @@
             self._scheduled[record.job] = record
         return record
 
-    def restore(self, record: JobRecord, progress: JobProgress) -> list[TaskRecord]:
+    def restore(self, record: JobRecord, stored: StoredProgress) -> list[TaskRecord]:
         """Apply the stored progress of a job; return the tasks that were placed."""
         self._changed[record.job] = record
-        record.state = progress.state
-        record.stored_state = progress.state
-        record.is_started = progress.is_started
-        record.ended_unix_ms = progress.ended_unix_ms
-        if progress.state.is_final:
+        head = stored.head
+        if head is not None:
+            record.state = record.stored_state = head.state
+            record.is_started = head.is_started
+            record.ended_unix_ms = head.ended_unix_ms
+        if record.state.is_final:
             self._close(record)
             return []
+        record.is_started = record.is_started or bool(stored.pages)
+        record.pages = JobPages(record.job, stored.pages)
         placed = []
-        for stored in progress.tasks:
-            steps = record.open_occurrence(stored.occurrence)
-            task = steps[stored.step].tasks[stored.index]
-            task.move_to(stored.phase)
-            task.run_number = stored.run
-            task.failed_runs = frozenset(stored.failed_runs)
-            task.crashes = {each.run: each for each in stored.crashes}
-            self._note_trial(task)
-            task.checkpoint = stored.checkpoint
-            if stored.phase is TaskPhase.PLACED:
-                task.worker = stored.worker
-                task.born_ms = stored.born_ms
-                placed.append(task)
+        for row in stored.rows():
+            for entry in row.tasks:
+                task = self._restore_task(record, row.key, entry)
+                if task is not None and task.phase is TaskPhase.PLACED:
+                    placed.append(task)
         self._finish_if_done(record)
         return placed
 
+    def _restore_task(
+        self, record: JobRecord, key: PageKey, entry: TaskProgress
+    ) -> TaskRecord | None:
+        """Apply the entry of a task; None if another page has a newer one."""
+        steps = record.open_occurrence(entry.occurrence)
+        task = steps[entry.step].tasks[entry.index]
+        number = record.number_of(task.key)
+        page = record.pages.page_of(number)
+        if page.key != key:
+            return None
+        page.tasks[number] = task
+        task.move_to(entry.phase)
+        task.run_number = entry.run
+        task.failed_runs = frozenset(entry.failed_runs)
+        task.crashes = {each.run: each for each in entry.crashes}
+        self._note_trial(task)
+        task.checkpoint = entry.checkpoint
+        if entry.phase is TaskPhase.PLACED:
+            task.worker = entry.worker
+            task.born_ms = entry.born_ms
+        return task
+
     def open_due(self, unix_ms: float) -> None:
         """Open the occurrences that are due; jobs that end later get this end time."""
         self._unix_ms = int(unix_ms)
@@ -112,9 +139,20 @@
         ]
 
     def mark_unsaved(self, record: JobRecord) -> None:
-        """Mark the job's progress for the next write."""
-        self._unsaved[record.job] = record
-        self._changed[record.job] = record
+        """Mark the job's own state for the next write."""
+        self.unsaved.add(record, record.pages.head)
+        self._changed[record.submission.job] = record
+
+    def mark_task_unsaved(self, task: TaskRecord) -> None:
+        """Mark a task's progress for the next write, unless its job has ended."""
+        record = task.step.job
+        if record.state.is_final:
+            return
+        number = record.number_of(task.key)
+        page = record.pages.page_of(number)
+        page.tasks[number] = task
+        self.unsaved.add(record, page)
+        self._changed[record.submission.job] = record
 
     def open_jobs(self) -> list[JobRecord]:
         """Return the jobs that have not ended."""
@@ -137,18 +175,34 @@
     @property
     def has_unsaved(self) -> bool:
         """Whether anything has changed since it was last stored."""
-        return bool(self._unsaved)
-
-    def is_unsaved(self, job: JobId) -> bool:
-        """Return whether a job has changed since it was last taken to be stored."""
-        return job in self._unsaved
+        return bool(self.unsaved.pages)
 
-    def take_unsaved(self, max_count: int) -> tuple[JobRecord, ...]:
-        """Return up to `max_count` unsaved jobs, and mark them as saved."""
-        taken = tuple(self._unsaved.values())[:max_count]
-        for record in taken:
-            del self._unsaved[record.job]
-        return taken
+    def is_end_unsaved(self, key: TaskKey) -> bool:
+        """Return whether an effect of the end of a task's run is still to be stored."""
+        record = self._jobs.get(key.job)
+        if record is None:
+            return False
+        if record.pages.head in self.unsaved.pages:
+            return True
+        task = self.task(key) if record.pages.is_divided else None
+        if task is None:
+            return False
+        if task.step.step.is_gang:
+            return self._is_step_unsaved(task.step)
+        return record.pages.page_of(record.number_of(key)) in self.unsaved.pages
+
+    def is_start_unsaved(self, task: TaskRecord) -> bool:
+        """Return whether a start must wait for a write.
+
+        It waits for its own placement, and for the ends of the tasks that it follows.
+        """
+        record = task.step.job
+        if not record.pages.is_divided:
+            return record.pages.head in self.unsaved.pages
+        if record.pages.page_of(record.number_of(task.key)) in self.unsaved.pages:
+            return True
+        steps = record.occurrences[task.key.occurrence]
+        return any(self._is_step_unsaved(steps[each]) for each in task.step.step.after)
 
     def complete_task(self, task: TaskRecord) -> None:
         """Record that a task, or its whole gang with it, has succeeded."""
@@ -159,32 +213,36 @@
         members = step.tasks if step.step.is_gang else [task]
         for member in members:
             member.move_to(TaskPhase.DONE)
-        self.mark_unsaved(step.job)
+            self.mark_task_unsaved(member)
         self._finish_if_done(step.job)
 
     def count_failure(self, task: TaskRecord, run: RunNumber) -> None:
-        """Count a failed run; failures in a gang are counted together."""
+        """Count a failed run; failures in a gang are counted together.
+
+        Those of long-running tasks are not counted, as they have no limit.
+        """
         counted = task.step.tasks[0] if task.step.step.is_gang else task
-        if run not in counted.failed_runs:
-            counted.failed_runs |= {run}
-            self.mark_unsaved(task.step.job)
+        if task.step.step.is_long_running or run in counted.failed_runs:
+            return
+        counted.failed_runs |= {run}
+        self.mark_task_unsaved(counted)
 
     def count_crash(self, task: TaskRecord, crash: CrashRecord) -> None:
         """Count a run whose worker crashed."""
         task.crashes[crash.run] = crash
         self._note_trial(task)
-        self.mark_unsaved(task.step.job)
+        self.mark_task_unsaved(task)
 
     def clear_crash(self, task: TaskRecord, run: RunNumber) -> None:
         """Take back a crash: the worker has turned out to live."""
         if task.crashes.pop(run, None) is not None:
-            self.mark_unsaved(task.step.job)
+            self.mark_task_unsaved(task)
 
     def clear_crashes(self, task: TaskRecord) -> None:
         """Take back all crashes under a task that is at work on a worker."""
         if task.crashes:
             task.crashes.clear()
-            self.mark_unsaved(task.step.job)
+            self.mark_task_unsaved(task)
 
     def waiting_trials(self) -> list[TaskRecord]:
         """Return the waiting tasks that are to be tried alone on a worker."""
@@ -217,13 +275,13 @@
         """Return a placed task to the waiting state."""
         if task.phase is TaskPhase.PLACED:
             task.move_to(TaskPhase.WAITING)
-            self.mark_unsaved(task.step.job)
+            self.mark_task_unsaved(task)
 
     def place(self, task: TaskRecord, run_number: RunNumber) -> None:
         """Record that a task is being placed."""
         task.move_to(TaskPhase.PLACED)
         task.run_number = run_number
-        self.mark_unsaved(task.step.job)
+        self.mark_task_unsaved(task)
 
     def end(self, record: JobRecord, state: JobState) -> None:
         """Set a job's final state."""
@@ -232,6 +290,7 @@
         record.state = state
         record.ended_unix_ms = self._unix_ms
         self._close(record)
+        self.unsaved.discard(record.pages.others)
         self.mark_unsaved(record)
 
     def waiting_count(self, queue: QueueId) -> int:
@@ -244,7 +303,7 @@
     def discard(self, record: JobRecord) -> None:
         """Remove a job that has ended."""
         self._jobs.pop(record.job, None)
-        self._unsaved.pop(record.job, None)
+        self.unsaved.discard((record.pages.head, *record.pages.others))
 
     def ended_before(self, unix_ms: int) -> list[JobRecord]:
         """Return the jobs that ended before `unix_ms` and whose end is stored."""
@@ -254,6 +313,10 @@
             if record.stored_state.is_final and 0 < record.ended_unix_ms < unix_ms
         ]
 
+    def _is_step_unsaved(self, step: StepRecord) -> bool:
+        pages = step.job.pages_of_step(step)
+        return any(page in self.unsaved.pages for page in pages)
+
     def _note_trial(self, task: TaskRecord) -> None:
         if task.needs_trial:
             self._trials[task.key] = task
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -8,6 +8,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._progress_pages import JobPages
 from currantstage.coordination.jobs._step_graph import StepGraph
 from currantstage.coordination.jobs._work_left import WorkLeft
 from currantstage.state.jobs import (
@@ -24,8 +25,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
+    from currantstage.coordination.jobs._progress_pages import ProgressPage
     from currantstage.coordination.jobs._run import Run
     from currantstage.state.jobs import JobId, Step, Submission
 
@@ -46,6 +48,8 @@
     ATTEMPTS = "attempts"
     #: A task crashes the workers that start it.
     CRASHES = "crashes-workers"
+    #: The store rejects its progress.
+    NOT_STORABLE = "not-storable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,8 +136,8 @@
             run=self.run_number,
             worker=self.worker if is_placed else WorkerId(""),
             born_ms=self.born_ms if is_placed else BornMs(0),
-            failed_runs=tuple(sorted(self.failed_runs)),
-            crashes=tuple(self.crashes.values()),
+            failed_runs=tuple(sorted(self.failed_runs)) if self.failed_runs else (),
+            crashes=tuple(self.crashes.values()) if self.crashes else (),
             checkpoint=self.checkpoint if self.phase is not TaskPhase.DONE else "",
         )
 
@@ -296,6 +300,8 @@
     changed_steps : dict of StepKey to StepRecord
         Steps whose waiting tasks have changed since they were last taken.
     graph : StepGraph
+    pages : JobPages
+        Division of the progress into rows.
     """
 
     submission: Submission
@@ -311,11 +317,13 @@
     next_occurrence: int = 0
     changed_steps: dict[StepKey, StepRecord] = field(default_factory=dict)
     graph: StepGraph = field(init=False)
+    pages: JobPages = field(init=False)
     _open_steps: int = 0
     _work: WorkLeft = field(default_factory=WorkLeft)
 
     def __post_init__(self) -> None:
         self.graph = StepGraph.for_steps(self.submission.steps)
+        self.pages = JobPages(self.submission.job)
 
     @property
     def job(self) -> JobId:
@@ -389,22 +397,25 @@
             self.ready.pop(step.key, None)
             self._release_successors(step)
 
-    def progress(self) -> JobProgress:
-        """Return the progress to store for the job."""
-        tasks: tuple[TaskProgress, ...] = ()
-        if not self.state.is_final:
-            tasks = tuple(
-                task.progress()
-                for step in self.steps()
-                for task in step.tasks
-                if task.run_number
-            )
+    def number_of(self, task: TaskKey) -> int:
+        """Return the number of a task among those of all occurrences."""
+        offsets = self.graph.task_offsets
+        return task.occurrence * offsets[-1] + offsets[task.step] + task.number
+
+    def pages_of_step(self, step: StepRecord) -> Sequence[ProgressPage]:
+        """Return the pages that have tasks of a step."""
+        first = self.number_of(step.tasks[0].key)
+        return self.pages.pages_of(first, len(step.tasks))
+
+    def head(self, tasks: tuple[TaskProgress, ...]) -> JobProgress:
+        """Return the head of the job's stored progress, with the head's `tasks`."""
         return JobProgress(
-            job=self.job,
+            job=self.submission.job,
             state=self.state,
             is_started=self.is_started,
-            tasks=tasks,
+            tasks=() if self.state.is_final else tasks,
             ended_unix_ms=self.ended_unix_ms,
+            is_divided=self.pages.is_divided and not self.state.is_final,
         )
 
     def _release_successors(self, step: StepRecord) -> None:
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -46,8 +46,9 @@
     from currantstage.state.jobs import (
         FleetConfiguration,
         JobId,
-        JobProgress,
+        PageKey,
         RenewalOrder,
+        StoredProgress,
         Submission,
         Term,
         WorkerEntry,
@@ -113,7 +114,7 @@
     def restore(
         self,
         submission: Submission,
-        progress: JobProgress | None,
+        progress: StoredProgress | None,
         is_cancelled: bool,
         takeover: LeaseTakeover,
         now_s: float,
@@ -182,6 +183,17 @@
         """Mark everything in `batch` as unsaved again."""
         self._batcher.on_failed(batch)
 
+    def on_batch_refused(self, batch: ProgressBatch) -> JobRecord | None:
+        """Return the job that the store rejects, which is ended, once it is known."""
+        refused = self._batcher.on_refused(batch)
+        if refused is not None:
+            self._lifecycle.stop_runs(refused)
+        return refused
+
+    def take_obsolete_pages(self) -> list[PageKey]:
+        """Return the stored pages of progress that are not needed any more."""
+        return self._batcher.take_obsolete()
+
     def on_batch_stored(self, batch: ProgressBatch) -> list[Run]:
         """Return the runs whose start may be ordered now that `batch` is stored."""
         return self._batcher.on_stored(batch)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -86,8 +86,8 @@
         Highest number of the ends that have been processed in memory.
     seen_upto : EndNumber
         Highest number up to which all ends are stored.
-    unstored_ends : dict of EndNumber to JobId
-        Jobs of the processed ends that are not known to be stored, in the order of
+    unstored_ends : dict of EndNumber to TaskKey
+        Tasks of the processed ends that are not known to be stored, in the order of
         their numbers.
     acknowledged_upto : EndNumber
         Highest number of the ends that the worker knows to be stored.
@@ -121,7 +121,7 @@
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
     acknowledged_upto: EndNumber = EndNumber(0)
-    unstored_ends: dict[EndNumber, JobId] = field(default_factory=dict)
+    unstored_ends: dict[EndNumber, TaskKey] = field(default_factory=dict)
     is_synced: bool = False
     is_listed: bool = True
     missed_renewals: int = 0
@@ -279,7 +279,7 @@
         """Record ends that are processed now."""
         for ended in sorted(ends, key=attrgetter("number")):
             self.processed_upto = ended.number
-            self.unstored_ends[ended.number] = ended.task.job
+            self.unstored_ends[ended.number] = ended.task
 
     def record_ends_stored(self, numbers: Iterable[EndNumber]) -> None:
         """Record that all effects of some of the processed ends are stored."""
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -26,6 +26,7 @@
     RowPage,
     RowWrite,
     StoredRow,
+    StoreRefused,
     StoreUnavailable,
 )
 from currantstage.util import UndecodableError, decode_json
@@ -41,6 +42,9 @@
 PAGE_ROWS = 200
 #: Character that sorts after all characters used in keys.
 AFTER_ALL_KEYS = "~"
+#: Statuses of calls that can never succeed, as what they hold is wrong or too large, or
+#: their table is the platform's own.
+_REFUSALS = (400, 403, 413)
 
 
 class _Row(Struct):
@@ -145,6 +149,18 @@
                 return RowPage(tuple(rows), version)
             first = page[-1].name.key + "\x00"
 
+    async def read_row(self, name: RowName) -> StoredRow | None:
+        """Return a row, or None if it does not exist."""
+        query = {"Table": name.table, "part": name.partition, "Limit": "1"}
+        query |= {"From": name.key, "Target": name.key + "\x00"}
+        reply = await self._call(
+            "GET", f"rows-get?{urlencode(query)}", self._read_timeout
+        )
+        _raise_for_failure(reply, is_write=False)
+        assert isinstance(reply, HttpReply)
+        rows, _, _ = _decode(reply, _Rows)
+        return next((each for each in rows if each.name == name), None)
+
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table`; None if that history is unavailable."""
         query = {"Table": table, "After": str(after), "WaitMs": str(wait_ms)}
@@ -220,8 +236,10 @@
     if isinstance(reply, CallFailure):
         is_in_doubt = is_write and reply is not CallFailure.REFUSED
         raise StoreUnavailable(reply.value, is_in_doubt=is_in_doubt)
+    if reply.status in _REFUSALS:
+        raise StoreRefused(f"store responded with status {reply.status}")
     if reply.status != 200:
-        is_in_doubt = is_write and reply.status not in (429, 503, 400, 403)
+        is_in_doubt = is_write and reply.status not in (429, 503)
         raise StoreUnavailable(
             f"store responded with status {reply.status}", is_in_doubt=is_in_doubt
         )
--- a/currantstage/standin/jobs/__init__.py
+++ b/currantstage/standin/jobs/__init__.py
@@ -9,7 +9,11 @@
     SimulatedSite,
     build_configuration,
 )
-from currantstage.standin.jobs._store import CALL_TIMEOUT_S, SimulatedStore
+from currantstage.standin.jobs._store import (
+    CALL_TIMEOUT_S,
+    MAX_ROW_BYTES,
+    SimulatedStore,
+)
 from currantstage.standin.jobs._virtual_loop import (
     CURRENT_PROCESS,
     DeadlockError,
@@ -22,6 +26,7 @@
 __all__ = [
     "CALL_TIMEOUT_S",
     "CURRENT_PROCESS",
+    "MAX_ROW_BYTES",
     "POOLS",
     "SPARE_POOL",
     "LoopClock",
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -11,6 +11,7 @@
     RowName,
     RowPage,
     StoredRow,
+    StoreRefused,
     StoreUnavailable,
 )
 from currantstage.util import Notifier
@@ -21,6 +22,12 @@
 
     from currantstage.state.jobs import RowCondition, RowWrite
 
+#: Maximum size of a row's value in bytes, of the entries of a call, and of its values.
+MAX_ROW_BYTES = 65_536
+MAX_CALL_ENTRIES = 100
+MAX_CALL_BYTES = 1_000_000
+#: Ratio of the size of a value in a call to its own.
+BASE64_RATIO = 4 / 3
 #: Latency of a call in each direction, in seconds.
 ONE_WAY_LATENCY_S = 0.004
 #: Timeout of a call, in seconds.
@@ -49,6 +56,8 @@
         self.changed = Notifier()
         #: Number of calls that have been sent.
         self.calls = 0
+        #: Maximum size of a row's value, in bytes.
+        self.max_row_bytes = MAX_ROW_BYTES
         #: Callers whose calls time out; ``*`` stands for all callers.
         self.unreachable_for: set[str] = set()
         #: Callers whose polls of changes get no answer.
@@ -123,6 +132,7 @@
             raise StoreUnavailable("overloaded", is_in_doubt=False)
         for write in writes:
             self._check_partition(write.name.partition)
+        self._check_sizes(conditions, writes)
         if store.random.random() < store.lost_fraction:
             await self._lose_answer(conditions, writes)
         if any(write.name.partition in store.slow_partitions for write in writes):
@@ -148,6 +158,14 @@
         await asyncio.sleep(ONE_WAY_LATENCY_S)
         return page
 
+    async def read_row(self, name: RowName) -> StoredRow | None:
+        """Return a row, or None if it does not exist."""
+        await self._reach(is_write=False)
+        self._check_partition(name.partition)
+        row = self._store.rows.get(name)
+        await asyncio.sleep(ONE_WAY_LATENCY_S)
+        return row
+
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table`; None if the history was compacted."""
         if self._caller in self._store.loses_polls_of:
@@ -178,6 +196,17 @@
         if partition in self._store.refused_partitions:
             raise StoreUnavailable("partition refused", is_in_doubt=False)
 
+    def _check_sizes(
+        self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> None:
+        sizes_bytes = [len(each.value) for each in writes if each.value is not None]
+        if max(sizes_bytes, default=0) > self._store.max_row_bytes:
+            raise StoreRefused("row too large")
+        if len(conditions) + len(writes) > MAX_CALL_ENTRIES:
+            raise StoreRefused("too many entries")
+        if sum(sizes_bytes) * BASE64_RATIO > MAX_CALL_BYTES:
+            raise StoreRefused("call too large")
+
     async def _reach(self, *, is_write: bool) -> None:
         self._store.calls += 1
         if self._caller in self._store.refused_for:
--- a/currantstage/state/jobs/__init__.py
+++ b/currantstage/state/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from currantstage.state.jobs._errors import StoreUnavailable
+from currantstage.state.jobs._errors import StoreRefused, StoreUnavailable
 from currantstage.state.jobs._fleet import (
     AdvicePolicy,
     FleetConfiguration,
@@ -26,15 +26,11 @@
 )
 from currantstage.state.jobs._jobs import (
     NO_RESOURCES,
-    CrashRecord,
-    JobProgress,
     JobState,
     Resources,
     Schedule,
     Step,
     Submission,
-    TaskPhase,
-    TaskProgress,
 )
 from currantstage.state.jobs._ports import (
     Advice,
@@ -51,6 +47,16 @@
     VmOrders,
     WorkerOrders,
 )
+from currantstage.state.jobs._progress import (
+    HEAD_PAGE,
+    CrashRecord,
+    JobProgress,
+    PageKey,
+    StoredProgress,
+    TaskPage,
+    TaskPhase,
+    TaskProgress,
+)
 from currantstage.state.jobs._sources import (
     OperatorChanges,
     OperatorSource,
@@ -89,6 +95,7 @@
     "FleetConfiguration",
     "RenewalOrder",
     "RenewalReply",
+    "HEAD_PAGE",
     "JobId",
     "JobPool",
     "JobProgress",
@@ -100,6 +107,7 @@
     "OperatorSource",
     "OrderOutcome",
     "PaceOrder",
+    "PageKey",
     "PartitionedStore",
     "Resources",
     "RowCondition",
@@ -113,10 +121,13 @@
     "Step",
     "StepKey",
     "StopOrder",
+    "StoreRefused",
     "StoreUnavailable",
+    "StoredProgress",
     "StoredRow",
     "Submission",
     "TaskKey",
+    "TaskPage",
     "TaskPhase",
     "TaskProgress",
     "Term",
--- a/currantstage/state/jobs/_errors.py
+++ b/currantstage/state/jobs/_errors.py
@@ -18,3 +18,15 @@
     def __init__(self, reason: str, *, is_in_doubt: bool) -> None:
         super().__init__(reason)
         self.is_in_doubt = is_in_doubt
+
+
+class StoreRefused(StoreUnavailable):
+    """The store rejects what a call holds; the same call can never succeed.
+
+    Parameters
+    ----------
+    reason : str
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, is_in_doubt=False)
--- a/currantstage/state/jobs/_jobs.py
+++ b/currantstage/state/jobs/_jobs.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from currantstage.state._ids import PoolId, QueueId, TeamId
-from currantstage.state.jobs._ids import BornMs, JobId, RunNumber, WorkerId
+from currantstage.state.jobs._ids import JobId
 
 
 class JobState(Enum):
@@ -185,51 +185,3 @@
     def task_count(self) -> int:
         """Number of tasks over all occurrences."""
         return self.occurrence_count * sum(step.task_count for step in self.steps)
-
-
-class TaskPhase(Enum):
-    """Stored lifecycle state of a task."""
-
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-    FAILED = "failed"
-
-
-class CrashRecord(Struct, frozen=True, omit_defaults=True):
-    """A run whose worker crashed.
-
-    Parameters
-    ----------
-    run : RunNumber
-    was_alone : bool
-        Whether no other run can have caused the crash.
-    """
-
-    run: RunNumber
-    was_alone: bool = False
-
-
-class TaskProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Stored state of a task that has been placed at least once."""
-
-    occurrence: int
-    step: int
-    index: int
-    phase: TaskPhase
-    run: RunNumber = RunNumber(0)
-    worker: WorkerId = WorkerId("")
-    born_ms: BornMs = BornMs(0)
-    failed_runs: tuple[RunNumber, ...] = ()
-    crashes: tuple[CrashRecord, ...] = ()
-    checkpoint: str = ""
-
-
-class JobProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Stored state of a job."""
-
-    job: JobId
-    state: JobState
-    is_started: bool = False
-    tasks: tuple[TaskProgress, ...] = ()
-    ended_unix_ms: int = 0
--- a/currantstage/state/jobs/_ports.py
+++ b/currantstage/state/jobs/_ports.py
@@ -82,7 +82,8 @@
     """The platform's partitioned row store.
 
     Every method raises `StoreUnavailable`, whose `is_in_doubt` states whether a write
-    may have taken effect or may still do so.
+    may have taken effect or may still do so; `StoreRefused` if no repetition of the
+    call can succeed.
     """
 
     async def transact(
@@ -93,6 +94,9 @@
     async def read(self, table: str, partition: str, prefix: str = "") -> RowPage:
         """Return the rows of a partition whose keys start with `prefix`."""
 
+    async def read_row(self, name: RowName) -> StoredRow | None:
+        """Return a row, or None if it does not exist."""
+
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
         """Return the changes of `table` since `after`, or None if no longer kept."""
 
--- /dev/null
+++ b/currantstage/state/jobs/_progress.py
@@ -0,0 +1,143 @@
+"""Stored progress of jobs: a head for each job, and pages with more of its tasks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from msgspec import Struct
+
+from currantstage.state.jobs._ids import BornMs, JobId, RunNumber, WorkerId
+from currantstage.state.jobs._jobs import JobState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: First task of the page that is the job's head.
+HEAD_PAGE = 0
+
+
+class TaskPhase(Enum):
+    """Stored lifecycle state of a task."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class CrashRecord(Struct, frozen=True, omit_defaults=True):
+    """A run whose worker crashed.
+
+    Parameters
+    ----------
+    run : RunNumber
+    was_alone : bool
+        Whether no other run can have caused the crash.
+    """
+
+    run: RunNumber
+    was_alone: bool = False
+
+
+class TaskProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Stored state of a task that has been placed at least once."""
+
+    occurrence: int
+    step: int
+    index: int
+    phase: TaskPhase
+    run: RunNumber = RunNumber(0)
+    worker: WorkerId = WorkerId("")
+    born_ms: BornMs = BornMs(0)
+    failed_runs: tuple[RunNumber, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    checkpoint: str = ""
+
+
+class PageKey(NamedTuple):
+    """A row of progress: a job, and the number of the first task in it."""
+
+    job: JobId
+    first: int
+
+
+class JobProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Head of a job's stored progress, with its first tasks or all of them.
+
+    Parameters
+    ----------
+    job : JobId
+    state : JobState
+    is_started : bool
+    tasks : tuple of TaskProgress
+    ended_unix_ms : int
+    is_divided : bool
+        Whether other pages have the rest of the tasks.
+    """
+
+    job: JobId
+    state: JobState
+    is_started: bool = False
+    tasks: tuple[TaskProgress, ...] = ()
+    ended_unix_ms: int = 0
+    is_divided: bool = False
+
+    @property
+    def key(self) -> PageKey:
+        """The row of the head."""
+        return PageKey(self.job, HEAD_PAGE)
+
+
+class TaskPage(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Tasks of a job, from its task number `first` up to the next page.
+
+    The number counts the tasks of all steps and occurrences in their order.
+    """
+
+    job: JobId
+    first: int
+    tasks: tuple[TaskProgress, ...] = ()
+
+    @property
+    def key(self) -> PageKey:
+        """The row of the page."""
+        return PageKey(self.job, self.first)
+
+
+@dataclass(slots=True)
+class StoredProgress:
+    """All that is stored of one job's progress.
+
+    Parameters
+    ----------
+    head : JobProgress or None
+    pages : dict of int to TaskPage
+        The other pages by their first task.
+    """
+
+    head: JobProgress | None = None
+    pages: dict[int, TaskPage] = field(default_factory=dict)
+
+    @classmethod
+    def by_job(
+        cls, rows: Iterable[JobProgress | TaskPage]
+    ) -> dict[JobId, StoredProgress]:
+        """Return what is stored of each job that `rows` belong to."""
+        stored: dict[JobId, StoredProgress] = {}
+        for row in rows:
+            stored.setdefault(row.job, cls()).put(row)
+        return stored
+
+    def put(self, row: JobProgress | TaskPage) -> None:
+        """Add a row, in place of an earlier one of the same key."""
+        if isinstance(row, JobProgress):
+            self.head = row
+        else:
+            self.pages[row.first] = row
+
+    def rows(self) -> list[JobProgress | TaskPage]:
+        """Return the head and all other pages."""
+        heads = [] if self.head is None else [self.head]
+        return [*heads, *self.pages.values()]
