Store a job that fits no row in parts (503 for ever for a large job)

Callers saw 503 at each attempt to hand in a job of 40 layers of 12 steps, each after the 12 before, as if a later attempt could succeed.

Cause: a job was one row of the store, which takes 64 KiB; the refusal (400) was answered like an outage, for all submissions of its transaction.

Why it works: a job that fits no row is compressed and stored in parts beside a head, in one transaction; what fits no call is refused for good with 413. Submissions of a refused transaction are written one by one.

--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -45,6 +45,7 @@
     StoreOutcome.STORED: None,
     StoreOutcome.NO_SUCH_JOB: CallRefusal.NO_SUCH_JOB,
     StoreOutcome.NOT_STORED: CallRefusal.UNAVAILABLE,
+    StoreOutcome.NOT_STORABLE: CallRefusal.NOT_STORABLE,
     StoreOutcome.IN_DOUBT: CallRefusal.IN_DOUBT,
 }
 
--- a/currantstage/application/jobs/_group_writer.py
+++ b/currantstage/application/jobs/_group_writer.py
@@ -11,9 +11,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from currantstage.state.jobs import Conflicted, RowCondition, RowWrite, StoreUnavailable
+from currantstage.state.jobs import (
+    Conflicted,
+    RowCondition,
+    RowWrite,
+    StoreRefused,
+    StoreUnavailable,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantstage.state.jobs import PartitionedStore, RowName
 
 #: Maximum number of rows in one transaction.
@@ -23,11 +31,22 @@
 
 
 @dataclass(slots=True, eq=False)
-class _PendingRow:
-    name: RowName
-    value: bytes
+class _PendingWrite:
+    """Rows to write unless the first one exists."""
+
+    rows: tuple[RowWrite, ...]
     done: asyncio.Future[None]
 
+    @property
+    def name(self) -> RowName:
+        """Name of the first row."""
+        return self.rows[0].name
+
+    @property
+    def size_bytes(self) -> int:
+        """Total size of the values."""
+        return sum(len(each.value or b"") for each in self.rows)
+
 
 class GroupWriter:
     """Writes rows that don't exist yet, with one transaction at a time per partition.
@@ -39,13 +58,19 @@
 
     def __init__(self, store: PartitionedStore) -> None:
         self._store = store
-        self._pending: dict[str, list[_PendingRow]] = defaultdict(list)
+        self._pending: dict[str, list[_PendingWrite]] = defaultdict(list)
         self._writer_tasks: dict[str, asyncio.Task[None]] = {}
 
-    async def write_if_absent(self, name: RowName, value: bytes) -> None:
-        """Write a row unless it exists; raises `StoreUnavailable` on failure."""
+    async def write_if_absent(
+        self, name: RowName, value: bytes, others: Sequence[RowWrite] = ()
+    ) -> None:
+        """Write a row unless it exists, and with it all of `others`.
+
+        Raises `StoreUnavailable` on failure, `StoreRefused` if the rows are rejected.
+        """
         done = asyncio.get_running_loop().create_future()
-        self._pending[name.partition].append(_PendingRow(name, value, done))
+        rows = (RowWrite(name, value), *others)
+        self._pending[name.partition].append(_PendingWrite(rows, done))
         if name.partition not in self._writer_tasks:
             task = asyncio.create_task(self._write_partition(name.partition))
             self._writer_tasks[name.partition] = task
@@ -58,43 +83,63 @@
         finally:
             del self._writer_tasks[partition]
 
-    def _take_group(self, partition: str) -> list[_PendingRow]:
+    def _take_group(self, partition: str) -> list[_PendingWrite]:
         pending = self._pending.pop(partition, [])
-        group: list[_PendingRow] = []
-        size_bytes = 0
-        while pending and len(group) < MAX_ROWS:
-            size_bytes += len(pending[0].value)
-            if group and size_bytes > MAX_BYTES:
+        group: list[_PendingWrite] = []
+        row_count = size_bytes = 0
+        while pending:
+            row_count += len(pending[0].rows)
+            size_bytes += pending[0].size_bytes
+            if group and (row_count > MAX_ROWS or size_bytes > MAX_BYTES):
                 break
             group.append(pending.pop(0))
         if pending:
             self._pending[partition] = pending
         return group
 
-    async def _write_group(self, group: list[_PendingRow]) -> None:
+    async def _write_group(self, group: list[_PendingWrite]) -> None:
         while group:
-            # The same row may have been queued twice; it is written once.
-            rows = {each.name: each.value for each in group}
             try:
-                outcome = await self._store.transact(
-                    [RowCondition(name, 0) for name in rows],
-                    [RowWrite(name, value) for name, value in rows.items()],
-                )
+                existing = await self._transact(group)
+            except StoreRefused as error:
+                await self._write_refused(group, error)
+                return
             except StoreUnavailable as error:
                 for each in group:
-                    _fail_row(each, error)
+                    _fail(
+                        each,
+                        StoreUnavailable(str(error), is_in_doubt=error.is_in_doubt),
+                    )
                 return
-            existing = set(rows)
-            if isinstance(outcome, Conflicted):
-                existing = {row.name for row in outcome.rows if row.version}
             for each in group:
                 if each.name in existing and not each.done.done():
                     each.done.set_result(None)
             group = [each for each in group if each.name not in existing]
 
-
-def _fail_row(row: _PendingRow, error: StoreUnavailable) -> None:
-    if not row.done.done():
-        row.done.set_exception(
-            StoreUnavailable(str(error), is_in_doubt=error.is_in_doubt)
+    async def _transact(self, group: list[_PendingWrite]) -> set[RowName]:
+        """Write a group unless a row of it exists; return those that do now."""
+        # The same row may have been queued twice; it is written once.
+        rows = {each.name: each.rows for each in group}
+        outcome = await self._store.transact(
+            [RowCondition(name, 0) for name in rows],
+            [row for each in rows.values() for row in each],
         )
+        if isinstance(outcome, Conflicted):
+            return {row.name for row in outcome.rows if row.version}
+        return set(rows)
+
+    async def _write_refused(
+        self, group: list[_PendingWrite], error: StoreRefused
+    ) -> None:
+        """Write each row of a refused group by itself, as only some are rejected."""
+        if len({each.name for each in group}) > 1:
+            for each in group:
+                await self._write_group([each])
+            return
+        for each in group:
+            _fail(each, StoreRefused(str(error)))
+
+
+def _fail(write: _PendingWrite, error: StoreUnavailable) -> None:
+    if not write.done.done():
+        write.done.set_exception(error)
--- a/currantstage/application/jobs/_job_writer.py
+++ b/currantstage/application/jobs/_job_writer.py
@@ -7,9 +7,15 @@
 
 from eliot import log_message
 
-from currantstage.application.jobs._repository import JobPlace
-from currantstage.protocol.jobs import StoreCancel, StoreJob, StoreOutcome, StoreReply
-from currantstage.state.jobs import StoreUnavailable
+from currantstage.application.jobs._job_table_rows import JobPlace
+from currantstage.protocol.jobs import (
+    JobTooLargeError,
+    StoreCancel,
+    StoreJob,
+    StoreOutcome,
+    StoreReply,
+)
+from currantstage.state.jobs import StoreRefused, StoreUnavailable
 from currantstage.transport import PeerFailure
 
 if TYPE_CHECKING:
@@ -23,6 +29,12 @@
 WRITE_RETRY_S = 0.08
 #: Timeout of a write that a peer carries out, in seconds.
 RELAY_TIMEOUT_S = 1.2
+#: Outcomes that no further attempt can change.
+FINAL_OUTCOMES = (
+    StoreOutcome.STORED,
+    StoreOutcome.NO_SUCH_JOB,
+    StoreOutcome.NOT_STORABLE,
+)
 
 
 class JobWriter:
@@ -58,7 +70,7 @@
         is_in_doubt = False
         while True:
             outcome = await self._attempt_write(query)
-            if outcome in (StoreOutcome.STORED, StoreOutcome.NO_SUCH_JOB):
+            if outcome in FINAL_OUTCOMES:
                 return outcome
             is_in_doubt = is_in_doubt or outcome is StoreOutcome.IN_DOUBT
             now_s = self._clock.now_s()
@@ -77,6 +89,13 @@
                 break
             try:
                 return await self._write_to(query, place)
+            except (JobTooLargeError, StoreRefused) as error:
+                log_message(
+                    "currantstage:job-not-storable",
+                    job=_job_of(query),
+                    reason=str(error),
+                )
+                return StoreOutcome.NOT_STORABLE
             except StoreUnavailable as error:
                 log_message(
                     "currantstage:job-not-stored",
@@ -111,7 +130,7 @@
 
     async def _attempt_write(self, query: StoreJob | StoreCancel) -> StoreOutcome:
         outcome = await self.write_directly(query)
-        if outcome in (StoreOutcome.STORED, StoreOutcome.NO_SUCH_JOB):
+        if outcome in FINAL_OUTCOMES:
             return outcome
         if self.is_isolated():
             return outcome
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -11,13 +11,22 @@
 
 import asyncio
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
-from eliot import log_message
 
 from currantstage.application.jobs._group_writer import GroupWriter
+from currantstage.application.jobs._job_table_rows import (
+    JOB_PARTITIONS,
+    JOBS_TABLE,
+    JobPlace,
+    JobRows,
+    cancel_row,
+    job_row,
+    log_malformed,
+    part_row,
+    partition_of,
+)
 from currantstage.protocol import ProtocolError
 from currantstage.protocol.jobs import (
     MemberRow,
@@ -25,7 +34,7 @@
     decode_member,
     decode_page,
     decode_progress,
-    decode_submission,
+    encode_job,
     encode_row,
 )
 from currantstage.state.jobs import (
@@ -55,18 +64,16 @@
         Submission,
     )
 
-JOBS_TABLE = "jobs"
 _SCHEDULER_TABLE = "scheduler"
 _SCHEDULER_PARTITION = "scheduler"
 _LEASE = RowName(_SCHEDULER_TABLE, _SCHEDULER_PARTITION, "lease")
 _PROGRESS_TABLE = "progress"
 _MEMBERS_TABLE = "members"
 _WAVES_TABLE = "waves"
-_CANCEL_SUFFIX = ".cancel"
-#: Partitions of jobs: one for each possible first digit of a job id.
-JOB_PARTITIONS = "0123456789abcdef"
 #: Number of partitions that are read at once; they share the daemon's network link.
 CONCURRENT_READS = 4
+#: Size of the rows decoded after which other work of the event loop gets its turn.
+BYTES_PER_TURN = 256 * 1024
 
 
 @dataclass(slots=True)
@@ -95,13 +102,6 @@
     version: int
 
 
-class JobPlace(Enum):
-    """Partition of a job: its own, or an alternate one if that is unavailable."""
-
-    OWN = "own"
-    ALTERNATE = "alternate"
-
-
 class JobRepository:
     """Reads and writes jobs, waves, members and the lease.
 
@@ -115,31 +115,45 @@
     def __init__(self, store: PartitionedStore) -> None:
         self._store = store
         self._writer = GroupWriter(store)
+        #: Number of parts of the divided jobs that have been read.
+        self._part_counts: dict[JobId, int] = {}
 
     async def submit(self, submission: Submission, place: JobPlace) -> None:
-        """Store a job unless it is already stored at `place`."""
-        name = _job_row(submission.job, place)
-        await self._writer.write_if_absent(name, encode_row(submission))
+        """Store a job unless it is already stored at `place`.
+
+        Raises
+        ------
+        StoreUnavailable
+        JobTooLargeError
+        """
+        job = submission.job
+        encoded = encode_job(submission)
+        parts = [
+            RowWrite(part_row(job, place, number), value)
+            for number, value in enumerate(encoded.parts)
+        ]
+        await self._writer.write_if_absent(job_row(job, place), encoded.head, parts)
 
     async def cancel(self, job: JobId, place: JobPlace) -> None:
         """Store the cancellation of a job unless it is already stored at `place`."""
-        await self._writer.write_if_absent(_cancel_row(job, place), b"{}")
+        await self._writer.write_if_absent(cancel_row(job, place), b"{}")
 
     async def read_job(self, job: JobId) -> StoredJob:
         """Return the stored rows of one job."""
         failure: StoreUnavailable | None = None
         for place in JobPlace:
             try:
-                page = await self._store.read(JOBS_TABLE, _partition(job, place), job)
+                page = await self._store.read(JOBS_TABLE, partition_of(job, place), job)
             except StoreUnavailable as error:
                 failure = error
                 continue
-            changes = _decode_changes(page.rows, page.version)
-            for submission in changes.submissions:
+            rows = await self._decode_jobs(page.rows)
+            submission = rows.submissions.get(job)
+            if submission is not None:
                 return StoredJob(
                     submission,
                     await self._read_head(job),
-                    is_cancelled=job in changes.cancelled,
+                    is_cancelled=job in rows.cancelled,
                 )
         if failure is not None:
             raise failure
@@ -153,8 +167,8 @@
             pages += await asyncio.gather(
                 *(self._store.read(JOBS_TABLE, each) for each in partitions)
             )
-        rows = [row for page in pages for row in page.rows]
-        return _decode_changes(rows, min(page.version for page in pages))
+        rows = await self._decode_jobs([row for page in pages for row in page.rows])
+        return _to_changes(rows, min(page.version for page in pages))
 
     async def read_progress(self) -> dict[JobId, StoredProgress]:
         """Return the progress of all jobs."""
@@ -164,7 +178,15 @@
     async def job_changes(self, after: int, wait_ms: int) -> JobChanges | None:
         """Return the changes since `after`; None if that history is unavailable."""
         page = await self._store.changes(JOBS_TABLE, after, wait_ms)
-        return _decode_changes(page.rows, page.version) if page else None
+        if page is None:
+            return None
+        rows = await self._decode_jobs(page.rows)
+        for job in rows.incomplete():
+            # Its other parts come with the next changes, or came with earlier ones.
+            stored = await self.read_job(job)
+            if stored.submission is not None:
+                rows.submissions[job] = stored.submission
+        return _to_changes(rows, page.version)
 
     async def read_lease(self) -> StoredLease:
         """Return the scheduler's lease."""
@@ -196,6 +218,19 @@
             return outcome.version
         return _decode_lease_row(outcome.rows)
 
+    async def _decode_jobs(self, rows: Sequence[StoredRow]) -> JobRows:
+        """Decode rows of jobs, and let other work have its turn if they are large."""
+        decoded = JobRows()
+        size_bytes = 0
+        for row in rows:
+            decoded.add(row)
+            size_bytes += len(row.value or b"")
+            if size_bytes >= BYTES_PER_TURN:
+                await asyncio.sleep(0)
+                size_bytes = 0
+        self._part_counts |= decoded.part_counts
+        return decoded
+
     async def _read_head(self, job: JobId) -> JobProgress | None:
         name = _progress_row(PageKey(job, HEAD_PAGE))
         row = await self._store.read_row(name)
@@ -206,9 +241,12 @@
 
     async def remove_job(self, job: JobId) -> None:
         """Remove an ended job and its cancellation, from both places."""
+        part_count = self._part_counts.get(job, 0)
         for place in JobPlace:
-            names = (_job_row(job, place), _cancel_row(job, place))
+            names = [job_row(job, place), cancel_row(job, place)]
+            names += [part_row(job, place, each) for each in range(part_count)]
             await self._store.transact((), [RowWrite(name, None) for name in names])
+        self._part_counts.pop(job, None)
 
     async def write_wave(self, wave: int, done: Sequence[str]) -> None:
         """Store the VMs of a wave that have been maintained."""
@@ -241,22 +279,13 @@
             try:
                 members.append(decode_member(row.value or b""))
             except ProtocolError as error:
-                _log_malformed(row, error)
+                log_malformed(row, error)
         return tuple(members)
 
 
-def _partition(job: JobId, place: JobPlace) -> str:
-    own = JOB_PARTITIONS.index(job[0].lower())
-    step = len(JOB_PARTITIONS) // 2 if place is JobPlace.ALTERNATE else 0
-    return JOB_PARTITIONS[(own + step) % len(JOB_PARTITIONS)]
-
-
-def _job_row(job: JobId, place: JobPlace) -> RowName:
-    return RowName(JOBS_TABLE, _partition(job, place), job)
-
-
-def _cancel_row(job: JobId, place: JobPlace) -> RowName:
-    return RowName(JOBS_TABLE, _partition(job, place), job + _CANCEL_SUFFIX)
+def _to_changes(rows: JobRows, version: int) -> JobChanges:
+    submissions = tuple(rows.submissions.values())
+    return JobChanges(submissions, tuple(rows.cancelled), version)
 
 
 def _progress_row(page: PageKey) -> RowName:
@@ -264,25 +293,6 @@
     return RowName(_PROGRESS_TABLE, _SCHEDULER_PARTITION, key)
 
 
-def _decode_changes(rows: Sequence[StoredRow], version: int) -> JobChanges:
-    # A job that is stored in both of its partitions counts once.
-    submissions: dict[JobId, Submission] = {}
-    cancelled = []
-    for row in rows:
-        if row.value is None:
-            continue
-        if row.name.key.endswith(_CANCEL_SUFFIX):
-            cancelled.append(JobId(row.name.key.removesuffix(_CANCEL_SUFFIX)))
-            continue
-        try:
-            submission = decode_submission(row.value)
-        except ProtocolError as error:
-            _log_malformed(row, error)
-            continue
-        submissions[submission.job] = submission
-    return JobChanges(tuple(submissions.values()), tuple(cancelled), version)
-
-
 def _decode_progress_rows(
     rows: Sequence[StoredRow],
 ) -> list[JobProgress | TaskPage]:
@@ -292,7 +302,7 @@
         try:
             progress.append(decode(row.value or b""))
         except ProtocolError as error:
-            _log_malformed(row, error)
+            log_malformed(row, error)
     return progress
 
 
@@ -301,12 +311,3 @@
         if row.name == _LEASE and row.value is not None:
             return StoredLease(decode_lease(row.value), row.version)
     return StoredLease(None, 0)
-
-
-def _log_malformed(row: StoredRow, error: ProtocolError) -> None:
-    log_message(
-        "currantstage:row-malformed",
-        table=row.name.table,
-        key=row.name.key,
-        reason=str(error),
-    )
--- a/currantstage/protocol/jobs/__init__.py
+++ b/currantstage/protocol/jobs/__init__.py
@@ -22,6 +22,14 @@
     encode_answer,
 )
 from currantstage.protocol.jobs._job_check import check_job
+from currantstage.protocol.jobs._job_rows import (
+    DividedJob,
+    EncodedJob,
+    JobTooLargeError,
+    decode_head,
+    encode_job,
+    join_parts,
+)
 from currantstage.protocol.jobs._peers import (
     Acknowledged,
     ConfigurationQuery,
@@ -57,7 +65,6 @@
     decode_member,
     decode_page,
     decode_progress,
-    decode_submission,
     encode_row,
 )
 
@@ -99,8 +106,12 @@
     "StoreReply",
     "WaitingQuery",
     "WaitingReply",
+    "DividedJob",
+    "EncodedJob",
+    "JobTooLargeError",
     "check_job",
     "decode_answer",
+    "decode_head",
     "decode_job_body",
     "decode_lease",
     "decode_member",
@@ -108,8 +119,9 @@
     "decode_peer_query",
     "decode_peer_reply",
     "decode_progress",
-    "decode_submission",
     "encode_answer",
+    "encode_job",
     "encode_peer_message",
     "encode_row",
+    "join_parts",
 ]
--- a/currantstage/protocol/jobs/_calls.py
+++ b/currantstage/protocol/jobs/_calls.py
@@ -25,6 +25,8 @@
     UNKNOWN_KEY = "unknown-key"
     NO_SUCH_JOB = "no-such-job"
     MALFORMED = "malformed"
+    #: The store can't take a job of that size.
+    NOT_STORABLE = "not-storable"
     UNAVAILABLE = "unavailable"
     IN_DOUBT = "in-doubt"
 
--- a/currantstage/protocol/jobs/_interface.py
+++ b/currantstage/protocol/jobs/_interface.py
@@ -24,6 +24,7 @@
     CallRefusal.UNKNOWN_KEY: 401,
     CallRefusal.NO_SUCH_JOB: 410,
     CallRefusal.MALFORMED: 400,
+    CallRefusal.NOT_STORABLE: 413,
     CallRefusal.UNAVAILABLE: 503,
     CallRefusal.IN_DOUBT: 504,
 }
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -27,6 +27,8 @@
     STORED = "stored"
     NO_SUCH_JOB = "no-such-job"
     NOT_STORED = "not-stored"
+    #: It can't be stored, however often it is tried.
+    NOT_STORABLE = "not-storable"
     #: The write may have been applied.
     IN_DOUBT = "in-doubt"
 
--- a/currantstage/protocol/jobs/_rows.py
+++ b/currantstage/protocol/jobs/_rows.py
@@ -11,7 +11,6 @@
 from currantstage.state import EntryVmId
 from currantstage.state.jobs import (
     JobProgress,
-    Submission,
     TaskPage,
     TaskPhase,
     TaskProgress,
@@ -37,7 +36,7 @@
 
 
 def encode_row(
-    record: Submission | JobProgress | TaskPage | LeaseRow | MemberRow,
+    record: JobProgress | TaskPage | LeaseRow | MemberRow,
 ) -> bytes:
     """Return `record` encoded for storage."""
     if type(record) is JobProgress and record.is_divided:
@@ -46,11 +45,6 @@
     return msgspec.json.encode(record)
 
 
-def decode_submission(value: bytes) -> Submission:
-    """Decode the submission in `value`; raises `ProtocolError`."""
-    return _decode(value, Submission)
-
-
 def decode_progress(value: bytes) -> JobProgress:
     """Decode the head of a job's progress in `value`; raises `ProtocolError`."""
     progress = _decode(value, JobProgress)
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -240,6 +240,15 @@
             await asyncio.sleep(CALL_PAUSE_S)
         return job
 
+    async def submit_to(
+        self, core: JobCore, steps: tuple[Step, ...]
+    ) -> CallRefusal | None:
+        """Submit a job once, to one daemon; return why it was refused, if it was."""
+        target = QueueTarget(QueueId(f"q-{POOLS[0]}"))
+        call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
+        job = JobId("f" * 16)
+        return await core.calls.submit(call.unwrap(), job, JobBody("work", steps))
+
     async def resubmit(self, job: JobId) -> bool:
         """Resubmit a job as a caller does; return whether it was accepted."""
         return await self._submit_once(self.oracle.submitted[job], "") is None
