Divide the names of a wave's VMs among rows (a wave of a large fleet)

The row of a maintenance wave names all VMs that are done. With the longest names, some 300 of them fill a row of the store, which then refuses each further record; after a change of scheduler the wave would start from the last one that was stored.

The names go into rows of 20 KiB at most, written together. The first row has the key and the form that it had.

--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from itertools import count
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -54,7 +55,7 @@
 from currantstage.util import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from currantstage.coordination.jobs import LeaseRow
     from currantstage.state import EntryVmId
@@ -72,6 +73,8 @@
 _WAVES_TABLE = "waves"
 #: Number of partitions that are read at once; they share the daemon's network link.
 CONCURRENT_READS = 4
+#: Maximum size of the names of VMs in one row of a wave, in bytes.
+MAX_WAVE_ROW_BYTES = 20 * 1024
 #: Size of the rows decoded after which other work of the event loop gets its turn.
 BYTES_PER_TURN = 256 * 1024
 
@@ -249,17 +252,22 @@
         self._part_counts.pop(job, None)
 
     async def write_wave(self, wave: int, done: Sequence[str]) -> None:
-        """Store the VMs of a wave that have been maintained."""
-        name = RowName(_WAVES_TABLE, "", str(wave))
-        await self._store.transact((), (RowWrite(name, msgspec.json.encode(done)),))
+        """Store the VMs of a wave that have been maintained, in rows of their own."""
+        writes = [
+            RowWrite(RowName(_WAVES_TABLE, "", key), msgspec.json.encode(names))
+            for key, names in zip(_wave_keys(wave), _in_rows(done), strict=False)
+        ]
+        await self._store.transact((), writes)
 
     async def read_wave(self, wave: int) -> tuple[str, ...]:
         """Return the VMs of a wave that are stored as maintained."""
         page = await self._store.read(_WAVES_TABLE, "", str(wave))
+        done: set[str] = set()
         for row in page.rows:
-            if row.name.key == str(wave) and row.value is not None:
-                return tuple(decode_json(row.value, list[str]))
-        return ()
+            number, _, _ = row.name.key.partition(".")
+            if number == str(wave) and row.value is not None:
+                done.update(decode_json(row.value, list[str]))
+        return tuple(sorted(done))
 
     async def join(self, member: MemberRow) -> None:
         """Add a daemon to the members, so that its peers find it."""
@@ -288,6 +296,30 @@
     return JobChanges(submissions, tuple(rows.cancelled), version)
 
 
+def _wave_keys(wave: int) -> Iterator[str]:
+    """Yield the keys of the rows of a wave."""
+    yield str(wave)
+    yield from (f"{wave}.{number}" for number in count(1))
+
+
+def _in_rows(names: Sequence[str]) -> list[list[str]]:
+    """Divide the names of VMs among rows.
+
+    >>> [len(each) for each in _in_rows(["vm"] * 5000)]
+    [4096, 904]
+    """
+    rows: list[list[str]] = [[]]
+    size_bytes = 0
+    for name in names:
+        name_bytes = len(msgspec.json.encode(name)) + len(",")
+        if rows[-1] and size_bytes + name_bytes > MAX_WAVE_ROW_BYTES:
+            rows.append([])
+            size_bytes = 0
+        rows[-1].append(name)
+        size_bytes += name_bytes
+    return rows
+
+
 def _progress_row(page: PageKey) -> RowName:
     key = page.job if page.first == HEAD_PAGE else f"{page.job}.{page.first}"
     return RowName(_PROGRESS_TABLE, _SCHEDULER_PARTITION, key)
