Look at no more steps than needed for advice, forecasts and starts (LOST after a layered job)

No test fails before: the bounds of tests/jobs/test_large_jobs.py are on turns of the scheduler, and these are linear in the job.

--- a/currantstage/coordination/jobs/_advice_tracker.py
+++ b/currantstage/coordination/jobs/_advice_tracker.py
@@ -25,6 +25,8 @@
 
     def next_step(self, now_s: float) -> StepRecord | None:
         """Return the next step that needs advice."""
+        if all(each.advice is None for each in self._scheduler.configuration.queues):
+            return None
         for step in self._scheduler.jobs.ready_steps():
             queue = self._scheduler.configuration.queue(step.job.submission.queue)
             needs_advice = queue is not None and queue.advice is not None
--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -140,9 +140,7 @@
         return forecast.missing_vms(capacity) if forecast is not None else 0
 
     def _place_waiting(self, leaving: list[VmState]) -> None:
-        for step in self._scheduler.jobs.ready_steps():
-            if not step.step.is_long_running:
-                continue
+        for step in self._scheduler.jobs.ready_long_running_steps():
             forecast = self._forecasts.get(self._scheduler.pool_of(step.job))
             if forecast is None:
                 continue
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -138,6 +138,15 @@
             for key in sorted(record.ready)
         ]
 
+    def ready_long_running_steps(self) -> list[StepRecord]:
+        """Return the long-running ones among the steps that may have tasks to place."""
+        return [
+            step
+            for record in self._open.values()
+            for step in record.long_running_steps
+            if step.is_ready
+        ]
+
     def mark_unsaved(self, record: JobRecord) -> None:
         """Mark the job's own state for the next write."""
         self.unsaved.add(record, record.pages.head)
@@ -199,6 +208,8 @@
         record = task.step.job
         if not record.pages.is_divided:
             return record.pages.head in self.unsaved.pages
+        if self.unsaved.pages.keys().isdisjoint(record.pages.all):
+            return False
         if record.pages.page_of(record.number_of(task.key)) in self.unsaved.pages:
             return True
         steps = record.occurrences[task.key.occurrence]
@@ -303,7 +314,7 @@
     def discard(self, record: JobRecord) -> None:
         """Remove a job that has ended."""
         self._jobs.pop(record.job, None)
-        self.unsaved.discard((record.pages.head, *record.pages.others))
+        self.unsaved.discard(record.pages.all)
 
     def ended_before(self, unix_ms: int) -> list[JobRecord]:
         """Return the jobs that ended before `unix_ms` and whose end is stored."""
--- a/currantstage/coordination/jobs/_progress_pages.py
+++ b/currantstage/coordination/jobs/_progress_pages.py
@@ -76,7 +76,12 @@
         self.limit_bytes = MAX_PAGE_BYTES if self.is_divided else MAX_UNDIVIDED_BYTES
 
     @property
-    def others(self) -> list[ProgressPage]:
+    def all(self) -> Sequence[ProgressPage]:
+        """All pages."""
+        return self._pages
+
+    @property
+    def others(self) -> Sequence[ProgressPage]:
         """All pages but the head."""
         return self._pages[1:]
 
