--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -144,6 +144,10 @@
         steps = self.scheduler.jobs.ready_steps()
         return sum(len(step.waiting_tasks(self._now_s)) for step in steps)
 
+    def submit(self, submission: Submission) -> None:
+        """Submit a job besides those that arrive in each turn."""
+        self.scheduler.submit(submission, self._now_s)
+
     def run(self, turns: int, read_meter: Callable[[], float]) -> dict[str, float]:
         """Run turns; return the mean cost of a start and its end, by part.
 
@@ -231,7 +235,7 @@
             spec="work",
             steps=(Step(task_count=1, resources=_TASK, estimated_run_ms=500),),
         )
-        self.scheduler.submit(submission, self._now_s)
+        self.submit(submission)
 
 
 def _entry(number: int) -> WorkerEntry:
