Let the daemon's tests listen on free ports

The tests named fixed ports. They look for free ones now, and pass with 18191, 18193, 9464 and 18173 taken. Nothing that they check changes.

--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -12,12 +12,13 @@
 from currantstage.application import StartError
 from currantstage.application.jobs import JobDaemon
 from currantstage.config import ConfigError, JobSettings, parse_settings
+from tests.ports import free_addresses
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.ini"
 VALUES = {
     "Node": "entry-1",
     "Zone": "dc-1",
-    "Ip": "127.0.0.1",
+    "Ip:9464": "127.0.0.1:9464",
     "Listen.Control": "127.0.0.1:18191",
     "Listen.Front": "127.0.0.1:18192",
     "Listen.Readiness": "127.0.0.1:18193",
@@ -30,17 +31,18 @@
     "Limits.Cores": "3",
     "Seeds": "127.0.0.1:18191,127.0.0.1:18199",
 }
-OWN = "http://127.0.0.1:9464"
+LISTENING = ("Ip:9464", "Listen.Control", "Listen.Front", "Listen.Readiness")
 
 
-def _render_template() -> str:
-    """Render the deploy template as the platform does."""
+def _render_template(addresses: dict[str, str] | None = None) -> str:
+    """Render the deploy template as the platform does, with other `addresses`."""
     text = TEMPLATE.read_text(encoding="utf-8")
     limits = ("Limits.LinkMbps", "Limits.CpuShare", "Limits.Cores")
     for section in ("Seeds.0", "Advice", "Bounds.StopMs", *limits):
         text = text.replace("{{#" + section + "}}", "")
         text = text.replace("{{/" + section + "}}", "")
-    for name, value in VALUES.items():
+    text = text.replace("{{Ip}}:9464", "{{Ip:9464}}")
+    for name, value in (VALUES | (addresses or {})).items():
         text = text.replace("{{" + name + "}}", value)
     assert "{{" not in text
     return text
@@ -76,9 +78,15 @@
     assert any(fault in each for each in caught.value.faults)
 
 
+def _free_addresses() -> dict[str, str]:
+    return dict(zip(LISTENING, free_addresses(len(LISTENING)), strict=True))
+
+
 def test_daemon_without_the_store_responds_and_is_not_ready() -> None:
     async def run() -> None:
-        text = _render_template().replace(
+        addresses = _free_addresses()
+        own, _, front_address, readiness_address = addresses.values()
+        text = _render_template(addresses).replace(
             "balancer_notice_ms = 2300", "balancer_notice_ms = 1"
         )
         settings = parse_settings(text)
@@ -87,13 +95,13 @@
         await daemon.start()
         try:
             async with aiohttp.ClientSession() as session:
-                ready = "http://127.0.0.1:18193/currantstage/readyz"
+                ready = f"http://{readiness_address}/currantstage/readyz"
                 assert await _status(session, ready) == 503
-                front = "http://127.0.0.1:18192/queue/0123456789abcdef"
+                front = f"http://{front_address}/queue/0123456789abcdef"
                 assert await _status(session, front) == 503
-                job = f"{OWN}/v1/queues/q/jobs/0123456789abcdef"
+                job = f"http://{own}/v1/queues/q/jobs/0123456789abcdef"
                 assert await _status(session, job) == 503
-                metrics = await _text(session, f"{OWN}/metrics")
+                metrics = await _text(session, f"http://{own}/metrics")
                 assert "currantstage_is_scheduler 0.0" in metrics
         finally:
             await daemon.close()
@@ -103,10 +111,14 @@
 
 def test_address_in_use_prevents_the_start() -> None:
     async def run() -> None:
-        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 18192)
+        addresses = _free_addresses()
+        host, _, port = addresses["Listen.Front"].partition(":")
+        server = await asyncio.start_server(lambda *_: None, host, int(port))
+        settings = parse_settings(_render_template(addresses))
+        assert isinstance(settings, JobSettings)
         try:
             with pytest.raises(StartError):
-                await JobDaemon.from_config(_parse_template(), seed=1).start()
+                await JobDaemon.from_config(settings, seed=1).start()
         finally:
             server.close()
             await server.wait_closed()
--- a/tests/cmd/test_job_commands.py
+++ b/tests/cmd/test_job_commands.py
@@ -20,6 +20,7 @@
 from currantstage.state import PoolId, QueueId, TeamId
 from currantstage.state.jobs import JobId, JobQueue, JobState
 from currantstage.transport import HttpServer, add_job_routes
+from tests.ports import free_addresses
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,7 +29,7 @@
 
     from currantstage.protocol.jobs import CallTarget
 
-ADDRESS = "127.0.0.1:18173"
+(ADDRESS,) = free_addresses(1)
 JOB = "5c0e7a21d94b36f8"
 QUEUE = QueueId("complaints")
 
