--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -76,7 +76,7 @@
 #: Maximum size of the names of VMs in one row of a wave, in bytes.
 MAX_WAVE_ROW_BYTES = 20 * 1024
 #: Size of the rows decoded after which other work of the event loop gets its turn.
-BYTES_PER_TURN = 256 * 1024
+BYTES_PER_TURN = 1024 * 1024
 
 
 @dataclass(slots=True)
--- a/currantstage/application/jobs/_scheduler_loader.py
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -28,7 +28,7 @@
     )
 
 #: Number of restored tasks after which other work of the event loop gets its turn.
-TASKS_PER_TURN = 2000
+TASKS_PER_TURN = 10_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -13,7 +13,10 @@
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._lease_writer import LeaseWriter
 from currantstage.application.jobs._progress_source import ProgressSource
-from currantstage.application.jobs._scheduler_loader import load_scheduler
+from currantstage.application.jobs._scheduler_loader import (
+    TASKS_PER_TURN,
+    load_scheduler,
+)
 from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
 from currantstage.application.jobs._worker_driver import WorkerDriver
 from currantstage.state.jobs import HEAD_PAGE, PageKey, StoreUnavailable
@@ -286,12 +289,19 @@
             except StoreUnavailable as error:
                 log_message("currantstage:jobs-read-failed", reason=str(error))
                 continue
+            cancelled = frozenset(changes.cancelled)
+            for job in cancelled:
+                self.cancel(job)
+            accepted_tasks = 0
             for submission in changes.submissions:
                 self.accept(submission)
-                # Many jobs that come at once must not keep the lease from its renewal.
-                await asyncio.sleep(0)
-            for job in changes.cancelled:
-                self.cancel(job)
+                if submission.job in cancelled:
+                    self.cancel(submission.job)
+                accepted_tasks += submission.task_count
+                if accepted_tasks >= TASKS_PER_TURN:
+                    # Large jobs that come at once let the lease be renewed meanwhile.
+                    await asyncio.sleep(0)
+                    accepted_tasks = 0
 
     async def _tick_forever(self) -> None:
         assert self.scheduler is not None
