Say how old the configuration is that allows a call, and what arrives of it

From the record, a call that an old version allowed could not be told from one that a fresh one did: an accepted call logged its version without the age of its confirmation, counts and states logged nothing, and nothing said whether a read of the configuration was given up before a byte had arrived or with most of it here.

- call-admitted: version and age of its confirmation, for each call
- configuration-transfer-abandoned: bytes that had arrived, and after how long
- configuration-in-force: size, and how long ago the one before was confirmed
- metrics: reads of the configuration and their bytes, answered or abandoned

Transfer follows what arrives for a piece of work, as a tracing span does; the HTTP client records into the one that is current.

--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -93,6 +93,8 @@
                 admitted = Failure(CallRefusal.UNAVAILABLE)
         if isinstance(admitted, Failure):
             self._log_refusal(admitted.failure(), target)
+        else:
+            self._log_admission(admitted.unwrap(), target)
         return admitted
 
     async def submit(
@@ -112,7 +114,6 @@
         )
         outcome = await self._writer.write(StoreJob(submission), call.deadline_s)
         refusal = _REFUSALS[outcome]
-        configuration = self._follower.current
         log_message(
             "currantstage:job-submitted",
             job=job,
@@ -120,7 +121,7 @@
             team=call.team,
             steps=len(body.steps),
             tasks=submission.task_count,
-            configuration=configuration.version if configuration else None,
+            configuration=call.configuration,
             outcome=_outcome(refusal),
         )
         if refusal is None:
@@ -146,6 +147,7 @@
         log_message(
             "currantstage:job-cancelled",
             job=job,
+            configuration=call.configuration,
             outcome=_outcome(refusal),
         )
         self._count_call("cancel", refusal, started_s)
@@ -178,7 +180,12 @@
         limit_ms = min(deadline_ms or queue.timeout_ms, queue.timeout_ms)
         deadline_s = arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S
         return Success(
-            AdmittedCall(queue, team.team if team else TeamId(""), deadline_s)
+            AdmittedCall(
+                queue,
+                team.team if team else TeamId(""),
+                deadline_s,
+                configuration.version,
+            )
         )
 
     async def _show(self, job: JobId) -> JobState | CallRefusal:
@@ -199,6 +206,14 @@
             return JobState.CANCELLED
         return stored.progress.state if stored.progress else JobState.QUEUED
 
+    def _log_admission(self, call: AdmittedCall, target: CallTarget) -> None:
+        log_message(
+            "currantstage:call-admitted",
+            asked=str(target),
+            configuration=call.configuration,
+            confirmed_ago_s=loggable_age_s(self._follower.confirmed_age_s()),
+        )
+
     def _log_refusal(self, refusal: CallRefusal, target: CallTarget) -> None:
         configuration = self._follower.current
         log_message(
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -22,7 +22,13 @@
     MaintenanceWave,
     StoreUnavailable,
 )
-from currantstage.util import Notifier, OverlappingCalls, SupervisedTask, TaskSet
+from currantstage.util import (
+    Notifier,
+    OverlappingCalls,
+    SupervisedTask,
+    TaskSet,
+    Transfer,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,6 +64,17 @@
     changes: OperatorChanges | None
 
 
+@dataclass(slots=True)
+class TransferCounts:
+    """Polls of the configuration that have ended, and what has arrived for them."""
+
+    answered: int = 0
+    answered_bytes: int = 0
+    #: Polls without a complete answer, and what had arrived of it.
+    abandoned: int = 0
+    abandoned_bytes: int = 0
+
+
 class ConfigurationPeers(Protocol):
     """What other daemons know of the configuration."""
 
@@ -98,6 +115,8 @@
         self._is_checking = False
         # Whether the store has not answered in time; peers are then asked.
         self._is_store_late = asyncio.Event()
+        #: Polls since the start, for metrics.
+        self.transfers = TransferCounts()
         self._tasks = (
             SupervisedTask("configuration", self._follow_store),
             SupervisedTask("configuration-peers", self._follow_peers),
@@ -183,11 +202,32 @@
 
     async def _poll(self, wait_ms: int = CHANGES_WAIT_MS) -> _Answer:
         asked_s = self._clock.now_s()
-        if self._version is None:
-            return _Answer(asked_s, await self._source.read())
-        changes = await self._source.changes(self._version, wait_ms)
+        transfer = Transfer()
+        try:
+            changes = await transfer.start(self._read(wait_ms))
+        except (StoreUnavailable, asyncio.CancelledError):
+            self._count_abandoned(transfer)
+            raise
+        self.transfers.answered += 1
+        self.transfers.answered_bytes += transfer.received_bytes
         return _Answer(asked_s, changes)
 
+    async def _read(self, wait_ms: int) -> OperatorChanges | None:
+        if self._version is None:
+            return await self._source.read()
+        return await self._source.changes(self._version, wait_ms)
+
+    def _count_abandoned(self, transfer: Transfer) -> None:
+        self.transfers.abandoned += 1
+        self.transfers.abandoned_bytes += transfer.received_bytes
+        if transfer.received_bytes:
+            log_message(
+                "currantstage:configuration-transfer-abandoned",
+                received_bytes=transfer.received_bytes,
+                after_s=round(transfer.age_s(), 3),
+                version=self._current.version if self._current else None,
+            )
+
     async def _check(self) -> None:
         """Ask the store at once, and peers if it doesn't answer at once."""
         try:
@@ -260,6 +300,8 @@
             version=configuration.version,
             earlier=self._current.version if self._current else None,
             source=source,
+            size_bytes=len(raw),
+            earlier_confirmed_ago_s=loggable_age_s(self.confirmed_age_s()),
         )
         self._current = configuration
         self._raw = raw
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -83,6 +83,26 @@
         def observe_age(_: CallbackOptions) -> Iterable[Observation]:
             yield Observation(follower.confirmed_age_s())
 
+        def observe_transfers(_: CallbackOptions) -> Iterable[Observation]:
+            yield Observation(follower.transfers.answered, {"outcome": "answered"})
+            yield Observation(follower.transfers.abandoned, {"outcome": "abandoned"})
+
+        def observe_received(_: CallbackOptions) -> Iterable[Observation]:
+            transfers = follower.transfers
+            yield Observation(transfers.answered_bytes, {"outcome": "answered"})
+            yield Observation(transfers.abandoned_bytes, {"outcome": "abandoned"})
+
+        self._registry.meter.create_observable_counter(
+            "currantstage_configuration_reads",
+            [observe_transfers],
+            description="Reads of the configuration from the store, by outcome.",
+        )
+        self._registry.meter.create_observable_counter(
+            "currantstage_configuration_received",
+            [observe_received],
+            unit="By",
+            description="Bytes that arrived for reads of the configuration.",
+        )
         self._registry.meter.create_observable_gauge(
             "currantstage_configuration_version",
             [observe_version],
--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -16,6 +16,7 @@
     LoopLagMeter,
     UndecodableError,
     decode_json,
+    record_arrival,
 )
 
 if TYPE_CHECKING:
@@ -127,7 +128,7 @@
                         method, url, data=data, headers=sent_headers
                     ) as response,
                 ):
-                    return HttpReply(response.status, await response.read())
+                    return HttpReply(response.status, await _read_body(response))
             except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
                 return CallFailure.REFUSED
             except TimeoutError:
@@ -138,6 +139,15 @@
                 return CallFailure.BROKEN
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    record_arrival(0)
+    pieces = []
+    async for piece in response.content.iter_any():
+        record_arrival(len(piece))
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 def _open_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0,
--- a/currantstage/protocol/jobs/_calls.py
+++ b/currantstage/protocol/jobs/_calls.py
@@ -14,7 +14,12 @@
     from returns.result import Result
 
     from currantstage.state import QueueId, TeamId
-    from currantstage.state.jobs import FleetConfiguration, JobId, JobQueue
+    from currantstage.state.jobs import (
+        ConfigurationVersion,
+        FleetConfiguration,
+        JobId,
+        JobQueue,
+    )
 
 
 class CallRefusal(Enum):
@@ -50,11 +55,14 @@
         Empty for a call without a key on a queue that is open to all.
     deadline_s : float
         Time at which the caller stops waiting, on the daemon's clock, in seconds.
+    configuration : ConfigurationVersion
+        The version that allows the call.
     """
 
     queue: JobQueue
     team: TeamId
     deadline_s: float
+    configuration: ConfigurationVersion
 
 
 class CallTarget(Protocol):
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -16,6 +16,7 @@
 from currantstage.util._signals import catch_reload_signal, catch_stop_signals
 from currantstage.util._supervised_task import SupervisedTask
 from currantstage.util._task_set import TaskSet
+from currantstage.util._transfer import Transfer, record_arrival
 from currantstage.util._waiting import wait_for_event
 
 __all__ = [
@@ -29,11 +30,13 @@
     "StepFilteredUnixClock",
     "SupervisedTask",
     "TaskSet",
+    "Transfer",
     "UndecodableError",
     "UnixClock",
     "catch_reload_signal",
     "catch_stop_signals",
     "decode_json",
     "decode_msgpack",
+    "record_arrival",
     "wait_for_event",
 ]
--- a/currantstage/util/_overlapping_calls.py
+++ b/currantstage/util/_overlapping_calls.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
+from currantstage.util._transfer import Transfer
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
@@ -37,6 +39,8 @@
         self._patience_s = patience_s
         self._max_calls = max_calls
         self._on_late = on_late
+        #: The call that has been sent last.
+        self.newest: Transfer | None = None
 
     async def first(self) -> _ResultT:
         """Return the first answer; raise the failure of the last call under way."""
@@ -44,7 +48,8 @@
         pending: list[asyncio.Task[_ResultT]] = []
         try:
             while True:
-                pending.append(asyncio.create_task(self._call()))
+                self.newest = Transfer()
+                pending.append(self.newest.start(self._call()))
                 if len(pending) > self._max_calls:
                     pending.pop(0).cancel()
                 answered = await self._next_answered(pending)
--- a/tests/cmd/test_job_commands.py
+++ b/tests/cmd/test_job_commands.py
@@ -18,7 +18,12 @@
     QueueTarget,
 )
 from currantstage.state import PoolId, QueueId, TeamId
-from currantstage.state.jobs import JobId, JobQueue, JobState
+from currantstage.state.jobs import (
+    ConfigurationVersion,
+    JobId,
+    JobQueue,
+    JobState,
+)
 from currantstage.transport import HttpServer, add_job_routes
 from tests.ports import free_addresses
 
@@ -52,7 +57,9 @@
         queue = JobQueue(queue=QUEUE, host="h", path_prefix="/", pool=PoolId("p"))
         if key != "right":
             return Failure(CallRefusal.UNKNOWN_KEY)
-        return Success(AdmittedCall(queue, TeamId("east"), 0.0))
+        return Success(
+            AdmittedCall(queue, TeamId("east"), 0.0, ConfigurationVersion(1))
+        )
 
     async def submit(
         self, call: AdmittedCall, job: JobId, body: JobBody
