--- /dev/null
+++ b/tests/jobs/test_admission_by_configuration.py
@@ -0,0 +1,79 @@
+"""Calls that a daemon would allow by a configuration that may not be the newest."""
+
+from __future__ import annotations
+
+import asyncio
+
+from msgspec.structs import replace
+from returns.result import Failure, Success
+
+from currantstage.protocol.jobs import CallRefusal, QueueTarget
+from currantstage.standin.jobs import POOLS, SimulatedSite, build_configuration
+from currantstage.state import QueueId
+from currantstage.state.jobs import FleetConfiguration
+from tests.jobs.site import run_scenario, start_site
+
+REMOVED = QueueTarget(QueueId(f"q-{POOLS[1]}"))
+KEPT = QueueTarget(QueueId(f"q-{POOLS[0]}"))
+DEADLINE_MS = 3000
+#: Time after which an operator's change must be in force, in seconds.
+APPLY_S = 2.0
+
+
+def _without_queue_and_key() -> FleetConfiguration:
+    configuration = build_configuration(2)
+    return replace(
+        configuration,
+        queues=configuration.queues[:1],
+        teams=configuration.teams[:1],
+    )
+
+
+async def _start_with_missed_change(
+    *, reaches_peers: bool
+) -> tuple[SimulatedSite, str]:
+    """Return a site, and a daemon that the store doesn't tell of a change."""
+    site = await start_site(seed=1)
+    name = next(each for each in site.daemons if each != site.scheduler_name())
+    site.store.unreachable_for = {name}
+    if not reaches_peers:
+        site.silent_daemons = {name}
+    await site.daemons[name].follower.close()
+    site.configure(_without_queue_and_key())
+    await asyncio.sleep(APPLY_S + 0.1)
+    return site, name
+
+
+def test_removed_queue_or_key_is_not_served_by_a_version_nobody_confirms() -> None:
+    """A version that nobody had confirmed for 20 s allowed calls."""
+
+    async def scenario() -> None:
+        site, name = await _start_with_missed_change(reaches_peers=False)
+        calls = site.daemons[name].calls
+        by_queue = await calls.admit(REMOVED, "key-east", DEADLINE_MS)
+        by_key = await calls.admit(KEPT, "key-west", DEADLINE_MS)
+        assert by_queue == by_key == Failure(CallRefusal.UNAVAILABLE)
+
+    run_scenario(scenario())
+
+
+def test_removed_queue_and_key_are_refused_by_what_peers_know() -> None:
+    async def scenario() -> None:
+        site, name = await _start_with_missed_change(reaches_peers=True)
+        calls = site.daemons[name].calls
+        by_queue = await calls.admit(REMOVED, "key-east", DEADLINE_MS)
+        by_key = await calls.admit(KEPT, "key-west", DEADLINE_MS)
+        assert by_queue == Failure(CallRefusal.NO_SUCH_QUEUE)
+        assert by_key == Failure(CallRefusal.UNKNOWN_KEY)
+
+    run_scenario(scenario())
+
+
+def test_call_is_admitted_by_what_peers_know_while_the_change_is_on_its_way() -> None:
+    async def scenario() -> None:
+        site, name = await _start_with_missed_change(reaches_peers=True)
+        admitted = await site.daemons[name].calls.admit(KEPT, "key-east", DEADLINE_MS)
+        assert isinstance(admitted, Success)
+        assert admitted.unwrap().configuration == 2
+
+    run_scenario(scenario())
