Time the silence of a platform call, not its whole (CONFIG: a change never arrives)

What callers saw: calls allowed by a version of the configuration that was replaced 20 s ago. Cause, one of three: the timeout of a call (1 s that the store waits, and 0.9 to 2.5 s) was one for the whole answer, whatever its size. An answer that a link needs longer for was given up with most of it here, and asked for again from its first byte.

Now each part that arrives restarts the timeout: it says that nothing arrives any more. The adaptive timeouts learn from the time until an answer begins, so that large answers don't make the client slow to notice a dead connection.

The same bound stood on each page of rows that a new scheduler loads, on lists of workers, VMs and members, and on the lists of runs: all go through this client.

--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -57,10 +58,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """Complete HTTP response."""
+    """Complete HTTP response.
+
+    Parameters
+    ----------
+    status : int
+    body : bytes
+    waited_s : float
+        Time from sending the call until the response began to arrive.
+    """
 
     status: int
     body: bytes
+    waited_s: float = 0.0
 
 
 class _Refusal(Struct, rename="pascal"):
@@ -82,7 +92,8 @@
 class PlatformHttp:
     """Sends calls, each with a timeout; never retries.
 
-    An answer that has arrived while the event loop was late is still returned.
+    The timeout is one of silence: an answer that keeps arriving is waited for, however
+    large it is. One that has arrived while the event loop was late is still returned.
     """
 
     def __init__(self) -> None:
@@ -120,15 +131,18 @@
         if body is not None:
             data = msgspec.json.encode(body)
             sent_headers["Content-Type"] = "application/json"
+        sent_s = time.monotonic()
         async with sessions.lend() as session:
             try:
                 async with (
-                    LagTolerantTimeout(self._lag_meter, timeout_s),
+                    LagTolerantTimeout(self._lag_meter, timeout_s) as silence,
                     session.request(
                         method, url, data=data, headers=sent_headers
                     ) as response,
                 ):
-                    return HttpReply(response.status, await _read_body(response))
+                    waited_s = time.monotonic() - sent_s
+                    body = await _read_body(response, silence)
+                    return HttpReply(response.status, body, waited_s)
             except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
                 return CallFailure.REFUSED
             except TimeoutError:
@@ -139,10 +153,15 @@
                 return CallFailure.BROKEN
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+async def _read_body(
+    response: aiohttp.ClientResponse, silence: LagTolerantTimeout
+) -> bytes:
+    """Return the body; each part of it that arrives ends the silence."""
+    silence.restart()
     record_arrival(0)
     pieces = []
     async for piece in response.content.iter_any():
+        silence.restart()
         record_arrival(len(piece))
         pieces.append(piece)
     return b"".join(pieces)
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -201,8 +201,7 @@
             adaptive_timeout.record_abandoned(time.monotonic() - sent_s - wait_s)
             raise
         if isinstance(reply, HttpReply):
-            took_s = time.monotonic() - sent_s
-            adaptive_timeout.record_response(max(0.0, took_s - wait_s))
+            adaptive_timeout.record_response(max(0.0, reply.waited_s - wait_s))
         elif reply is CallFailure.TIMEOUT:
             adaptive_timeout.record_timeout(timeout_s)
         return reply
--- a/currantstage/util/_lag_tolerant_timeout.py
+++ b/currantstage/util/_lag_tolerant_timeout.py
@@ -72,6 +72,7 @@
         self._meter = meter
         self._timeout_s = timeout_s
         self._scope = asyncio.timeout(None)
+        self._restarted_s = 0.0
         self._limit_s = 0.0
         self._lag_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -79,12 +80,16 @@
     async def __aenter__(self) -> Self:
         """Start the timeout."""
         await self._scope.__aenter__()
-        self._lag_s = self._meter.total_s()
-        now_s = asyncio.get_running_loop().time()
-        self._limit_s = now_s + self._timeout_s + MAX_EXTENSION_S
+        self.restart()
         self._schedule(self._timeout_s)
         return self
 
+    def restart(self) -> None:
+        """Let the timeout begin anew, as the other side has shown that it is alive."""
+        self._lag_s = self._meter.total_s()
+        self._restarted_s = asyncio.get_running_loop().time()
+        self._limit_s = self._restarted_s + self._timeout_s + MAX_EXTENSION_S
+
     async def __aexit__(
         self,
         error_type: type[BaseException] | None,
@@ -98,6 +103,10 @@
 
     def _expire_or_extend(self) -> None:
         now_s = asyncio.get_running_loop().time()
+        left_s = self._restarted_s + self._timeout_s - now_s
+        if left_s > 0:
+            self._schedule(left_s)
+            return
         lag_s = self._meter.total_s()
         extension_s = min(lag_s - self._lag_s, self._limit_s - now_s)
         self._lag_s = lag_s
