--- /dev/null
+++ b/currantstage/application/jobs/_admission.py
@@ -0,0 +1,171 @@
+"""Decisions on calls, by a configuration that was the newest a short time ago."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from currantstage.application.jobs._configuration import loggable_age_s
+from currantstage.protocol.jobs import (
+    AdmissionQuery,
+    AdmissionReply,
+    CallAccess,
+    CallDecision,
+    CallRefusal,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantstage.application.jobs._configuration import ConfigurationFollower
+    from currantstage.application.jobs._peer_admission import PeerAdmission
+    from currantstage.coordination.jobs import StoreHealth
+    from currantstage.protocol.jobs import AnyTarget, CallTarget
+    from currantstage.state import Clock
+    from currantstage.state.jobs import FleetConfiguration
+
+#: Age of a confirmation up to which calls are refused without another one, in seconds;
+#: well below the time in which operators expect a change to be in force.
+MAX_REFUSAL_AGE_S = 0.5
+#: Time for the handling of a call, by which an allowance must be younger than the time
+#: in which a change has to be in force, in seconds.
+HANDLING_MARGIN_S = 0.1
+#: Default of the time in which a change has to be in force, in seconds.
+DEFAULT_APPLY_S = 2.0
+#: Time that a call waits for the own confirmation before peers are asked, in seconds.
+CONFIRM_PATIENCE_S = 0.2
+#: Time that a call waits for the own confirmation after that, in seconds.
+LAST_CONFIRM_PATIENCE_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class RecentDecision:
+    """A decision, and how old the configuration is that it is from.
+
+    Parameters
+    ----------
+    decision : CallDecision
+    confirmed_s : float
+        When the store last confirmed that configuration as the newest, on the own
+        clock.
+    decided_by : str
+        Address of the peer whose configuration it is; empty for the own.
+    """
+
+    decision: CallDecision
+    confirmed_s: float
+    decided_by: str = ""
+
+
+class CallAdmission:
+    """Decides on calls by the own configuration or, if it may be outdated, a peer's.
+
+    A call on the platform's store needs a confirmed configuration, whether it is
+    refused or allowed. A read that nobody's configuration can decide on is allowed by
+    the own one, so that a daemon that is cut off serves what it can.
+
+    Parameters
+    ----------
+    follower : ConfigurationFollower
+    peers : PeerAdmission
+    health : StoreHealth
+    is_isolated : callable
+        Returns whether neither the store nor the scheduler can be reached.
+    clock : Clock
+    apply_s : float
+        Time in which a change of the configuration has to be in force, in seconds.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        peers: PeerAdmission,
+        health: StoreHealth,
+        is_isolated: Callable[[], bool],
+        clock: Clock,
+        apply_s: float = DEFAULT_APPLY_S,
+    ) -> None:
+        self._follower = follower
+        self._peers = peers
+        self._health = health
+        self._is_isolated = is_isolated
+        self._clock = clock
+        self._max_age_s = apply_s - HANDLING_MARGIN_S
+
+    async def decide(
+        self, target: AnyTarget, key: str, access: CallAccess
+    ) -> RecentDecision | None:
+        """Return the decision on a call; None if no configuration can decide now."""
+        query = AdmissionQuery(target, key)
+        own = await self._decide_by_own(query, CONFIRM_PATIENCE_S)
+        if own is None or self._is_recent(own):
+            return own
+        is_allowed = own.decision.refusal is None
+        if not is_allowed or not self._is_isolated():
+            by_peer = await self._peers.query(query, self._is_recent)
+            if by_peer is not None:
+                return by_peer
+        if is_allowed and access is CallAccess.READ:
+            return None if self._follower.is_outdated() else own
+        own = await self._decide_by_own(query, LAST_CONFIRM_PATIENCE_S)
+        return own if own is not None and self._is_recent(own) else None
+
+    async def decide_for_peer(self, query: AdmissionQuery) -> AdmissionReply:
+        """Return the decision by the own configuration, and its age."""
+        own = await self._decide_by_own(query, CONFIRM_PATIENCE_S)
+        if own is None:
+            return AdmissionReply(decision=None, confirmed_ago_s=None)
+        age_s = self._clock.now_s() - own.confirmed_s
+        return AdmissionReply(
+            decision=own.decision, confirmed_ago_s=loggable_age_s(age_s)
+        )
+
+    async def _decide_by_own(
+        self, query: AdmissionQuery, patience_s: float
+    ) -> RecentDecision | None:
+        """Return the own decision, confirmed if the store does so in time."""
+        own = self._check(query)
+        if own is None or self._is_recent(own):
+            return own
+        is_allowed = own.decision.refusal is None
+        if is_allowed and self._health.is_unavailable(self._clock.now_s()):
+            # What it allows can't be stored anyway.
+            patience_s = 0.0
+        await self._follower.confirm(self._max_age_for(own.decision), patience_s)
+        return self._check(query)
+
+    def _check(self, query: AdmissionQuery) -> RecentDecision | None:
+        configuration = self._follower.current
+        if configuration is None:
+            return None
+        decision = decide_call(configuration, query.target, query.key)
+        return RecentDecision(decision, self._follower.confirmed_s)
+
+    def _is_recent(self, decided: RecentDecision) -> bool:
+        """Return whether a decision is from a configuration that still counts."""
+        if decided.decision.configuration < self._follower.newest_known:
+            return False
+        age_s = self._clock.now_s() - decided.confirmed_s
+        return age_s <= self._max_age_for(decided.decision)
+
+    def _max_age_for(self, decision: CallDecision) -> float:
+        return self._max_age_s if decision.refusal is None else MAX_REFUSAL_AGE_S
+
+
+def decide_call(
+    configuration: FleetConfiguration, target: CallTarget, key: str
+) -> CallDecision:
+    """Decide on a call by one version of the configuration."""
+    queue = target.find_queue(configuration)
+    team = configuration.team_of_key(key) if key else None
+    refusal = None
+    if queue is None:
+        refusal = CallRefusal.NO_SUCH_QUEUE
+    elif team is None and not queue.is_public:
+        refusal = CallRefusal.UNKNOWN_KEY
+    decision = CallDecision(
+        configuration=configuration.version, queue=queue, refusal=refusal
+    )
+    return replace(decision, team=team.team) if team else decision
--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -10,6 +10,7 @@
 from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.protocol.jobs import (
     AdmittedCall,
+    CallAccess,
     CallRefusal,
     JobAccepted,
     JobBody,
@@ -22,11 +23,11 @@
     WaitingQuery,
     WaitingReply,
 )
-from currantstage.state import TeamId
 from currantstage.state.jobs import JobState, StoreUnavailable, Submission
 from currantstage.transport import PeerFailure
 
 if TYPE_CHECKING:
+    from currantstage.application.jobs._admission import CallAdmission, RecentDecision
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._directory import PeerDirectory
     from currantstage.application.jobs._job_writer import JobWriter
@@ -34,7 +35,7 @@
     from currantstage.application.jobs._ownership import LeaseOwnership
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import StoreHealth
-    from currantstage.protocol.jobs import CallTarget, PeerQuery, PeerReply
+    from currantstage.protocol.jobs import AnyTarget, PeerQuery, PeerReply
     from currantstage.state import Clock
     from currantstage.state.jobs import JobId
 
@@ -56,6 +57,7 @@
     def __init__(
         self,
         follower: ConfigurationFollower,
+        admission: CallAdmission,
         repository: JobRepository,
         directory: PeerDirectory,
         ownership: LeaseOwnership,
@@ -66,6 +68,7 @@
         metrics: JobMetrics,
     ) -> None:
         self._follower = follower
+        self._admission = admission
         self._repository = repository
         self._directory = directory
         self._ownership = ownership
@@ -80,21 +83,17 @@
         return self._health.retry_after_s(self._clock.now_s())
 
     async def admit(
-        self, target: CallTarget, key: str, deadline_ms: int | None
+        self,
+        target: AnyTarget,
+        key: str,
+        deadline_ms: int | None,
+        access: CallAccess = CallAccess.WRITE,
     ) -> Result[AdmittedCall, CallRefusal]:
         """Find a call's queue and check its key; the caller waits `deadline_ms`."""
         arrived_s = self._clock.now_s()
-        admitted = self._check(target, key, deadline_ms, arrived_s)
-        if _is_by_configuration(admitted):
-            # A newer version may have the queue or the key.
-            is_newest = await self._follower.confirm()
-            admitted = self._check(target, key, deadline_ms, arrived_s)
-            if _is_by_configuration(admitted) and not is_newest:
-                admitted = Failure(CallRefusal.UNAVAILABLE)
-        if isinstance(admitted, Failure):
-            self._log_refusal(admitted.failure(), target)
-        else:
-            self._log_admission(admitted.unwrap(), target)
+        decided = await self._admission.decide(target, key, access)
+        admitted = self._admitted(decided, arrived_s, deadline_ms)
+        self._log_decision(decided, admitted, target)
         return admitted
 
     async def submit(
@@ -160,32 +159,24 @@
             return reply.count
         return CallRefusal.UNAVAILABLE
 
-    def _check(
+    def _admitted(
         self,
-        target: CallTarget,
-        key: str,
-        deadline_ms: int | None,
+        decided: RecentDecision | None,
         arrived_s: float,
+        deadline_ms: int | None,
     ) -> Result[AdmittedCall, CallRefusal]:
-        """Check a call against the configuration in force."""
-        configuration = self._follower.current
-        if configuration is None:
+        if self._follower.current is None:
             return Failure(CallRefusal.NO_CONFIGURATION)
-        queue = target.find_queue(configuration)
-        if queue is None:
-            return Failure(CallRefusal.NO_SUCH_QUEUE)
-        team = configuration.team_of_key(key) if key else None
-        if team is None and not queue.is_public:
-            return Failure(CallRefusal.UNKNOWN_KEY)
+        if decided is None:
+            return Failure(CallRefusal.UNAVAILABLE)
+        decision = decided.decision
+        queue = decision.queue
+        if decision.refusal is not None or queue is None:
+            return Failure(decision.refusal or CallRefusal.NO_SUCH_QUEUE)
         limit_ms = min(deadline_ms or queue.timeout_ms, queue.timeout_ms)
         deadline_s = arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S
         return Success(
-            AdmittedCall(
-                queue,
-                team.team if team else TeamId(""),
-                deadline_s,
-                configuration.version,
-            )
+            AdmittedCall(queue, decision.team, deadline_s, decision.configuration)
         )
 
     async def _show(self, job: JobId) -> JobState | CallRefusal:
@@ -206,23 +197,29 @@
             return JobState.CANCELLED
         return stored.progress.state if stored.progress else JobState.QUEUED
 
-    def _log_admission(self, call: AdmittedCall, target: CallTarget) -> None:
-        log_message(
-            "currantstage:call-admitted",
-            asked=str(target),
-            configuration=call.configuration,
-            confirmed_ago_s=loggable_age_s(self._follower.confirmed_age_s()),
-        )
-
-    def _log_refusal(self, refusal: CallRefusal, target: CallTarget) -> None:
-        configuration = self._follower.current
-        log_message(
-            "currantstage:call-refused",
-            asked=str(target),
-            reason=refusal.value,
-            configuration=configuration.version if configuration else None,
-            confirmed_ago_s=loggable_age_s(self._follower.confirmed_age_s()),
-        )
+    def _log_decision(
+        self,
+        decided: RecentDecision | None,
+        admitted: Result[AdmittedCall, CallRefusal],
+        target: AnyTarget,
+    ) -> None:
+        """Log why a call was refused or allowed, and by how old a configuration."""
+        version = self._follower.current.version if self._follower.current else None
+        confirmed_ago_s = self._follower.confirmed_age_s()
+        if decided is not None:
+            version = decided.decision.configuration
+            confirmed_ago_s = self._clock.now_s() - decided.confirmed_s
+        fields = {
+            "asked": str(target),
+            "configuration": version,
+            "confirmed_ago_s": loggable_age_s(confirmed_ago_s),
+            "decided_by": decided.decided_by if decided else "",
+        }
+        if isinstance(admitted, Failure):
+            reason = admitted.failure().value
+            log_message("currantstage:call-refused", reason=reason, **fields)
+        else:
+            log_message("currantstage:call-admitted", **fields)
 
     def _count_call(
         self, kind: str, refusal: CallRefusal | None, started_s: float
@@ -252,13 +249,5 @@
             session.cancel(message.job)
 
 
-def _is_by_configuration(admitted: Result[AdmittedCall, CallRefusal]) -> bool:
-    """Return whether a call is refused for what the configuration doesn't have."""
-    return isinstance(admitted, Failure) and admitted.failure() in (
-        CallRefusal.NO_SUCH_QUEUE,
-        CallRefusal.UNKNOWN_KEY,
-    )
-
-
 def _outcome(refusal: CallRefusal | None) -> str:
     return refusal.value if refusal else "accepted"
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -42,13 +42,6 @@
 #: Pause between questions to peers, in seconds; all peers of a large fleet have been
 #: asked after a few.
 PEERS_INTERVAL_S = 0.5
-#: Age of a confirmation up to which calls are refused without another one, in seconds;
-#: well below the time in which operators expect a change to be in force.
-MAX_REFUSAL_AGE_S = 0.5
-#: Maximum time that a refusal waits for a confirmation, in seconds.
-CONFIRM_TIMEOUT_S = 1.0
-#: Time after which peers are asked as well, if the store has not confirmed, in seconds.
-CONFIRM_PATIENCE_S = 0.2
 
 _NO_VERSION = ConfigurationVersion(-1)
 
@@ -113,8 +106,9 @@
         self._confirmed = Notifier()
         self._checks = TaskSet()
         self._is_checking = False
-        # Whether the store has not answered in time; peers are then asked.
-        self._is_store_late = asyncio.Event()
+        self._newest_known = _NO_VERSION
+        # Whether the store has not answered in time, or peers know a newer version.
+        self._peers_needed = asyncio.Event()
         #: Polls since the start, for metrics.
         self.transfers = TransferCounts()
         self._tasks = (
@@ -143,23 +137,42 @@
         """Return the time since the store last confirmed the configuration in force."""
         return self._confirmation.age_s(self._clock.now_s())
 
-    async def confirm(self) -> bool:
-        """Check that the configuration in force is the newest; return whether it is.
+    @property
+    def confirmed_s(self) -> float:
+        """When the store last confirmed the configuration in force as the newest."""
+        return self._confirmation.confirmed_s
+
+    @property
+    def newest_known(self) -> ConfigurationVersion:
+        """The newest version that this daemon has heard of."""
+        return max(self._newest_known, self._version_in_force())
+
+    def is_outdated(self) -> bool:
+        """Return whether a newer version than the one in force is known to exist."""
+        return self._polls.is_arriving() or self.newest_known > self._version_in_force()
+
+    def note_version(self, version: ConfigurationVersion) -> None:
+        """Record that a peer has `version`, and read from peers if it is newer."""
+        self._newest_known = max(self._newest_known, version)
+        if self._newest_known > self._version_in_force():
+            self._peers_needed.set()
 
-        Takes `CONFIRM_TIMEOUT_S` at most. A newer configuration that is found comes
-        into force.
+    async def confirm(self, max_age_s: float, patience_s: float) -> None:
+        """Let the store confirm that the configuration in force is the newest.
+
+        Returns when a confirmation is at most `max_age_s` older than this call, or
+        after `patience_s`. A newer configuration that is found comes into force.
         """
         now_s = self._clock.now_s()
-        needed_s, until_s = now_s - MAX_REFUSAL_AGE_S, now_s + CONFIRM_TIMEOUT_S
+        needed_s, until_s = now_s - max_age_s, now_s + patience_s
         while not self._confirmation.is_as_of(needed_s):
-            left_s = until_s - self._clock.now_s()
-            if left_s <= 0:
-                return False
             if not self._is_checking and not self._polls.is_arriving():
                 self._is_checking = True
                 self._checks.spawn(self._check())
-            await self._confirmed.wait(min(left_s, CONFIRM_PATIENCE_S))
-        return True
+            left_s = until_s - self._clock.now_s()
+            if left_s <= 0:
+                return
+            await self._confirmed.wait(left_s)
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
@@ -187,17 +200,19 @@
             try:
                 answer = await self._polls.first()
             except StoreUnavailable as error:
-                self._is_store_late.set()
+                self._peers_needed.set()
                 self._log_unread(str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._is_store_late.clear()
             self._apply(answer)
+            if self.newest_known == self._version_in_force():
+                self._peers_needed.clear()
 
     async def _follow_peers(self) -> None:
         while True:
-            await self._is_store_late.wait()
-            await self._read_from_peers()
+            await self._peers_needed.wait()
+            if not self._polls.is_arriving():
+                await self._read_from_peers()
             await asyncio.sleep(PEERS_INTERVAL_S)
 
     async def _poll(self, wait_ms: int = CHANGES_WAIT_MS) -> _Answer:
@@ -229,25 +244,16 @@
             )
 
     async def _check(self) -> None:
-        """Ask the store at once, and peers if it doesn't answer at once."""
-        try:
-            await asyncio.gather(self._check_with_store(), self._check_with_peers())
-        finally:
-            self._is_checking = False
-
-    async def _check_with_store(self) -> None:
+        """Ask the store without waiting for changes."""
         try:
             self._apply(await self._poll(wait_ms=0))
         except StoreUnavailable as error:
             self._log_unread(str(error))
-
-    async def _check_with_peers(self) -> None:
-        is_confirmed = await self._confirmed.wait(CONFIRM_PATIENCE_S)
-        if not is_confirmed and not self._polls.is_arriving():
-            await self._read_from_peers()
+        finally:
+            self._is_checking = False
 
     def _on_late_poll(self) -> None:
-        self._is_store_late.set()
+        self._peers_needed.set()
         self._log_unread("no answer in time")
 
     def _log_unread(self, reason: str) -> None:
@@ -277,6 +283,7 @@
         answer = await self._peers.query(self._version_in_force())
         if answer is None:
             return
+        self.note_version(answer.version)
         configuration = self._source.decode(answer.raw) if answer.raw else None
         if configuration is not None:
             self._adopt(configuration, answer.raw, "peer")
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from currantstage.application.jobs._admission import DEFAULT_APPLY_S, CallAdmission
 from currantstage.application.jobs._calls import JobCallService
 from currantstage.application.jobs._configuration import ConfigurationFollower
 from currantstage.application.jobs._directory import PeerDirectory
 from currantstage.application.jobs._job_writer import JobWriter
 from currantstage.application.jobs._monitored_store import MonitoredStore
 from currantstage.application.jobs._ownership import LeaseOwnership
+from currantstage.application.jobs._peer_admission import PeerAdmission
 from currantstage.application.jobs._peer_configuration import PeerConfigurationSource
 from currantstage.application.jobs._peer_query_handler import PeerQueryHandler
 from currantstage.application.jobs._repository import JobRepository
@@ -39,6 +41,8 @@
     peers : PeerQueries
     tuning : SchedulerTuning
     random : random.Random
+    apply_s : float
+        Time in which a change of the configuration has to be in force, in seconds.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         peers: PeerQueries,
         tuning: SchedulerTuning,
         random: random.Random,
+        apply_s: float = DEFAULT_APPLY_S,
     ) -> None:
         health = StoreHealth()
         repository = JobRepository(MonitoredStore(store, health, ports.clock))
@@ -66,8 +71,17 @@
             self.directory, repository, self.follower, ports, tuning, health, random
         )
         self._writer = JobWriter(repository, self.directory, health, ports.clock)
+        admission = CallAdmission(
+            self.follower,
+            PeerAdmission(self.directory, self.follower, ports.clock),
+            health,
+            self._writer.is_isolated,
+            ports.clock,
+            apply_s,
+        )
         self.calls = JobCallService(
             self.follower,
+            admission,
             repository,
             self.directory,
             self.ownership,
@@ -78,7 +92,7 @@
             ports.metrics,
         )
         self.query_handler = PeerQueryHandler(
-            self.follower, self.directory, self.ownership, self._writer
+            self.follower, admission, self.directory, self.ownership, self._writer
         )
 
     def is_scheduler(self) -> bool:
--- a/currantstage/application/jobs/_daemon.py
+++ b/currantstage/application/jobs/_daemon.py
@@ -93,6 +93,7 @@
             self._peer_client,
             settings.scheduler,
             random,
+            settings.configuration.apply_ms / 1000,
         )
         self._metrics.observe_scheduler(self._core.is_scheduler)
 
--- a/currantstage/application/jobs/_peer_query_handler.py
+++ b/currantstage/application/jobs/_peer_query_handler.py
@@ -6,6 +6,7 @@
 
 from currantstage.protocol.jobs import (
     Acknowledged,
+    AdmissionQuery,
     ConfigurationQuery,
     ConfigurationReply,
     ConfigurationStatusQuery,
@@ -28,6 +29,7 @@
 )
 
 if TYPE_CHECKING:
+    from currantstage.application.jobs._admission import CallAdmission
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._directory import PeerDirectory
     from currantstage.application.jobs._job_writer import JobWriter
@@ -42,21 +44,23 @@
     def __init__(
         self,
         follower: ConfigurationFollower,
+        admission: CallAdmission,
         directory: PeerDirectory,
         ownership: LeaseOwnership,
         writer: JobWriter,
     ) -> None:
         self._follower = follower
+        self._admission = admission
         self._directory = directory
         self._ownership = ownership
         self._writer = writer
 
     async def handle(self, query: PeerQuery) -> PeerReply:
         """Return the reply to `query`."""
-        if isinstance(query, ConfigurationStatusQuery):
-            return self._follower.status()
-        if isinstance(query, ConfigurationQuery):
-            return ConfigurationReply(self._follower.newer_than(query.newer_than))
+        if isinstance(query, AdmissionQuery):
+            return await self._admission.decide_for_peer(query)
+        if isinstance(query, ConfigurationStatusQuery | ConfigurationQuery):
+            return self._handle_configuration_query(query)
         if isinstance(query, LeaseReleased):
             self._ownership.check_lease()
             return Acknowledged()
@@ -85,6 +89,13 @@
             return NotScheduler()
         return _handle_job_query(query, session)
 
+    def _handle_configuration_query(
+        self, query: ConfigurationStatusQuery | ConfigurationQuery
+    ) -> PeerReply:
+        if isinstance(query, ConfigurationStatusQuery):
+            return self._follower.status()
+        return ConfigurationReply(self._follower.newer_than(query.newer_than))
+
 
 def _handle_job_query(query: PeerQuery, session: SchedulerSession) -> PeerReply:
     assert session.scheduler is not None
--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -136,6 +136,12 @@
     cpu_speed: float = 1.0
 
 
+class ApplySettings(Struct, frozen=True, kw_only=True):
+    """Section ``configuration``: time in which a change has to be in force."""
+
+    apply_ms: int = 2000
+
+
 class JobSettings(Struct, frozen=True, kw_only=True, rename={"entry_vm": "entry-vm"}):
     """All settings of a daemon that schedules jobs on the platform's store."""
 
@@ -147,6 +153,7 @@
         default_factory=lambda: AddressSettings(address="127.0.0.1:1")
     )
     peers: SeedSettings = field(default_factory=SeedSettings)
+    configuration: ApplySettings = field(default_factory=ApplySettings)
     scheduler: SchedulerTuning = field(default_factory=SchedulerTuning)
     serving: ServingSettings = field(default_factory=ServingSettings)
 
--- a/currantstage/coordination/jobs/_confirmation.py
+++ b/currantstage/coordination/jobs/_confirmation.py
@@ -21,16 +21,17 @@
     """
 
     def __init__(self) -> None:
-        self._confirmed_s = float("-inf")
+        #: When the newest question was sent that has been answered.
+        self.confirmed_s = float("-inf")
 
     def confirm(self, asked_s: float) -> None:
         """Record an answer to a question that was sent at `asked_s`."""
-        self._confirmed_s = max(self._confirmed_s, asked_s)
+        self.confirmed_s = max(self.confirmed_s, asked_s)
 
     def is_as_of(self, time_s: float) -> bool:
         """Return whether the configuration was the newest one at `time_s` or later."""
-        return self._confirmed_s >= time_s
+        return self.confirmed_s >= time_s
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the last confirmation, infinite if there is none."""
-        return now_s - self._confirmed_s
+        return now_s - self.confirmed_s
--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -10,7 +10,12 @@
 from sanic import HTTPResponse
 
 from currantstage.platform._decoding import DecodingError, decode_job
-from currantstage.protocol.jobs import STATUS_OF_REFUSAL, CallRefusal, RoutedTarget
+from currantstage.protocol.jobs import (
+    STATUS_OF_REFUSAL,
+    CallAccess,
+    CallRefusal,
+    RoutedTarget,
+)
 from currantstage.state.jobs import JobId, is_job_id
 
 if TYPE_CHECKING:
@@ -68,6 +73,7 @@
         RoutedTarget(host, request.path),
         request.headers.get(KEY_HEADER, ""),
         _deadline_ms(request),
+        CallAccess.READ if request.method == "GET" else CallAccess.WRITE,
     )
     if isinstance(admitted, Failure):
         return _refusal_response(admitted.failure())
--- a/currantstage/protocol/jobs/__init__.py
+++ b/currantstage/protocol/jobs/__init__.py
@@ -4,6 +4,9 @@
 
 from currantstage.protocol.jobs._calls import (
     AdmittedCall,
+    AnyTarget,
+    CallAccess,
+    CallDecision,
     CallRefusal,
     CallTarget,
     JobBody,
@@ -32,6 +35,8 @@
 )
 from currantstage.protocol.jobs._peers import (
     Acknowledged,
+    AdmissionQuery,
+    AdmissionReply,
     ConfigurationQuery,
     ConfigurationReply,
     ConfigurationStatus,
@@ -70,7 +75,12 @@
 
 __all__ = [
     "Acknowledged",
+    "AdmissionQuery",
+    "AdmissionReply",
     "AdmittedCall",
+    "AnyTarget",
+    "CallAccess",
+    "CallDecision",
     "CallRefusal",
     "CallTarget",
     "ConfigurationQuery",
--- a/currantstage/protocol/jobs/_calls.py
+++ b/currantstage/protocol/jobs/_calls.py
@@ -8,18 +8,19 @@
 
 from msgspec import Struct
 
-from currantstage.state.jobs import JobState, Schedule, Step
+from currantstage.state import QueueId, TeamId
+from currantstage.state.jobs import (
+    ConfigurationVersion,
+    JobQueue,
+    JobState,
+    Schedule,
+    Step,
+)
 
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from currantstage.state import QueueId, TeamId
-    from currantstage.state.jobs import (
-        ConfigurationVersion,
-        FleetConfiguration,
-        JobId,
-        JobQueue,
-    )
+    from currantstage.state.jobs import FleetConfiguration, JobId
 
 
 class CallRefusal(Enum):
@@ -36,6 +37,13 @@
     IN_DOUBT = "in-doubt"
 
 
+class CallAccess(Enum):
+    """What a call does with the jobs of its queue."""
+
+    READ = "read"
+    WRITE = "write"
+
+
 class JobBody(Struct, frozen=True):
     """Body of a job submission."""
 
@@ -72,8 +80,7 @@
         """Return the queue, or None if the configuration has no such queue."""
 
 
-@dataclass(frozen=True, slots=True)
-class RoutedTarget:
+class RoutedTarget(Struct, frozen=True, tag="routed"):
     """The queue that requests to a host and path are routed to."""
 
     host: str
@@ -87,8 +94,7 @@
         return configuration.route(self.host, self.path)
 
 
-@dataclass(frozen=True, slots=True)
-class QueueTarget:
+class QueueTarget(Struct, frozen=True, tag="queue"):
     """The queue with a given id."""
 
     queue: QueueId
@@ -101,6 +107,30 @@
         return configuration.queue(self.queue)
 
 
+#: Targets that a message between daemons can carry.
+AnyTarget = RoutedTarget | QueueTarget
+
+
+class CallDecision(Struct, frozen=True, kw_only=True):
+    """What one version of the configuration says about a call.
+
+    Parameters
+    ----------
+    configuration : ConfigurationVersion
+    queue : JobQueue, optional
+        None if it has no such queue.
+    team : TeamId
+        Empty for a call without a known key.
+    refusal : CallRefusal, optional
+        None if the call is allowed.
+    """
+
+    configuration: ConfigurationVersion
+    queue: JobQueue | None = None
+    team: TeamId = TeamId("")
+    refusal: CallRefusal | None = None
+
+
 class JobService(Protocol):
     """Serves all calls about jobs; one implementation for all front ends."""
 
@@ -108,7 +138,11 @@
         """Return the delay, in seconds, before retrying a temporarily refused call."""
 
     async def admit(
-        self, target: CallTarget, key: str, deadline_ms: int | None
+        self,
+        target: AnyTarget,
+        key: str,
+        deadline_ms: int | None,
+        access: CallAccess = CallAccess.WRITE,
     ) -> Result[AdmittedCall, CallRefusal]:
         """Find a call's queue and check its key; the caller waits `deadline_ms`."""
 
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -10,6 +10,7 @@
 
 from currantstage.coordination.jobs import LeaseRow
 from currantstage.protocol._errors import DecodeError
+from currantstage.protocol.jobs._calls import AnyTarget, CallDecision
 from currantstage.state import QueueId
 from currantstage.state.jobs import (
     ConfigurationVersion,
@@ -83,6 +84,13 @@
     newer_than: ConfigurationVersion
 
 
+class AdmissionQuery(Struct, frozen=True, tag="admission"):
+    """Queries how the receiver's configuration decides on a call."""
+
+    target: AnyTarget
+    key: str
+
+
 class LeaseHolderQuery(Struct, frozen=True, tag="lease"):
     """Queries whether the receiver holds the scheduler's lease in a term."""
 
@@ -163,6 +171,22 @@
     value: bytes | None
 
 
+class AdmissionReply(Struct, frozen=True, kw_only=True, tag="admission-reply"):
+    """How the replying daemon's configuration decides on a call.
+
+    Parameters
+    ----------
+    decision : CallDecision, optional
+        None if it has no configuration.
+    confirmed_ago_s : float, optional
+        Time since the store last confirmed that configuration as the newest; None if it
+        never did.
+    """
+
+    decision: CallDecision | None
+    confirmed_ago_s: float | None
+
+
 PeerQuery = (
     JobAccepted
     | JobCancelled
@@ -173,6 +197,7 @@
     | WaitingQuery
     | ConfigurationStatusQuery
     | ConfigurationQuery
+    | AdmissionQuery
     | LeaseHolderQuery
     | LeaseRequest
     | LeaseOffer
@@ -187,6 +212,7 @@
     | WaitingReply
     | ConfigurationStatus
     | ConfigurationReply
+    | AdmissionReply
 )
 
 
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -7,10 +7,17 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from returns.result import Failure
 
 from currantstage.application.jobs import JobCore, JobMetrics, SchedulerPorts
 from currantstage.coordination.jobs import SchedulerCapacity, SchedulerTuning
-from currantstage.protocol.jobs import CallRefusal, JobBody, MemberRow, QueueTarget
+from currantstage.protocol.jobs import (
+    CallAccess,
+    CallRefusal,
+    JobBody,
+    MemberRow,
+    QueueTarget,
+)
 from currantstage.standin.jobs._advice import SimulatedAdvice
 from currantstage.standin.jobs._oracle import Oracle
 from currantstage.standin.jobs._store import SimulatedStore
@@ -246,6 +253,9 @@
         """Submit a job once, to one daemon; return why it was refused, if it was."""
         target = QueueTarget(QueueId(f"q-{POOLS[0]}"))
         call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
+        if isinstance(call, Failure):
+            refusal: CallRefusal = call.failure()
+            return refusal
         job = JobId("f" * 16)
         return await core.calls.submit(call.unwrap(), job, JobBody("work", steps))
 
@@ -260,6 +270,8 @@
             return False
         target = QueueTarget(self.oracle.submitted[job].queue)
         call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
+        if isinstance(call, Failure):
+            return False
         if await core.calls.cancel(call.unwrap(), job) is not None:
             return False
         self.oracle.cancelled_s[job] = _now_s()
@@ -269,7 +281,11 @@
         """Return a job's state as a caller sees it."""
         core = await self._pick_daemon()
         target = QueueTarget(self.oracle.submitted[job].queue)
-        call = await core.calls.admit(target, "key-east", CALL_DEADLINE_MS)
+        call = await core.calls.admit(
+            target, "key-east", CALL_DEADLINE_MS, CallAccess.READ
+        )
+        if isinstance(call, Failure):
+            return None
         state = await core.calls.show(call.unwrap(), job)
         return None if isinstance(state, CallRefusal) else state
 
@@ -287,6 +303,9 @@
         key = f"key-{submission.team}"
         target = QueueTarget(submission.queue)
         call = await core.calls.admit(target, key, CALL_DEADLINE_MS)
+        if isinstance(call, Failure):
+            refusal: CallRefusal = call.failure()
+            return refusal
         body = JobBody(submission.spec, submission.steps, submission.schedule)
         work = asyncio.ensure_future(
             core.calls.submit(call.unwrap(), submission.job, body)
--- a/currantstage/transport/_job_routes.py
+++ b/currantstage/transport/_job_routes.py
@@ -13,6 +13,7 @@
     JOB_PATH,
     QUEUE_PATH,
     STATUS_OF_REFUSAL,
+    CallAccess,
     CallRefusal,
     JobAnswer,
     QueueTarget,
@@ -56,7 +57,8 @@
     request: Request, queue: str, service: JobService
 ) -> Result[AdmittedCall, CallRefusal]:
     key = request.headers.get(JOB_KEY_HEADER, "")
-    return await service.admit(QueueTarget(QueueId(queue)), key, None)
+    access = CallAccess.READ if request.method == "GET" else CallAccess.WRITE
+    return await service.admit(QueueTarget(QueueId(queue)), key, None, access)
 
 
 async def _handle_job(
--- a/tests/cmd/test_job_commands.py
+++ b/tests/cmd/test_job_commands.py
@@ -13,6 +13,7 @@
 from currantstage.cmd import main
 from currantstage.protocol.jobs import (
     AdmittedCall,
+    CallAccess,
     CallRefusal,
     JobBody,
     QueueTarget,
@@ -50,7 +51,11 @@
         return 3
 
     async def admit(
-        self, target: CallTarget, key: str, deadline_ms: int | None
+        self,
+        target: CallTarget,
+        key: str,
+        deadline_ms: int | None,
+        access: CallAccess = CallAccess.WRITE,
     ) -> Result[AdmittedCall, CallRefusal]:
         if target != QueueTarget(QUEUE):
             return Failure(CallRefusal.NO_SUCH_QUEUE)
--- a/tests/jobs/test_admission_by_configuration.py
+++ b/tests/jobs/test_admission_by_configuration.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 from returns.result import Failure, Success
 
-from currantstage.protocol.jobs import CallRefusal, QueueTarget
+from currantstage.protocol.jobs import CallAccess, CallRefusal, QueueTarget
 from currantstage.standin.jobs import POOLS, SimulatedSite, build_configuration
 from currantstage.state import QueueId
 from currantstage.state.jobs import FleetConfiguration
@@ -77,3 +77,44 @@
         assert admitted.unwrap().configuration == 2
 
     run_scenario(scenario())
+
+
+def test_daemon_that_is_cut_off_still_serves_reads() -> None:
+    async def scenario() -> None:
+        site, name = await _start_with_missed_change(reaches_peers=False)
+        admitted = await site.daemons[name].calls.admit(
+            KEPT, "key-east", DEADLINE_MS, CallAccess.READ
+        )
+        assert isinstance(admitted, Success)
+
+    run_scenario(scenario())
+
+
+def test_older_version_decides_no_more_once_a_peer_has_shown_a_newer_one() -> None:
+    """A call allowed by a peer's version would be followed by one by the older own."""
+
+    async def scenario() -> None:
+        site, name = await _start_with_missed_change(reaches_peers=True)
+        calls = site.daemons[name].calls
+        await calls.admit(KEPT, "key-east", DEADLINE_MS)
+        site.silent_daemons = {name}
+        for access in CallAccess:
+            admitted = await calls.admit(REMOVED, "key-east", DEADLINE_MS, access)
+            assert admitted == Failure(CallRefusal.UNAVAILABLE)
+
+    run_scenario(scenario())
+
+
+def test_calls_at_a_site_in_order_are_decided_without_peers() -> None:
+    async def scenario() -> None:
+        site = await start_site(seed=1)
+        name, *others = site.daemons
+        site.silent_daemons = set(others)
+        for _ in range(30):
+            admitted = await site.daemons[name].calls.admit(
+                KEPT, "key-east", DEADLINE_MS
+            )
+            assert isinstance(admitted, Success)
+            await asyncio.sleep(0.11)
+
+    run_scenario(scenario())
--- a/tests/jobs/test_large_configuration.py
+++ b/tests/jobs/test_large_configuration.py
@@ -84,7 +84,7 @@
             questions = []
             for _ in range(50):
                 await asyncio.sleep(0.1)
-                questions.append(asyncio.create_task(follower.confirm()))
+                questions.append(asyncio.create_task(follower.confirm(0.5, 1.0)))
             assert _version(follower) == V2
             assert source.link.sent_bytes < source.size_bytes * 1.2
             await asyncio.gather(*questions)
--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -7,13 +7,11 @@
 from msgspec.structs import replace
 
 from currantstage.coordination.jobs import SchedulerCapacity, SchedulerTuning
-from currantstage.protocol.jobs import CallRefusal, JobBody, QueueTarget
+from currantstage.protocol.jobs import CallRefusal
 from currantstage.standin.jobs import POOLS, SimulatedSite, build_configuration
-from currantstage.state import QueueId
 from currantstage.state.jobs import (
     AdvicePolicy,
     ConfigurationVersion,
-    JobId,
     JobState,
     MaintenanceWave,
     WorkerId,
@@ -369,10 +367,7 @@
         await asyncio.sleep(5)
         assert site.daemons[isolated].is_isolated()
         started_s = asyncio.get_running_loop().time()
-        calls = site.daemons[isolated].calls
-        target = QueueTarget(QueueId("q-parcels"))
-        call = (await calls.admit(target, "key-east", 3000)).unwrap()
-        refusal = await calls.submit(call, JobId("a" * 16), JobBody("x", (step(1),)))
+        refusal = await site.submit_to(site.daemons[isolated], (step(1),))
         assert refusal is CallRefusal.UNAVAILABLE
         assert asyncio.get_running_loop().time() - started_s < 0.1
         site.store.unreachable_for = set()
