Read on after a full answer of a feed (changes missed for good)

What callers would see: an entry VM, or the scheduler, that never learns of some changes, though the store answers. Cause: an answer of the feed ends at 500 rows or 1 MB; its Ver was taken as the version up to which all changes were read, and whether there is more wasn't read.

Now a full answer is read on from its last row, until one isn't full. Answers with one large row (a configuration of more than 1 MB) cost one more call.

Evidence: test_changes_beyond_a_full_answer_are_not_missed failed before, with and without MorePages.

--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -40,6 +41,9 @@
 #: Maximum number of rows on one page of a read. Each page is a call of its own, with a
 #: timeout of its own.
 PAGE_ROWS = 200
+#: Number of rows and size at which the store may end an answer.
+MAX_ANSWER_ROWS = 500
+MAX_ANSWER_BYTES = 1_000_000
 #: Character that sorts after all characters used in keys.
 AFTER_ALL_KEYS = "~"
 #: Statuses of calls that can never succeed, as what they hold is wrong or too large, or
@@ -88,6 +92,12 @@
     removals: list[_Name] = field(name="Remove")
 
 
+@dataclass(frozen=True, slots=True)
+class _FeedAnswer:
+    page: RowPage
+    may_be_cut: bool
+
+
 class StoreClient:
     """Calls the store over HTTP; implements `PartitionedStore`.
 
@@ -162,7 +172,21 @@
         return next((each for each in rows if each.name == name), None)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
-        """Return the changes of `table`; None if that history is unavailable."""
+        """Return all changes of `table`; None if that history is unavailable."""
+        rows: list[StoredRow] = []
+        while True:
+            answer = await self._read_feed(table, after, wait_ms)
+            if answer is None:
+                return None
+            page = answer.page
+            rows.extend(page.rows)
+            if not answer.may_be_cut:
+                return RowPage(tuple(rows), page.version)
+            after, wait_ms = _continue_after(page), 0
+
+    async def _read_feed(
+        self, table: str, after: int, wait_ms: int
+    ) -> _FeedAnswer | None:
         query = {"Table": table, "After": str(after), "WaitMs": str(wait_ms)}
         reply = await self._call(
             "GET",
@@ -175,8 +199,9 @@
             return None
         _raise_for_failure(reply, is_write=False)
         assert isinstance(reply, HttpReply)
-        rows, version, _ = _decode(reply, _Rows)
-        return RowPage(rows, version)
+        rows, version, has_more = _decode(reply, _Rows)
+        is_full = len(rows) >= MAX_ANSWER_ROWS or len(reply.body) >= MAX_ANSWER_BYTES
+        return _FeedAnswer(RowPage(rows, version), may_be_cut=has_more or is_full)
 
     async def _call(
         self,
@@ -207,6 +232,23 @@
         return reply
 
 
+def _continue_after(page: RowPage) -> int:
+    """Return the version after which to read what a full answer left out.
+
+    The answer may end within a transaction, whose rows are then read once more.
+
+    >>> rows = [StoredRow(RowName("t", "", "k"), b"", each) for each in (3, 4, 4)]
+    >>> _continue_after(RowPage(tuple(rows), 9))
+    3
+    >>> _continue_after(RowPage(tuple(rows[1:]), 9))
+    4
+    """
+    if not page.rows:
+        return page.version
+    first, last = page.rows[0].version, page.rows[-1].version
+    return last - 1 if first < last else last
+
+
 def _encode_transaction(
     conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
 ) -> _Transaction:
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -435,3 +435,25 @@
             await asyncio.gather(*writes, return_exceptions=True)
 
     run_with_server(answer, use)
+
+
+@pytest.mark.parametrize("is_marked", [True, False])
+def test_changes_beyond_a_full_answer_are_not_missed(is_marked: bool) -> None:
+    """The version of a full answer was taken for that of all it had changed."""
+    stored = [{"Table": "op", "Key": f"{n:04}", "Ver": n} for n in range(1, 1202)]
+    newest = len(stored)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        changed = stored[int(request.query["After"]) :]
+        body = {"rows": changed[:500], "Ver": newest}
+        if is_marked:
+            body["MorePages"] = len(changed) > 500
+        return web.json_response(body)
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        page = await StoreClient(http, address).changes("op", 0, 0)
+        assert page is not None
+        assert {row.name.key for row in page.rows} == {row["Key"] for row in stored}
+        assert page.version == newest
+
+    run_with_server(answer, use)
