Don't count a configuration that can't be decoded as a confirmation

What callers would see: calls decided by the version before, for good, though operators have written another; nobody notices. Cause: an answer with a configuration that can't be decoded confirmed the one in force, and was read past.

Now it confirms nothing until one can be decoded, by which calls are refused with 503 rather than decided by a version that operators have replaced. The store accepts only valid configurations, so this is a fault on the way or of the decoder.

Evidence: test_configuration_that_cannot_be_decoded_does_not_confirm_the_one_ before (the follower could not be told before).

--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -39,6 +39,8 @@
 
 #: Pause after a failed read from the store, in seconds.
 RETRY_S = 0.25
+#: Pause before a configuration that can't be decoded is read again, in seconds.
+MALFORMED_RETRY_S = 5.0
 #: Pause between questions to peers, in seconds; all peers of a large fleet have been
 #: asked after a few.
 PEERS_INTERVAL_S = 0.5
@@ -107,6 +109,8 @@
         self._checks = TaskSet()
         self._is_checking = False
         self._newest_known = _NO_VERSION
+        # When a stored configuration that could not be decoded was read.
+        self._malformed_s: float | None = None
         # Whether the store has not answered in time, or peers know a newer version.
         self._peers_needed = asyncio.Event()
         #: Polls since the start, for metrics.
@@ -133,6 +137,11 @@
             confirmed_ago_s=loggable_age_s(self.confirmed_age_s()),
         )
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether the stored configuration could be decoded when it was last read."""
+        return self._malformed_s is None
+
     def confirmed_age_s(self) -> float:
         """Return the time since the store last confirmed the configuration in force."""
         return self._confirmation.age_s(self._clock.now_s())
@@ -149,7 +158,11 @@
 
     def is_outdated(self) -> bool:
         """Return whether a newer version than the one in force is known to exist."""
-        return self._polls.is_arriving() or self.newest_known > self._version_in_force()
+        return (
+            self._polls.is_arriving()
+            or self._malformed_s is not None
+            or self.newest_known > self._version_in_force()
+        )
 
     def note_version(self, version: ConfigurationVersion) -> None:
         """Record that a peer has `version`, and read from peers if it is newer."""
@@ -228,10 +241,16 @@
         return _Answer(asked_s, changes)
 
     async def _read(self, wait_ms: int) -> OperatorChanges | None:
-        if self._version is None:
+        if self._version is None or self._must_read_again():
             return await self._source.read()
         return await self._source.changes(self._version, wait_ms)
 
+    def _must_read_again(self) -> bool:
+        return (
+            self._malformed_s is not None
+            and self._clock.now_s() - self._malformed_s >= MALFORMED_RETRY_S
+        )
+
     def _count_abandoned(self, transfer: Transfer) -> None:
         self.transfers.abandoned += 1
         self.transfers.abandoned_bytes += transfer.received_bytes
@@ -277,7 +296,12 @@
             self._adopt(changes.configuration, changes.raw_configuration, "store")
         if changes.waves:
             self._notify_listeners()
-        self._confirm(answer.asked_s)
+        if changes.is_malformed:
+            self._malformed_s = self._clock.now_s()
+        elif changes.configuration is not None:
+            self._malformed_s = None
+        if self._malformed_s is None:
+            self._confirm(answer.asked_s)
 
     async def _read_from_peers(self) -> None:
         answer = await self._peers.query(self._version_in_force())
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -83,6 +83,9 @@
         def observe_age(_: CallbackOptions) -> Iterable[Observation]:
             yield Observation(follower.confirmed_age_s())
 
+        def observe_readable(_: CallbackOptions) -> Iterable[Observation]:
+            yield Observation(int(follower.is_readable))
+
         def observe_transfers(_: CallbackOptions) -> Iterable[Observation]:
             yield Observation(follower.transfers.answered, {"outcome": "answered"})
             yield Observation(follower.transfers.abandoned, {"outcome": "abandoned"})
@@ -92,6 +95,11 @@
             yield Observation(transfers.answered_bytes, {"outcome": "answered"})
             yield Observation(transfers.abandoned_bytes, {"outcome": "abandoned"})
 
+        self._registry.meter.create_observable_gauge(
+            "currantstage_configuration_readable",
+            [observe_readable],
+            description="Zero if the stored configuration can't be decoded.",
+        )
         self._registry.meter.create_observable_counter(
             "currantstage_configuration_reads",
             [observe_transfers],
--- a/currantstage/platform/_sources.py
+++ b/currantstage/platform/_sources.py
@@ -76,6 +76,7 @@
     def _decode_changes(self, page: RowPage) -> OperatorChanges:
         configuration = None
         raw = b""
+        is_malformed = False
         waves: list[MaintenanceWave] = []
         for row in page.rows:
             if row.value is None:
@@ -83,9 +84,12 @@
             if row.name.key == _CONFIGURATION_KEY:
                 configuration = self.decode(row.value)
                 raw = row.value if configuration else b""
+                is_malformed = configuration is None
             elif row.name.key.startswith(_WAVE_PREFIX):
                 waves.extend(_decode_wave_row(row))
-        return OperatorChanges(configuration, raw, tuple(waves), page.version)
+        return OperatorChanges(
+            configuration, raw, tuple(waves), page.version, is_malformed
+        )
 
 
 class WorkerRows:
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -201,7 +201,8 @@
         assert isinstance(reply, HttpReply)
         rows, version, has_more = _decode(reply, _Rows)
         is_full = len(rows) >= MAX_ANSWER_ROWS or len(reply.body) >= MAX_ANSWER_BYTES
-        return _FeedAnswer(RowPage(rows, version), may_be_cut=has_more or is_full)
+        may_be_cut = bool(rows) and (has_more or is_full)
+        return _FeedAnswer(RowPage(rows, version), may_be_cut)
 
     async def _call(
         self,
@@ -243,8 +244,6 @@
     >>> _continue_after(RowPage(tuple(rows[1:]), 9))
     4
     """
-    if not page.rows:
-        return page.version
     first, last = page.rows[0].version, page.rows[-1].version
     return last - 1 if first < last else last
 
--- a/currantstage/state/jobs/_sources.py
+++ b/currantstage/state/jobs/_sources.py
@@ -25,12 +25,15 @@
         New maintenance waves.
     version : int
         Version of the store that was read.
+    is_malformed : bool
+        Whether the configuration has changed, but can't be decoded.
     """
 
     configuration: FleetConfiguration | None
     raw_configuration: bytes
     waves: tuple[MaintenanceWave, ...]
     version: int
+    is_malformed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_configuration_follower.py
+++ b/tests/jobs/test_configuration_follower.py
@@ -8,7 +8,10 @@
 
 import msgspec
 
-from currantstage.application.jobs._configuration import ConfigurationFollower
+from currantstage.application.jobs._configuration import (
+    MALFORMED_RETRY_S,
+    ConfigurationFollower,
+)
 from currantstage.standin.jobs import SimulatedSite, build_configuration
 from currantstage.standin.jobs._virtual_loop import LoopClock
 from currantstage.state.jobs import (
@@ -39,6 +42,7 @@
         self.answers_from_s = 0.0
         self.answers_until_s = float("inf")
         self.errors: list[Exception] = []
+        self.is_malformed = False
         self._changed = asyncio.Event()
 
     def write(self, version: ConfigurationVersion) -> None:
@@ -73,6 +77,9 @@
             raise StoreUnavailable("timeout", is_in_doubt=False)
 
     def _changes(self) -> OperatorChanges:
+        if self.is_malformed:
+            version = int(self.configuration.version)
+            return OperatorChanges(None, b"", (), version, is_malformed=True)
         raw = msgspec.json.encode(self.configuration)
         return OperatorChanges(
             self.configuration, raw, (), int(self.configuration.version)
@@ -133,6 +140,27 @@
     run_scenario(scenario())
 
 
+def test_configuration_that_cannot_be_decoded_does_not_confirm_the_one_before() -> None:
+    """The version before it went on to count as the newest."""
+
+    async def scenario() -> None:
+        source = ScriptedSource()
+        async with _following(source) as follower:
+            source.is_malformed = True
+            source.write(V2)
+            await asyncio.sleep(APPLY_S)
+            malformed_s = _now_s()
+            await asyncio.sleep(2 * APPLY_S)
+            assert follower.confirmed_s < malformed_s
+            assert follower.is_outdated()
+            source.is_malformed = False
+            await asyncio.sleep(MALFORMED_RETRY_S)
+            assert _version(follower) == V2
+            assert follower.confirmed_s > malformed_s
+
+    run_scenario(scenario())
+
+
 def test_start_without_the_store_takes_the_newest_version_of_the_peers() -> None:
     async def scenario(seed: int) -> None:
         site = await start_site(seed)
