Time the silence of peers and of uploads as well (same cause elsewhere)

What callers would see: a daemon that the store turns away never gets a large configuration from its peers, and a large job never reaches the store or the scheduler from an entry VM with a slow link. Cause: a transfer from a peer was given up after 3 s in all and begun anew with the next one; a write to the store had 0.9 to 2.5 s, a job on its way to the scheduler 1.2 s, upload included.

Now each part of a reply that arrives, and each part of a body of more than 32 KiB that the link takes, restarts the timeout, in both HTTP clients, through read_body and upload_body.

--- a/currantstage/application/jobs/_peer_configuration.py
+++ b/currantstage/application/jobs/_peer_configuration.py
@@ -19,9 +19,9 @@
 
 #: Number of peers that are asked for their version at once.
 STATUS_SAMPLE_SIZE = 8
-#: Timeout of the transfer of a configuration, in seconds; a large one takes long over a
-#: slow link.
-TRANSFER_TIMEOUT_S = 3.0
+#: Time without progress after which the transfer of a configuration is given up, in
+#: seconds.
+TRANSFER_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -11,13 +11,12 @@
 import msgspec
 from msgspec import Struct
 
-from currantstage.transport import RenewableSession
+from currantstage.transport import RenewableSession, read_body, upload_body
 from currantstage.util import (
     LagTolerantTimeout,
     LoopLagMeter,
     UndecodableError,
     decode_json,
-    record_arrival,
 )
 
 if TYPE_CHECKING:
@@ -92,8 +91,9 @@
 class PlatformHttp:
     """Sends calls, each with a timeout; never retries.
 
-    The timeout is one of silence: an answer that keeps arriving is waited for, however
-    large it is. One that has arrived while the event loop was late is still returned.
+    The timeout is one of silence: a call that is still being sent, or whose answer
+    keeps arriving, is waited for, however large it is. An answer that has arrived while
+    the event loop was late is still returned.
     """
 
     def __init__(self) -> None:
@@ -127,22 +127,26 @@
         """Send one call; only `CallFailure.REFUSED` means that nothing was sent."""
         sessions = self._sessions[group]
         sent_headers = dict(headers or {})
-        data = None
+        encoded = b""
         if body is not None:
-            data = msgspec.json.encode(body)
+            encoded = msgspec.json.encode(body)
             sent_headers["Content-Type"] = "application/json"
+            sent_headers["Content-Length"] = str(len(encoded))
         sent_s = time.monotonic()
         async with sessions.lend() as session:
             try:
                 async with (
                     LagTolerantTimeout(self._lag_meter, timeout_s) as silence,
                     session.request(
-                        method, url, data=data, headers=sent_headers
+                        method,
+                        url,
+                        data=upload_body(encoded, silence.restart) or None,
+                        headers=sent_headers,
                     ) as response,
                 ):
                     waited_s = time.monotonic() - sent_s
-                    body = await _read_body(response, silence)
-                    return HttpReply(response.status, body, waited_s)
+                    reply_body = await read_body(response, silence.restart)
+                    return HttpReply(response.status, reply_body, waited_s)
             except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
                 return CallFailure.REFUSED
             except TimeoutError:
@@ -153,20 +157,6 @@
                 return CallFailure.BROKEN
 
 
-async def _read_body(
-    response: aiohttp.ClientResponse, silence: LagTolerantTimeout
-) -> bytes:
-    """Return the body; each part of it that arrives ends the silence."""
-    silence.restart()
-    record_arrival(0)
-    pieces = []
-    async for piece in response.content.iter_any():
-        silence.restart()
-        record_arrival(len(piece))
-        pieces.append(piece)
-    return b"".join(pieces)
-
-
 def _open_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0,
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -10,6 +10,7 @@
     BackendClient,
     ServerConnections,
 )
+from currantstage.transport._body_transfer import read_body, upload_body
 from currantstage.transport._errors import (
     ListenError,
     OperatorCallError,
@@ -104,4 +105,6 @@
     "add_service_level_routes",
     "json_response",
     "require_operator_key",
+    "read_body",
+    "upload_body",
 ]
--- a/currantstage/transport/_job_peers.py
+++ b/currantstage/transport/_job_peers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -21,6 +22,7 @@
     decode_peer_reply,
     encode_peer_message,
 )
+from currantstage.transport._body_transfer import read_body, upload_body
 from currantstage.transport._renewable_session import RenewableSession
 
 if TYPE_CHECKING:
@@ -67,17 +69,23 @@
     async def send_query(
         self, address: str, query: PeerQuery, timeout_s: float
     ) -> PeerReply | PeerFailure:
-        """Send a query; return the reply, or why there is none."""
+        """Send a query; return the reply, or why there is none.
+
+        `timeout_s` is the time without any progress after which the query is given up.
+        """
+        body = encode_peer_message(query)
         sessions = self._sessions_to(address)
         async with sessions.lend() as session:
             try:
-                async with (
-                    asyncio.timeout(timeout_s),
-                    session.post(
-                        f"http://{address}{PEER_PATH}", data=encode_peer_message(query)
-                    ) as response,
-                ):
-                    return decode_peer_reply(await response.read())
+                async with asyncio.timeout(timeout_s) as silence:
+                    on_progress = partial(_restart, silence, timeout_s)
+                    async with session.post(
+                        f"http://{address}{PEER_PATH}",
+                        data=upload_body(body, on_progress),
+                        headers={"Content-Length": str(len(body))},
+                    ) as response:
+                        reply = await read_body(response, on_progress)
+                return decode_peer_reply(reply)
             except aiohttp.ClientConnectorError:
                 return PeerFailure.REFUSED
             except TimeoutError:
@@ -93,6 +101,10 @@
         return self._sessions[address]
 
 
+def _restart(silence: asyncio.Timeout, timeout_s: float) -> None:
+    silence.reschedule(asyncio.get_running_loop().time() + timeout_s)
+
+
 def _open_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS_PER_PEER)
     return aiohttp.ClientSession(connector=connector)
