Divide the follower: reading what operators have written is a module of its own

No change of behaviour. ConfigurationFeed holds the version up to which changes have been read, and counts what arrives; ConfigurationFollower decides which version is in force and how far it is confirmed.

--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from eliot import log_message
@@ -14,6 +14,7 @@
     MAX_POLLS,
     POLL_PATIENCE_S,
 )
+from currantstage.application.jobs._configuration_feed import ConfigurationFeed
 from currantstage.coordination.jobs import Confirmation
 from currantstage.protocol.jobs import ConfigurationStatus
 from currantstage.state.jobs import (
@@ -27,20 +28,21 @@
     OverlappingCalls,
     SupervisedTask,
     TaskSet,
-    Transfer,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from currantstage.application.jobs._configuration_feed import (
+        FeedAnswer,
+        TransferCounts,
+    )
     from currantstage.application.jobs._peer_configuration import PeerConfiguration
     from currantstage.state import Clock
-    from currantstage.state.jobs import OperatorChanges, OperatorSource
+    from currantstage.state.jobs import OperatorSource
 
 #: Pause after a failed read from the store, in seconds.
 RETRY_S = 0.25
-#: Pause before a configuration that can't be decoded is read again, in seconds.
-MALFORMED_RETRY_S = 5.0
 #: Pause between questions to peers, in seconds; all peers of a large fleet have been
 #: asked after a few.
 PEERS_INTERVAL_S = 0.5
@@ -48,28 +50,6 @@
 _NO_VERSION = ConfigurationVersion(-1)
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """Answer of the store to a poll sent at `asked_s`.
-
-    The changes are None if the store no longer has the history that was asked for.
-    """
-
-    asked_s: float
-    changes: OperatorChanges | None
-
-
-@dataclass(slots=True)
-class TransferCounts:
-    """Polls of the configuration that have ended, and what has arrived for them."""
-
-    answered: int = 0
-    answered_bytes: int = 0
-    #: Polls without a complete answer, and what had arrived of it.
-    abandoned: int = 0
-    abandoned_bytes: int = 0
-
-
 class ConfigurationPeers(Protocol):
     """What other daemons know of the configuration."""
 
@@ -100,21 +80,20 @@
         self._current: FleetConfiguration | None = None
         self._raw = b""
         self._waves: dict[int, MaintenanceWave] = {}
-        self._version: int | None = None
         self._listeners: list[Callable[[], None]] = []
+        self._feed = ConfigurationFeed(source, clock)
         self._polls = OverlappingCalls(
-            self._poll, POLL_PATIENCE_S, MAX_POLLS, self._on_late_poll
+            partial(self._feed.poll, CHANGES_WAIT_MS),
+            POLL_PATIENCE_S,
+            MAX_POLLS,
+            self._on_late_poll,
         )
         self._confirmed = Notifier()
         self._checks = TaskSet()
         self._is_checking = False
         self._newest_known = _NO_VERSION
-        # When a stored configuration that could not be decoded was read.
-        self._malformed_s: float | None = None
         # Whether the store has not answered in time, or peers know a newer version.
         self._peers_needed = asyncio.Event()
-        #: Polls since the start, for metrics.
-        self.transfers = TransferCounts()
         self._tasks = (
             SupervisedTask("configuration", self._follow_store),
             SupervisedTask("configuration-peers", self._follow_peers),
@@ -140,7 +119,12 @@
     @property
     def is_readable(self) -> bool:
         """Whether the stored configuration could be decoded when it was last read."""
-        return self._malformed_s is None
+        return self._feed.is_readable
+
+    @property
+    def transfers(self) -> TransferCounts:
+        """Polls of the store since the start, and their size."""
+        return self._feed.transfers
 
     def confirmed_age_s(self) -> float:
         """Return the time since the store last confirmed the configuration in force."""
@@ -164,7 +148,7 @@
         """Return whether a newer version than the one in force is known to exist."""
         return (
             self._polls.is_arriving()
-            or self._malformed_s is not None
+            or not self._feed.is_readable
             or self.newest_known > self._version_in_force()
         )
 
@@ -232,44 +216,10 @@
                 await self._read_from_peers()
             await asyncio.sleep(PEERS_INTERVAL_S)
 
-    async def _poll(self, wait_ms: int = CHANGES_WAIT_MS) -> _Answer:
-        asked_s = self._clock.now_s()
-        transfer = Transfer()
-        try:
-            changes = await transfer.start(self._read(wait_ms))
-        except (StoreUnavailable, asyncio.CancelledError):
-            self._count_abandoned(transfer)
-            raise
-        self.transfers.answered += 1
-        self.transfers.answered_bytes += transfer.received_bytes
-        return _Answer(asked_s, changes)
-
-    async def _read(self, wait_ms: int) -> OperatorChanges | None:
-        if self._version is None or self._must_read_again():
-            return await self._source.read()
-        return await self._source.changes(self._version, wait_ms)
-
-    def _must_read_again(self) -> bool:
-        return (
-            self._malformed_s is not None
-            and self._clock.now_s() - self._malformed_s >= MALFORMED_RETRY_S
-        )
-
-    def _count_abandoned(self, transfer: Transfer) -> None:
-        self.transfers.abandoned += 1
-        self.transfers.abandoned_bytes += transfer.received_bytes
-        if transfer.received_bytes:
-            log_message(
-                "currantstage:configuration-transfer-abandoned",
-                received_bytes=transfer.received_bytes,
-                after_s=round(transfer.age_s(), 3),
-                version=self._current.version if self._current else None,
-            )
-
     async def _check(self) -> None:
         """Ask the store without waiting for changes."""
         try:
-            self._apply(await self._poll(wait_ms=0))
+            self._apply(await self._feed.poll(wait_ms=0))
         except StoreUnavailable as error:
             self._log_unread(str(error))
         finally:
@@ -287,24 +237,18 @@
             confirmed_ago_s=loggable_age_s(self.confirmed_age_s()),
         )
 
-    def _apply(self, answer: _Answer) -> None:
+    def _apply(self, answer: FeedAnswer) -> None:
+        self._feed.advance(answer)
         changes = answer.changes
         if changes is None:
-            self._version = None
             return
-        # A later poll may have been answered before.
-        self._version = max(self._version or 0, changes.version)
         for wave in changes.waves:
             self._waves[wave.number] = wave
         if changes.configuration is not None:
             self._adopt(changes.configuration, changes.raw_configuration, "store")
         if changes.waves:
             self._notify_listeners()
-        if changes.is_malformed:
-            self._malformed_s = self._clock.now_s()
-        elif changes.configuration is not None:
-            self._malformed_s = None
-        if self._malformed_s is None:
+        if self._feed.is_readable:
             self._confirm(answer.asked_s)
 
     async def _read_from_peers(self) -> None:
--- a/tests/jobs/test_configuration_follower.py
+++ b/tests/jobs/test_configuration_follower.py
@@ -8,10 +8,8 @@
 
 import msgspec
 
-from currantstage.application.jobs._configuration import (
-    MALFORMED_RETRY_S,
-    ConfigurationFollower,
-)
+from currantstage.application.jobs._configuration import ConfigurationFollower
+from currantstage.application.jobs._configuration_feed import MALFORMED_RETRY_S
 from currantstage.standin.jobs import SimulatedSite, build_configuration
 from currantstage.standin.jobs._virtual_loop import LoopClock
 from currantstage.state.jobs import (
