--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -83,6 +83,8 @@
         a later scheduler and must be counted only once.
     failed_on : frozenset of WorkerId
         Workers on which a run of the task has failed or stalled.
+    stall_count : int
+        Number of its runs that were stopped as stalled.
     crashes : dict of RunNumber to CrashRecord
         Runs whose worker crashed.
     trial_since_s : float
@@ -99,6 +101,7 @@
     failed_runs: frozenset[RunNumber] = frozenset()
     checkpoint: str = ""
     failed_on: frozenset[WorkerId] = frozenset()
+    stall_count: int = 0
     not_before_s: float = 0.0
     crashes: dict[RunNumber, CrashRecord] = field(default_factory=dict)
     trial_since_s: float = float("inf")
--- a/currantstage/coordination/jobs/_run_supervisor.py
+++ b/currantstage/coordination/jobs/_run_supervisor.py
@@ -17,6 +17,11 @@
 
 #: How long no task is placed on a worker whose run has stalled, in seconds.
 STALLED_PAUSE_S = 4.0
+#: Multiple of the estimated time for one percent that a run may take for it.
+ESTIMATE_MARGIN = 3.0
+#: Factor by which the time that a task may be without progress grows with each run that
+#: was stopped for it; estimates may be far off.
+STALL_BACKOFF = 2.0
 #: Maximum time without progress of a long-running task that starts up, in seconds.
 STARTUP_TIMEOUT_S = 4.0
 
@@ -45,11 +50,7 @@
         if run.phase is not RunPhase.RUNNING:
             return
         if not run.is_stopping and self._is_stalled(run):
-            run.task.failed_on |= {run.worker}
-            worker_state.blocked_until_s = max(
-                worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
-            )
-            self._lifecycle.stop(run)
+            self._stop_stalled(worker_state, run, now_s)
         retry_s = self._tuning.stop_retry_ms / 1000
         if run.is_stopping and now_s - run.stop_sent_s >= retry_s:
             run.stop_sent_s = now_s
@@ -82,4 +83,21 @@
             return False
         if run.step.is_long_running:
             return run.percent < 100 and run.idle_s > STARTUP_TIMEOUT_S
-        return run.idle_s > self._tuning.stall_ms / 1000
+        return run.idle_s > self._max_idle_s(run)
+
+    def _max_idle_s(self, run: Run) -> float:
+        """Return how long a run may stay on the same whole percent."""
+        percent_s = run.step.estimated_run_ms / 1000 / 100
+        backoff = STALL_BACKOFF**run.task.stall_count
+        return max(self._tuning.stall_ms / 1000, ESTIMATE_MARGIN * percent_s) * backoff
+
+    def _stop_stalled(self, worker_state: WorkerState, run: Run, now_s: float) -> None:
+        task = run.task
+        task.failed_on |= {run.worker}
+        if not task.stall_count:
+            # A task that stalls again is itself the more likely reason.
+            worker_state.blocked_until_s = max(
+                worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
+            )
+        task.stall_count += 1
+        self._lifecycle.stop(run)
