Confirm the configuration by one check for all calls, and before it is too old

What callers would see: longer answers, more messages and missed deadlines just when entry VMs or the store are slow: each call whose daemon's confirmation was too old asked up to nine peers, and then waited 0.6 s.

Now all calls share one check, of the store and, if it is late, of the scheduler and the next seven peers; a peer that has the same version confirms it. It is asked for 0.5 s before a confirmation is too old, without a wait. Only if a newer version is known to exist does a peer decide on single calls, on 16 at once at most.

--- a/currantstage/application/jobs/_admission.py
+++ b/currantstage/application/jobs/_admission.py
@@ -21,7 +21,6 @@
 
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._peer_admission import PeerAdmission
-    from currantstage.coordination.jobs import StoreHealth
     from currantstage.protocol.jobs import AnyTarget, CallTarget
     from currantstage.state import Clock
     from currantstage.state.jobs import FleetConfiguration
@@ -34,9 +33,13 @@
 HANDLING_MARGIN_S = 0.1
 #: Default of the time in which a change has to be in force, in seconds.
 DEFAULT_APPLY_S = 2.0
-#: Time that a call waits for the own confirmation before peers are asked, in seconds.
-CONFIRM_PATIENCE_S = 0.2
-#: Time that a call waits for the own confirmation after that, in seconds.
+#: Time before a confirmation is too old at which a call asks for the next one, in
+#: seconds.
+REFRESH_AHEAD_S = 0.5
+#: Time that a call waits until the own configuration is confirmed, in seconds; enough
+#: for a check that asks peers.
+CONFIRM_PATIENCE_S = 0.3
+#: Time that a call waits for that after all else has failed, in seconds.
 LAST_CONFIRM_PATIENCE_S = 0.6
 
 
@@ -62,7 +65,7 @@
 class CallAdmission:
     """Decides on calls by the own configuration or, if it may be outdated, a peer's.
 
-    A call on the platform's store needs a confirmed configuration, whether it is
+    A call that writes needs a confirmed configuration, whether it is
     refused or allowed. A read that nobody's configuration can decide on is allowed by
     the own one, so that a daemon that is cut off serves what it can.
 
@@ -70,7 +73,6 @@
     ----------
     follower : ConfigurationFollower
     peers : PeerAdmission
-    health : StoreHealth
     is_isolated : callable
         Returns whether neither the store nor the scheduler can be reached.
     clock : Clock
@@ -82,14 +84,12 @@
         self,
         follower: ConfigurationFollower,
         peers: PeerAdmission,
-        health: StoreHealth,
         is_isolated: Callable[[], bool],
         clock: Clock,
         apply_s: float = DEFAULT_APPLY_S,
     ) -> None:
         self._follower = follower
         self._peers = peers
-        self._health = health
         self._is_isolated = is_isolated
         self._clock = clock
         self._max_age_s = apply_s - HANDLING_MARGIN_S
@@ -105,12 +105,14 @@
         if own is None or self._is_recent(own):
             return own
         is_allowed = own.decision.refusal is None
-        if not is_allowed or not self._is_isolated():
+        if self._follower.is_outdated():
             by_peer = await self._peers.query(query, self._is_recent)
             if by_peer is not None:
                 return by_peer
         if is_allowed and access is CallAccess.READ:
             return None if self._follower.is_outdated() else own
+        if is_allowed and self._is_isolated():
+            return None
         own = await self._decide_by_own(query, LAST_CONFIRM_PATIENCE_S)
         return own if own is not None and self._is_recent(own) else None
 
@@ -129,10 +131,16 @@
     ) -> RecentDecision | None:
         """Return the own decision, confirmed if the store does so in time."""
         own = self._check(query)
-        if own is None or self._is_recent(own):
+        if own is None:
+            return None
+        if self._is_recent(own):
+            if (
+                self._clock.now_s() - own.confirmed_s
+                > self._max_age_s - REFRESH_AHEAD_S
+            ):
+                self._follower.start_check()
             return own
-        is_allowed = own.decision.refusal is None
-        if is_allowed and self._health.is_unavailable(self._clock.now_s()):
+        if own.decision.refusal is None and self._is_isolated():
             # What it allows can't be stored anyway.
             patience_s = 0.0
         await self._follower.confirm(self._max_age_for(own.decision), patience_s)
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -47,7 +47,12 @@
 #: asked after a few.
 PEERS_INTERVAL_S = 0.5
 
+#: Time after which a check asks peers as well, in seconds.
+CHECK_PATIENCE_S = 0.2
+
 _NO_VERSION = ConfigurationVersion(-1)
+#: Later than all versions, so that no peer has a configuration newer than it.
+_NEWEST_VERSION = ConfigurationVersion(2**63 - 1)
 
 
 class ConfigurationPeers(Protocol):
@@ -92,7 +97,7 @@
         self._checks = TaskSet()
         self._is_checking = False
         self._newest_known = _NO_VERSION
-        # Whether the store has not answered in time, or peers know a newer version.
+        # Set while the store has not answered in time, or peers know a newer version.
         self._peers_needed = asyncio.Event()
         self._tasks = (
             SupervisedTask("configuration", self._follow_store),
@@ -149,32 +154,38 @@
         return (
             self._polls.is_arriving()
             or not self._feed.is_readable
-            or self.newest_known > self._version_in_force()
+            or self._is_behind_peers()
         )
 
     def note_version(self, version: ConfigurationVersion) -> None:
         """Record that a peer has `version`, and read from peers if it is newer."""
         self._newest_known = max(self._newest_known, version)
-        if self._newest_known > self._version_in_force():
+        if self._is_behind_peers():
             self._peers_needed.set()
+            self._confirmed.notify_all()
 
     async def confirm(self, max_age_s: float, patience_s: float) -> None:
-        """Let the store confirm that the configuration in force is the newest.
+        """Let the store or a peer confirm that the configuration is the newest.
 
-        Returns when a confirmation is at most `max_age_s` older than this call, or
-        after `patience_s`. A newer configuration that is found comes into force.
+        Returns when a confirmation is at most `max_age_s` older than this call, when a
+        peer has shown a newer version, or after `patience_s`. A newer configuration
+        that the store has comes into force. All calls that wait share one check.
         """
         now_s = self._clock.now_s()
         needed_s, until_s = now_s - max_age_s, now_s + patience_s
         while not self._confirmation.is_as_of(needed_s):
-            if not self._is_checking and not self._polls.is_arriving():
-                self._is_checking = True
-                self._checks.spawn(self._check())
+            self.start_check()
             left_s = until_s - self._clock.now_s()
-            if left_s <= 0:
+            if left_s <= 0 or self._is_behind_peers():
                 return
             await self._confirmed.wait(left_s)
 
+    def start_check(self) -> None:
+        """Ask for a confirmation without waiting for it, unless one is on its way."""
+        if not self._is_checking and not self._polls.is_arriving():
+            self._is_checking = True
+            self._checks.spawn(self._check())
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
         self._listeners.append(listener)
@@ -206,7 +217,7 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             self._apply(answer)
-            if self.newest_known == self._version_in_force():
+            if not self._is_behind_peers():
                 self._peers_needed.clear()
 
     async def _follow_peers(self) -> None:
@@ -217,13 +228,25 @@
             await asyncio.sleep(PEERS_INTERVAL_S)
 
     async def _check(self) -> None:
-        """Ask the store without waiting for changes."""
+        """Ask the store without waiting for changes, and peers if it is late."""
+        try:
+            await asyncio.gather(self._check_with_store(), self._check_with_peers())
+        finally:
+            self._is_checking = False
+
+    async def _check_with_store(self) -> None:
         try:
             self._apply(await self._feed.poll(wait_ms=0))
         except StoreUnavailable as error:
             self._log_unread(str(error))
-        finally:
-            self._is_checking = False
+
+    async def _check_with_peers(self) -> None:
+        """Ask peers for their versions, without a transfer."""
+        if await self._confirmed.wait(CHECK_PATIENCE_S):
+            return
+        answer = await self._peers.query(_NEWEST_VERSION)
+        if answer is not None:
+            self._compare(answer)
 
     def _on_late_poll(self) -> None:
         self._peers_needed.set()
@@ -255,10 +278,14 @@
         answer = await self._peers.query(self._version_in_force())
         if answer is None:
             return
-        self.note_version(answer.version)
         configuration = self._source.decode(answer.raw) if answer.raw else None
         if configuration is not None:
             self._adopt(configuration, answer.raw, "peer")
+        self._compare(answer)
+
+    def _compare(self, answer: PeerConfiguration) -> None:
+        """Learn from what peers have whether the own version is the newest."""
+        self.note_version(answer.version)
         if self._version_in_force() >= answer.version:
             self._confirm(answer.confirmed_s)
 
@@ -266,6 +293,9 @@
         self._confirmation.confirm(asked_s)
         self._confirmed.notify_all()
 
+    def _is_behind_peers(self) -> bool:
+        return self._newest_known > self._version_in_force()
+
     def _version_in_force(self) -> ConfigurationVersion:
         return self._current.version if self._current else _NO_VERSION
 
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -74,7 +74,6 @@
         admission = CallAdmission(
             self.follower,
             PeerAdmission(self.directory, self.follower, ports.clock),
-            health,
             self._writer.is_isolated,
             ports.clock,
             apply_s,
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -134,15 +134,19 @@
     async def query_next_peers(
         self, query: PeerQuery, count: int
     ) -> dict[str, PeerReply | PeerFailure]:
-        """Return the replies of the next `count` peers, by address.
+        """Return the replies of the scheduler and the next peers, `count` in all.
 
-        All peers have been asked before one of them is asked again.
+        All peers have been asked before one but the scheduler is asked again.
         """
         known = self.peer_addresses()
         self._not_asked = [each for each in self._not_asked if each in known]
         if not self._not_asked:
             self._not_asked = self._random.sample(known, len(known))
-        addresses, self._not_asked = self._not_asked[:count], self._not_asked[count:]
+        addresses = [each for each in (self.scheduler_address,) if each in known]
+        others = [each for each in self._not_asked if each not in addresses]
+        left = count - len(addresses)
+        addresses += others[:left]
+        self._not_asked = others[left:]
         replies = await asyncio.gather(
             *(self.send_query(each, query) for each in addresses)
         )
--- a/currantstage/application/jobs/_peer_admission.py
+++ b/currantstage/application/jobs/_peer_admission.py
@@ -19,6 +19,8 @@
 
 #: Number of peers that are asked at once.
 SAMPLE_SIZE = 8
+#: Maximum number of calls whose decisions are asked for at once.
+MAX_QUERIES = 16
 #: Timeout of a question to the peer that answered the last one, in seconds.
 ADVISER_TIMEOUT_S = 0.3
 
@@ -44,11 +46,26 @@
         self._follower = follower
         self._clock = clock
         self._adviser = ""
+        self._queries = 0
 
     async def query(
         self, query: AdmissionQuery, is_recent: Callable[[RecentDecision], bool]
     ) -> RecentDecision | None:
-        """Return the newest decision of some peers that `is_recent`, if any."""
+        """Return the newest decision of some peers that `is_recent`, if any.
+
+        There is none if peers are asked about many other calls already.
+        """
+        if self._queries == MAX_QUERIES:
+            return None
+        self._queries += 1
+        try:
+            return await self._query_peers(query, is_recent)
+        finally:
+            self._queries -= 1
+
+    async def _query_peers(
+        self, query: AdmissionQuery, is_recent: Callable[[RecentDecision], bool]
+    ) -> RecentDecision | None:
         adviser = self._adviser or self._directory.scheduler_address
         if adviser:
             decided = await self._query_adviser(adviser, query)
