--- a/bench/configuration_link.py
+++ b/bench/configuration_link.py
@@ -11,6 +11,7 @@
 
 import click
 
+from bench.harness import listen
 from currantstage.application.jobs._configuration import ConfigurationFollower
 from currantstage.platform import OperatorRows, PlatformHttp, StoreClient
 from currantstage.util import MonotonicClock
@@ -57,9 +58,7 @@
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
 
     async def close(self) -> None:
         """Stop listening, and end all connections."""
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -17,7 +17,7 @@
 from currantstage.transport import OperatorCallError, OperatorClient
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 _SETTINGS = """
 [entry-vm]
@@ -157,3 +157,12 @@
         raise OperatorCallError(
             f"note not accepted: state {report.state.value}, faults {report.faults}"
         )
+
+
+async def listen(
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+) -> tuple[asyncio.Server, str]:
+    """Serve a free port of the loopback interface; return its ``IP:port`` too."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"{host}:{port}"
--- a/bench/scheduler_link.py
+++ b/bench/scheduler_link.py
@@ -12,6 +12,7 @@
 import click
 import msgspec
 
+from bench.harness import listen
 from currantstage.platform import PlatformHttp, StoreClient, WorkerClient
 from currantstage.platform._workers import format_task
 from currantstage.standin.jobs import POOLS, SimulatedSite, VirtualTimeLoop
@@ -115,9 +116,7 @@
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
 
     async def close(self) -> None:
         """Stop listening."""
--- a/currantstage/application/jobs/_admission.py
+++ b/currantstage/application/jobs/_admission.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from msgspec.structs import replace
-
 from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.protocol.jobs import (
     AdmissionQuery,
@@ -15,6 +13,7 @@
     CallDecision,
     CallRefusal,
 )
+from currantstage.state import TeamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,8 +30,6 @@
 #: Time for the handling of a call, by which an allowance must be younger than the time
 #: in which a change has to be in force, in seconds.
 HANDLING_MARGIN_S = 0.1
-#: Default of the time in which a change has to be in force, in seconds.
-DEFAULT_APPLY_S = 2.0
 #: Time before a confirmation is too old at which a call asks for the next one, in
 #: seconds.
 REFRESH_AHEAD_S = 0.5
@@ -65,9 +62,9 @@
 class CallAdmission:
     """Decides on calls by the own configuration or, if it may be outdated, a peer's.
 
-    A call that writes needs a confirmed configuration, whether it is
-    refused or allowed. A read that nobody's configuration can decide on is allowed by
-    the own one, so that a daemon that is cut off serves what it can.
+    A call that writes needs a confirmed configuration, both to be refused and to be
+    allowed. A read that nobody's configuration can decide on is allowed by the own one,
+    so that a daemon that is cut off serves what it can.
 
     Parameters
     ----------
@@ -86,7 +83,7 @@
         peers: PeerAdmission,
         is_isolated: Callable[[], bool],
         clock: Clock,
-        apply_s: float = DEFAULT_APPLY_S,
+        apply_s: float,
     ) -> None:
         self._follower = follower
         self._peers = peers
@@ -121,10 +118,8 @@
         own = await self._decide_by_own(query, CONFIRM_PATIENCE_S)
         if own is None:
             return AdmissionReply(decision=None, confirmed_ago_s=None)
-        age_s = self._clock.now_s() - own.confirmed_s
-        return AdmissionReply(
-            decision=own.decision, confirmed_ago_s=loggable_age_s(age_s)
-        )
+        confirmed_ago_s = loggable_age_s(self._age_s(own))
+        return AdmissionReply(decision=own.decision, confirmed_ago_s=confirmed_ago_s)
 
     async def _decide_by_own(
         self, query: AdmissionQuery, patience_s: float
@@ -134,10 +129,7 @@
         if own is None:
             return None
         if self._is_recent(own):
-            if (
-                self._clock.now_s() - own.confirmed_s
-                > self._max_age_s - REFRESH_AHEAD_S
-            ):
+            if self._age_s(own) > self._max_age_s - REFRESH_AHEAD_S:
                 self._follower.start_check()
             return own
         if own.decision.refusal is None and self._is_isolated():
@@ -157,8 +149,10 @@
         """Return whether a decision is from a configuration that still counts."""
         if decided.decision.configuration < self._follower.newest_known:
             return False
-        age_s = self._clock.now_s() - decided.confirmed_s
-        return age_s <= self._max_age_for(decided.decision)
+        return self._age_s(decided) <= self._max_age_for(decided.decision)
+
+    def _age_s(self, decided: RecentDecision) -> float:
+        return self._clock.now_s() - decided.confirmed_s
 
     def _max_age_for(self, decision: CallDecision) -> float:
         return self._max_age_s if decision.refusal is None else MAX_REFUSAL_AGE_S
@@ -175,7 +169,9 @@
         refusal = CallRefusal.NO_SUCH_QUEUE
     elif team is None and not queue.is_public:
         refusal = CallRefusal.UNKNOWN_KEY
-    decision = CallDecision(
-        configuration=configuration.version, queue=queue, refusal=refusal
+    return CallDecision(
+        configuration=configuration.version,
+        queue=queue,
+        team=team.team if team else TeamId(""),
+        refusal=refusal,
     )
-    return replace(decision, team=team.team) if team else decision
--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -152,9 +152,7 @@
     def is_outdated(self) -> bool:
         """Return whether a newer version than the one in force is known to exist."""
         return (
-            self._polls.is_arriving()
-            or not self._feed.is_readable
-            or self._is_behind_peers()
+            self.is_receiving() or not self._feed.is_readable or self._is_behind_peers()
         )
 
     def note_version(self, version: ConfigurationVersion) -> None:
@@ -182,7 +180,7 @@
 
     def start_check(self) -> None:
         """Ask for a confirmation without waiting for it, unless one is on its way."""
-        if not self._is_checking and not self._polls.is_arriving():
+        if not self._is_checking and not self.is_receiving():
             self._is_checking = True
             self._checks.spawn(self._check())
 
@@ -223,7 +221,7 @@
     async def _follow_peers(self) -> None:
         while True:
             await self._peers_needed.wait()
-            if not self._polls.is_arriving():
+            if not self.is_receiving():
                 await self._read_from_peers()
             await asyncio.sleep(PEERS_INTERVAL_S)
 
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.application.jobs._admission import DEFAULT_APPLY_S, CallAdmission
+from currantstage.application.jobs._admission import CallAdmission
 from currantstage.application.jobs._calls import JobCallService
 from currantstage.application.jobs._configuration import ConfigurationFollower
 from currantstage.application.jobs._directory import PeerDirectory
@@ -54,7 +54,7 @@
         peers: PeerQueries,
         tuning: SchedulerTuning,
         random: random.Random,
-        apply_s: float = DEFAULT_APPLY_S,
+        apply_s: float,
     ) -> None:
         health = StoreHealth()
         repository = JobRepository(MonitoredStore(store, health, ports.clock))
--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -12,9 +12,9 @@
 from currantstage.platform._decoding import DecodingError, decode_job
 from currantstage.protocol.jobs import (
     STATUS_OF_REFUSAL,
-    CallAccess,
     CallRefusal,
     RoutedTarget,
+    access_of_method,
 )
 from currantstage.state.jobs import JobId, is_job_id
 
@@ -73,7 +73,7 @@
         RoutedTarget(host, request.path),
         request.headers.get(KEY_HEADER, ""),
         _deadline_ms(request),
-        CallAccess.READ if request.method == "GET" else CallAccess.WRITE,
+        access_of_method(request.method),
     )
     if isinstance(admitted, Failure):
         return _refusal_response(admitted.failure())
--- a/currantstage/protocol/jobs/_interface.py
+++ b/currantstage/protocol/jobs/_interface.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from currantstage.protocol._errors import DecodeError
-from currantstage.protocol.jobs._calls import CallRefusal, JobBody
+from currantstage.protocol.jobs._calls import CallAccess, CallRefusal, JobBody
 from currantstage.protocol.jobs._job_check import check_job
 from currantstage.state.jobs import JobState
 from currantstage.util import UndecodableError, decode_json
@@ -49,6 +49,15 @@
     refusal: CallRefusal | None = None
 
 
+def access_of_method(method: str) -> CallAccess:
+    """Return what a call by an HTTP method does with jobs.
+
+    >>> access_of_method("GET")
+    <CallAccess.READ: 'read'>
+    """
+    return CallAccess.READ if method == "GET" else CallAccess.WRITE
+
+
 def decode_job_body(body: bytes) -> JobBody:
     """Decode the body of a submission; raises `DecodeError`.
 
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -20,12 +20,16 @@
 )
 from currantstage.standin.jobs._advice import SimulatedAdvice
 from currantstage.standin.jobs._oracle import Oracle
+from currantstage.standin.jobs._site_ports import (
+    SimulatedOperators,
+    SimulatedWorkerEntries,
+    SitePeers,
+)
 from currantstage.standin.jobs._store import SimulatedStore
 from currantstage.standin.jobs._virtual_loop import CURRENT_PROCESS, LoopClock
 from currantstage.standin.jobs._vms import SimulatedVms
 from currantstage.standin.jobs._workers import (
     CLOCK_RATES,
-    WORKERS_TABLE,
     SimulatedWorkers,
 )
 from currantstage.state import DataCentreId, EntryVmId, PoolId, QueueId, TeamId
@@ -39,28 +43,24 @@
     JobState,
     JobTeam,
     MaintenanceWave,
-    OperatorChanges,
     Resources,
     RowName,
     RowWrite,
     Step,
     Submission,
-    WorkerChanges,
     WorkerEntry,
     WorkerId,
 )
-from currantstage.transport import PeerFailure
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantstage.protocol.jobs import PeerQuery, PeerReply
-    from currantstage.standin.jobs._store import StoreConnection
-    from currantstage.state.jobs import RowPage
 
 POOLS = (PoolId("parcels"), PoolId("letters"))
 SPARE_POOL = PoolId("spare")
 VM_CAPACITY = Resources(8000, 16384, 0)
+#: Time in which a change of the configuration has to be in force, in seconds.
+APPLY_S = 2.0
 #: Timeout of callers, in milliseconds.
 CALL_DEADLINE_MS = 3000
 #: Attempts of a caller per call, and the pause between them in seconds.
@@ -172,8 +172,8 @@
         store = self.store.for_caller(name)
         clock = LoopClock()
         ports = SchedulerPorts(
-            workers=_WorkerSource(store),
-            operators=_OperatorSource(store),
+            workers=SimulatedWorkerEntries(store),
+            operators=SimulatedOperators(store),
             orders=self.workers.for_caller(name),
             vms=self.vms,
             advice=SimulatedAdvice(self.advised_workers),
@@ -186,8 +186,10 @@
             peer_address=name,
             capacity=self.capacities.get(name, DEFAULT_CAPACITY),
         )
-        peers = _Peers(self, name)
-        core = JobCore(own, seeds, store, ports, peers, self.tuning, self.random)
+        peers = SitePeers(self, name)
+        core = JobCore(
+            own, seeds, store, ports, peers, self.tuning, self.random, APPLY_S
+        )
         self.daemons[name] = core
         await core.follower.start()
         await core.directory.start()
@@ -337,93 +339,5 @@
         self.vms.add(f"m-{pool}-{number}", entry, has_worker=pool != SPARE_POOL)
 
 
-class _Peers:
-    """Implements `PeerQueries` between the daemons of a site."""
-
-    def __init__(self, site: SimulatedSite, caller: str) -> None:
-        self._site = site
-        self._caller = caller
-
-    async def send_query(
-        self, address: str, query: PeerQuery, timeout_s: float
-    ) -> PeerReply | PeerFailure:
-        """Return a peer's reply, or the reason why there is none."""
-        await asyncio.sleep(0.0005)
-        if {address, self._caller} & self._site.resetting_daemons:
-            return PeerFailure.REFUSED
-        if {address, self._caller} & self._site.silent_daemons:
-            await asyncio.sleep(timeout_s)
-            return PeerFailure.NO_REPLY
-        core = self._site.daemons.get(address)
-        if core is None:
-            return PeerFailure.REFUSED
-        return await core.query_handler.handle(query)
-
-
-class _OperatorSource:
-    """Implements `OperatorSource` on the simulated store."""
-
-    def __init__(self, store: StoreConnection) -> None:
-        self._store = store
-
-    async def read(self) -> OperatorChanges:
-        """Return the configuration and the waves in force."""
-        return self._to_operator_changes(await self._store.read("op", ""))
-
-    async def changes(self, after: int, wait_ms: int) -> OperatorChanges | None:
-        """Return changes after version `after`; None if the history was compacted."""
-        page = await self._store.changes("op", after, wait_ms)
-        return self._to_operator_changes(page) if page else None
-
-    def decode(self, raw_configuration: bytes) -> FleetConfiguration | None:
-        """Decode a configuration that a peer has forwarded."""
-        return msgspec.json.decode(raw_configuration, type=FleetConfiguration)
-
-    async def write_wave_state(self, wave: int, *, is_completed: bool) -> None:
-        """Write the state of a wave for operators to read."""
-        name = RowName("status", "", f"wave/{wave}")
-        value = b"completed" if is_completed else b"running"
-        await self._store.transact((), (RowWrite(name, value),))
-
-    def _to_operator_changes(self, page: RowPage) -> OperatorChanges:
-        configuration = None
-        raw = b""
-        waves = []
-        for row in page.rows:
-            value = row.value or b""
-            if row.name.key == "config":
-                configuration = self.decode(value)
-                raw = value
-            else:
-                waves.append(msgspec.json.decode(value, type=MaintenanceWave))
-        return OperatorChanges(configuration, raw, tuple(waves), page.version)
-
-
-class _WorkerSource:
-    """Implements `WorkerSource` on the simulated store."""
-
-    def __init__(self, store: StoreConnection) -> None:
-        self._store = store
-
-    async def read(self) -> WorkerChanges:
-        """Return all entries."""
-        return _worker_changes(await self._store.read(WORKERS_TABLE, ""))
-
-    async def changes(self, after: int, wait_ms: int) -> WorkerChanges | None:
-        """Return changes after version `after`; None if the history was compacted."""
-        page = await self._store.changes(WORKERS_TABLE, after, wait_ms)
-        return _worker_changes(page) if page else None
-
-
-def _worker_changes(page: RowPage) -> WorkerChanges:
-    entries = [
-        msgspec.json.decode(row.value, type=WorkerEntry)
-        for row in page.rows
-        if row.value is not None
-    ]
-    removed = [WorkerId(row.name.key) for row in page.rows if row.value is None]
-    return WorkerChanges(tuple(entries), tuple(removed), page.version)
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/currantstage/transport/_job_routes.py
+++ b/currantstage/transport/_job_routes.py
@@ -13,10 +13,10 @@
     JOB_PATH,
     QUEUE_PATH,
     STATUS_OF_REFUSAL,
-    CallAccess,
     CallRefusal,
     JobAnswer,
     QueueTarget,
+    access_of_method,
     decode_job_body,
     encode_answer,
 )
@@ -57,7 +57,7 @@
     request: Request, queue: str, service: JobService
 ) -> Result[AdmittedCall, CallRefusal]:
     key = request.headers.get(JOB_KEY_HEADER, "")
-    access = CallAccess.READ if request.method == "GET" else CallAccess.WRITE
+    access = access_of_method(request.method)
     return await service.admit(QueueTarget(QueueId(queue)), key, None, access)
 
 
--- a/tests/jobs/test_configuration_follower.py
+++ b/tests/jobs/test_configuration_follower.py
@@ -3,123 +3,40 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from currantstage.application.jobs._configuration import ConfigurationFollower
 from currantstage.application.jobs._configuration_feed import MALFORMED_RETRY_S
 from currantstage.standin.jobs import SimulatedSite, build_configuration
-from currantstage.standin.jobs._virtual_loop import LoopClock
 from currantstage.state.jobs import (
     ConfigurationVersion,
-    FleetConfiguration,
-    OperatorChanges,
-    StoreUnavailable,
+)
+from tests.jobs.scripted_source import (
+    ScriptedSource,
+    following,
+    now_s,
+    version_in_force,
 )
 from tests.jobs.site import run_scenario, start_site
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    pass
 
 #: Time after which an operator's change must be in force on a reachable daemon.
 APPLY_S = 2.0
 #: The same while the store turns a daemon away that reaches its peers.
 APPLY_BY_PEERS_S = 7.0
-#: Time after which the store's client gives up a read of changes.
-CLIENT_TIMEOUT_S = 3.5
 V1, V2, V3 = (ConfigurationVersion(number) for number in (1, 2, 3))
 
 
-class ScriptedSource:
-    """Implements `OperatorSource`; loses what is sent before `answers_from_s`."""
-
-    def __init__(self) -> None:
-        self.configuration = build_configuration(1)
-        self.answers_from_s = 0.0
-        self.answers_until_s = float("inf")
-        self.errors: list[Exception] = []
-        self.is_malformed = False
-        self._changed = asyncio.Event()
-
-    def write(self, version: ConfigurationVersion) -> None:
-        self.configuration = build_configuration(version)
-        self._changed.set()
-
-    async def read(self) -> OperatorChanges:
-        await self._reach()
-        return self._changes()
-
-    async def changes(self, after: int, wait_ms: int) -> OperatorChanges | None:
-        await self._reach()
-        if self.errors:
-            raise self.errors.pop()
-        if self.configuration.version <= after:
-            self._changed.clear()
-            try:
-                await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
-            except TimeoutError:
-                return OperatorChanges(None, b"", (), after)
-        return self._changes()
-
-    def decode(self, raw_configuration: bytes) -> FleetConfiguration | None:
-        return msgspec.json.decode(raw_configuration, type=FleetConfiguration)
-
-    async def write_wave_state(self, wave: int, *, is_completed: bool) -> None:
-        raise NotImplementedError
-
-    async def _reach(self) -> None:
-        if not self.answers_from_s <= _now_s() < self.answers_until_s:
-            await asyncio.sleep(CLIENT_TIMEOUT_S)
-            raise StoreUnavailable("timeout", is_in_doubt=False)
-
-    def _changes(self) -> OperatorChanges:
-        if self.is_malformed:
-            version = int(self.configuration.version)
-            return OperatorChanges(None, b"", (), version, is_malformed=True)
-        raw = msgspec.json.encode(self.configuration)
-        return OperatorChanges(
-            self.configuration, raw, (), int(self.configuration.version)
-        )
-
-
-class NoPeers:
-    """Peers that know nothing."""
-
-    async def query(self, newer_than: ConfigurationVersion) -> None:
-        return None
-
-
-@asynccontextmanager
-async def _following(source: ScriptedSource) -> AsyncIterator[ConfigurationFollower]:
-    follower = ConfigurationFollower(source, NoPeers(), LoopClock())
-    await follower.start()
-    try:
-        await asyncio.sleep(0.5)
-        yield follower
-    finally:
-        await follower.close()
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _version(follower: ConfigurationFollower) -> ConfigurationVersion:
-    assert follower.current is not None
-    return follower.current.version
-
-
 def test_poll_lost_just_before_the_store_is_back_does_not_delay_a_change() -> None:
     async def scenario() -> None:
         source = ScriptedSource()
-        async with _following(source) as follower:
-            source.answers_from_s = _now_s() + 1.0
+        async with following(source) as follower:
+            source.answers_from_s = now_s() + 1.0
             await asyncio.sleep(0.9)
             source.write(V2)
             await asyncio.sleep(APPLY_S)
-            assert _version(follower) == V2
+            assert version_in_force(follower) == V2
 
     run_scenario(scenario())
 
@@ -127,13 +44,13 @@
 def test_unexpected_exception_does_not_end_the_following_of_changes() -> None:
     async def scenario() -> None:
         source = ScriptedSource()
-        async with _following(source) as follower:
+        async with following(source) as follower:
             source.errors.append(RuntimeError("the handler is closed"))
             await asyncio.sleep(3)
             assert not source.errors
             source.write(V2)
             await asyncio.sleep(APPLY_S)
-            assert _version(follower) == V2
+            assert version_in_force(follower) == V2
 
     run_scenario(scenario())
 
@@ -143,17 +60,17 @@
 
     async def scenario() -> None:
         source = ScriptedSource()
-        async with _following(source) as follower:
+        async with following(source) as follower:
             source.is_malformed = True
             source.write(V2)
             await asyncio.sleep(APPLY_S)
-            malformed_s = _now_s()
+            malformed_s = now_s()
             await asyncio.sleep(2 * APPLY_S)
             assert follower.confirmed_s < malformed_s
             assert follower.is_outdated()
             source.is_malformed = False
             await asyncio.sleep(MALFORMED_RETRY_S)
-            assert _version(follower) == V2
+            assert version_in_force(follower) == V2
             assert follower.confirmed_s > malformed_s
 
     run_scenario(scenario())
@@ -172,7 +89,7 @@
         follower = site.daemons["late"].follower
         while follower.current is None:
             await asyncio.sleep(0.001)
-        assert _version(follower) == V2
+        assert version_in_force(follower) == V2
 
     for seed in range(6):
         run_scenario(scenario(seed))
@@ -192,7 +109,7 @@
                 await core.follower.close()
         site.configure(build_configuration(V2))
         await asyncio.sleep(APPLY_BY_PEERS_S)
-        assert _version(site.daemons[asking].follower) == V2
+        assert version_in_force(site.daemons[asking].follower) == V2
 
     for seed in range(4):
         run_scenario(scenario(seed))
--- a/tests/jobs/test_large_configuration.py
+++ b/tests/jobs/test_large_configuration.py
@@ -3,23 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
 from aiohttp import web
 
-from currantstage.application.jobs._configuration import ConfigurationFollower
 from currantstage.platform import PlatformHttp, StoreClient, _store
-from currantstage.standin.jobs._virtual_loop import LoopClock
 from currantstage.state.jobs import ConfigurationVersion, OperatorChanges
 from tests.jobs.platform_server import run_with_server
+from tests.jobs.scripted_source import ScriptedSource, following, version_in_force
 from tests.jobs.shared_link import SharedLink
 from tests.jobs.site import run_scenario
-from tests.jobs.test_configuration_follower import NoPeers, ScriptedSource
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    pass
 
 
 LINK_BYTES_PER_S = 125_000
@@ -41,22 +38,6 @@
         return changes
 
 
-@asynccontextmanager
-async def _following(source: LinkedSource) -> AsyncIterator[ConfigurationFollower]:
-    follower = ConfigurationFollower(source, NoPeers(), LoopClock())
-    await follower.start()
-    try:
-        await asyncio.sleep(0.5)
-        yield follower
-    finally:
-        await follower.close()
-
-
-def _version(follower: ConfigurationFollower) -> ConfigurationVersion:
-    assert follower.current is not None
-    return follower.current.version
-
-
 @pytest.mark.parametrize("transfer_s", [0.5, 2.0, 5.0, 10.0])
 def test_change_that_takes_long_to_arrive_is_transferred_once(
     transfer_s: float,
@@ -65,10 +46,10 @@
 
     async def scenario() -> None:
         source = LinkedSource(transfer_s)
-        async with _following(source) as follower:
+        async with following(source) as follower:
             source.write(V2)
             await asyncio.sleep(transfer_s * 1.2)
-            assert _version(follower) == V2
+            assert version_in_force(follower) == V2
             assert source.link.sent_bytes < source.size_bytes * 1.2
 
     run_scenario(scenario())
@@ -79,13 +60,13 @@
 
     async def scenario() -> None:
         source = LinkedSource(transfer_s=4.0)
-        async with _following(source) as follower:
+        async with following(source) as follower:
             source.write(V2)
             questions = []
             for _ in range(50):
                 await asyncio.sleep(0.1)
                 questions.append(asyncio.create_task(follower.confirm(0.5, 1.0)))
-            assert _version(follower) == V2
+            assert version_in_force(follower) == V2
             assert source.link.sent_bytes < source.size_bytes * 1.2
             await asyncio.gather(*questions)
 
@@ -95,12 +76,12 @@
 def test_changes_in_quick_succession_come_into_force_one_transfer_late() -> None:
     async def scenario() -> None:
         source = LinkedSource(transfer_s=2.0)
-        async with _following(source) as follower:
+        async with following(source) as follower:
             for number in range(2, 20):
                 source.write(ConfigurationVersion(number))
                 await asyncio.sleep(0.3)
             await asyncio.sleep(2 * 2.0)
-            assert _version(follower) == 19
+            assert version_in_force(follower) == 19
 
     run_scenario(scenario())
 
--- a/tests/transport/test_body_transfer.py
+++ b/tests/transport/test_body_transfer.py
@@ -8,8 +8,10 @@
 from aiohttp import web
 
 from currantstage.protocol.jobs import (
+    AdmissionQuery,
     ConfigurationQuery,
     ConfigurationReply,
+    QueueTarget,
     StoreJob,
     decode_peer_query,
     encode_peer_message,
@@ -76,6 +78,14 @@
     assert _query_peer(QUERY, answer) is PeerFailure.NO_REPLY
 
 
+def test_peer_of_an_older_release_that_does_not_know_a_query_counts_as_silent() -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.Response(status=400)
+
+    query = AdmissionQuery(QueueTarget(QueueId("q")), "key")
+    assert _query_peer(query, answer) is PeerFailure.NO_REPLY
+
+
 def test_large_body_arrives_whole_with_its_length() -> None:
     submission = Submission(
         job=JobId("0" * 16),
