Don't hold a start that may never have run against its task twice (LOST)

Cause: a run that was lost with its worker counted as a crash alone (weight 2) also while its start was in doubt, so that one real crash reached the weight from which a task is given up. Class: evidence counted without knowing that there was anything to see.

Stored with the progress; older records count as started.

Ruled out: not counting doubtful starts at all, as a task that crashes its worker before the answer would then be started for ever (second test).

Before: test_start_that_may_never_have_run_and_one_crash_dont_fail_a_job failed with one, two and three unanswered starts, the test of five crashes too. After: passed.

--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -35,8 +35,12 @@
 DEFAULT_MAX_ATTEMPTS = 3
 #: Weight of the crashes under a task from which on it is tried alone on a worker.
 TRIAL_WEIGHT = 2
-#: Weight of the crashes under a task from which on it is not started any more.
+#: Weight of the crashes under a task from which on it is not started any more, if at
+#: least `MIN_CERTAIN_CRASHES` were under a run that had certainly started.
 GIVE_UP_WEIGHT = 4
+MIN_CERTAIN_CRASHES = 2
+#: Number of crashes after which a task is not started any more in any case.
+MAX_CRASHES = 5
 #: Number of waiting tasks that a step offers before it looks for more of them.
 WAITING_CHUNK = 64
 
@@ -122,6 +126,14 @@
         """Evidence that the task crashes workers; alone with it, one counts twice."""
         return sum(2 if each.was_alone else 1 for each in self.crashes.values())
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the crashes are enough evidence that it crashes its workers."""
+        certain = sum(not each.may_not_have_run for each in self.crashes.values())
+        if certain >= MIN_CERTAIN_CRASHES and self.crash_weight >= GIVE_UP_WEIGHT:
+            return True
+        return len(self.crashes) >= MAX_CRASHES
+
     @property
     def needs_trial(self) -> bool:
         """Whether the task is to be started on a worker without other runs."""
--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -111,6 +111,11 @@
         """How long its worker has listed it without progress, on the worker's clock."""
         return (self.listed_clock_ms - self.progressed_clock_ms) / 1000
 
+    @property
+    def has_started(self) -> bool:
+        """Whether its worker has accepted its start or listed it."""
+        return self.is_listed or self.accepted_s < float("inf")
+
     @property
     def is_settled_in(self) -> bool:
         """Whether it is long-running and at work, so that it crashes no worker."""
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import (
-    GIVE_UP_WEIGHT,
     FailureReason,
     JobFailure,
 )
@@ -151,7 +150,7 @@
 
     def _failure_reason(self, task: TaskRecord) -> FailureReason | None:
         """Return why a task must not be started again; None if it may be."""
-        if task.crash_weight >= GIVE_UP_WEIGHT:
+        if task.is_given_up:
             return FailureReason.CRASHES
         max_attempts = self._max_attempts(task.step.job)
         if self._jobs.is_out_of_attempts(task, max_attempts):
@@ -162,8 +161,9 @@
         """Hold a crash against the task of a run that was lost with its worker."""
         if loss.is_crash and not run.is_settled_in:
             is_certain = run.is_trial or loss.cause is LossCause.WORKER_ENDED
-            was_alone = is_certain and not loss.companions
-            self._jobs.count_crash(run.task, CrashRecord(run.number, was_alone))
+            was_alone = is_certain and not loss.companions and run.has_started
+            crash = CrashRecord(run.number, was_alone, not run.has_started)
+            self._jobs.count_crash(run.task, crash)
 
     def _end_suspicion(self, run: Run) -> None:
         """Clear a long-running task that is at work, and open its worker to others."""
--- a/currantstage/state/jobs/_progress.py
+++ b/currantstage/state/jobs/_progress.py
@@ -35,10 +35,13 @@
     run : RunNumber
     was_alone : bool
         Whether no other run can have caused the crash.
+    may_not_have_run : bool
+        Whether the worker may have crashed before the start reached it.
     """
 
     run: RunNumber
     was_alone: bool = False
+    may_not_have_run: bool = False
 
 
 class TaskProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/jobs/test_crash_evidence.py
+++ b/tests/jobs/test_crash_evidence.py
@@ -51,7 +51,7 @@
         assert record is not None
         return record.state
 
-    def place(self) -> list[Run]:
+    def place(self, outcome: OrderOutcome = OrderOutcome.ACCEPTED) -> list[Run]:
         """Place, store and start what can be; return the runs."""
         self.scheduler.place(self.now_s, self.now_s * 1000)
         batch = self.scheduler.take_batch()
@@ -60,7 +60,7 @@
         started = self.scheduler.on_batch_stored(batch)
         for run in started:
             assert self.scheduler.start_order(run, self.now_s) is not None
-            self.scheduler.on_start_outcome(run, OrderOutcome.ACCEPTED, self.now_s)
+            self.scheduler.on_start_outcome(run, outcome, self.now_s)
         return started
 
     def renew(
@@ -120,6 +120,29 @@
     assert fleet.place() == []
 
 
+@pytest.mark.parametrize("unanswered_starts", [1, 2, 3])
+def test_start_that_may_never_have_run_and_one_crash_dont_fail_a_job(
+    unanswered_starts: int,
+) -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=3)
+    for _ in range(unanswered_starts):
+        (run,) = fleet.place(OrderOutcome.UNKNOWN)
+        fleet.crash(run.worker)
+    (run,) = fleet.place()
+    fleet.crash(run.worker)
+    assert fleet.state is not JobState.FAILED
+    assert len(fleet.place()) == 1
+
+
+def test_task_whose_starts_are_never_answered_is_given_up_after_five_crashes() -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=3)
+    for _ in range(5):
+        (run,) = fleet.place(OrderOutcome.UNKNOWN)
+        fleet.crash(run.worker)
+    assert fleet.state is JobState.FAILED
+    assert fleet.place() == []
+
+
 def test_tasks_lost_together_are_spread_and_those_that_end_are_not_given_up() -> None:
     fleet = Fleet(step(6, cpu=1000, run_ms=700), workers=3)
     runs = fleet.place()
