--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -110,6 +110,7 @@
             steps=body.steps,
             schedule=body.schedule,
             accepted_unix_ms=int(self._unix_clock.now_s() * 1000),
+            max_attempts=call.queue.max_attempts,
         )
         outcome = await self._writer.write(StoreJob(submission), call.deadline_s)
         refusal = _REFUSALS[outcome]
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -86,6 +86,10 @@
         self.teams = TeamUsage()
         self.arrivals = ArrivalMeter()
         self._configuration = configuration
+        #: Limits of all queues that this scheduler has known: a job keeps the last limit
+        #: of its queue while that is withdrawn.
+        self._max_attempts: dict[QueueId, int] = {}
+        self._note_attempts()
         self._tuning = tuning
         self._task_placer = TaskPlacer(
             self.jobs,
@@ -110,6 +114,7 @@
     def configure(self, configuration: FleetConfiguration) -> None:
         """Apply a newer configuration."""
         self._configuration = configuration
+        self._note_attempts()
 
     def restore(
         self,
@@ -326,8 +331,13 @@
 
     def max_attempts(self, record: JobRecord) -> int:
         """Return how many runs of a task of `record` may fail."""
-        queue = self._configuration.queue(record.submission.queue)
-        return queue.max_attempts if queue else DEFAULT_MAX_ATTEMPTS
+        submission = record.submission
+        default = submission.max_attempts or DEFAULT_MAX_ATTEMPTS
+        return self._max_attempts.get(submission.queue, default)
+
+    def _note_attempts(self) -> None:
+        for queue in self._configuration.queues:
+            self._max_attempts[queue.queue] = queue.max_attempts
 
     def _adopt(self, task: TaskRecord, until_s: float, now_s: float) -> None:
         run = Run(
--- a/currantstage/state/jobs/_jobs.py
+++ b/currantstage/state/jobs/_jobs.py
@@ -165,6 +165,9 @@
     steps : tuple of Step
     schedule : Schedule, optional
     accepted_unix_ms : int
+    max_attempts : int
+        Limit of the queue at acceptance; used if the queue is withdrawn later, unless
+        the scheduler knows a later one. Zero if it isn't recorded.
     """
 
     job: JobId
@@ -175,6 +178,7 @@
     steps: tuple[Step, ...]
     schedule: Schedule | None = None
     accepted_unix_ms: int = 0
+    max_attempts: int = 0
 
     @property
     def occurrence_count(self) -> int:
