--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -142,7 +142,8 @@
         started_s = self._clock.now_s()
         outcome = await self._writer.write(StoreCancel(job), call.deadline_s)
         refusal = _REFUSALS[outcome]
-        if refusal is None:
+        if refusal in (None, CallRefusal.NO_SUCH_JOB):
+            # The cancellation of an unknown job is stored as well.
             await self._notify_scheduler(JobCancelled(job))
         log_message(
             "currantstage:job-cancelled",
--- a/currantstage/application/jobs/_job_writer.py
+++ b/currantstage/application/jobs/_job_writer.py
@@ -122,11 +122,19 @@
         if isinstance(query, StoreJob):
             await self._repository.submit(query.submission, place)
             return StoreOutcome.STORED
-        stored = await self._repository.read_job(query.job)
-        if stored.submission is None:
-            return StoreOutcome.NO_SUCH_JOB
+        # A submission that is still under way must find the cancellation.
         await self._repository.cancel(query.job, place)
-        return StoreOutcome.STORED
+        try:
+            stored = await self._repository.read_job(query.job)
+        except StoreUnavailable as error:
+            log_message(
+                "currantstage:cancelled-job-not-read",
+                job=query.job,
+                reason=str(error),
+            )
+            return StoreOutcome.STORED
+        is_known = stored.submission is not None
+        return StoreOutcome.STORED if is_known else StoreOutcome.NO_SUCH_JOB
 
     async def _attempt_write(self, query: StoreJob | StoreCancel) -> StoreOutcome:
         outcome = await self.write_directly(query)
--- a/currantstage/application/jobs/_scheduler_loader.py
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -111,6 +111,9 @@
             # Meanwhile the lease is renewed.
             await asyncio.sleep(0)
             restored_tasks = 0
+    stored_jobs = {each.job for each in jobs.submissions}
+    for job in cancelled - stored_jobs:
+        scheduler.cancel(job, now_s)
     log_message(
         "currantstage:scheduler-started",
         term=term,
@@ -118,7 +121,6 @@
         workers=len(workers.entries),
         store_version=jobs.version,
     )
-    stored_jobs = {each.job for each in jobs.submissions}
     return LoadedScheduler(
         scheduler=scheduler,
         workers=tuple(workers.entries),
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -163,7 +163,7 @@
         """Cancel a job whose cancellation has been stored."""
         if self.scheduler is None:
             return
-        self.scheduler.cancel(job)
+        self.scheduler.cancel(job, self._now_s())
         self._send_orders()
         self._lease_writer.wake()
 
@@ -238,6 +238,19 @@
                     break
                 scheduler.jobs.discard(record)
                 self._lease_writer.remove_progress([PageKey(record.job, HEAD_PAGE)])
+            await self._remove_early_cancellations(scheduler)
+
+    async def _remove_early_cancellations(self, scheduler: Scheduler) -> None:
+        """Remove cancellations whose job can't be stored any more."""
+        cancellations = scheduler.early_cancellations
+        before_s = self._now_s() - self._tuning.retention_ms / 1000
+        for job in cancellations.noted_before(before_s):
+            try:
+                await self._repository.remove_job(job)
+            except StoreUnavailable as error:
+                log_message("currantstage:clean-up-failed", reason=str(error))
+                return
+            cancellations.discard(job)
 
     async def _manage_fleet(self, scheduler: Scheduler) -> None:
         driver = FleetDriver(
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -6,6 +6,7 @@
 
 from currantstage.coordination.jobs._arrivals import ArrivalMeter
 from currantstage.coordination.jobs._availability import may_interrupt
+from currantstage.coordination.jobs._early_cancellations import EarlyCancellations
 from currantstage.coordination.jobs._job_table import JobTable
 from currantstage.coordination.jobs._ordering import LeastWorkFirst
 from currantstage.coordination.jobs._placement import SpreadPlacement
@@ -85,8 +86,9 @@
         self.workers = WorkerTable(term, tuning)
         self.teams = TeamUsage()
         self.arrivals = ArrivalMeter()
+        self.early_cancellations = EarlyCancellations()
         self._configuration = configuration
-        #: Limits of all queues that this scheduler has known: a job keeps the last limit
+        #: Limits of all queues that this scheduler has known: a job keeps the last one
         #: of its queue while that is withdrawn.
         self._max_attempts: dict[QueueId, int] = {}
         self._note_attempts()
@@ -133,21 +135,28 @@
             for task in self.jobs.restore(record, progress):
                 self._adopt(task, until_s, now_s)
         if is_cancelled:
-            self.cancel(submission.job)
+            self.cancel(submission.job, now_s)
 
     def submit(self, submission: Submission, now_s: float) -> None:
         """Add a job that is stored; do nothing if it is already known."""
         if self.jobs.get(submission.job) is not None:
             return
         record = self.jobs.add(submission, now_s)
+        if submission.job in self.early_cancellations:
+            self.early_cancellations.discard(submission.job)
+            self.cancel(submission.job, now_s)
+            return
         if record.remaining_short_core_s:
             pool = self.pool_of(record)
             self.arrivals.add(pool, record.remaining_short_core_s, now_s)
 
-    def cancel(self, job: JobId) -> None:
-        """Cancel a job whose cancellation is stored."""
+    def cancel(self, job: JobId, now_s: float) -> None:
+        """Cancel a job whose cancellation is stored, also one that comes later."""
         record = self.jobs.get(job)
-        if record is None or record.state.is_final:
+        if record is None:
+            self.early_cancellations.add(job, now_s)
+            return
+        if record.state.is_final:
             return
         self.jobs.end(record, JobState.CANCELLED)
         self._lifecycle.stop_runs(record)
--- a/tests/fuzz/test_scheduler_machine.py
+++ b/tests/fuzz/test_scheduler_machine.py
@@ -80,7 +80,7 @@
         self.world.cancelled.add(job)
         for owner in self.world.owners:
             if owner.is_up:
-                owner.scheduler.cancel(job)
+                owner.scheduler.cancel(job, self.world.now_s)
 
     @rule()
     def take(self):
--- a/tests/jobs/test_placement_equivalence.py
+++ b/tests/jobs/test_placement_equivalence.py
@@ -266,7 +266,7 @@
         if self._jobs:
             job = JobId(f"{self._random.randint(1, self._jobs):016x}")
             self._cancelled.add(job)
-            self.scheduler.cancel(job)
+            self.scheduler.cancel(job, self._now_s)
 
     def _block_worker(self) -> None:
         state = self._draw_worker()
--- a/tests/jobs/test_progress_pages.py
+++ b/tests/jobs/test_progress_pages.py
@@ -354,7 +354,7 @@
     owner = _Owner(submission(JOB, _large(2000)))
     owner.place()
     pages = {PageKey(JOB, first) for first in owner.stored.pages}
-    owner.scheduler.cancel(JOB)
+    owner.scheduler.cancel(JOB, 0.0)
     owner.store()
     assert set(owner.scheduler.take_obsolete_pages()) == pages
     assert owner.stored.head is not None
