Place jobs that can still be served before those that can't any more

Cause: a job was late or not; among late ones the one with the least work came first, however old.

Its rank says until when it holds, as before.

Before: test_jobs_that_can_still_be_served_late_go_before_those_that_expired had no such notion; the expired job came first, as it had less work left. After: passed.

--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -9,7 +9,12 @@
 from currantstage.coordination.jobs._fleet_manager import FleetManager
 from currantstage.coordination.jobs._job_table import JobTable
 from currantstage.coordination.jobs._maintenance_plan import MaintenancePlan, WaveState
-from currantstage.coordination.jobs._ordering import LeastWorkFirst, Rank, StepOrder
+from currantstage.coordination.jobs._ordering import (
+    LeastWorkFirst,
+    Rank,
+    StepOrder,
+    Timeliness,
+)
 from currantstage.coordination.jobs._owner_lease import (
     NO_HOLDER,
     HeldLease,
@@ -111,6 +116,7 @@
     "TaskPlacement",
     "TaskRecord",
     "TeamUsage",
+    "Timeliness",
     "MaintenancePlan",
     "VmGoal",
     "VmOrder",
--- a/currantstage/coordination/jobs/_waiting_steps.py
+++ b/currantstage/coordination/jobs/_waiting_steps.py
@@ -18,7 +18,7 @@
     from collections.abc import Iterable
 
     from currantstage.coordination.jobs._job_table import JobTable
-    from currantstage.coordination.jobs._ordering import Rank, StepOrder
+    from currantstage.coordination.jobs._ordering import Rank, StepOrder, Timeliness
     from currantstage.coordination.jobs._records import JobRecord, StepRecord
     from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import FleetConfiguration, JobId, JobQueue, StepKey
@@ -35,7 +35,7 @@
 
     pool: PoolId
     line: LineKey
-    is_late: bool
+    timeliness: Timeliness
 
 
 class WaitingSteps:
@@ -119,8 +119,9 @@
             if group not in ranked:
                 _, step = group.steps[0]
                 rank = self._order.rank(step, self.queue_of(step), now_s)
-                # One that has just become late is due to be filed again by itself.
-                self._set_rank(group, rank._replace(is_late=group.rank.is_late))
+                # One whose timeliness has changed is due to be filed again by itself.
+                rank = rank._replace(timeliness=group.rank.timeliness)
+                self._set_rank(group, rank)
 
     def _set_rank(self, group: JobGroup, rank: Rank) -> None:
         """Move a group of a job to where the job's work that is left puts it."""
@@ -147,7 +148,7 @@
         self._set_timer(step, ordinal, self._order.stable_until_s(step, queue, now_s))
         rank = self._order.rank(step, queue, now_s)
         pool = queue.pool if queue else job.submission.pool
-        key = _GroupKey(pool, line_of(step), rank.is_late)
+        key = _GroupKey(pool, line_of(step), rank.timeliness)
         if self._places.get(step.key) != key:
             self._take_out(step, ordinal)
             return self._put_in(step, ordinal, key, rank)
--- a/tests/jobs/test_placement_and_order.py
+++ b/tests/jobs/test_placement_and_order.py
@@ -11,6 +11,7 @@
     StepRecord,
     TaskRecord,
     TeamUsage,
+    Timeliness,
     WorkerState,
 )
 from currantstage.standin.jobs import build_configuration
@@ -50,6 +51,27 @@
     assert fresh < late
 
 
+def test_jobs_that_can_still_be_served_late_go_before_those_that_expired() -> None:
+    """Long past its time, a small job took the room of one that was only late."""
+    order = LeastWorkFirst()
+    expired = order.rank(_known(0.0, step(1)), QUEUE, now_s=10.0)
+    late = order.rank(_known(5.0, step(8, run_ms=2000)), QUEUE, now_s=10.0)
+    assert late.timeliness is Timeliness.LATE
+    assert expired.timeliness is Timeliness.EXPIRED
+    assert late < expired
+
+
+def test_rank_is_valid_until_the_time_that_is_given_for_it() -> None:
+    order = LeastWorkFirst()
+    waiting = _known(0.0, step(1, run_ms=500))
+    seen = []
+    now_s = 0.0
+    while now_s != float("inf"):
+        seen.append(order.rank(waiting, QUEUE, now_s).timeliness)
+        now_s = order.stable_until_s(waiting, QUEUE, now_s) + 1e-6
+    assert seen == [Timeliness.IN_TIME, Timeliness.LATE, Timeliness.EXPIRED]
+
+
 def test_long_running_steps_go_first() -> None:
     order = LeastWorkFirst()
     long_running = order.rank(_known(9.0, step(3, is_long_running=True)), QUEUE, 10.0)
