Ask for VMs by what can run, and share them when there aren't enough

Cause: (1) demand was all the work of accepted jobs over a horizon of 1.2 s, though the steps of a job run one after another and its tasks in parallel only as wide as a step; (2) only surplus moved, so that the first pool to want everything kept it, for work that was late already too.

Change: (1) a pool wants no more cores than tasks can use by the end of a move: those that are ready now, and what new jobs add in that time, the largest of them left out, as one job tells nothing of the next. A sudden rise shows in a quarter of a second if ten jobs came in it. (2) Work is divided into what can be in time, only late, or not served any more; VMs go to long-running tasks, then to work in time, then to the rest, each max-min fair (VmDivision). A pool keeps up to 1.5 times its share for work in time, unless another has less than two thirds of its own.

Demand, sizing and division are modules of their own; FleetManager and PoolPlan shrink.

Weighed and dropped as no better: rates that fall as fast as they rise, no wait for surplus, empty VMs of a pool before spare ones.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -106,17 +106,21 @@
     def _log_sizes(self) -> None:
         """Log each pool whose actual or wanted size has changed."""
         for pool, size in self._manager.pool_sizes.items():
-            if self._logged_sizes.get(pool) == (size.vms, size.wanted_vms):
+            if self._logged_sizes.get(pool) == (size.vms, size.share_vms):
                 continue
-            self._logged_sizes[pool] = (size.vms, size.wanted_vms)
+            self._logged_sizes[pool] = (size.vms, size.share_vms)
             demand = size.demand
             log_message(
                 "currantstage:pool-size",
                 pool=pool,
                 vms=size.vms,
                 wanted=size.wanted_vms,
+                share=size.share_vms,
                 arriving_cores=round(demand.arriving_cores, 1),
-                remaining_core_s=round(demand.remaining_core_s, 1),
+                in_time_core_s=round(demand.in_time.remaining_core_s, 1),
+                late_core_s=round(demand.late.remaining_core_s, 1),
+                expired_core_s=round(demand.expired.remaining_core_s, 1),
+                ready_cores=round(demand.in_time.ready_cores, 1),
                 capacity_cores=round(demand.capacity_cores, 1),
                 missing_vms=demand.missing_vms,
                 listed_ago_s=round(self._ports.clock.now_s() - self._listed_s, 3),
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -27,14 +27,13 @@
 )
 from currantstage.coordination.jobs._pacing import PaceController
 from currantstage.coordination.jobs._placement import SpreadPlacement, TaskPlacement
-from currantstage.coordination.jobs._pool_plan import (
+from currantstage.coordination.jobs._pool_demand import PoolDemand, WorkDemand
+from currantstage.coordination.jobs._pool_plan import PoolPlan, PoolSize, VmPresence
+from currantstage.coordination.jobs._pool_sizing import (
     DemandSizing,
     FixedSizing,
-    PoolDemand,
-    PoolPlan,
-    PoolSize,
     PoolSizing,
-    VmPresence,
+    WantedVms,
 )
 from currantstage.coordination.jobs._progress_batch import (
     ProgressBatch,
@@ -53,6 +52,7 @@
     MAX_WRITE_BYTES,
     PageWrite,
 )
+from currantstage.coordination.jobs._vm_division import MaxMinDivision, VmDivision
 from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
 from currantstage.coordination.jobs._vm_table import (
     VmGoal,
@@ -101,7 +101,10 @@
     "PoolPlan",
     "PoolSize",
     "PoolSizing",
+    "VmDivision",
     "VmPresence",
+    "WantedVms",
+    "WorkDemand",
     "ProgressBatch",
     "Rank",
     "Run",
@@ -118,6 +121,7 @@
     "TeamUsage",
     "Timeliness",
     "MaintenancePlan",
+    "MaxMinDivision",
     "VmGoal",
     "VmOrder",
     "VmState",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from functools import partial
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._evacuation_plan import EvacuationPlan
 from currantstage.coordination.jobs._maintenance_plan import MaintenancePlan
-from currantstage.coordination.jobs._pool_plan import (
-    DemandSizing,
-    PoolDemand,
-    PoolPlan,
-    VmPresence,
-)
+from currantstage.coordination.jobs._pool_demand import DemandMeter
+from currantstage.coordination.jobs._pool_plan import PoolPlan, VmPresence
+from currantstage.coordination.jobs._pool_sizing import DemandSizing
+from currantstage.coordination.jobs._vm_division import MaxMinDivision
 from currantstage.coordination.jobs._vm_table import VmOrder, VmState, VmTable, VmWork
 from currantstage.state.jobs import (
     NO_RESOURCES,
@@ -26,8 +23,8 @@
     from collections.abc import Iterable, Mapping
 
     from currantstage.coordination.jobs._maintenance_plan import WaveState
-    from currantstage.coordination.jobs._pool_plan import PoolSize, PoolSizing
-    from currantstage.coordination.jobs._records import StepRecord
+    from currantstage.coordination.jobs._pool_plan import PoolSize
+    from currantstage.coordination.jobs._pool_sizing import PoolSizing
     from currantstage.coordination.jobs._scheduler import Scheduler
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
@@ -67,9 +64,13 @@
         self._cooldown = cooldown
         self.maintenance = MaintenancePlan(self.vms, cooldown, tuning)
         self._pools = PoolPlan(
-            self.vms, sizing or DemandSizing(tuning), tuning.surplus_ms / 1000
+            self.vms,
+            sizing or DemandSizing(tuning),
+            MaxMinDivision(),
+            tuning.surplus_ms / 1000,
         )
         self._evacuation = EvacuationPlan(scheduler, self.vms)
+        self._demand = DemandMeter(scheduler, self._missing_vms)
         self._is_fenced = False
 
     def observe(self, records: Iterable[VmRecord], requested_s: float) -> None:
@@ -84,7 +85,7 @@
         self._evacuation.update(now_s)
         self.maintenance.choose(self._load, self._evacuation.may_maintain, now_s)
         self._pools.choose(
-            self._demands(now_s),
+            self._demand.measure(now_s),
             self._spare_pool(),
             self._load,
             self._evacuation.may_move,
@@ -225,6 +226,10 @@
             worker_state.used.cpu_millicores / 1000 + long_running * LONG_RUNNING_WEIGHT
         )
 
+    def _missing_vms(self, pool: PoolId) -> int:
+        """Return how many VMs the long-running tasks of a pool lack."""
+        return self._evacuation.missing_vms(pool, self._vm_capacity(pool))
+
     def _vm_capacity(self, pool: PoolId) -> Resources:
         """Return the capacity of a VM of the pool."""
         capacities = (
@@ -235,40 +240,3 @@
     def _spare_pool(self) -> PoolId | None:
         pools = self._scheduler.configuration.pools
         return next((each.pool for each in pools if each.is_spare), None)
-
-    def _demands(self, now_s: float) -> dict[PoolId, PoolDemand]:
-        long_running: dict[PoolId, Resources] = defaultdict(lambda: NO_RESOURCES)
-        remaining: dict[PoolId, float] = defaultdict(float)
-        min_vms: dict[PoolId, int] = defaultdict(int)
-        capacity: dict[PoolId, float] = defaultdict(float)
-        for worker_state in self._scheduler.workers.states():
-            if worker_state.accepts_starts(now_s):
-                capacity[worker_state.entry.pool] += (
-                    worker_state.entry.capacity.cpu_millicores / 1000
-                )
-        for record in self._scheduler.jobs.open_jobs():
-            pool = self._scheduler.pool_of(record)
-            remaining[pool] += record.remaining_short_core_s
-            for step in record.long_running_steps:
-                amount = step.step.reserved_resources.times(len(step.tasks))
-                long_running[pool] = long_running[pool].plus(amount)
-                min_vms[pool] = max(min_vms[pool], _min_workers(step))
-        return {
-            each.pool: PoolDemand(
-                long_running[each.pool],
-                remaining[each.pool],
-                self._scheduler.arrivals.rate_cores(each.pool, now_s),
-                capacity[each.pool],
-                min_vms[each.pool],
-                self._evacuation.missing_vms(each.pool, self._vm_capacity(each.pool)),
-            )
-            for each in self._scheduler.configuration.pools
-            if not each.is_spare
-        }
-
-
-def _min_workers(step: StepRecord) -> int:
-    """Return the minimum number of workers that a long-running step needs."""
-    if not step.step.is_long_running or not step.step.max_per_worker:
-        return 0
-    return -(-len(step.tasks) // step.step.max_per_worker)
--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -1,4 +1,4 @@
-"""Sizing of pools by current demand, as the load shifts from queue to queue."""
+"""Moves of VMs between pools, as the load shifts from queue to queue."""
 
 from __future__ import annotations
 
@@ -6,71 +6,74 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._pool_sizing import WantedVms
 from currantstage.coordination.jobs._vm_table import VmGoal, VmWork
-from currantstage.state.jobs import NO_RESOURCES, Resources
+from currantstage.state.jobs import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from currantstage.coordination.jobs._tuning import SchedulerTuning
+    from currantstage.coordination.jobs._pool_demand import PoolDemand
+    from currantstage.coordination.jobs._pool_sizing import PoolSizing
+    from currantstage.coordination.jobs._vm_division import VmDivision
     from currantstage.coordination.jobs._vm_table import VmState, VmTable
     from currantstage.state import PoolId
 
-#: Time from the end of a move until the VM's worker accepts tasks, in seconds.
-REGISTRATION_S = 0.3
-#: Maximum share of a pool's cores that arriving work should use.
-MAX_UTILISATION = 0.8
 #: Maximum number of VMs requested for long-running tasks that have no place, beyond
 #: those that the demand calls for.
 MAX_EXTRA_VMS = 4
 #: Maximum share of a pool's wanted VMs that are replaced while they are dark.
 MAX_REPLACED_SHARE = 0.5
+#: Ratio by which the VMs of pools may differ from their shares when there aren't
+#: enough: each move takes the time of a VM from all pools.
+SHARE_TOLERANCE = 1.5
 #: How long a pool must have surplus VMs before another pool gets them, in seconds.
 REASSIGN_AFTER_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
-class PoolDemand:
-    """Current demand on a pool.
+class PoolSize:
+    """Number of VMs of a pool.
 
     Parameters
     ----------
-    long_running : Resources
-        Resources of the long-running tasks.
-    remaining_core_s : float
-        Remaining work of all other tasks of open jobs, in core-seconds.
-    arriving_cores : float
-        Arriving work, in core-seconds per second.
-    capacity_cores : float
-        Cores of the workers that accept tasks now.
-    min_vms : int
-        Minimum number of VMs that its long-running steps need.
-    missing_vms : int
-        VMs needed for long-running tasks that have no place on a VM that is present.
+    vms : int
+        VMs in the pool or moving to it, without dark ones.
+    wanted : WantedVms
+        VMs that the demand calls for.
+    share_vms : int
+        VMs that the pool is to have: fewer than wanted if there aren't enough.
+    demand : PoolDemand
     """
 
-    long_running: Resources = NO_RESOURCES
-    remaining_core_s: float = 0.0
-    arriving_cores: float = 0.0
-    capacity_cores: float = 0.0
-    min_vms: int = 0
-    missing_vms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class PoolSize:
-    """Number of VMs in a pool or moving to it, without dark ones, and wanted."""
-
     vms: int
-    wanted_vms: int
+    wanted: WantedVms
+    share_vms: int
     demand: PoolDemand
 
     @property
-    def surplus(self) -> int:
-        """Number of VMs beyond those wanted."""
-        return self.vms - self.wanted_vms
+    def wanted_vms(self) -> int:
+        """Number of VMs that the demand calls for."""
+        return self.wanted.all
+
+    @property
+    def is_starved(self) -> bool:
+        """Whether the pool has much less than its share."""
+        return self.vms * SHARE_TOLERANCE < self.share_vms
+
+    def surplus(self, *, gives_all: bool) -> int:
+        """Return the number of VMs beyond those that the pool keeps.
+
+        It keeps some over its share for jobs that can meet their objective, unless it
+        `gives_all`. The result is negative if the pool lacks VMs of its share.
+        """
+        kept = self.share_vms
+        if not gives_all:
+            tolerated = math.ceil(self.share_vms * SHARE_TOLERANCE)
+            kept = max(kept, min(self.wanted.in_time, tolerated))
+        return max(0, self.vms - kept) or min(0, self.vms - self.share_vms)
 
 
 class VmPresence(Enum):
@@ -85,52 +88,6 @@
     DARK = "dark"
 
 
-class PoolSizing(Protocol):
-    """Decides how many VMs a pool should have."""
-
-    def wanted_vms(self, demand: PoolDemand, capacity: Resources) -> int:
-        """Return the number of VMs of `capacity` that `demand` calls for."""
-
-
-class DemandSizing:
-    """Sizes a pool to keep up with arriving work and to clear its backlog.
-
-    Moving a VM takes time, so the backlog is projected to the end of a move, assuming
-    that work keeps arriving at the same rate and that the capacity stays as it is.
-
-    Parameters
-    ----------
-    tuning : SchedulerTuning
-    """
-
-    def __init__(self, tuning: SchedulerTuning) -> None:
-        self._min_vms = tuning.min_vms_per_pool
-        self._horizon_s = tuning.demand_horizon_ms / 1000
-        self._lead_s = tuning.move_ms / 1000 + REGISTRATION_S
-
-    def wanted_vms(self, demand: PoolDemand, capacity: Resources) -> int:
-        """Return the number of VMs of `capacity` that `demand` calls for."""
-        long_running = demand.long_running
-        free_cores = demand.capacity_cores - long_running.cpu_millicores / 1000
-        backlog_growth = max(0.0, demand.arriving_cores - free_cores) * self._lead_s
-        in_progress = demand.arriving_cores * self._horizon_s
-        backlog = max(0.0, demand.remaining_core_s + backlog_growth - in_progress)
-        cores = long_running.cpu_millicores / 1000
-        cores += demand.arriving_cores / MAX_UTILISATION + backlog / self._horizon_s
-        by_cpu = cores * 1000 / max(1, capacity.cpu_millicores)
-        by_memory = long_running.memory_mb / max(1, capacity.memory_mb)
-        wanted = math.ceil(max(by_cpu, by_memory))
-        return max(self._min_vms, demand.min_vms, wanted)
-
-
-class FixedSizing:
-    """Leaves the size of each pool as it is; a baseline for other policies."""
-
-    def wanted_vms(self, demand: PoolDemand, capacity: Resources) -> int:
-        """Return 0, so that no pool ever lacks VMs."""
-        return 0
-
-
 class PoolPlan:
     """Moves VMs to pools that need them, and surplus VMs to the spare pool.
 
@@ -138,13 +95,17 @@
     ----------
     vms : VmTable
     sizing : PoolSizing
+    division : VmDivision
     surplus_s : float
         How long a pool must have surplus VMs before it releases them.
     """
 
-    def __init__(self, vms: VmTable, sizing: PoolSizing, surplus_s: float) -> None:
+    def __init__(
+        self, vms: VmTable, sizing: PoolSizing, division: VmDivision, surplus_s: float
+    ) -> None:
         self._vms = vms
         self._sizing = sizing
+        self._division = division
         self._release_after_s = surplus_s
         self._surplus_since_s: dict[PoolId, float] = {}
         #: Sizes of the pools in the last plan.
@@ -172,10 +133,11 @@
         presence : callable
             Returns the presence of a VM in the pool that it is in or moves to.
         """
-        self.sizes = {
-            pool: self._size(pool, demand, presence) for pool, demand in demands.items()
+        self.sizes = self._sizes(demands, spare_pool, presence)
+        gives_all = any(each.is_starved for each in self.sizes.values())
+        balance = {
+            pool: size.surplus(gives_all=gives_all) for pool, size in self.sizes.items()
         }
-        balance = {pool: size.surplus for pool, size in self.sizes.items()}
         leaving = self._keep_needed(self._leaving(spare_pool), balance)
         idle = [vm for vm in self._vms.states() if vm.goal is None and vm.is_up]
         donors = [vm for vm in idle if vm.record.pool == spare_pool]
@@ -185,7 +147,8 @@
             own = sorted((vm for vm in idle if vm.record.pool == pool), key=load)
             surplus_s = self._surplus_s(pool, surplus, now_s)
             if surplus_s >= REASSIGN_AFTER_S:
-                donors.extend(self._working_surplus(own, self.sizes[pool], presence))
+                size = self.sizes[pool]
+                donors.extend(_working_surplus(own, surplus, size, presence))
             if surplus_s >= self._release_after_s:
                 unneeded.extend(own[:surplus])
         for pool in sorted(balance, key=lambda each: balance[each]):
@@ -198,33 +161,28 @@
             if spare_pool is not None and vm.goal is None and may_move(vm):
                 self._move(vm, spare_pool, now_s)
 
-    def _size(
+    def _sizes(
         self,
-        pool: PoolId,
-        demand: PoolDemand,
-        presence: Callable[[VmState], VmPresence],
-    ) -> PoolSize:
-        members = [vm for vm in self._vms.states() if vm.target_pool() == pool]
-        capacity = members[0].record.capacity if members else Resources(1, 1)
-        wanted = self._sizing.wanted_vms(demand, capacity)
-        counts = Counter(map(presence, members))
-        vms = len(members) - min(_max_replaced(wanted), counts[VmPresence.DARK])
-        if demand.missing_vms:
-            with_missing = vms + demand.missing_vms - counts[VmPresence.JOINING]
-            wanted = max(wanted, min(with_missing, wanted + MAX_EXTRA_VMS))
-        return PoolSize(vms, wanted, demand)
-
-    def _working_surplus(
-        self,
-        own: list[VmState],
-        size: PoolSize,
+        demands: Mapping[PoolId, PoolDemand],
+        spare_pool: PoolId | None,
         presence: Callable[[VmState], VmPresence],
-    ) -> list[VmState]:
-        """Return the first of a pool's own VMs that it can spare, without dark ones."""
-        working = [vm for vm in own if presence(vm) is not VmPresence.DARK]
-        dark = len(own) - len(working)
-        counted_dark = max(0, dark - _max_replaced(size.wanted_vms))
-        return working[: max(0, size.surplus - counted_dark)]
+    ) -> dict[PoolId, PoolSize]:
+        wanted: dict[PoolId, WantedVms] = {}
+        present: dict[PoolId, int] = {}
+        for pool, demand in demands.items():
+            members = [vm for vm in self._vms.states() if vm.target_pool() == pool]
+            capacity = members[0].record.capacity if members else Resources(1, 1)
+            counts = Counter(map(presence, members))
+            wants = self._sizing.wanted_vms(demand, capacity)
+            replaced = min(_max_replaced(wants.all), counts[VmPresence.DARK])
+            present[pool] = len(members) - replaced
+            wanted[pool] = _with_missing(wants, demand, present[pool], counts)
+        spare = sum(vm.target_pool() == spare_pool for vm in self._vms.states())
+        shares = self._division.divide(wanted, sum(present.values()) + spare)
+        return {
+            pool: PoolSize(present[pool], wanted[pool], shares[pool], demand)
+            for pool, demand in demands.items()
+        }
 
     def _surplus_s(self, pool: PoolId, surplus: int, now_s: float) -> float:
         """Return how long a pool has had surplus VMs; negative if it has none."""
@@ -265,3 +223,32 @@
 def _max_replaced(wanted_vms: int) -> int:
     """Return how many dark VMs of a pool are replaced at most."""
     return math.ceil(wanted_vms * MAX_REPLACED_SHARE)
+
+
+def _with_missing(
+    wants: WantedVms, demand: PoolDemand, vms: int, counts: Counter[VmPresence]
+) -> WantedVms:
+    """Return what a pool wants with VMs for long-running tasks without a place."""
+    if not demand.missing_vms:
+        return wants
+    with_missing = vms + demand.missing_vms - counts[VmPresence.JOINING]
+
+    def extended(count: int) -> int:
+        return max(count, min(with_missing, count + MAX_EXTRA_VMS))
+
+    return WantedVms(
+        extended(wants.required), extended(wants.in_time), extended(wants.all)
+    )
+
+
+def _working_surplus(
+    own: list[VmState],
+    surplus: int,
+    size: PoolSize,
+    presence: Callable[[VmState], VmPresence],
+) -> list[VmState]:
+    """Return the first of a pool's own VMs that it can spare, without dark ones."""
+    working = [vm for vm in own if presence(vm) is not VmPresence.DARK]
+    dark = len(own) - len(working)
+    counted_dark = max(0, dark - _max_replaced(size.share_vms))
+    return working[: max(0, surplus - counted_dark)]
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -369,6 +369,11 @@
         """The part of `remaining_core_s` that is not of long-running steps."""
         return self._work.short_core_s
 
+    @property
+    def ready_short_cores(self) -> float:
+        """Cores that its tasks that are ready and not long-running use at once."""
+        return self._work.ready_cores
+
     def open_occurrence(self, occurrence: int) -> list[StepRecord]:
         """Return the steps of an occurrence, creating their records if needed."""
         if occurrence not in self.occurrences:
@@ -407,6 +412,8 @@
     def on_task_done(self, step: StepRecord) -> None:
         """Count a task that has succeeded, and what its step's end makes ready."""
         self._work.add(step.step, -1)
+        if step.key in self.ready:
+            self._work.add_ready(step.step, -1)
         if step.is_done:
             self._open_steps -= 1
             self.ready.pop(step.key, None)
@@ -443,4 +450,5 @@
 
     def _mark_ready(self, step: StepRecord) -> None:
         self.ready[step.key] = step
+        self._work.add_ready(step.step, len(step.tasks) - step.done_count)
         self.changed_steps[step.key] = step
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -148,7 +148,9 @@
             return
         if record.remaining_short_core_s:
             pool = self.pool_of(record)
-            self.arrivals.add(pool, record.remaining_short_core_s, now_s)
+            self.arrivals.add(
+                pool, record.remaining_short_core_s, now_s, record.ready_short_cores
+            )
 
     def cancel(self, job: JobId, now_s: float) -> None:
         """Cancel a job whose cancellation is stored, also one that comes later."""
--- a/currantstage/coordination/jobs/_work_left.py
+++ b/currantstage/coordination/jobs/_work_left.py
@@ -20,6 +20,7 @@
 
     all: int = 0
     short: int = 0
+    ready_millicores: int = 0
 
     @property
     def all_core_s(self) -> float:
@@ -31,6 +32,16 @@
         """Core-seconds of the tasks that are not long-running."""
         return self.short / 1e6
 
+    @property
+    def ready_cores(self) -> float:
+        """Cores that the short tasks of steps that are ready use at once."""
+        return self.ready_millicores / 1000
+
+    def add_ready(self, step: Step, task_count: int) -> None:
+        """Add some tasks of a step that is ready and have not succeeded."""
+        if not step.is_long_running:
+            self.ready_millicores += task_count * step.resources.cpu_millicores
+
     def add(self, step: Step, task_count: int) -> None:
         """Add the work of some tasks of a step."""
         run_ms = round(estimated_run_s(step) * 1000)
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -7,12 +7,14 @@
 from currantstage.coordination.jobs import (
     DemandSizing,
     FixedSizing,
+    MaxMinDivision,
     PoolDemand,
     PoolPlan,
     SchedulerTuning,
     VmPresence,
     VmState,
     VmTable,
+    WorkDemand,
 )
 from currantstage.state import DataCentreId, PoolId, VmId
 from currantstage.state.jobs import Resources, VmCondition, VmRecord, WorkerId
@@ -49,7 +51,7 @@
 
 
 def _plan(table: VmTable, demand: PoolDemand, times_s: tuple[float, ...]) -> None:
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     for now_s in times_s:
         _choose(plan, demand, now_s)
 
@@ -68,23 +70,25 @@
 
 def test_steady_arrivals_need_their_cores_and_some_headroom() -> None:
     sizing = DemandSizing(TUNING)
-    demand = PoolDemand(arriving_cores=40.0, remaining_core_s=40.0, capacity_cores=50.0)
-    assert sizing.wanted_vms(demand, CAPACITY) == 5
+    demand = PoolDemand(
+        arriving_cores=40.0, in_time=WorkDemand(40.0), capacity_cores=50.0
+    )
+    assert sizing.wanted_vms(demand, CAPACITY).all == 5
 
 
 def test_rising_load_needs_vms_for_the_projected_backlog() -> None:
     """A pool of three VMs receives work for ten."""
     sizing = DemandSizing(TUNING)
     demand = PoolDemand(
-        arriving_cores=100.0, remaining_core_s=100.0, capacity_cores=30.0
+        arriving_cores=100.0, in_time=WorkDemand(100.0), capacity_cores=30.0
     )
-    assert sizing.wanted_vms(demand, CAPACITY) >= 20
+    assert sizing.wanted_vms(demand, CAPACITY).all >= 20
 
 
 def test_long_running_tasks_keep_their_vms() -> None:
     sizing = DemandSizing(TUNING)
     demand = PoolDemand(long_running=Resources(5_000, 25_000, 0), min_vms=2)
-    assert sizing.wanted_vms(demand, CAPACITY) == 3
+    assert sizing.wanted_vms(demand, CAPACITY).all == 3
 
 
 def test_spare_vms_are_moved_at_once() -> None:
@@ -119,7 +123,7 @@
 def test_vm_on_its_way_out_of_a_pool_goes_straight_to_the_pool_that_needs_it() -> None:
     """It moved to the spare pool first, and from there took as long again."""
     table = _table(busy=1, idle=3, spare=0)
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     _plan_release(table, plan)
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 2}
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
@@ -129,7 +133,7 @@
 
 def test_pool_keeps_its_own_vms_that_have_not_left_when_its_load_returns() -> None:
     table = _table(busy=3, idle=1, spare=1)
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     _plan_release(table, plan)
     assert _targets(table) == {"busy": 1, "idle": 1, "spare": 3}
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
@@ -140,7 +144,7 @@
 
 def test_vm_whose_move_may_have_been_ordered_keeps_its_goal() -> None:
     table = _table(busy=1, idle=3, spare=0)
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     _plan_release(table, plan)
     for vm in table.states():
         if vm.goal is not None:
@@ -152,15 +156,15 @@
 
 def test_fixed_sizing_requests_no_vm() -> None:
     demand = PoolDemand(arriving_cores=500.0)
-    assert FixedSizing().wanted_vms(demand, CAPACITY) == 0
+    assert FixedSizing().wanted_vms(demand, CAPACITY).all == 0
 
 
 def test_dark_vms_are_replaced_up_to_a_share_of_the_pool() -> None:
     """A pool that had lost a rack got no other VMs."""
     table = _table(busy=4, idle=1, spare=9)
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     demand = PoolDemand(arriving_cores=32.0, capacity_cores=40.0)
-    assert DemandSizing(TUNING).wanted_vms(demand, CAPACITY) == 4
+    assert DemandSizing(TUNING).wanted_vms(demand, CAPACITY).all == 4
     dark = [vm for vm in table.states() if vm.record.pool == BUSY][1:]
 
     def presence(vm: VmState) -> VmPresence:
@@ -179,7 +183,7 @@
 ) -> None:
     """Dark VMs have the least to drain; the other pool got those."""
     table = _table(busy=1, idle=6, spare=0)
-    plan = PoolPlan(table, DemandSizing(TUNING), surplus_s=1.5)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
     dark = [vm for vm in table.states() if vm.record.pool == IDLE][:dark_count]
 
