Size a pool without VMs by those that it could get

Cause: the capacity of a VM of an empty pool was taken to be one millicore.

Change: the capacity of any VM of the fleet stands in; a fleet without VMs plans nothing.

Before: test_pool_without_vms_asks_for_those_that_its_demand_calls_for failed (9 VMs, 3 wanted). After: passed.

--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -10,7 +10,7 @@
 
 from currantstage.coordination.jobs._pool_sizing import WantedVms
 from currantstage.coordination.jobs._vm_table import VmGoal, VmWork
-from currantstage.state.jobs import Resources
+from currantstage.state.jobs import NO_RESOURCES
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -171,7 +171,9 @@
         present: dict[PoolId, int] = {}
         for pool, demand in demands.items():
             members = [vm for vm in self._vms.states() if vm.target_pool() == pool]
-            capacity = members[0].record.capacity if members else Resources(1, 1)
+            # A pool without VMs is sized by those that it could get.
+            model = next(iter(members or self._vms.states()), None)
+            capacity = model.record.capacity if model is not None else NO_RESOURCES
             counts = Counter(map(presence, members))
             wants = self._sizing.wanted_vms(demand, capacity)
             replaced = min(_max_replaced(wants.all), counts[VmPresence.DARK])
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -97,6 +97,22 @@
     assert _targets(table) == {"busy": 3, "idle": 1, "spare": 1}
 
 
+def test_pool_without_vms_asks_for_those_that_its_demand_calls_for() -> None:
+    """It took the VM of unknown size to be minute, and asked for all there are."""
+    table = _table(busy=0, idle=1, spare=9)
+    demand = PoolDemand(arriving_cores=24.0)
+    _plan(table, demand, (0.0,))
+    assert (
+        _targets(table)["busy"] == DemandSizing(TUNING).wanted_vms(demand, CAPACITY).all
+    )
+
+
+def test_fleet_without_vms_plans_nothing() -> None:
+    table = _table(busy=0, idle=0, spare=0)
+    _plan(table, PoolDemand(arriving_cores=24.0), (0.0, 1.0))
+    assert _targets(table) == {"busy": 0, "idle": 0, "spare": 0}
+
+
 def test_surplus_of_another_pool_is_moved_after_a_delay() -> None:
     table = _table(busy=1, idle=4, spare=0)
     demand = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
