--- a/tests/jobs/loaded_fleet.py
+++ b/tests/jobs/loaded_fleet.py
@@ -137,9 +137,7 @@
     scheduler: Scheduler = field(init=False)
     manager: FleetManager = field(init=False)
     moves: int = 0
-    moves_to_spare: int = 0
     now_s: float = 100.0
-    used_core_s: Counter[PoolId] = field(default_factory=Counter)
     vm_s: Counter[PoolId] = field(default_factory=Counter)
     _vms: dict[VmId, _Vm] = field(default_factory=dict)
     _entries: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
@@ -191,18 +189,23 @@
             turn += 1
             self.now_s += TURN_S
 
+    def outcomes(self) -> list[tuple[Arrival, float | None]]:
+        """Return each job that was handed in and the time that it took, if it ended."""
+        return [
+            (arrival, self._ended_s[job] - self._accepted_s(job))
+            if job in self._ended_s
+            else (arrival, None)
+            for job, arrival in self._jobs.items()
+        ]
+
     def served(self, pool: PoolId) -> Served:
         """Return what became of the jobs handed in to a pool."""
         result = Served()
-        for job, arrival in self._jobs.items():
+        for arrival, took_s in self.outcomes():
             if arrival.pool != pool:
                 continue
             result.asked += 1
-            ended_s = self._ended_s.get(job)
-            record = self.scheduler.jobs.get(job)
-            assert record is not None
-            took_s = (ended_s or self.now_s) - record.accepted_s
-            if ended_s is None:
+            if took_s is None:
                 result.open += 1
             elif took_s <= arrival.objective_s:
                 result.in_time += 1
@@ -212,6 +215,11 @@
                 result.too_late += 1
         return result
 
+    def _accepted_s(self, job: JobId) -> float:
+        record = self.scheduler.jobs.get(job)
+        assert record is not None
+        return record.accepted_s
+
     def _run_turn(self, turn: int) -> None:
         self._bring_up()
         for worker, runs in self._take_ended().items():
@@ -225,9 +233,6 @@
             self._plan()
         for vm in self._vms.values():
             self.vm_s[vm.record.pool] += TURN_S
-        for worker_state in self.scheduler.workers.states():
-            used = worker_state.used.cpu_millicores / 1000 * TURN_S
-            self.used_core_s[worker_state.entry.pool] += used
 
     def _plan(self) -> None:
         self.manager.observe([vm.record for vm in self._vms.values()], self.now_s)
@@ -248,7 +253,6 @@
             pool, condition = order.goal.pool, VmCondition.MOVING
             downtime_s = MOVE_S
             self.moves += 1
-            self.moves_to_spare += pool == SPARE_POOL
         vm.record = replace(
             vm.record, pool=pool, condition=condition, worker=WorkerId("")
         )
