--- a/currantstage/coordination/jobs/_ordering.py
+++ b/currantstage/coordination/jobs/_ordering.py
@@ -104,8 +104,8 @@
     step = next(iter(job.ready.values()), None)
     if step is None:
         return Timeliness.IN_TIME
-    elapsed_s = 0.0 if step.waiting_count else estimated_run_s(step.step)
-    return timeliness_of(step, queue, now_s - elapsed_s)
+    done_s = 0.0 if step.waiting_count else estimated_run_s(step.step)
+    return timeliness_of(step, queue, now_s - done_s)
 
 
 def has_deadline(job: JobRecord) -> bool:
--- a/currantstage/coordination/jobs/_pool_demand.py
+++ b/currantstage/coordination/jobs/_pool_demand.py
@@ -71,12 +71,6 @@
     min_vms: int = 0
     missing_vms: int = 0
 
-    @property
-    def remaining_core_s(self) -> float:
-        """Remaining work of all jobs, in core-seconds."""
-        kinds = (self.in_time, self.late, self.expired)
-        return sum(each.remaining_core_s for each in kinds)
-
 
 class DemandMeter:
     """Measures the demand on each pool.
