Use the simulated site's configuration for the loaded fleet, and tidy the shares of pools

- build_configuration takes the pools; loaded_fleet.py had written it again.
- PoolSize.surplus in two plain steps; _working_surplus gets the share, not the whole size.
- The demand of long-running tasks looks up no pool for jobs that have none.
- Heavy jobs of test_load_shifts.py are built by one function, whatever their number of steps.
- pool-size is logged when size or share changes, as its page now says.

--- a/bench/load_shifts.py
+++ b/bench/load_shifts.py
@@ -8,9 +8,10 @@
 
 import click
 
+from currantstage.standin.jobs import SPARE_POOL
 from currantstage.state import PoolId
 from currantstage.state.jobs import MaintenanceWave, Resources, Step
-from tests.jobs.loaded_fleet import SPARE_POOL, Arrival, LoadedFleet, Served
+from tests.jobs.loaded_fleet import Arrival, LoadedFleet, Served
 
 #: Length of the load, and time after which what is still open counts as not served, in
 #: seconds.
--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -104,7 +104,7 @@
         await self._report_waves()
 
     def _log_sizes(self) -> None:
-        """Log each pool whose actual or wanted size has changed."""
+        """Log each pool whose size or share has changed."""
         for pool, size in self._manager.pool_sizes.items():
             if self._logged_sizes.get(pool) == (size.vms, size.share_vms):
                 continue
--- a/currantstage/coordination/jobs/_pool_demand.py
+++ b/currantstage/coordination/jobs/_pool_demand.py
@@ -138,6 +138,8 @@
         resources: dict[PoolId, Resources] = defaultdict(lambda: NO_RESOURCES)
         min_vms: dict[PoolId, int] = defaultdict(int)
         for record in self._scheduler.jobs.open_jobs():
+            if not record.long_running_steps:
+                continue
             pool = self._scheduler.pool_of(record)
             for step in record.long_running_steps:
                 amount = step.step.reserved_resources.times(len(step.tasks))
--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -73,7 +73,9 @@
         if not gives_all:
             tolerated = math.ceil(self.share_vms * SHARE_TOLERANCE)
             kept = max(kept, min(self.wanted.in_time, tolerated))
-        return max(0, self.vms - kept) or min(0, self.vms - self.share_vms)
+        if self.vms > kept:
+            return self.vms - kept
+        return min(0, self.vms - self.share_vms)
 
 
 class VmPresence(Enum):
@@ -147,8 +149,8 @@
             own = sorted((vm for vm in idle if vm.record.pool == pool), key=load)
             surplus_s = self._surplus_s(pool, surplus, now_s)
             if surplus_s >= REASSIGN_AFTER_S:
-                size = self.sizes[pool]
-                donors.extend(_working_surplus(own, surplus, size, presence))
+                share = self.sizes[pool].share_vms
+                donors.extend(_working_surplus(own, surplus, share, presence))
             if surplus_s >= self._release_after_s:
                 unneeded.extend(own[:surplus])
         for pool in sorted(balance, key=lambda each: balance[each]):
@@ -246,11 +248,11 @@
 def _working_surplus(
     own: list[VmState],
     surplus: int,
-    size: PoolSize,
+    share_vms: int,
     presence: Callable[[VmState], VmPresence],
 ) -> list[VmState]:
     """Return the first of a pool's own VMs that it can spare, without dark ones."""
     working = [vm for vm in own if presence(vm) is not VmPresence.DARK]
     dark = len(own) - len(working)
-    counted_dark = max(0, dark - _max_replaced(size.share_vms))
+    counted_dark = max(0, dark - _max_replaced(share_vms))
     return working[: max(0, surplus - counted_dark)]
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -74,8 +74,10 @@
 _CONFIGURATION_ROW = RowName("op", "", "config")
 
 
-def build_configuration(version: int = 1) -> FleetConfiguration:
-    """Return a configuration: two queues with a pool each, a spare pool, two teams."""
+def build_configuration(
+    version: int = 1, pools: Sequence[PoolId] = POOLS
+) -> FleetConfiguration:
+    """Return a configuration: a queue for each of `pools`, a spare pool, two teams."""
     return FleetConfiguration(
         version=ConfigurationVersion(version),
         queues=tuple(
@@ -88,10 +90,10 @@
                 stretch=1.6,
                 slack_ms=600,
             )
-            for pool in POOLS
+            for pool in pools
         ),
         pools=(
-            *(JobPool(pool=pool) for pool in POOLS),
+            *(JobPool(pool=pool) for pool in pools),
             JobPool(pool=SPARE_POOL, is_spare=True),
         ),
         teams=(
--- a/tests/jobs/loaded_fleet.py
+++ b/tests/jobs/loaded_fleet.py
@@ -22,19 +22,15 @@
     VmOrderCooldown,
     VmWork,
 )
+from currantstage.standin.jobs import SPARE_POOL, build_configuration
 from currantstage.state import DataCentreId, PoolId, QueueId, TeamId, VmId
 from currantstage.state.jobs import (
     BornMs,
-    ConfigurationVersion,
     EndedTask,
     EndKind,
     EndNumber,
-    FleetConfiguration,
     JobId,
-    JobPool,
-    JobQueue,
     JobState,
-    JobTeam,
     MaintenanceWave,
     OrderOutcome,
     RenewalReply,
@@ -66,12 +62,12 @@
 #: Time until the worker of a VM that is up again is listed, in seconds.
 LISTING_S = 0.2
 VM_CAPACITY = Resources(32_000, 65_536, 0)
-SPARE_POOL = PoolId("spare")
-STRETCH = 1.6
-SLACK_MS = 600
 #: Time up to which a late job is still of use, as a multiple of its objective.
 MAX_LATENESS = 3.0
 
+#: All queues have the objective of this one.
+_QUEUE = build_configuration().queues[0]
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -85,7 +81,7 @@
     @property
     def objective_s(self) -> float:
         """Time in which the job should end."""
-        return sum(self.run_s) * STRETCH + SLACK_MS / 1000
+        return sum(self.run_s) * _QUEUE.stretch + _QUEUE.slack_ms / 1000
 
     @property
     def core_s(self) -> float:
@@ -149,7 +145,9 @@
 
     def __post_init__(self) -> None:
         pools = [pool for pool in self.vms if pool != SPARE_POOL]
-        self.scheduler = Scheduler(Term(1), _configuration(pools), self.tuning)
+        self.scheduler = Scheduler(
+            Term(1), build_configuration(pools=pools), self.tuning
+        )
         cooldown = VmOrderCooldown((), self.now_s, self.tuning)
         self.manager = FleetManager(self.scheduler, self.tuning, cooldown)
         for pool, number in self.vms.items():
@@ -382,26 +380,3 @@
             return 100
         run_s = self._jobs[run.task.key.job].run_s[run.task.key.step]
         return min(99, int(100 * (self.now_s - run.placed_s) / run_s))
-
-
-def _configuration(pools: list[PoolId]) -> FleetConfiguration:
-    return FleetConfiguration(
-        version=ConfigurationVersion(1),
-        queues=tuple(
-            JobQueue(
-                queue=QueueId(f"q-{pool}"),
-                host="example",
-                path_prefix=f"/{pool}/",
-                pool=pool,
-                max_attempts=3,
-                stretch=STRETCH,
-                slack_ms=SLACK_MS,
-            )
-            for pool in pools
-        ),
-        pools=(
-            *(JobPool(pool=pool) for pool in pools),
-            JobPool(pool=SPARE_POOL, is_spare=True),
-        ),
-        teams=(JobTeam(team=TeamId("east"), keys=("key-east",)),),
-    )
--- a/tests/jobs/test_load_shifts.py
+++ b/tests/jobs/test_load_shifts.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import pytest
 
+from currantstage.standin.jobs import SPARE_POOL
 from currantstage.state import PoolId
 from currantstage.state.jobs import MaintenanceWave, Resources, Step
-from tests.jobs.loaded_fleet import SPARE_POOL, Arrival, LoadedFleet
+from tests.jobs.loaded_fleet import Arrival, LoadedFleet
 
 QUICK, HEAVY, OTHER = PoolId("quick"), PoolId("heavy"), PoolId("other")
 FLEET = {QUICK: 15, HEAVY: 15, OTHER: 15, SPARE_POOL: 15}
@@ -23,18 +23,18 @@
     return Arrival(at_s, pool, (step,), (0.64,))
 
 
-def _heavy(at_s: float, pool: PoolId = HEAVY, width: int = 8) -> Arrival:
-    """Return a job of two steps, each of which takes 10 cores a task for 2.1 s."""
-    first = Step(
-        task_count=width, resources=Resources(10_000, 8000, 0), estimated_run_ms=2100
+def _heavy(at_s: float, step_count: int = 2, width: int = 8) -> Arrival:
+    """Return a job of steps in a row, each of 10 cores a task for 2.1 s."""
+    steps = tuple(
+        Step(
+            task_count=width,
+            resources=Resources(10_000, 8000, 0),
+            estimated_run_ms=2100,
+            after=(number - 1,) if number else (),
+        )
+        for number in range(step_count)
     )
-    last = Step(
-        task_count=width,
-        resources=Resources(10_000, 8000, 0),
-        estimated_run_ms=2100,
-        after=(0,),
-    )
-    return Arrival(at_s, pool, (first, last), (2.1, 2.1))
+    return Arrival(at_s, HEAVY, steps, (2.1,) * step_count)
 
 
 def _every(interval_s: float, start_s: float, end_s: float, seed: int) -> list[float]:
@@ -83,22 +83,9 @@
 
 def test_one_huge_job_among_small_ones_takes_no_more_than_it_can_use() -> None:
     fleet = LoadedFleet(dict(FLEET))
-    huge = _heavy(1.0, width=20)
-    chain = replace(
-        huge,
-        steps=tuple(
-            Step(
-                task_count=20,
-                resources=Resources(10_000, 8000, 0),
-                estimated_run_ms=2100,
-                after=(number - 1,) if number else (),
-            )
-            for number in range(10)
-        ),
-        run_s=(2.1,) * 10,
-    )
+    huge = _heavy(1.0, step_count=10, width=20)
     small = [_quick(at_s) for at_s in _every(0.1, 0.0, 12.0, 1)]
-    fleet.play([chain, *small], 5.0)
+    fleet.play([huge, *small], 5.0)
     # Three tasks fit on a VM.
     assert fleet.pool_size(HEAVY) <= 10
     fleet.play([], 25.0)
