Review stand-ins: cuts of workers, fixed port range, style

The stand-in of a worker can be cut off. Ports are chosen outside of the range of outgoing connections.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,7 +5,7 @@
 import asyncio
 from pathlib import Path
 
-from deployment import CannotRun, Deployment, is_troubled, run_case
+from deployment import CaseError, Deployment, is_troubled, run_case
 from platform_service import Transaction
 
 JOB = "5c0e7a21d94b36f8"
@@ -31,6 +31,7 @@
 
 
 async def case() -> str | None:
+    """Play the case; return how the rule was broken, if it was."""
     async with Site(Path(__file__).parent, workers=3) as site:
         late: list[Transaction] = []
 
@@ -49,7 +50,9 @@
         await site.announce_wave(1, MACHINES, by_s=WAVE_S, cap=CAP)
         await site.wait_for(
             "the wave to be completed",
-            lambda: (site.store.value("status", "wave/1") or {}).get("State") == "completed",
+            lambda: (
+                (site.store.value("status", "wave/1") or {}).get("State") == "completed"
+            ),
             WAVE_S,
         )
         await asyncio.sleep(LATE_S + 1.0)
@@ -60,9 +63,9 @@
         machine = site.machines.machines[MACHINES[1]]
         worker = site.workers.get(machine.worker)
         if worker is None or not worker.is_up:
-            raise CannotRun("the machine has no worker")
+            raise CaseError("the machine has no worker")
         if await site.submit(JOB, [STEP], "work:1") != 200:
-            raise CannotRun("the job was not accepted")
+            raise CaseError("the job was not accepted")
         state = ""
         for _ in range(int(END_S / 0.5)):
             state = await site.state(JOB)
@@ -70,7 +73,13 @@
                 break
             await asyncio.sleep(0.5)
         starts = site.record.of("run-start", worker=worker.name)
-        site.log("verdict", state=state, worker=worker.name, is_up=worker.is_up, starts=len(starts))
+        site.log(
+            "verdict",
+            state=state,
+            worker=worker.name,
+            is_up=worker.is_up,
+            starts=len(starts),
+        )
         if state == "completed":
             return None
         return (
--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -30,6 +30,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 METRICS_PORT = 9464
+#: Range of the ports that the parts of a deployment listen on.
+LISTEN_PORTS = (20_000, 32_000)
 #: Time in which a daemon is ready after its start, in seconds.
 START_TIMEOUT_S = 30.0
 #: Delay after which a process that has ended is started again, in seconds.
@@ -52,7 +54,7 @@
 CAPACITY = {"Cpu": 32000, "MemMb": 64000, "Gpu": 0}
 
 
-class CannotRun(Exception):
+class CaseError(Exception):
     """The case could not be run."""
 
 
@@ -115,21 +117,28 @@
 def free_ip() -> str:
     """Return a loopback address with the port for metrics free."""
     for _ in range(100):
-        ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
+        octets = [random.randint(2, 250) for _ in range(3)]
+        ip = ".".join(map(str, (127, *octets)))
         with socket.socket() as probe:
             try:
                 probe.bind((ip, METRICS_PORT))
             except OSError:
                 continue
             return ip
-    raise CannotRun("no free loopback address")
+    raise CaseError("no free loopback address")
 
 
 def free_port(ip: str) -> int:
-    """Return a free port of an address."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port of an address, outside of those of outgoing connections."""
+    for _ in range(100):
+        port = random.randint(*LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+            return port
+    raise CaseError("no free port")
 
 
 @dataclass
@@ -233,7 +242,11 @@
     async def state(self, job: str) -> str:
         """Return a job's state; the status of the answer if there is none."""
         status, answer = await self.call("GET", job, None)
-        return str(answer.get("State", status)) if isinstance(answer, dict) else str(status)
+        return (
+            str(answer.get("State", status))
+            if isinstance(answer, dict)
+            else str(status)
+        )
 
     async def call(
         self, method: str, job: str, body: object | None
@@ -257,11 +270,24 @@
                 ) as response:
                     status = response.status
                     text = await response.text()
-                    self.log("call", method=method, job=job, to=daemon.name, status=status, answer=text)
+                    self.log(
+                        "call",
+                        method=method,
+                        job=job,
+                        to=daemon.name,
+                        status=status,
+                        answer=text,
+                    )
                     if status in (200, 404, 410):
                         return status, json.loads(text) if text else {}
             except (aiohttp.ClientError, TimeoutError) as error:
-                self.log("call", method=method, job=job, to=daemon.name, error=type(error).__name__)
+                self.log(
+                    "call",
+                    method=method,
+                    job=job,
+                    to=daemon.name,
+                    error=type(error).__name__,
+                )
             await asyncio.sleep(0.3)
         return status, {}
 
@@ -282,12 +308,14 @@
             if found:
                 return found
             await asyncio.sleep(0.02)
-        raise CannotRun(f"not seen within {timeout_s} s: {what}")
+        raise CaseError(f"not seen within {timeout_s} s: {what}")
 
     async def crash_and_return(self, worker: Worker, after_s: float) -> None:
         """Crash a worker, which is back at the same address under a new id."""
         machine = next(
-            each for each in self.machines.machines.values() if each.worker == worker.name
+            each
+            for each in self.machines.machines.values()
+            if each.worker == worker.name
         )
         machine.state = "down"
         await worker.crash()
@@ -307,7 +335,7 @@
         for daemon in self.daemons.values():
             if daemon.name == lease.get("holder"):
                 return daemon
-        raise CannotRun("no daemon holds the lease")
+        raise CaseError("no daemon holds the lease")
 
     def kill(self, daemon: Daemon) -> None:
         """Kill a daemon; the platform starts it again after a short delay."""
@@ -331,7 +359,9 @@
         self.log("wake", daemon=daemon.name)
         os.kill(daemon.pid, signal.SIGCONT)
 
-    async def announce_wave(self, number: int, machines: list[str], by_s: int, cap: int) -> None:
+    async def announce_wave(
+        self, number: int, machines: list[str], by_s: int, cap: int
+    ) -> None:
         """Announce a wave of upkeep as the operator does."""
         wave = {"Wave": number, "Machines": machines, "CompleteByS": by_s, "Cap": cap}
         self.machines.waves[number] = wave
@@ -397,7 +427,9 @@
             self._write_settings(daemon, store, machines)
             await self._launch(daemon)
         await self._wait_ready()
-        await self.wait_for("a scheduler", lambda: self._has_scheduler(), START_TIMEOUT_S)
+        await self.wait_for(
+            "a scheduler", lambda: self._has_scheduler(), START_TIMEOUT_S
+        )
         await asyncio.sleep(2.0)
 
     def _has_scheduler(self) -> bool:
@@ -481,7 +513,7 @@
                 except aiohttp.ClientError:
                     pass
                 if time.monotonic() > until_s:
-                    raise CannotRun(f"{daemon.name} is not ready")
+                    raise CaseError(f"{daemon.name} is not ready")
                 await asyncio.sleep(0.1)
 
     async def _restart(self, daemon: Daemon) -> None:
--- a/review/common2/platform_service.py
+++ b/review/common2/platform_service.py
@@ -136,7 +136,7 @@
         puts, removals = body.get("Put") or [], body.get("Remove") or []
         entries = [*expected, *puts, *removals]
         parts = {each.get("part", "") for each in entries}
-        if len(entries) > MAX_ENTRIES or len(parts) > 1 and not body.get("Across"):
+        if len(entries) > MAX_ENTRIES or (len(parts) > 1 and not body.get("Across")):
             return web.json_response({}, status=400)
         if any(each["Table"] in READ_ONLY_TABLES for each in (*puts, *removals)):
             return web.json_response({}, status=403)
@@ -203,7 +203,9 @@
         await asyncio.sleep(ANSWER_S)
         table, after = request.query.get("Table", ""), request.query.get("After", "")
         parts = sorted({name[1] for name in self.rows if name[0] == table})
-        return web.json_response(self._answer(parts=[each for each in parts if each > after]))
+        return web.json_response(
+            self._answer(parts=[each for each in parts if each > after])
+        )
 
     async def _feed(self, request: web.Request) -> web.Response:
         query = request.query
@@ -225,7 +227,10 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        rows = [row.on_wire() for row in sorted(newest.values(), key=lambda row: row.version)]
+        rows = [
+            row.on_wire()
+            for row in sorted(newest.values(), key=lambda row: row.version)
+        ]
         answer = self._answer(rows=rows, MorePages=False)
         await asyncio.sleep(ANSWER_S)
         return web.json_response(answer)
--- a/review/common2/workers.py
+++ b/review/common2/workers.py
@@ -125,6 +125,8 @@
     ended: list[list[Any]] = field(default_factory=list)
     highest_ended: dict[str, int] = field(default_factory=dict)
     is_up: bool = False
+    #: Until when nothing reaches the worker, nor comes from it.
+    cut_until_s: float = 0.0
     _last_end: int = 0
     _seq: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -133,7 +135,7 @@
 
     async def start(self) -> None:
         """Serve orders, and register."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._drop_while_cut])
         app.router.add_post(f"{PREFIX}/run-start", self._start)
         app.router.add_post(f"{PREFIX}/run-stop", self._stop)
         app.router.add_post(f"{PREFIX}/hold", self._hold)
@@ -171,6 +173,15 @@
                 connection.transport.abort()
         await self._runner.cleanup()
 
+    def cut_off(self, for_s: float) -> None:
+        """Cut the worker off from all machines and the store; it runs on."""
+        self.log("worker-cut", worker=self.name, for_s=for_s, running=sorted(self.runs))
+        self.cut_until_s = time.monotonic() + for_s
+
+    def is_cut_off(self) -> bool:
+        """Return whether the worker is cut off now."""
+        return time.monotonic() < self.cut_until_s
+
     def clock_ms(self) -> int:
         """Return the time on the worker's own clock, which starts with it."""
         return 1000 + int((time.monotonic() - self.began_s) * 1000)
@@ -206,9 +217,21 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @web.middleware
+    async def _drop_while_cut(
+        self, request: web.Request, handler: Callable[..., Any]
+    ) -> web.StreamResponse:
+        if self.is_cut_off():
+            await asyncio.sleep(3600)
+        response: web.StreamResponse = await handler(request)
+        if self.is_cut_off():
+            await asyncio.sleep(3600)
+        return response
+
     async def _beat(self) -> None:
         while True:
-            await self.register()
+            if not self.is_cut_off():
+                await self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _watch_lease(self) -> None:
@@ -249,7 +272,9 @@
             headers={"X-Currantstage-Instance-Id": self.name},
         )
 
-    def _refusal(self, request: web.Request, body: dict[str, Any]) -> web.Response | None:
+    def _refusal(
+        self, request: web.Request, body: dict[str, Any]
+    ) -> web.Response | None:
         intended = request.headers.get("X-Currantstage-Expect-Instance")
         if intended and intended != self.name:
             return self._answer(421)
@@ -274,9 +299,7 @@
         if running is not None and running.number == number:
             self._grant(body["UntilMs"])
             return self._answer()
-        highest = max(
-            self.highest_ended.get(task, 0), running.number if running else 0
-        )
+        highest = max(self.highest_ended.get(task, 0), running.number if running else 0)
         if number <= highest:
             self._grant(body["UntilMs"])
             return self._answer(409, Reason="old")
