Review case 7: one worker of eight, inside the limits of the site

The service had shrunk to three workers before the crash, so that one of them was more than the share that the site allows. It now has eight and no machines in reserve.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,8 @@
 JOB = "5c0e7a21d94b36f8"
 WORK_S = 8
 STEP = {"Count": 1, "Cpu": 1800, "MemMb": 1800, "EstRuntimeMs": 1000 * WORK_S}
+#: Workers of the service: the crash and the cut take one of them each.
+WORKERS = 8
 #: How long the crashed worker is down, and the other one is cut off.
 DOWN_S = 3.0
 CUT_S = 5.5
@@ -22,7 +24,7 @@
 
 async def case() -> str | None:
     """Play the case; return how the rule was broken, if it was."""
-    async with Deployment(Path(__file__).parent) as site:
+    async with Deployment(Path(__file__).parent, workers=WORKERS, spares=0) as site:
 
         async def next_run(after: int) -> tuple[Worker, int]:
             worker, _, number = await site.wait_for(
--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -391,7 +391,8 @@
             ],
             "Services": [
                 _service(SERVICE, spare=False),
-                _service(SPARE, spare=True),
+                # Without machines in reserve the service keeps its own.
+                *([_service(SPARE, spare=True)] if self._counts[2] else []),
             ],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144},
             "Tenants": [
