--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from currantstage.coordination.jobs._progress_pages import JobPages
 from currantstage.coordination.jobs._records import (
     JobFailure,
@@ -12,7 +14,13 @@
     TaskRecord,
 )
 from currantstage.coordination.jobs._unsaved_pages import UnsavedPages
-from currantstage.state.jobs import CrashRecord, JobState, RunNumber, TaskPhase
+from currantstage.state.jobs import (
+    CrashEvidence,
+    CrashRecord,
+    JobState,
+    RunNumber,
+    TaskPhase,
+)
 
 if TYPE_CHECKING:
     from currantstage.state import QueueId
@@ -244,6 +252,14 @@
         self._note_trial(task)
         self.mark_task_unsaved(task)
 
+    def confirm_crash(self, task: TaskRecord, run: RunNumber) -> bool:
+        """Record that a silent worker had crashed; return whether that was open."""
+        crash = task.crashes.get(run)
+        if crash is None or crash.is_crash:
+            return False
+        self.count_crash(task, replace(crash, evidence=CrashEvidence.LATE_END))
+        return True
+
     def clear_crash(self, task: TaskRecord, run: RunNumber) -> None:
         """Take back a crash: the worker has turned out to live."""
         if task.crashes.pop(run, None) is not None:
--- a/currantstage/coordination/jobs/_progress_pages.py
+++ b/currantstage/coordination/jobs/_progress_pages.py
@@ -29,7 +29,7 @@
 #: and of one crash, in bytes.
 _TASK_BYTES = 200
 _FAILED_RUN_BYTES = 12
-_CRASH_BYTES = 40
+_CRASH_BYTES = 100
 #: Maximum ratio of the encoded size of a character to its size in UTF-8.
 _MAX_ESCAPE = 6
 
--- a/currantstage/coordination/jobs/_records.py
+++ b/currantstage/coordination/jobs/_records.py
@@ -25,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from currantstage.coordination.jobs._progress_pages import ProgressPage
     from currantstage.coordination.jobs._run import Run
@@ -36,11 +36,12 @@
 #: Weight of the crashes under a task from which on it is tried alone on a worker.
 TRIAL_WEIGHT = 2
 #: Weight of the crashes under a task from which on it is not started any more, if at
-#: least `MIN_CERTAIN_CRASHES` were under a run that had certainly started.
+#: least `MIN_CERTAIN_CRASHES` were certainly under a run of it.
 GIVE_UP_WEIGHT = 4
 MIN_CERTAIN_CRASHES = 2
-#: Number of crashes after which a task is not started any more in any case.
-MAX_CRASHES = 5
+#: Number of its workers that have crashed or stayed silent from which on a task is not
+#: started any more, if at least `MIN_CERTAIN_CRASHES` have certainly crashed.
+MAX_LOST_WORKERS = 5
 #: Number of waiting tasks that a step offers before it looks for more of them.
 WAITING_CHUNK = 64
 
@@ -90,7 +91,7 @@
     stall_count : int
         Number of its runs that were stopped as stalled.
     crashes : dict of RunNumber to CrashRecord
-        Runs whose worker crashed.
+        Runs whose worker crashed, or may have crashed.
     trial_since_s : float
         When its trial was first due and no worker was free for it.
     """
@@ -124,15 +125,21 @@
     @property
     def crash_weight(self) -> int:
         """Evidence that the task crashes workers; alone with it, one counts twice."""
-        return sum(2 if each.was_alone else 1 for each in self.crashes.values())
+        return _weight(self.crashes.values())
 
     @property
     def is_given_up(self) -> bool:
-        """Whether the crashes are enough evidence that it crashes its workers."""
-        certain = sum(not each.may_not_have_run for each in self.crashes.values())
-        if certain >= MIN_CERTAIN_CRASHES and self.crash_weight >= GIVE_UP_WEIGHT:
+        """Whether the crashes are enough evidence that it crashes its workers.
+
+        A worker that is only silent may be cut off: silence alone is no such evidence.
+        """
+        crashes = [each for each in self.crashes.values() if each.is_crash]
+        if len(crashes) < MIN_CERTAIN_CRASHES:
+            return False
+        certain = sum(each.is_under_run for each in crashes)
+        if certain >= MIN_CERTAIN_CRASHES and _weight(crashes) >= GIVE_UP_WEIGHT:
             return True
-        return len(self.crashes) >= MAX_CRASHES
+        return len(self.crashes) >= MAX_LOST_WORKERS
 
     @property
     def needs_trial(self) -> bool:
@@ -157,6 +164,10 @@
         )
 
 
+def _weight(crashes: Iterable[CrashRecord]) -> int:
+    return sum(2 if each.was_alone else 1 for each in crashes)
+
+
 @dataclass(frozen=True, slots=True)
 class HeldTicket:
     """Permission for a worker to run a step, with its expiry."""
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -5,12 +5,19 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import (
+    MAX_LOST_WORKERS,
     FailureReason,
     JobFailure,
 )
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, LostRun, RunLoss
-from currantstage.state.jobs import CrashRecord, EndKind, JobState, TaskPhase
+from currantstage.state.jobs import (
+    CrashEvidence,
+    CrashRecord,
+    EndKind,
+    JobState,
+    TaskPhase,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +29,10 @@
     from currantstage.coordination.jobs._worker_table import WorkerTable
     from currantstage.state.jobs import EndedTask
 
+#: How long a task that has lost `MAX_LOST_WORKERS` is not started again, in seconds. A
+#: worker that has crashed is usually back by then, which tells it from one cut off.
+SUSPECT_PAUSE_S = 4.0
+
 
 class RunLifecycle:
     """Applies what happens to runs to their tasks, jobs, workers and teams.
@@ -122,6 +133,22 @@
             if not run.task.step.job.state.is_final:
                 self.retry(run.task)
 
+    def on_expired(self, run: Run, now_s: float) -> None:
+        """Apply the loss of a run whose lease has expired on a silent worker."""
+        self.on_lost(run)
+        if len(run.task.crashes) >= MAX_LOST_WORKERS:
+            run.task.not_before_s = now_s + SUSPECT_PAUSE_S
+
+    def on_late_end(self, run: Run) -> None:
+        """Record that the worker of a run that has been lost had crashed."""
+        task = run.task
+        if not self._jobs.confirm_crash(task, run.number):
+            return
+        companions = run.loss.companions if run.loss else 0
+        self._lost.append(LostRun(run, RunLoss(LossCause.ENDED_LATE, companions)))
+        if task.phase is TaskPhase.WAITING and task.is_given_up:
+            self.retry(task)
+
     def take_lost(self) -> list[LostRun]:
         """Return the runs that were lost since the last call."""
         lost, self._lost = self._lost, []
@@ -159,11 +186,13 @@
 
     def _count_crash(self, run: Run, loss: RunLoss) -> None:
         """Hold a crash against the task of a run that was lost with its worker."""
-        if loss.is_crash and not run.is_settled_in:
-            is_certain = run.is_trial or loss.cause is LossCause.WORKER_ENDED
-            was_alone = is_certain and not loss.companions and run.has_started
-            crash = CrashRecord(run.number, was_alone, not run.has_started)
-            self._jobs.count_crash(run.task, crash)
+        evidence = loss.evidence
+        if evidence is None or run.is_settled_in:
+            return
+        is_certain = evidence is CrashEvidence.PROCESS_END
+        was_alone = is_certain and not loss.companions and run.has_started
+        crash = CrashRecord(run.number, was_alone, not run.has_started, evidence)
+        self._jobs.count_crash(run.task, crash)
 
     def _end_suspicion(self, run: Run) -> None:
         """Clear a long-running task that is at work, and open its worker to others."""
--- a/currantstage/coordination/jobs/_run_loss.py
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from currantstage.state.jobs import CrashEvidence
+
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._run import Run
 
@@ -17,12 +19,21 @@
     WORKER_ENDED = "worker-ended"
     #: The worker was silent until the run's lease had certainly expired.
     LEASE_EXPIRED = "lease-expired"
+    #: The same, and its process was found to have ended afterwards.
+    ENDED_LATE = "ended-late"
     #: The worker has left, or planned work has ended it.
     PLANNED = "planned"
     #: The worker lists neither the run nor its end.
     NOT_LISTED = "not-listed"
 
 
+_EVIDENCE = {
+    LossCause.WORKER_ENDED: CrashEvidence.PROCESS_END,
+    LossCause.LEASE_EXPIRED: CrashEvidence.SILENCE,
+    LossCause.ENDED_LATE: CrashEvidence.LATE_END,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class RunLoss:
     """The loss of a run.
@@ -39,9 +50,9 @@
     companions: int
 
     @property
-    def is_crash(self) -> bool:
-        """Whether the worker has ended unexpectedly, as far as is known."""
-        return self.cause in (LossCause.WORKER_ENDED, LossCause.LEASE_EXPIRED)
+    def evidence(self) -> CrashEvidence | None:
+        """What shows that the worker has crashed; None if nothing does."""
+        return _EVIDENCE.get(self.cause)
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -186,7 +186,9 @@
     def tick(self, now_s: float) -> None:
         """Release expired runs, stop stalled ones, resend unconfirmed stop orders."""
         for run in self.workers.release_expired_runs(now_s):
-            self._lifecycle.on_lost(run)
+            self._lifecycle.on_expired(run, now_s)
+        for run in self.workers.take_late_ends():
+            self._lifecycle.on_late_end(run)
         for worker_state in self.workers.states():
             for run in list(worker_state.runs.values()):
                 self._supervisor.check(worker_state, run, now_s)
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -107,6 +107,9 @@
         It runs tasks that are being stopped and are not counted in `used`.
     blocked_until_s : float
         No task is placed on the worker before this time.
+    expired_runs : list of Run
+        Runs that were released when their lease had expired, while nothing shows
+        whether its process had ended or was only cut off.
     suspect_runs, trial_runs : int
         Number of its runs whose task may crash workers, and of those that are tried
         alone.
@@ -134,6 +137,7 @@
     failures: list[JobId] = field(default_factory=list)
     used: Resources = NO_RESOURCES
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    expired_runs: list[Run] = field(default_factory=list)
     suspect_runs: int = 0
     trial_runs: int = 0
     room_observer: RoomObserver | None = None
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -59,6 +59,7 @@
         self._tuning = tuning
         self._states: dict[WorkerId, WorkerState] = {}
         self._unlisted_since_s: dict[WorkerId, float] = {}
+        self._late_ends: list[Run] = []
         #: Workers of each pool by their free resources.
         self.room = RoomIndex()
 
@@ -77,6 +78,7 @@
     def update(self, entries: Iterable[WorkerEntry], now_s: float) -> list[Run]:
         """Apply the list of workers; return the runs that ended with their worker."""
         listed = {entry.worker: entry for entry in entries}
+        self._note_replaced(listed.values())
         lost: list[Run] = []
         for worker, entry in listed.items():
             state = self._states.get(worker)
@@ -118,6 +120,7 @@
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
             return RunChanges(lost=self._begin_incarnation(state, reply.born_ms))
+        state.expired_runs.clear()
         listed_s = state.clock.record(reply.clock_ms, sent_s, now_s)
         if order.fence < state.fence and not state.is_synced:
             return RunChanges()
@@ -162,11 +165,21 @@
             if (state.is_silent or not state.is_synced) and now_s > state.lease_end_s:
                 ended = _sent_runs(state)
                 _record_loss(state, ended, LossCause.LEASE_EXPIRED)
+                state.expired_runs.extend(ended)
                 lost.extend(self._remove_all(state, ended))
         return lost
 
+    def take_late_ends(self) -> list[Run]:
+        """Return the runs whose worker's process was found to have ended.
+
+        They had been released before, when their lease had expired.
+        """
+        late_ends, self._late_ends = self._late_ends, []
+        return late_ends
+
     def end_incarnation(self, state: WorkerState) -> list[Run]:
         """Record that a worker's process has ended; return the runs lost with it."""
+        self._note_late_ends(state)
         state.is_synced = False
         state.missed_renewals = SILENT_AFTER_MISSED_RENEWALS
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
@@ -203,6 +216,7 @@
 
     def _begin_incarnation(self, state: WorkerState, born_ms: BornMs) -> list[Run]:
         """Reset the state of a worker that has restarted under its id."""
+        self._note_late_ends(state)
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         state.entry = _with_incarnation(state.entry, born_ms)
         state.is_retired = False
@@ -224,6 +238,28 @@
                 run.phase = RunPhase.IN_DOUBT
         return self._remove_all(state, ended)
 
+    def _note_replaced(self, entries: Iterable[WorkerEntry]) -> None:
+        """Record the workers whose address is listed for a later process.
+
+        Their runs are still released only when their leases have expired, as the list
+        may be wrong.
+        """
+        born_ms = {entry.address: entry.born_ms for entry in entries}
+        for state in self._states.values():
+            if born_ms.get(state.entry.address, 0) > state.entry.born_ms:
+                _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
+                self._note_late_ends(state)
+
+    def _note_late_ends(self, state: WorkerState) -> None:
+        """Note that a worker's process has ended after its runs were released.
+
+        A worker that has been cordoned since, as it was silent, has crashed all the
+        same.
+        """
+        if not (state.is_retired or state.entry.is_draining):
+            self._late_ends.extend(state.expired_runs)
+        state.expired_runs.clear()
+
     def _remove_all(self, state: WorkerState, runs: list[Run]) -> list[Run]:
         for run in runs:
             state.remove(run)
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -56,7 +56,7 @@
 #: Time for which an entry stays in the store after its worker ended, in seconds.
 ENTRY_EXPIRY_S = 4.5
 #: Time from the start of a task that crashes its worker to the crash, and from then to
-#: the worker's return, in seconds.
+#: the worker's return by default, in seconds.
 CRASH_DELAY_S = 0.01
 CRASH_RETURN_S = 3.0
 #: Payload of a job whose first task of each step crashes every worker that starts it.
@@ -263,6 +263,8 @@
         self.failing_fraction = 0.0
         #: Whether a worker that a task has crashed comes back under another id.
         self.returns_under_new_id = False
+        #: Time from a crash that a task causes to the worker's return, in seconds.
+        self.crash_return_s = CRASH_RETURN_S
         self._store = store
         self._clock_rates = cycle(clock_rates)
 
@@ -305,7 +307,7 @@
             return
         self.oracle.on_worker_crash(worker)
         worker.crash()
-        asyncio.get_running_loop().call_later(CRASH_RETURN_S, self._return, worker)
+        asyncio.get_running_loop().call_later(self.crash_return_s, self._return, worker)
 
     def _return(self, worker: SimulatedWorker) -> None:
         if not self.returns_under_new_id:
--- a/currantstage/state/jobs/__init__.py
+++ b/currantstage/state/jobs/__init__.py
@@ -49,6 +49,7 @@
 )
 from currantstage.state.jobs._progress import (
     HEAD_PAGE,
+    CrashEvidence,
     CrashRecord,
     JobProgress,
     PageKey,
@@ -86,6 +87,7 @@
     "BornMs",
     "Committed",
     "ConfigurationVersion",
+    "CrashEvidence",
     "CrashRecord",
     "Conflicted",
     "EndKind",
--- a/currantstage/state/jobs/_progress.py
+++ b/currantstage/state/jobs/_progress.py
@@ -27,8 +27,20 @@
     FAILED = "failed"
 
 
+class CrashEvidence(Enum):
+    """What shows that the worker of a run has crashed."""
+
+    #: The worker was silent until the run's lease had expired; it may be cut off.
+    SILENCE = "silence"
+    #: The same, and its process was found to have ended later. The run may have ended
+    #: by its lease before that.
+    LATE_END = "late-end"
+    #: Its process was found to have ended while the run's lease was in force.
+    PROCESS_END = "process-end"
+
+
 class CrashRecord(Struct, frozen=True, omit_defaults=True):
-    """A run whose worker crashed.
+    """A run whose worker crashed, or may have crashed.
 
     Parameters
     ----------
@@ -37,11 +49,24 @@
         Whether no other run can have caused the crash.
     may_not_have_run : bool
         Whether the worker may have crashed before the start reached it.
+    evidence : CrashEvidence
     """
 
     run: RunNumber
     was_alone: bool = False
     may_not_have_run: bool = False
+    evidence: CrashEvidence = CrashEvidence.SILENCE
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether the worker's process has certainly ended."""
+        return self.evidence is not CrashEvidence.SILENCE
+
+    @property
+    def is_under_run(self) -> bool:
+        """Whether the worker has certainly crashed while the run was in progress."""
+        is_in_lease = self.evidence is CrashEvidence.PROCESS_END
+        return is_in_lease and not self.may_not_have_run
 
 
 class TaskProgress(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/jobs/test_crash_evidence.py
+++ b/tests/jobs/test_crash_evidence.py
@@ -90,6 +90,37 @@
         self.renew(worker)
         self.renew(worker)
 
+    def silence(self, worker: WorkerId) -> None:
+        """Let a worker be silent until its lease has expired."""
+        state = self.scheduler.workers.get(worker)
+        assert state is not None
+        for _ in range(2):
+            self.now_s += TURN_S
+            order = state.next_renewal(self.now_s, SchedulerTuning())
+            self.scheduler.on_renewal_outcome(
+                order, OrderOutcome.UNKNOWN, self.now_s, self.now_s
+            )
+        self.now_s += TURN_S
+        self.scheduler.tick(self.now_s)
+
+    def return_after_silence(self, worker: WorkerId) -> None:
+        """Let a silent worker come back as a new process, which runs nothing."""
+        self.crash(worker)
+        self.scheduler.tick(self.now_s)
+
+    def replace_after_silence(self, worker: WorkerId) -> None:
+        """Let another worker have the address of a silent one."""
+        self.now_s += TURN_S
+        successor = WorkerId(f"{worker}-new")
+        self.entries[successor] = replace(
+            self.entries.pop(worker),
+            worker=successor,
+            born_ms=BornMs(int(self.now_s * 1000)),
+        )
+        self._update()
+        self.renew(successor)
+        self.scheduler.tick(self.now_s)
+
     def drain(self, worker: WorkerId) -> None:
         """Let a worker report that it will leave."""
         self._replace(worker, is_draining=True)
@@ -120,6 +151,77 @@
     assert fleet.place() == []
 
 
+def _lose(fleet: Fleet, losses: str) -> list[Run]:
+    """Start the only task again and again; each run is lost as a letter says.
+
+    In a crash (``c``), the worker's process ends; in a cut (``s``), it is silent.
+    """
+    runs = []
+    for loss in losses:
+        fleet.now_s += TURN_S
+        (run,) = fleet.place()
+        fleet.renew(run.worker, _listed(run))
+        lose = fleet.crash if loss == "c" else fleet.silence
+        lose(run.worker)
+        runs.append(run)
+    return runs
+
+
+# A worker that is only silent may be cut off: no job may end as failed for it.
+@pytest.mark.parametrize("losses", ["cs", "sc", "ss", "css", "scss", "cssss", "ssssss"])
+def test_silence_of_workers_and_one_crash_dont_fail_a_job(losses: str) -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=8)
+    _lose(fleet, losses)
+    fleet.now_s += TURN_S
+    assert fleet.state is not JobState.FAILED
+    assert len(fleet.place()) == 1
+
+
+@pytest.mark.parametrize("losses", ["cc", "csc", "scc"])
+def test_two_crashes_of_workers_fail_a_job_also_beside_a_cut(losses: str) -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=4)
+    _lose(fleet, losses)
+    assert fleet.state is JobState.FAILED
+
+
+@pytest.mark.parametrize("come_back", ["return", "replace"])
+def test_task_whose_workers_come_back_after_their_lease_is_given_up(
+    come_back: str,
+) -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=2)
+    for turn in range(5):
+        assert fleet.state is not JobState.FAILED
+        fleet.now_s += TURN_S
+        (run,) = fleet.place()
+        worker = run.worker
+        fleet.renew(worker, _listed(run))
+        fleet.silence(worker)
+        if come_back == "return":
+            fleet.return_after_silence(worker)
+        else:
+            fleet.replace_after_silence(worker)
+        assert len(run.task.crashes) == turn + 1
+    assert fleet.state is JobState.FAILED
+    assert fleet.place() == []
+
+
+def test_worker_that_is_replaced_after_it_answered_again_has_not_crashed() -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=2)
+    (run,) = _lose(fleet, "s")
+    end = EndedTask(EndNumber(1), run.task.key, run.number, EndKind.LEASE_EXPIRED, "")
+    fleet.renew(run.worker, ended=(end,))
+    fleet.return_after_silence(run.worker)
+    assert run.task.crashes == {}
+
+
+def test_planned_end_of_a_silent_worker_is_no_crash() -> None:
+    fleet = Fleet(step(1, run_ms=700), workers=2)
+    (run,) = _lose(fleet, "s")
+    fleet.scheduler.retire_worker(run.worker)
+    fleet.scheduler.tick(fleet.now_s)
+    assert not any(each.is_crash for each in run.task.crashes.values())
+
+
 @pytest.mark.parametrize("unanswered_starts", [1, 2, 3])
 def test_start_that_may_never_have_run_and_one_crash_dont_fail_a_job(
     unanswered_starts: int,
--- a/tests/jobs/test_crashing_tasks.py
+++ b/tests/jobs/test_crashing_tasks.py
@@ -32,18 +32,24 @@
     return {await site.show(job) for job in jobs}
 
 
+#: Times from a crash to the worker's return, before and after its lease has expired.
+RETURNS_S = (3.0, 5.5)
+
+
+@pytest.mark.parametrize("crash_return_s", RETURNS_S)
 @pytest.mark.parametrize("returns_under_new_id", [False, True])
 def test_task_that_crashes_each_of_its_workers_is_given_up(
-    returns_under_new_id: bool,
+    returns_under_new_id: bool, crash_return_s: float
 ) -> None:
     async def scenario(seed: int) -> None:
         site = await start_site(seed)
         site.workers.returns_under_new_id = returns_under_new_id
+        site.workers.crash_return_s = crash_return_s
         submitting = asyncio.create_task(_submit_innocent(site, 30))
         await asyncio.sleep(1)
         deadly = await site.submit((step(4, run_ms=700),), POOL, spec=DEADLY_SPEC)
         innocent = await submitting
-        await asyncio.sleep(25)
+        await asyncio.sleep(40)
         assert site.oracle.violations == []
         assert await site.show(deadly) is JobState.FAILED
         assert await _states(site, innocent) == {JobState.COMPLETED}
@@ -52,6 +58,24 @@
         run_scenario(scenario(seed))
 
 
+# Review case 7: a lease that lapsed on a worker that was cut off counted as a crash.
+def test_job_whose_worker_crashes_and_whose_next_one_is_cut_off_completes() -> None:
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        job = await site.submit((step(1, run_ms=8000),), POOL)
+        for trouble in (_crash, _cut_off):
+            await asyncio.sleep(2)
+            while not (runs := site.oracle.running[TaskKey(job, 0, 0, 0)]):
+                await asyncio.sleep(0.1)
+            trouble(site, list(site.workers.workers).index(runs[0].worker.name))
+        await asyncio.sleep(30)
+        assert site.oracle.violations == []
+        assert await site.show(job) is JobState.COMPLETED
+
+    for seed in SEEDS:
+        run_scenario(scenario(seed))
+
+
 def test_crashes_under_a_task_are_counted_across_schedulers() -> None:
     async def scenario(seed: int) -> None:
         site = await start_site(seed)
