--- a/currantstage/platform/_decoding.py
+++ b/currantstage/platform/_decoding.py
@@ -26,7 +26,7 @@
     WorkerEntry,
     WorkerId,
 )
-from currantstage.util import UndecodableError, decode_json
+from currantstage.util import UndecodableError, decode_json, is_header_text
 
 _WireT = TypeVar("_WireT")
 
@@ -239,6 +239,8 @@
 
 def decode_worker(key: str, value: bytes) -> WorkerEntry:
     """Decode a worker's entry; raises `DecodingError` if it names no usable worker."""
+    if not is_header_text(key):
+        raise DecodingError(f"worker id can't be sent in a header: {key!r}")
     wire = _decode(value, _WorkerEntry)
     if wire.state not in ("ready", "draining"):
         raise DecodingError(f"unknown worker state {wire.state!r}")
--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+from eliot import log_message
 from msgspec import Struct
 
 from currantstage.transport import RenewableSession, read_body, upload_body
@@ -155,6 +156,10 @@
                 return CallFailure.TIMEOUT
             except aiohttp.ClientError:
                 return CallFailure.BROKEN
+            except ValueError as error:
+                # The HTTP library can't send it, such as a header with a line feed.
+                log_message("currantstage:call-not-sendable", url=url, error=str(error))
+                return CallFailure.BROKEN
 
 
 def _open_session() -> aiohttp.ClientSession:
--- a/currantstage/protocol/_callers.py
+++ b/currantstage/protocol/_callers.py
@@ -19,6 +19,7 @@
     Submission,
 )
 from currantstage.state import QueueId
+from currantstage.util import is_header_text
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -185,11 +186,15 @@
         # A header that is not valid UTF-8 can't be encoded for conversion.
         except (msgspec.ValidationError, UnicodeError):
             return Failure(Refusal(RefusalReason.MALFORMED))
+    content_type = headers.get("content-type") or DEFAULT_CONTENT_TYPE
+    if not is_header_text(content_type):
+        # It is passed on to the backend server.
+        return Failure(Refusal(RefusalReason.MALFORMED))
     return Success(
         CallerRequest(
             queue=queue,
             presented_key=headers.get(KEY_HEADER),
-            content_type=headers.get("content-type", DEFAULT_CONTENT_TYPE),
+            content_type=content_type,
             body=body,
             options=options,
         )
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -8,6 +8,7 @@
     decode_json,
     decode_msgpack,
 )
+from currantstage.util._header_text import is_header_text
 from currantstage.util._lag_tolerant_timeout import LagTolerantTimeout, LoopLagMeter
 from currantstage.util._log_sink import LogSink
 from currantstage.util._notifier import Notifier
@@ -37,6 +38,7 @@
     "catch_stop_signals",
     "decode_json",
     "decode_msgpack",
+    "is_header_text",
     "record_arrival",
     "wait_for_event",
 ]
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
 from aiohttp import web
+from msgspec import structs
 
 from currantstage.platform import (
     AdviceClient,
@@ -33,9 +35,12 @@
     OrderOutcome,
     RowName,
     RowPage,
+    StartOrder,
     StepKey,
     StoredRow,
     StoreUnavailable,
+    WorkerChanges,
+    WorkerId,
 )
 from tests.jobs.platform_server import renewal_order, run_with_server, start_order
 from tests.jobs.test_platform_decoding import CONFIGURATION, ENTRY
@@ -70,23 +75,59 @@
 }
 
 
-@pytest.mark.parametrize("odd", ODD_WORKERS)
-def test_odd_worker_entry_is_left_out_and_the_others_hold(odd: str) -> None:
+def _read_workers(odd_key: str, odd_value: bytes) -> WorkerChanges:
+    """Return what is read of an odd entry and a sound one."""
+
     class Store:
         async def read(self, table: str, partition: str, prefix: str = "") -> RowPage:
             return RowPage(
                 tuple(
                     StoredRow(RowName("servers", "", key), value, 1)
-                    for key, value in (("i-odd", ODD_WORKERS[odd]), ("i-1", ENTRY))
+                    for key, value in ((odd_key, odd_value), ("i-1", ENTRY))
                 ),
                 1,
             )
 
-    changes = asyncio.run(WorkerRows(Store()).read())  # type: ignore[arg-type]
+    return asyncio.run(WorkerRows(Store()).read())  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("odd", ODD_WORKERS)
+def test_odd_worker_entry_is_left_out_and_the_others_hold(odd: str) -> None:
+    changes = _read_workers("i-odd", ODD_WORKERS[odd])
     assert [each.worker for each in changes.entries] == ["i-1"]
     assert changes.removed == ("i-odd",)
 
 
+ODD_IDS = (
+    *("i-7f3a91c2\n", "i-\r\nX: 1", "i\0", "i\t", "i\x7f", "i\x85", "i\u2028"),
+    *("", " i-7f3a91c2", "i-7f3a91c2 ", "\ud800"),
+)
+
+
+# Review case 6: an id that ends with a line feed ended each term of the scheduler.
+@pytest.mark.parametrize("odd", ODD_IDS)
+def test_worker_whose_id_no_header_can_have_is_left_out(odd: str) -> None:
+    changes = _read_workers(odd, ENTRY)
+    assert [each.worker for each in changes.entries] == ["i-1"]
+    assert changes.removed == (odd,)
+
+
+@pytest.mark.parametrize("odd", ODD_IDS)
+def test_order_that_cant_be_sent_counts_as_unanswered(odd: str) -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.Response(status=404)
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        client = WorkerClient(http)
+        for order in (renewal_order(address), start_order(address)):
+            worker = structs.replace(order.worker, worker=WorkerId(odd))
+            sent = replace(order, worker=worker)
+            call = client.start if isinstance(sent, StartOrder) else client.hold
+            assert await call(sent) is OrderOutcome.UNKNOWN  # type: ignore[arg-type]
+
+    run_with_server(answer, use)
+
+
 @pytest.mark.parametrize(
     ("decode", "value"),
     [
--- a/tests/protocol/test_callers.py
+++ b/tests/protocol/test_callers.py
@@ -67,6 +67,12 @@
     assert result.failure().reason is RefusalReason.MALFORMED
 
 
+def test_content_type_that_no_header_can_have_is_refused_as_malformed():
+    headers = {"content-type": "text/plain\x01"}
+    result = parse_caller_request(QUEUE, headers, b"")
+    assert result.failure().reason is RefusalReason.MALFORMED
+
+
 @settings(derandomize=True, database=None, max_examples=300)
 @given(
     headers=st.dictionaries(
