--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from currantstage.coordination.jobs import FleetManager, VmWork
-from currantstage.state.jobs import StoreUnavailable, VmOrderOutcome
+from currantstage.state.jobs import StoreUnavailable
 from currantstage.util import TaskSet
 
 if TYPE_CHECKING:
@@ -33,6 +33,8 @@
 #: progress, and while none are, in seconds.
 BUSY_LIST_INTERVAL_S = 0.4
 IDLE_LIST_INTERVAL_S = 1.0
+#: Pause after a failed attempt to store what has been maintained, in seconds.
+RECORD_RETRY_S = 0.5
 
 
 class FleetDriver:
@@ -101,6 +103,7 @@
             self._tasks.spawn(self._execute_order(order))
         self._log_sizes()
         self._send_orders()
+        self._record_waves()
         await self._report_waves()
 
     def _log_sizes(self) -> None:
@@ -144,7 +147,8 @@
             return
         records = await self._ports.vms.list()
         self._listed_s = requested_s
-        self._manager.observe(records, requested_s)
+        for worker in self._manager.observe(records, requested_s):
+            log_message("currantstage:worker-reinstated", worker=worker)
 
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
@@ -163,20 +167,35 @@
             term=self._term,
             outcome=outcome.value,
         )
-        wave = self._manager.on_order_outcome(order, outcome, self._ports.clock.now_s())
-        if wave is not None and outcome is VmOrderOutcome.DONE:
-            await self._record_wave(wave)
+        self._manager.on_order_outcome(order, outcome, self._ports.clock.now_s())
+        self._record_waves()
+
+    def _record_waves(self) -> None:
+        """Store which VMs have been maintained, as far as that is not yet stored."""
+        for wave in self._manager.maintenance.waves.values():
+            if wave.unrecorded and not wave.is_recording:
+                wave.is_recording = True
+                self._tasks.spawn(self._record_wave(wave))
 
     async def _record_wave(self, wave: WaveState) -> None:
+        vms = wave.unrecorded
         try:
-            await self._repository.write_wave(wave.wave.number, sorted(wave.done))
+            await self._repository.record_maintained(wave.wave.number, vms)
+            wave.recorded |= vms
         except StoreUnavailable as error:
-            # The record written for the next VM includes this one.
-            log_message("currantstage:wave-record-failed", reason=str(error))
+            log_message(
+                "currantstage:wave-record-failed",
+                wave=wave.wave.number,
+                vms=len(vms),
+                reason=str(error),
+            )
+            await asyncio.sleep(RECORD_RETRY_S)
+        finally:
+            wave.is_recording = False
 
     async def _report_waves(self) -> None:
         for wave in self._manager.maintenance.open_waves():
-            is_done = self._manager.is_wave_done(wave)
+            is_done = self._manager.is_wave_done(wave) and not wave.unrecorded
             if wave.is_announced and not is_done:
                 continue
             try:
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from itertools import count
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -55,7 +55,7 @@
 from currantstage.util import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterable, Sequence
 
     from currantstage.coordination.jobs import LeaseRow
     from currantstage.state import EntryVmId
@@ -73,8 +73,10 @@
 _WAVES_TABLE = "waves"
 #: Number of partitions that are read at once; they share the daemon's network link.
 CONCURRENT_READS = 4
-#: Maximum size of the names of VMs in one row of a wave, in bytes.
-MAX_WAVE_ROW_BYTES = 20 * 1024
+#: Maximum number of rows of a wave in one write.
+MAX_ROWS_PER_WRITE = 50
+#: Size of the digest that stands for the name of a VM in the key of a row, in bytes.
+VM_DIGEST_BYTES = 16
 #: Size of the rows decoded after which other work of the event loop gets its turn.
 BYTES_PER_TURN = 1024 * 1024
 
@@ -251,13 +253,19 @@
             await self._store.transact((), [RowWrite(name, None) for name in names])
         self._part_counts.pop(job, None)
 
-    async def write_wave(self, wave: int, done: Sequence[str]) -> None:
-        """Store the VMs of a wave that have been maintained, in rows of their own."""
-        writes = [
-            RowWrite(RowName(_WAVES_TABLE, "", key), msgspec.json.encode(names))
-            for key, names in zip(_wave_keys(wave), _in_rows(done), strict=False)
-        ]
-        await self._store.transact((), writes)
+    async def record_maintained(self, wave: int, vms: Iterable[str]) -> None:
+        """Store that VMs of a wave have been maintained.
+
+        Each has a row of its own, so that a write that takes effect late removes
+        nothing that later ones have stored.
+        """
+        names = sorted(vms)
+        for first in range(0, len(names), MAX_ROWS_PER_WRITE):
+            writes = [
+                RowWrite(_maintained_row(wave, vm), msgspec.json.encode([vm]))
+                for vm in names[first : first + MAX_ROWS_PER_WRITE]
+            ]
+            await self._store.transact((), writes)
 
     async def read_wave(self, wave: int) -> tuple[str, ...]:
         """Return the VMs of a wave that are stored as maintained."""
@@ -296,28 +304,10 @@
     return JobChanges(submissions, tuple(rows.cancelled), version)
 
 
-def _wave_keys(wave: int) -> Iterator[str]:
-    """Yield the keys of the rows of a wave."""
-    yield str(wave)
-    yield from (f"{wave}.{number}" for number in count(1))
-
-
-def _in_rows(names: Sequence[str]) -> list[list[str]]:
-    """Divide the names of VMs among rows.
-
-    >>> [len(each) for each in _in_rows(["vm"] * 5000)]
-    [4096, 904]
-    """
-    rows: list[list[str]] = [[]]
-    size_bytes = 0
-    for name in names:
-        name_bytes = len(msgspec.json.encode(name)) + len(",")
-        if rows[-1] and size_bytes + name_bytes > MAX_WAVE_ROW_BYTES:
-            rows.append([])
-            size_bytes = 0
-        rows[-1].append(name)
-        size_bytes += name_bytes
-    return rows
+def _maintained_row(wave: int, vm: str) -> RowName:
+    """Return the row for a VM of a wave; the VM's name may fill a key by itself."""
+    digest = blake2b(vm.encode(), digest_size=VM_DIGEST_BYTES).hexdigest()
+    return RowName(_WAVES_TABLE, "", f"{wave}.{digest}")
 
 
 def _progress_row(page: PageKey) -> RowName:
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -30,7 +30,7 @@
     from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId
-    from currantstage.state.jobs import VmRecord
+    from currantstage.state.jobs import VmRecord, WorkerId
 
 #: Weight of a long-running task in the choice of the VM that is easiest to drain, in
 #: cores.
@@ -73,9 +73,15 @@
         self._demand = DemandMeter(scheduler, self._missing_vms)
         self._is_fenced = False
 
-    def observe(self, records: Iterable[VmRecord], requested_s: float) -> None:
-        """Apply the platform's list of VMs."""
-        self.vms.observe(records, requested_s)
+    def observe(
+        self, records: Iterable[VmRecord], requested_s: float
+    ) -> list[WorkerId]:
+        """Apply the platform's list of VMs; return the workers that are reinstated."""
+        return [
+            worker
+            for worker in self.vms.observe(records, requested_s)
+            if self._scheduler.reinstate_worker(worker)
+        ]
 
     def plan(self, now_s: float) -> list[VmOrder]:
         """Set goals, drain VMs and return the orders that are due."""
@@ -102,8 +108,8 @@
 
     def on_order_outcome(
         self, order: VmOrder, outcome: VmOrderOutcome, now_s: float
-    ) -> WaveState | None:
-        """Apply the outcome of an order; return the wave that it has advanced."""
+    ) -> None:
+        """Apply the outcome of an order."""
         if outcome is VmOrderOutcome.FENCED:
             # A later scheduler has sent orders for VMs, so this one must stop.
             self._is_fenced = True
@@ -112,12 +118,10 @@
             self._scheduler.retire_worker(done.ended_worker)
         wave = self.maintenance.waves.get(order.goal.wave)
         if order.goal.work is not VmWork.MAINTENANCE or wave is None:
-            return None
+            return
         skipped = outcome in (VmOrderOutcome.NOT_IN_WAVE, VmOrderOutcome.MALFORMED)
-        if done is None and not skipped:
-            return None
-        wave.done.add(order.vm)
-        return wave
+        if done is not None or skipped:
+            wave.done.add(order.vm)
 
     def is_wave_done(self, wave: WaveState) -> bool:
         """Return whether every existing VM of the wave has been maintained."""
--- a/currantstage/coordination/jobs/_maintenance_plan.py
+++ b/currantstage/coordination/jobs/_maintenance_plan.py
@@ -36,6 +36,10 @@
         When the scheduler learned of it.
     done : set of VmId
         VMs whose maintenance order has been confirmed, or refused for good.
+    recorded : set of VmId
+        Those of them that are stored as such, for later schedulers.
+    is_recording : bool
+        A write that stores more of them is under way.
     is_announced, is_completed : bool
         Whether its start and its completion have been reported to operators.
     """
@@ -43,6 +47,8 @@
     wave: MaintenanceWave
     known_since_s: float
     done: set[VmId] = field(default_factory=set)
+    recorded: set[VmId] = field(default_factory=set)
+    is_recording: bool = False
     is_announced: bool = False
     is_completed: bool = False
 
@@ -51,6 +57,11 @@
         """Deadline of the wave."""
         return self.known_since_s + self.wave.complete_by_s
 
+    @property
+    def unrecorded(self) -> set[VmId]:
+        """VMs that are done and not known to be stored as such."""
+        return self.done - self.recorded
+
 
 class MaintenancePlan:
     """Sets maintenance goals: as many as may be down, plus `DRAINED_AHEAD`."""
@@ -69,7 +80,8 @@
         """Record a wave and those of its VMs that are already maintained."""
         state = self.waves.get(wave.number)
         if state is None:
-            state = WaveState(wave, now_s, set(map(VmId, done)))
+            maintained = set(map(VmId, done))
+            state = WaveState(wave, now_s, maintained, set(maintained))
             self.waves[wave.number] = state
         return state
 
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -296,9 +296,11 @@
         self._apply_changes(order.worker.worker, changes, now_s)
 
     def may_renew(self, worker: WorkerId) -> bool:
-        """Return whether a worker may have to be sent renewals, now or later."""
-        worker_state = self.workers.get(worker)
-        return worker_state is not None and not worker_state.is_retired
+        """Return whether a worker may have to be sent renewals, now or later.
+
+        A retired one may be reinstated.
+        """
+        return self.workers.get(worker) is not None
 
     def is_silent(self, worker: WorkerId) -> bool:
         """Return whether a worker has not answered several consecutive renewals."""
@@ -329,6 +331,17 @@
             for run in self.workers.retire(worker_state):
                 self._lifecycle.on_lost(run)
 
+    def reinstate_worker(self, worker: WorkerId) -> bool:
+        """Record that a worker runs on; return whether it was taken for ended.
+
+        It is called again, and its next lists show what it runs.
+        """
+        worker_state = self.workers.get(worker)
+        if worker_state is None or not worker_state.is_retired:
+            return False
+        worker_state.is_retired = False
+        return True
+
     def interrupt(self, run: Run, now_s: float) -> bool:
         """Stop a run for planned work; return False if its budget forbids it now."""
         if run.is_stopping:
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -83,13 +83,27 @@
     @property
     def is_up(self) -> bool:
         """Whether the VM is up and no order for it may be in progress."""
-        return self.record.condition is VmCondition.UP and self.sent_s is None
+        return self.is_listed_up and self.sent_s is None
+
+    @property
+    def is_listed_up(self) -> bool:
+        """Whether the platform's latest list shows it as up."""
+        return self.record.condition is VmCondition.UP
 
     @property
     def is_order_outstanding(self) -> bool:
         """Whether the VM is, or may be, down because of an order."""
         return self.sent_s is not None
 
+    @property
+    def is_worker_spared(self) -> bool:
+        """Whether the order is confirmed and has not ended the worker.
+
+        The platform confirms an order also if the work was already done before.
+        """
+        is_same_worker = self.record.worker == self.ended_worker != WorkerId("")
+        return self.done_s is not None and self.is_listed_up and is_same_worker
+
     def target_pool(self) -> PoolId:
         """Return the destination of a planned move, otherwise the current pool."""
         if self.goal is not None and self.goal.pool is not None:
@@ -117,16 +131,25 @@
         """Return all VMs."""
         return self._states.values()
 
-    def observe(self, records: Iterable[VmRecord], requested_s: float) -> None:
-        """Apply the platform's list, which was requested at `requested_s`."""
+    def observe(
+        self, records: Iterable[VmRecord], requested_s: float
+    ) -> list[WorkerId]:
+        """Apply the platform's list, which was requested at `requested_s`.
+
+        Returns the workers that an order was to end and that are there all the same.
+        """
         listed = {record.vm: record for record in records}
+        spared: list[WorkerId] = []
         for vm, record in listed.items():
             state = self._states.setdefault(vm, VmState(record, requested_s))
             if state.done_s is None or requested_s > state.done_s:
                 _apply_record(state, record, requested_s)
+                if state.is_worker_spared:
+                    spared.append(record.worker)
             self._clear_finished_goal(state, requested_s)
         for vm in self._states.keys() - listed.keys():
             del self._states[vm]
+        return spared
 
     def set_goal(self, state: VmState, goal: VmGoal, now_s: float) -> None:
         """Plan work on a VM."""
@@ -173,7 +196,7 @@
         if state.goal.work is VmWork.MOVE:
             downtime_ms = self._tuning.move_ms
         is_over = requested_s - state.done_s > downtime_ms / 1000
-        if is_over and state.record.condition is VmCondition.UP:
+        if is_over and state.is_listed_up:
             self.clear_goal(state)
 
 
--- a/currantstage/platform/_sources.py
+++ b/currantstage/platform/_sources.py
@@ -16,6 +16,7 @@
 )
 from currantstage.state.jobs import (
     OperatorChanges,
+    RowCondition,
     RowName,
     RowPage,
     RowWrite,
@@ -67,11 +68,16 @@
             return None
 
     async def write_wave_state(self, wave: int, *, is_completed: bool) -> None:
-        """Write the state of a wave for operators to read."""
+        """Write the state of a wave for operators to read.
+
+        The beginning is written only if nothing is there, so that a write of it that
+        takes effect late never replaces the completion.
+        """
         status = _WaveStatus("completed" if is_completed else "running")
         name = RowName(_STATUS_TABLE, "", f"{_WAVE_PREFIX}{wave}")
+        conditions = () if is_completed else (RowCondition(name, 0),)
         write = RowWrite(name, msgspec.json.encode(status))
-        await self._store.transact((), (write,))
+        await self._store.transact(conditions, (write,))
 
     def _decode_changes(self, page: RowPage) -> OperatorChanges:
         configuration = None
--- a/currantstage/standin/jobs/_site_ports.py
+++ b/currantstage/standin/jobs/_site_ports.py
@@ -12,6 +12,7 @@
     FleetConfiguration,
     MaintenanceWave,
     OperatorChanges,
+    RowCondition,
     RowName,
     RowWrite,
     WorkerChanges,
@@ -73,7 +74,8 @@
         """Write the state of a wave for operators to read."""
         name = RowName("status", "", f"wave/{wave}")
         value = b"completed" if is_completed else b"running"
-        await self._store.transact((), (RowWrite(name, value),))
+        conditions = () if is_completed else (RowCondition(name, 0),)
+        await self._store.transact(conditions, (RowWrite(name, value),))
 
     def _to_operator_changes(self, page: RowPage) -> OperatorChanges:
         configuration = None
--- a/currantstage/state/jobs/_sources.py
+++ b/currantstage/state/jobs/_sources.py
@@ -58,7 +58,7 @@
         """Return the configuration received from a peer, or None if malformed."""
 
     async def write_wave_state(self, wave: int, *, is_completed: bool) -> None:
-        """Report the state of a wave to operators."""
+        """Report the state of a wave to operators; a completed one stays so."""
 
 
 class WorkerSource(Protocol):
--- a/tests/jobs/test_vm_table.py
+++ b/tests/jobs/test_vm_table.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
+import pytest
 
 from currantstage.coordination.jobs import (
     FleetManager,
@@ -73,3 +76,44 @@
     table.observe((RECORD,), requested_s=1.1 + TUNING.upkeep_ms / 1000 + 0.1)
     assert not state.is_order_outstanding
     assert state.goal is None
+
+
+def _manager_after_order(
+    *listed_after: VmRecord,
+) -> tuple[Scheduler, FleetManager]:
+    """Return a manager whose order for the VM was confirmed, and a list after that."""
+    scheduler = Scheduler(Term(1), build_configuration(), TUNING)
+    scheduler.update_workers((entry(OLD), entry(NEW)), now_s=0.0)
+    manager = FleetManager(scheduler, TUNING, VmOrderCooldown((), 0.0, TUNING))
+    manager.observe((RECORD,), requested_s=0.0)
+    state = manager.vms.get(RECORD.vm)
+    assert state is not None
+    manager.vms.set_goal(state, GOAL, now_s=0.0)
+    manager.vms.record_sent(state, now_s=0.1)
+    manager.on_order_outcome(VmOrder(RECORD.vm, GOAL), VmOrderOutcome.DONE, now_s=0.2)
+    manager.observe(listed_after, requested_s=0.3)
+    return scheduler, manager
+
+
+# Review case 9: the platform confirms an upkeep that was done before, and does nothing.
+def test_worker_that_a_confirmed_order_has_not_ended_is_called_again() -> None:
+    scheduler, manager = _manager_after_order(RECORD)
+    worker_state = scheduler.workers.get(OLD)
+    assert worker_state is not None
+    assert not worker_state.is_retired
+    assert worker_state.is_renewal_due(0.4)
+    manager.observe((RECORD,), requested_s=0.3 + TUNING.upkeep_ms / 1000)
+    state = manager.vms.get(RECORD.vm)
+    assert state is not None
+    assert state.goal is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"condition": VmCondition.MAINTENANCE}, {"worker": NEW}, {"worker": ""}],
+)
+def test_worker_that_an_order_has_ended_stays_retired(changes: dict[str, Any]) -> None:
+    scheduler, _ = _manager_after_order(msgspec.structs.replace(RECORD, **changes))
+    worker_state = scheduler.workers.get(OLD)
+    assert worker_state is not None
+    assert worker_state.is_retired
