--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -142,6 +142,7 @@
             task=_format_task(order.task),
             run=order.run,
             worker=order.worker.worker,
+            born_ms=order.worker.born_ms,
             fence=order.fence,
             outcome=outcome.value,
             waited_s=round(now_s - run.placed_s, 3),
@@ -198,6 +199,16 @@
         was_silent = self._scheduler.is_silent(order.worker.worker)
         self._scheduler.on_renewal_outcome(order, reply, sent_s, self._now_s())
         if isinstance(reply, RenewalReply):
+            if reply.born_ms != order.worker.born_ms:
+                log_message(
+                    "currantstage:worker-restarted",
+                    worker=order.worker.worker,
+                    born_ms=reply.born_ms,
+                    meant_for_ms=order.worker.born_ms,
+                    fence=order.fence,
+                    until_ms=order.until_ms,
+                    seen_upto=order.seen_upto,
+                )
             if was_silent:
                 log_message(
                     "currantstage:worker-regained",
@@ -213,8 +224,10 @@
             log_message(
                 "currantstage:worker-silent",
                 worker=order.worker.worker,
+                born_ms=order.worker.born_ms,
                 outcome=reply.value,
                 fence=order.fence,
+                until_ms=order.until_ms,
             )
         self.send_orders()
         self._on_change()
--- a/currantstage/coordination/jobs/_tuning.py
+++ b/currantstage/coordination/jobs/_tuning.py
@@ -12,6 +12,10 @@
     ----------
     worker_lease_ms : int
         Duration of a worker's lease, from its last renewal.
+    max_lease_ms : int
+        Longest lease that a worker grants, whatever an order asks for.
+    max_order_delay_ms : int
+        How late a worker may carry out an order that got no answer.
     hold_wait_ms : int
         How long a worker may delay its reply to a renewal until a run ends (long
         polling).
@@ -46,6 +50,8 @@
     """
 
     worker_lease_ms: int = 4000
+    max_lease_ms: int = 6000
+    max_order_delay_ms: int = 12_000
     hold_wait_ms: int = 700
     owner_lease_ms: int = 6000
     renewal_ms: int = 500
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -34,6 +34,9 @@
 MAX_CONSECUTIVE_FAILURES = 3
 #: Minimum number of jobs among these failures, since some jobs fail on any worker.
 MIN_FAILED_JOBS = 2
+#: How long after its sending a worker carries out an order at the latest, unless it is
+#: one of those that are carried out late, in milliseconds.
+ANSWERED_ORDER_DELAY_MS = 500
 #: Consecutive unanswered renewals after which a worker counts as silent.
 SILENT_AFTER_MISSED_RENEWALS = 2
 
@@ -81,7 +84,12 @@
         Highest fence that the worker has acknowledged; it rejects orders below it.
     clock : WorkerClock
     lease_end_s : float
-        When the last lease that may have been granted has certainly expired.
+        When the last lease that the known incarnation may have has certainly expired.
+    granted_s : float
+        When the last order with a lease was sent.
+    may_have_late_orders : bool
+        The worker has restarted, and the new incarnation has answered no order of its
+        own yet, which would make it reject those of before.
     processed_upto : EndNumber
         Highest number of the ends that have been processed in memory.
     seen_upto : EndNumber
@@ -121,6 +129,8 @@
     answered_fence: Fence = Fence(0)
     clock: WorkerClock = field(default_factory=WorkerClock)
     lease_end_s: float = 0.0
+    granted_s: float = float("-inf")
+    may_have_late_orders: bool = False
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
     acknowledged_upto: EndNumber = EndNumber(0)
@@ -231,15 +241,45 @@
     def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
         """Return the end of a new lease on the worker's clock, and record it.
 
-        An order that is delayed or carried out late doesn't move that end.
+        On the incarnation whose clock was read, an order that is delayed or carried out
+        late doesn't move that end. Another one, whose clock has started anew, would
+        grant the longest lease; see `run_end_s`.
         """
         if not self.clock.reading_ms:
             return None
-        end_s = now_s + longest_lease_s(tuning.worker_lease_ms)
-        if end_s > self.lease_end_s:
-            self.lease_end_s = end_s
+        self.granted_s = now_s
+        self.extend_lease(now_s, tuning.worker_lease_ms)
         return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
 
+    def extend_lease(self, now_s: float, lease_ms: int) -> None:
+        """Record that the worker may have a lease of that length from now."""
+        self.lease_end_s = max(self.lease_end_s, now_s + longest_lease_s(lease_ms))
+
+    def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
+        """Record that the worker has listed its runs under this scheduler's fence.
+
+        Until now it may have taken orders of before, with leases that were reckoned on
+        the clock of an earlier incarnation.
+        """
+        if not self.is_synced:
+            self.extend_lease(now_s, tuning.max_lease_ms)
+        self.is_synced = True
+        self.may_have_late_orders = False
+
+    def run_end_s(self, run: Run, tuning: SchedulerTuning) -> float:
+        """Return when a run has certainly ended if the worker stays silent.
+
+        One that the known incarnation has not listed may be run by a later one, which
+        has taken the order to start it.
+        """
+        if run.is_listed:
+            return self.lease_end_s
+        delay_ms = ANSWERED_ORDER_DELAY_MS
+        if self.may_have_late_orders:
+            delay_ms = tuning.max_order_delay_ms
+        taken_s = self.granted_s + delay_ms / 1000
+        return max(self.lease_end_s, taken_s + longest_lease_s(tuning.max_lease_ms))
+
     def is_renewal_due(self, now_s: float) -> bool:
         """Return whether the worker has to be sent a renewal.
 
@@ -274,11 +314,22 @@
         return RenewalOrder(
             worker=self.entry,
             fence=self.fence,
-            seen_upto=self.seen_upto,
+            seen_upto=self._next_seen_upto(),
             until_ms=until_ms,
             wait_ms=tuning.hold_wait_ms if may_wait else 0,
         )
 
+    def _next_seen_upto(self) -> EndNumber:
+        """Return up to which number the next renewal has the worker forget ends.
+
+        A worker that has restarted numbers its ends anew, and would forget some that
+        nobody has read. So only what is new is acknowledged, and nothing after a
+        renewal without an answer.
+        """
+        if self.missed_renewals or self.seen_upto <= self.acknowledged_upto:
+            return EndNumber(0)
+        return self.seen_upto
+
     def record_ends(self, ends: Iterable[EndedTask]) -> None:
         """Record ends that are processed now."""
         for ended in sorted(ends, key=attrgetter("number")):
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -126,7 +126,7 @@
             return RunChanges()
         state.answered_fence = max(state.answered_fence, order.fence)
         state.acknowledged_upto = max(state.acknowledged_upto, order.seen_upto)
-        state.is_synced = True
+        state.record_synced(now_s, self._tuning)
         settled_clock_ms = reply.clock_ms + self._tuning.max_stop_ms
         changes = compare_lists(
             state, order, reply, settled_clock_ms, sent_s, listed_s, now_s
@@ -162,11 +162,16 @@
         """Release and return the runs whose lease has certainly expired."""
         lost: list[Run] = []
         for state in self._states.values():
-            if (state.is_silent or not state.is_synced) and now_s > state.lease_end_s:
-                ended = _sent_runs(state)
-                _record_loss(state, ended, LossCause.LEASE_EXPIRED)
-                state.expired_runs.extend(ended)
-                lost.extend(self._remove_all(state, ended))
+            if state.is_synced and not state.is_silent:
+                continue
+            ended = [
+                run
+                for run in _sent_runs(state)
+                if now_s > state.run_end_s(run, self._tuning)
+            ]
+            _record_loss(state, ended, LossCause.LEASE_EXPIRED)
+            state.expired_runs.extend(ended)
+            lost.extend(self._remove_all(state, ended))
         return lost
 
     def take_late_ends(self) -> list[Run]:
@@ -191,8 +196,12 @@
         return self.end_incarnation(state)
 
     def takeover_bound_s(self, now_s: float, takeover: LeaseTakeover) -> float:
-        """Return when leases granted by earlier schedulers have certainly expired."""
-        lease_s = longest_lease_s(self._tuning.worker_lease_ms)
+        """Return when leases granted by earlier schedulers have certainly expired.
+
+        The worker may have restarted, and have taken the longest lease from an order
+        that was meant for its earlier incarnation.
+        """
+        lease_s = longest_lease_s(self._tuning.max_lease_ms)
         return now_s + takeover.holder_active_s + lease_s
 
     def _add(self, entry: WorkerEntry) -> WorkerState:
@@ -222,6 +231,7 @@
         state.is_retired = False
         state.raise_fence()
         state.is_synced = False
+        state.may_have_late_orders = True
         state.clock = WorkerClock()
         state.processed_upto = EndNumber(0)
         state.seen_upto = EndNumber(0)
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -159,18 +159,12 @@
         """Renew the lease, and wait for the end of a run if the order asks for it."""
         if not self._accept_fence(order.fence):
             return OrderOutcome.FENCED
-        for ended in self.ended:
-            if ended.number <= order.seen_upto:
-                self._fleet.oracle.on_acknowledged(
-                    ended.task,
-                    is_done=ended.kind is EndKind.DONE,
-                    is_failed=ended.kind is EndKind.FAILED,
-                )
-        self.ended = [each for each in self.ended if each.number > order.seen_upto]
+        self._forget_ends(order.seen_upto)
         if order.until_ms is not None:
             self.extend_lease(order.until_ms)
         if order.wait_ms and not self.ended:
             await self._changed.wait(order.wait_ms / 1000)
+            self._forget_ends(order.seen_upto)
         return RenewalReply(
             clock_ms=self.clock_ms(),
             born_ms=self.entry.born_ms,
@@ -181,9 +175,22 @@
 
     def hold_late(self, order: RenewalOrder) -> None:
         """Renew the lease for an order whose caller has timed out."""
-        if self._accept_fence(order.fence) and order.until_ms is not None:
+        if not self._accept_fence(order.fence):
+            return
+        self._forget_ends(order.seen_upto)
+        if order.until_ms is not None:
             self.extend_lease(order.until_ms)
 
+    def _forget_ends(self, seen_upto: EndNumber) -> None:
+        for ended in self.ended:
+            if ended.number <= seen_upto:
+                self._fleet.oracle.on_acknowledged(
+                    ended.task,
+                    is_done=ended.kind is EndKind.DONE,
+                    is_failed=ended.kind is EndKind.FAILED,
+                )
+        self.ended = [each for each in self.ended if each.number > seen_upto]
+
     def extend_lease(self, until_ms: int) -> None:
         """Extend the lease to `until_ms`, but to `MAX_LEASE_S` from now at most."""
         clock_duration_s = min(MAX_LEASE_S, (until_ms - self.clock_ms()) / 1000)
@@ -391,23 +398,16 @@
         worker = await self._reach(order.worker.worker)
         return worker if isinstance(worker, OrderOutcome) else OrderOutcome.ACCEPTED
 
+    # A worker that has started again takes what was meant for its former life.
+
     def _start_late(self, order: StartOrder) -> None:
-        # A late order reaches only the incarnation that it was sent to.
-        # Whether it may also reach the next one, whose clock and fence start from zero,
-        # is an open question in docs/QUESTIONS.md.
         worker = self._fleet.workers.get(order.worker.worker)
-        is_same_incarnation = worker is not None and (
-            worker.entry.born_ms == order.worker.born_ms
-        )
-        if worker is not None and is_same_incarnation and worker.is_up:
+        if worker is not None and worker.is_up:
             worker.start(order, is_late=True)
 
     def _hold_late(self, order: RenewalOrder) -> None:
         worker = self._fleet.workers.get(order.worker.worker)
-        is_same_incarnation = worker is not None and (
-            worker.entry.born_ms == order.worker.born_ms
-        )
-        if worker is not None and is_same_incarnation and worker.is_up:
+        if worker is not None and worker.is_up:
             worker.hold_late(order)
 
     async def _reach(self, worker: WorkerId) -> SimulatedWorker | OrderOutcome:
