Split records of tasks and leases of workers from large files; renew only reinstated workers

No decision changes but one: a run that a takeover finds stored under a former life of its worker waits for a late start as well.

Renewal loops of retired workers end again with their retirement, and are started anew for one that is reinstated: with hundreds of moves a minute they would have woken the scheduler twice a second each for half a minute.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -52,6 +52,8 @@
         Whether no other daemon can have taken the scheduler's lease.
     send_orders : callable
         Sends the stop orders for runs on VMs that are to be emptied.
+    start_renewals : callable
+        Starts renewing the leases of workers that are called again.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         list_in_lease: Callable[[VmId], Coroutine[Any, Any, None]],
         is_certainly_held: Callable[[], bool],
         send_orders: Callable[[], None],
+        start_renewals: Callable[[], None],
         repository: JobRepository,
         follower: ConfigurationFollower,
         ports: SchedulerPorts,
@@ -72,6 +75,7 @@
         self._list_in_lease = list_in_lease
         self._is_fresh = is_certainly_held
         self._send_orders = send_orders
+        self._start_renewals = start_renewals
         self._repository = repository
         self._follower = follower
         self._ports = ports
@@ -149,6 +153,7 @@
         self._listed_s = requested_s
         for worker in self._manager.observe(records, requested_s):
             log_message("currantstage:worker-reinstated", worker=worker)
+            self._start_renewals()
 
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -260,6 +260,7 @@
             self._lease_writer.list_vm,
             self.is_certainly_held,
             self._send_orders,
+            self._start_renewals,
             self._repository,
             self._follower,
             self._ports,
@@ -288,8 +289,7 @@
                 self._entries[entry.worker] = entry
             assert self.scheduler is not None
             self.scheduler.update_workers(self._entries.values(), self._now_s())
-            assert self._driver is not None
-            self._driver.start_renewals()
+            self._start_renewals()
             self._lease_writer.wake()
 
     async def _follow_jobs(self, version: int) -> None:
@@ -331,6 +331,10 @@
         if self._driver is not None:
             self._driver.send_orders()
 
+    def _start_renewals(self) -> None:
+        if self._driver is not None:
+            self._driver.start_renewals()
+
     def _now_s(self) -> float:
         return self._ports.clock.now_s()
 
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -119,7 +119,7 @@
         """Start renewing the leases of new workers and of restarted ones."""
         for worker_state in self._scheduler.workers.states():
             worker = worker_state.entry.worker
-            if worker not in self._wake_events:
+            if worker not in self._wake_events and not worker_state.is_retired:
                 self._wake_events[worker] = asyncio.Event()
                 self._tasks.spawn(self._renew_lease_forever(worker))
 
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -39,12 +39,13 @@
     ProgressBatch,
     StorableEnds,
 )
-from currantstage.coordination.jobs._records import JobRecord, StepRecord, TaskRecord
+from currantstage.coordination.jobs._records import JobRecord, StepRecord
 from currantstage.coordination.jobs._reply_comparison import RunChanges
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._store_health import StoreHealth
+from currantstage.coordination.jobs._task_record import TaskRecord
 from currantstage.coordination.jobs._team_usage import TeamUsage
 from currantstage.coordination.jobs._tuning import SchedulerTuning
 from currantstage.coordination.jobs._unsaved_pages import (
--- a/currantstage/coordination/jobs/_evacuation_plan.py
+++ b/currantstage/coordination/jobs/_evacuation_plan.py
@@ -14,9 +14,10 @@
 from currantstage.coordination.jobs._worker_state import StartBlocker
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._records import StepRecord
     from currantstage.coordination.jobs._run import Run
     from currantstage.coordination.jobs._scheduler import Scheduler
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._vm_table import VmState, VmTable
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId
--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -11,8 +11,8 @@
     JobFailure,
     JobRecord,
     StepRecord,
-    TaskRecord,
 )
+from currantstage.coordination.jobs._task_record import TaskRecord
 from currantstage.coordination.jobs._unsaved_pages import UnsavedPages
 from currantstage.state.jobs import (
     CrashEvidence,
--- a/currantstage/coordination/jobs/_placement.py
+++ b/currantstage/coordination/jobs/_placement.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._records import StepRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._worker_room import CandidateWorkers
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state.jobs import WorkerId
--- a/currantstage/coordination/jobs/_placement_forecast.py
+++ b/currantstage/coordination/jobs/_placement_forecast.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination.jobs._records import TaskRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state.jobs import Resources, WorkerId
 
--- a/currantstage/coordination/jobs/_progress_batch.py
+++ b/currantstage/coordination/jobs/_progress_batch.py
@@ -14,7 +14,8 @@
 
     from currantstage.coordination.jobs._job_table import JobTable
     from currantstage.coordination.jobs._progress_pages import ProgressPage
-    from currantstage.coordination.jobs._records import JobRecord, TaskRecord
+    from currantstage.coordination.jobs._records import JobRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._unsaved_pages import PageWrite
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state.jobs import (
--- a/currantstage/coordination/jobs/_progress_pages.py
+++ b/currantstage/coordination/jobs/_progress_pages.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
-    from currantstage.coordination.jobs._records import TaskRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.state.jobs import JobId, TaskProgress
 
 #: Size of the progress of a job up to which it is one page, in bytes. Such a page can
--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -9,8 +9,8 @@
 from currantstage.state.jobs import Fence
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._records import TaskRecord
     from currantstage.coordination.jobs._run_loss import RunLoss
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.state import TeamId
     from currantstage.state.jobs import Resources, RunNumber, Step, WorkerId
 
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._records import (
-    MAX_LOST_WORKERS,
     FailureReason,
     JobFailure,
 )
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, LostRun, RunLoss
+from currantstage.coordination.jobs._task_record import MAX_LOST_WORKERS
 from currantstage.state.jobs import (
     CrashEvidence,
     CrashRecord,
@@ -23,7 +23,8 @@
     from collections.abc import Callable
 
     from currantstage.coordination.jobs._job_table import JobTable
-    from currantstage.coordination.jobs._records import JobRecord, TaskRecord
+    from currantstage.coordination.jobs._records import JobRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._team_usage import TeamUsage
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.coordination.jobs._worker_table import WorkerTable
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -37,10 +37,10 @@
     from currantstage.coordination.jobs._progress_batch import ProgressBatch
     from currantstage.coordination.jobs._records import (
         JobRecord,
-        TaskRecord,
     )
     from currantstage.coordination.jobs._reply_comparison import RunChanges
     from currantstage.coordination.jobs._run_loss import LostRun
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
@@ -131,9 +131,9 @@
         age_s = max(0.0, unix_ms - submission.accepted_unix_ms) / 1000
         record = self.jobs.add(submission, now_s - age_s)
         if progress is not None:
-            until_s = self.workers.takeover_bound_s(now_s, takeover)
+            orders_end_s = now_s + takeover.holder_active_s
             for task in self.jobs.restore(record, progress):
-                self._adopt(task, until_s, now_s)
+                self._adopt(task, orders_end_s, now_s)
         if is_cancelled:
             self.cancel(submission.job, now_s)
 
@@ -296,11 +296,9 @@
         self._apply_changes(order.worker.worker, changes, now_s)
 
     def may_renew(self, worker: WorkerId) -> bool:
-        """Return whether a worker may have to be sent renewals, now or later.
-
-        A retired one may be reinstated.
-        """
-        return self.workers.get(worker) is not None
+        """Return whether a worker may have to be sent renewals, now or later."""
+        worker_state = self.workers.get(worker)
+        return worker_state is not None and not worker_state.is_retired
 
     def is_silent(self, worker: WorkerId) -> bool:
         """Return whether a worker has not answered several consecutive renewals."""
@@ -365,7 +363,7 @@
         for queue in self._configuration.queues:
             self._max_attempts[queue.queue] = queue.max_attempts
 
-    def _adopt(self, task: TaskRecord, until_s: float, now_s: float) -> None:
+    def _adopt(self, task: TaskRecord, orders_end_s: float, now_s: float) -> None:
         run = Run(
             task,
             task.run_number,
@@ -374,7 +372,7 @@
             placed_s=now_s,
             is_adopted=True,
         )
-        self.workers.adopt(run, task.born_ms, until_s)
+        self.workers.adopt(run, task.born_ms, orders_end_s)
         task.assign(run)
         self.teams.add(run.team, run.step.resources)
 
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -20,9 +20,9 @@
     from currantstage.coordination.jobs._records import (
         JobRecord,
         StepRecord,
-        TaskRecord,
     )
     from currantstage.coordination.jobs._step_lines import StepSelection
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._team_usage import TeamUsage
     from currantstage.coordination.jobs._worker_table import WorkerTable
     from currantstage.state import PoolId
--- a/currantstage/coordination/jobs/_wait_report.py
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -11,8 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination.jobs._records import StepRecord, TaskRecord
+    from currantstage.coordination.jobs._records import StepRecord
     from currantstage.coordination.jobs._scheduler import Scheduler
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId
     from currantstage.state.jobs import TaskKey
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from currantstage.coordination.jobs._run import Run, RunPhase
-from currantstage.coordination.jobs._worker_clock import WorkerClock, longest_lease_s
+from currantstage.coordination.jobs._worker_clock import WorkerClock
+from currantstage.coordination.jobs._worker_lease import WorkerLease
 from currantstage.state.jobs import (
     NO_RESOURCES,
     EndNumber,
@@ -34,9 +35,6 @@
 MAX_CONSECUTIVE_FAILURES = 3
 #: Minimum number of jobs among these failures, since some jobs fail on any worker.
 MIN_FAILED_JOBS = 2
-#: How long after its sending a worker carries out an order at the latest, unless it is
-#: one of those that are carried out late, in milliseconds.
-ANSWERED_ORDER_DELAY_MS = 500
 #: Consecutive unanswered renewals after which a worker counts as silent.
 SILENT_AFTER_MISSED_RENEWALS = 2
 
@@ -83,13 +81,7 @@
     answered_fence : Fence
         Highest fence that the worker has acknowledged; it rejects orders below it.
     clock : WorkerClock
-    lease_end_s : float
-        When the last lease that the known incarnation may have has certainly expired.
-    granted_s : float
-        When the last order with a lease was sent.
-    may_have_late_orders : bool
-        The worker has restarted, and the new incarnation has answered no order of its
-        own yet, which would make it reject those of before.
+    lease : WorkerLease
     processed_upto : EndNumber
         Highest number of the ends that have been processed in memory.
     seen_upto : EndNumber
@@ -128,9 +120,7 @@
     fence: Fence
     answered_fence: Fence = Fence(0)
     clock: WorkerClock = field(default_factory=WorkerClock)
-    lease_end_s: float = 0.0
-    granted_s: float = float("-inf")
-    may_have_late_orders: bool = False
+    lease: WorkerLease = field(default_factory=WorkerLease)
     processed_upto: EndNumber = EndNumber(0)
     seen_upto: EndNumber = EndNumber(0)
     acknowledged_upto: EndNumber = EndNumber(0)
@@ -239,46 +229,23 @@
         self.fence = Fence(self.fence + 1)
 
     def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
-        """Return the end of a new lease on the worker's clock, and record it.
-
-        On the incarnation whose clock was read, an order that is delayed or carried out
-        late doesn't move that end. Another one, whose clock has started anew, would
-        grant the longest lease; see `run_end_s`.
-        """
+        """Return the end of a new lease on the worker's clock, and record it."""
         if not self.clock.reading_ms:
             return None
-        self.granted_s = now_s
-        self.extend_lease(now_s, tuning.worker_lease_ms)
+        self.lease.grant(now_s, tuning)
         return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
 
-    def extend_lease(self, now_s: float, lease_ms: int) -> None:
-        """Record that the worker may have a lease of that length from now."""
-        self.lease_end_s = max(self.lease_end_s, now_s + longest_lease_s(lease_ms))
-
     def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
-        """Record that the worker has listed its runs under this scheduler's fence.
-
-        Until now it may have taken orders of before, with leases that were reckoned on
-        the clock of an earlier incarnation.
-        """
+        """Record that the worker has listed its runs under this scheduler's fence."""
         if not self.is_synced:
-            self.extend_lease(now_s, tuning.max_lease_ms)
+            self.lease.on_first_list(now_s, tuning)
         self.is_synced = True
-        self.may_have_late_orders = False
 
     def run_end_s(self, run: Run, tuning: SchedulerTuning) -> float:
-        """Return when a run has certainly ended if the worker stays silent.
-
-        One that the known incarnation has not listed may be run by a later one, which
-        has taken the order to start it.
-        """
+        """Return when a run has certainly ended if the worker stays silent."""
         if run.is_listed:
-            return self.lease_end_s
-        delay_ms = ANSWERED_ORDER_DELAY_MS
-        if self.may_have_late_orders:
-            delay_ms = tuning.max_order_delay_ms
-        taken_s = self.granted_s + delay_ms / 1000
-        return max(self.lease_end_s, taken_s + longest_lease_s(tuning.max_lease_ms))
+            return self.lease.end_s
+        return self.lease.latest_end_s(tuning)
 
     def is_renewal_due(self, now_s: float) -> bool:
         """Return whether the worker has to be sent a renewal.
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -13,7 +13,7 @@
 )
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_loss import LossCause, RunLoss
-from currantstage.coordination.jobs._worker_clock import WorkerClock, longest_lease_s
+from currantstage.coordination.jobs._worker_clock import WorkerClock
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
     SILENT_AFTER_MISSED_RENEWALS,
@@ -31,7 +31,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from currantstage.coordination.jobs._owner_lease import LeaseTakeover
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.state.jobs import (
         BornMs,
@@ -91,20 +90,22 @@
             self._discard_if_unlisted(worker, state, now_s)
         return lost
 
-    def adopt(self, run: Run, born_ms: BornMs, until_s: float) -> None:
-        """Record a run that an earlier scheduler placed.
+    def adopt(self, run: Run, born_ms: BornMs, orders_end_s: float) -> None:
+        """Record a run that an earlier scheduler placed, on the incarnation `born_ms`.
 
         A worker that has restarted since may run it as well, since the start order may
-        have reached the new incarnation; its lists will show. `until_s` is when the
-        run has certainly ended if its worker never replies.
+        have reached the new incarnation; its lists will show. `orders_end_s` is when
+        earlier schedulers have sent their last order.
         """
         state = self._states.get(run.worker)
         if state is None:
             # Its entry may have expired while the worker, whose lease has not, runs on.
             state = self._add(_unlisted_entry(run.worker, born_ms))
             state.is_listed = False
+        if born_ms < state.entry.born_ms:
+            state.lease.on_restart()
+        state.lease.on_adopted(orders_end_s, self._tuning)
         state.add(run)
-        state.lease_end_s = max(state.lease_end_s, until_s)
 
     def on_renewal_reply(
         self, order: RenewalOrder, reply: RenewalReply, sent_s: float, now_s: float
@@ -195,15 +196,6 @@
         state.is_retired = True
         return self.end_incarnation(state)
 
-    def takeover_bound_s(self, now_s: float, takeover: LeaseTakeover) -> float:
-        """Return when leases granted by earlier schedulers have certainly expired.
-
-        The worker may have restarted, and have taken the longest lease from an order
-        that was meant for its earlier incarnation.
-        """
-        lease_s = longest_lease_s(self._tuning.max_lease_ms)
-        return now_s + takeover.holder_active_s + lease_s
-
     def _add(self, entry: WorkerEntry) -> WorkerState:
         state = WorkerState(entry, first_fence(self._term), room_observer=self.room)
         self._states[entry.worker] = state
@@ -231,7 +223,7 @@
         state.is_retired = False
         state.raise_fence()
         state.is_synced = False
-        state.may_have_late_orders = True
+        state.lease.on_restart()
         state.clock = WorkerClock()
         state.processed_upto = EndNumber(0)
         state.seen_upto = EndNumber(0)
--- a/tests/jobs/test_worker_clock.py
+++ b/tests/jobs/test_worker_clock.py
@@ -110,7 +110,7 @@
     assert start is not None
     assert worker_state is not None
     worker_end_s = (start.until_ms - 1000) / 1000 / rate
-    assert worker_end_s <= worker_state.lease_end_s
+    assert worker_end_s <= worker_state.lease.end_s
 
 
 @pytest.mark.parametrize("rate", RATES)
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -272,10 +272,10 @@
     assert worker_state is not None
     while not worker_state.is_silent:
         _miss_renewal(scheduler, 0.2)
-    lease_end_s = worker_state.lease_end_s
+    lease_end_s = worker_state.lease.end_s
     assert scheduler.start_order(run, now_s=1.0) is None
     assert run.task.run is None
-    assert worker_state.lease_end_s == lease_end_s
+    assert worker_state.lease.end_s == lease_end_s
 
 
 def test_run_whose_end_did_not_fit_into_the_list_is_not_taken_for_lost() -> None:
--- a/tests/jobs/test_worker_restarts.py
+++ b/tests/jobs/test_worker_restarts.py
@@ -202,9 +202,11 @@
 
 
 # TWICE: a start that an earlier scheduler had sent was taken by the next life.
-def test_adopted_run_is_kept_for_the_longest_lease() -> None:
+@pytest.mark.parametrize("is_restart_known", [False, True])
+def test_adopted_run_is_kept_for_the_longest_lease(is_restart_known: bool) -> None:
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
-    scheduler.update_workers((entry(WORKER),), now_s=0.0)
+    born_ms = BornMs(2 if is_restart_known else 1)
+    scheduler.update_workers((entry(WORKER, born_ms=born_ms),), now_s=0.0)
     task = TaskProgress(
         occurrence=0,
         step=0,
@@ -221,9 +223,12 @@
     )
     record = scheduler.jobs.get(JOB)
     assert record is not None
-    scheduler.tick(2.0 + MAX_LEASE_S / SLOWEST_RATE)
+    end_s = takeover.holder_active_s + MAX_LEASE_S / SLOWEST_RATE
+    if is_restart_known:
+        end_s += TUNING.max_order_delay_ms / 1000
+    scheduler.tick(end_s)
     assert len(record.runs()) == 1
-    scheduler.tick(2.0 + MAX_LEASE_S / SLOWEST_RATE + 0.5)
+    scheduler.tick(end_s + 0.5)
     assert record.runs() == []
 
 
