--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -116,10 +116,16 @@
             self._tasks.spawn(_ignore_outcome(self._ports.orders.pace(pace)))
 
     def start_renewals(self) -> None:
-        """Start renewing the leases of new workers and of restarted ones."""
+        """Start renewing the leases of new workers, and of restarted ones at once.
+
+        Until a restarted worker has answered, it may carry out orders of before.
+        """
         for worker_state in self._scheduler.workers.states():
             worker = worker_state.entry.worker
-            if worker not in self._wake_events and not worker_state.is_retired:
+            if worker in self._wake_events:
+                if not worker_state.is_synced:
+                    self._wake_worker(worker)
+            elif not worker_state.is_retired:
                 self._wake_events[worker] = asyncio.Event()
                 self._tasks.spawn(self._renew_lease_forever(worker))
 
--- a/tests/jobs/test_worker_restarts.py
+++ b/tests/jobs/test_worker_restarts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from currantstage.application.jobs._session import CHANGES_PAUSE_S
 from currantstage.coordination.jobs import (
     LeaseTakeover,
     Run,
@@ -294,6 +295,20 @@
     run_scenario(scenario())
 
 
+# TWICE: an idle worker was called half a second after its restart had been listed.
+@pytest.mark.parametrize("seed", range(4))
+def test_idle_worker_is_called_as_soon_as_its_restart_is_listed(seed: int) -> None:
+    async def scenario() -> None:
+        site = await start_site(seed, settle_s=20 + seed / 7)
+        up = (name for name, each in site.workers.workers.items() if each.is_up)
+        worker = next(up)
+        site.workers.restart(worker)
+        await asyncio.sleep(2 * CHANGES_PAUSE_S)
+        assert site.workers.workers[worker].fence > 0
+
+    run_scenario(scenario())
+
+
 # TWICE: the fence against an unanswered start is lost with the life that has seen it.
 def test_late_start_that_a_former_life_is_fenced_against_is_not_run_by_the_next() -> (
     None
