--- a/currantstage/util/_header_text.py
+++ b/currantstage/util/_header_text.py
@@ -6,9 +6,11 @@
 def is_header_text(text: str) -> bool:
     r"""Return whether a header has `text` as its value unchanged.
 
-    Control characters can't be sent in a header, and spaces around a value are dropped.
+    Control characters other than a tab can't be sent in a header, and white space around
+    a value is dropped.
 
     >>> is_header_text("i-7f3a91c2"), is_header_text("i-7f3a91c2\n")
     (True, False)
     """
-    return text.isprintable() and text == text.strip() and text != ""
+    is_sendable = text.replace("\t", " ").isprintable()
+    return is_sendable and text == text.strip() and text != ""
--- a/tests/protocol/test_callers.py
+++ b/tests/protocol/test_callers.py
@@ -73,6 +73,12 @@
     assert result.failure().reason is RefusalReason.MALFORMED
 
 
+def test_content_type_may_have_a_tab_between_its_parts():
+    headers = {"content-type": "text/plain;\tcharset=utf-8"}
+    request = parse_caller_request(QUEUE, headers, b"").unwrap()
+    assert request.content_type == headers["content-type"]
+
+
 @settings(derandomize=True, database=None, max_examples=300)
 @given(
     headers=st.dictionaries(
