--- a/currantstage/coordination/jobs/_reply_comparison.py
+++ b/currantstage/coordination/jobs/_reply_comparison.py
@@ -129,5 +129,4 @@
     run.loss = None
     run.listed_s = listed_s
     run.gauge = listed.gauge
-    if listed.checkpoint:
-        run.task.checkpoint = listed.checkpoint
+    run.task.record_checkpoint(listed.checkpoint, now_s)
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -107,7 +107,7 @@
             task.failed_on |= {worker_state.entry.worker}
             self._jobs.count_failure(task, ended.run)
         if is_current:
-            task.checkpoint = ended.checkpoint or task.checkpoint
+            task.record_checkpoint(ended.checkpoint, now_s)
         if task.run is None:
             self.retry(task)
 
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -8,6 +8,7 @@
 
 from currantstage.coordination.jobs._placement_forecast import ForecastSlot
 from currantstage.coordination.jobs._run import Run, RunPhase
+from currantstage.coordination.jobs._task_record import share_checkpoint
 from currantstage.coordination.jobs._waiting_steps import WaitingSteps
 from currantstage.coordination.jobs._worker_room import CandidateWorkers
 from currantstage.coordination.jobs._worker_state import WorkerState
@@ -159,6 +160,7 @@
         if len(tasks) < len(step.tasks) or step.runs():
             return []
         number = RunNumber(1 + max(task.run_number for task in tasks))
+        share_checkpoint(tasks)
         placed: list[Run] = []
         for task in tasks:
             run = self._place_task(task, workers, configuration, now_s, number)
--- a/currantstage/coordination/jobs/_task_record.py
+++ b/currantstage/coordination/jobs/_task_record.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from currantstage.coordination.jobs._records import StepRecord
     from currantstage.coordination.jobs._run import Run
@@ -53,6 +53,10 @@
     failed_runs : frozenset of RunNumber
         Runs that failed. They are kept by number, since an end may be listed again to
         a later scheduler and must be counted only once.
+    checkpoint : str
+        Latest checkpoint of the task, or of its gang; set by `record_checkpoint`.
+    checkpointed_s : float
+        When this scheduler learned of it.
     failed_on : frozenset of WorkerId
         Workers on which a run of the task has failed or stalled.
     stall_count : int
@@ -72,6 +76,7 @@
     run: Run | None = None
     failed_runs: frozenset[RunNumber] = frozenset()
     checkpoint: str = ""
+    checkpointed_s: float = float("-inf")
     failed_on: frozenset[WorkerId] = frozenset()
     stall_count: int = 0
     not_before_s: float = 0.0
@@ -89,6 +94,12 @@
         earlier, self.run = self.run, run
         self.step.on_run_changed(self, earlier)
 
+    def record_checkpoint(self, checkpoint: str, now_s: float) -> None:
+        """Keep a checkpoint that a worker has listed, if it lists any."""
+        if checkpoint and checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self.checkpointed_s = now_s
+
     @property
     def crash_weight(self) -> int:
         """Evidence that the task crashes workers; alone with it, one counts twice."""
@@ -131,5 +142,13 @@
         )
 
 
+def share_checkpoint(gang: Sequence[TaskRecord]) -> None:
+    """Give all members of a gang the latest checkpoint of any of them."""
+    newest = max(gang, key=lambda each: (bool(each.checkpoint), each.checkpointed_s))
+    for task in gang:
+        task.checkpoint = newest.checkpoint
+        task.checkpointed_s = newest.checkpointed_s
+
+
 def _weight(crashes: Iterable[CrashRecord]) -> int:
     return sum(2 if each.was_alone else 1 for each in crashes)
