--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Protocol
 
 from eliot import log_message
 
@@ -12,7 +12,7 @@
 from currantstage.util import TaskSet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._ports import SchedulerPorts
@@ -37,6 +37,13 @@
 RECORD_RETRY_S = 0.5
 
 
+class OrderLister(Protocol):
+    """Has the lease list a VM for which an order is about to be sent."""
+
+    async def __call__(self, vm: VmId, *, is_upkeep: bool) -> None:
+        """Wait until the lease lists the VM, and whether the order is maintenance."""
+
+
 class FleetDriver:
     """Plans maintenance and moves of VMs, and sends the orders.
 
@@ -46,8 +53,7 @@
     term : Term
         Fencing token of the orders.
     vm_order_cooldown : VmOrderCooldown
-    list_in_lease : callable
-        Waits until the lease lists a VM for which an order is about to be sent.
+    list_in_lease : OrderLister
     is_certainly_held : callable
         Whether no other daemon can have taken the scheduler's lease.
     send_orders : callable
@@ -61,7 +67,7 @@
         scheduler: Scheduler,
         term: Term,
         vm_order_cooldown: VmOrderCooldown,
-        list_in_lease: Callable[[VmId], Coroutine[Any, Any, None]],
+        list_in_lease: OrderLister,
         is_certainly_held: Callable[[], bool],
         send_orders: Callable[[], None],
         start_renewals: Callable[[], None],
@@ -157,8 +163,9 @@
 
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
-        await self._list_in_lease(order.vm)
-        if goal.work is VmWork.MAINTENANCE:
+        is_upkeep = goal.work is VmWork.MAINTENANCE
+        await self._list_in_lease(order.vm, is_upkeep=is_upkeep)
+        if is_upkeep:
             outcome = await self._ports.vms.maintain(order.vm, goal.wave, self._term)
         else:
             assert goal.pool is not None
--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -91,7 +91,9 @@
         #: The lease as this daemon last wrote it.
         self.lease = lease
         self.held_lease = HeldLease(tuning, taken_s)
-        self.vm_order_cooldown = VmOrderCooldown(lease.ordered_vms, taken_s, tuning)
+        self.vm_order_cooldown = VmOrderCooldown(
+            lease.ordered_vms, taken_s, tuning, lease.upkeep_vms
+        )
         self._version = version
         self._attempts = CommitAttempts(lease)
         self._probe = StoreProbe(repository, tuning.hand_over_ms / 1000)
@@ -140,8 +142,8 @@
         self._is_releasing = True
         self._wake.set()
 
-    async def list_vm(self, vm: VmId) -> None:
-        """Wait until a renewal of the lease lists `vm`.
+    async def list_vm(self, vm: VmId, *, is_upkeep: bool) -> None:
+        """Wait until a renewal of the lease lists `vm`, and the order's kind.
 
         A daemon that takes the lease over afterwards sends no order for the VM during
         the cooldown. If one has taken it over already, the renewal can't succeed, and
@@ -149,6 +151,8 @@
         """
         added_s = self._now_s()
         self.vm_order_cooldown.record_order(vm, added_s)
+        if is_upkeep:
+            self.vm_order_cooldown.record_upkeep(vm)
         self._vm_added_s = added_s
         while not self.held_lease.is_confirmed_since(added_s):
             self._wake.set()
@@ -214,6 +218,7 @@
             self.lease,
             sequence=self._attempts.next_sequence(),
             ordered_vms=self.vm_order_cooldown.recent(now_s),
+            upkeep_vms=self.vm_order_cooldown.open_upkeeps(now_s),
             earlier_acts_ms=self._earlier_orders_ms(now_s),
         )
         return replace(lease, holder=NO_HOLDER, address="") if is_last else lease
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -181,6 +181,7 @@
             address=own.peer_address,
             term=term,
             ordered_vms=stored.row.ordered_vms if stored.row else (),
+            upkeep_vms=stored.row.upkeep_vms if stored.row else (),
             earlier_acts_ms=math.ceil(takeover.holder_active_s * 1000),
         )
         sent_s = self._ports.clock.now_s()
--- a/currantstage/coordination/jobs/_maintenance_plan.py
+++ b/currantstage/coordination/jobs/_maintenance_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._vm_table import VmGoal, VmWork
@@ -121,7 +122,7 @@
             ]
             free = state.wave.max_down + DRAINED_AHEAD - len(taken)
             idle = [vm for vm in remaining if vm.goal is None and vm.is_up]
-            for vm in sorted(idle, key=load):
+            for vm in sorted(idle, key=partial(self._rank, load=load, now_s=now_s)):
                 if free <= 0:
                     break
                 if may_maintain(vm):
@@ -129,23 +130,41 @@
                     self._vms.set_goal(vm, goal, now_s)
                     free -= 1
 
+    def _rank(
+        self, vm: VmState, load: Callable[[VmState], float], now_s: float
+    ) -> tuple[bool, float]:
+        """Rank a VM for maintenance: first those that others have to wait for."""
+        return not self._is_open(vm, now_s), load(vm)
+
     def may_order(self, vm: VmState, now_s: float) -> bool:
         """Return whether all waves that include a VM allow it to go down."""
         return all(
-            self._down_count(state.wave, now_s) < state.wave.max_down
+            self._down_count(state, vm, now_s) < state.wave.max_down
             for state in self.waves.values()
             if vm.record.vm in state.wave.vms
         )
 
-    def _down_count(self, wave: MaintenanceWave, now_s: float) -> int:
-        """Count the VMs of a wave that may be down, also by orders of earlier terms."""
-        members = (self._vms.get(VmId(vm)) for vm in wave.vms)
+    def _down_count(self, state: WaveState, ordered: VmState, now_s: float) -> int:
+        """Count the VMs of a wave that may be down, also by orders of earlier terms.
+
+        The order that is about to be sent settles that of an earlier term for its VM.
+        """
+        members = (self._vms.get(VmId(vm)) for vm in state.wave.vms)
         return sum(
-            _is_down(vm) or not self._cooldown.may_order(vm.record.vm, now_s)
+            _is_down(vm)
+            or not self._cooldown.may_order(vm.record.vm, now_s)
+            or (vm is not ordered and self._may_go_down(state, vm, now_s))
             for vm in members
             if vm is not None
         )
 
+    def _may_go_down(self, state: WaveState, vm: VmState, now_s: float) -> bool:
+        """Return whether an order of an earlier term may still take a VM down."""
+        return vm.record.vm not in state.done and self._is_open(vm, now_s)
+
+    def _is_open(self, vm: VmState, now_s: float) -> bool:
+        return self._cooldown.has_inherited_upkeep(vm.record.vm, now_s)
+
     def drain_timeout_s(self, state: WaveState, now_s: float) -> float:
         """Return how long a draining VM may wait for its tasks to end."""
         rounds = -(-len(self.remaining(state)) // max(1, state.wave.max_down))
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -45,6 +45,8 @@
         Incremented by each write of the holder.
     ordered_vms : tuple of VmId
         VMs that this holder or a recent one has sent an order for, or is about to.
+    upkeep_vms : tuple of VmId
+        Those of them whose maintenance was ordered and may still be carried out.
     earlier_acts_ms : int
         How long after this write earlier holders may still send orders.
     """
@@ -54,6 +56,7 @@
     term: Term
     sequence: int = 0
     ordered_vms: tuple[VmId, ...] = ()
+    upkeep_vms: tuple[VmId, ...] = ()
     earlier_acts_ms: int = 0
 
 
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -24,6 +24,8 @@
 
 #: Latency of a call, in seconds.
 CALL_LATENCY_S = 0.004
+#: Timeout of an order, in seconds.
+ORDER_TIMEOUT_S = 0.5
 #: Downtime of a VM for a move and for maintenance, in seconds.
 MOVE_DURATION_S = 1.5
 MAINTENANCE_DURATION_S = 2.0
@@ -50,6 +52,9 @@
         self._terms: dict[VmId, int] = {}
         self._ordered_s: dict[VmId, float] = {}
         self._restarts = 0
+        #: How late the next maintenance orders are carried out, in seconds; each of
+        #: them gets no answer.
+        self.late_upkeeps_s: list[float] = []
 
     def add(self, vm: str, entry: WorkerEntry, *, has_worker: bool) -> None:
         """Add a VM, with or without a worker on it."""
@@ -94,6 +99,15 @@
     async def maintain(self, vm: VmId, wave: int, term: Term) -> VmOrderOutcome:
         """Take a VM down for maintenance; this ends every run on it."""
         await asyncio.sleep(CALL_LATENCY_S)
+        if self.late_upkeeps_s:
+            late_s = self.late_upkeeps_s.pop(0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, self._maintain, vm, wave, term)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            return VmOrderOutcome.UNAVAILABLE
+        return self._maintain(vm, wave, term)
+
+    def _maintain(self, vm: VmId, wave: int, term: Term) -> VmOrderOutcome:
         record = self._records[vm]
         if (wave, vm) in self.maintained:
             return VmOrderOutcome.DONE
--- a/tests/jobs/test_planned_work_scenarios.py
+++ b/tests/jobs/test_planned_work_scenarios.py
@@ -157,3 +157,36 @@
         assert site.oracle.violations == []
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("late_s", [2.0, 5.0, 8.0, 11.0])
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_late_upkeep_of_an_earlier_scheduler_overlaps_with_no_other(
+    late_s: float, is_killed: bool
+) -> None:
+    """LIMIT: the next scheduler forgot the order before it was carried out."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed=33)
+        # The first VM is busy, so that another one is ordered before it.
+        await site.submit((step(1, run_ms=1000, needed_label="rack-0"),), POOLS[0])
+        await asyncio.sleep(0.5)
+        site.vms.late_upkeeps_s.append(late_s)
+        vms = _vms(POOLS[0])
+        site.announce_wave(
+            MaintenanceWave(number=1, vms=vms, complete_by_s=40, max_down=1)
+        )
+        while site.vms.late_upkeeps_s:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        name = site.scheduler_name()
+        assert name is not None
+        if is_killed:
+            site.kill_daemon(name)
+        else:
+            await site.stop_daemon(name)
+        await asyncio.sleep(40)
+        assert {vm for _, vm in site.vms.maintained} == set(vms)
+        assert site.oracle.violations == []
+
+    run_scenario(scenario())
