Follow the new setting and the moved guards in checks; fewer calls for each renewal

The first two kinds follow; the third was right: leases are granted and lists are applied with fewer calls again.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -278,14 +278,14 @@
     Removal(
         "jobs: wait out the worker's lease",
         "jobs/_worker_table.py",
-        "if (state.is_silent or not state.is_synced) and now_s > state.lease_end_s:",
-        "if state.is_silent or not state.is_synced:",
+        "if now_s > state.run_end_s(run, self._tuning)",
+        "if now_s",
         _JOBS,
     ),
     Removal(
         "jobs: adopt what was placed",
         "jobs/_scheduler.py",
-        "self._adopt(task, until_s, now_s)",
+        "self._adopt(task, orders_end_s, now_s)",
         "self.jobs.requeue(task)",
         _JOBS,
     ),
@@ -331,6 +331,27 @@
         "pass\n\n    def takeover",
         _JOBS,
     ),
+    Removal(
+        "jobs: keep what a later life may run for the longest lease",
+        "jobs/_worker_state.py",
+        "return self.lease.latest_end_s(tuning)",
+        "return self.lease.end_s",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: silence of a worker is no crash",
+        "jobs/_task_record.py",
+        "[each for each in self.crashes.values() if each.is_crash]",
+        "list(self.crashes.values())",
+        _JOBS,
+    ),
+    Removal(
+        "jobs: count earlier maintenance until it is settled",
+        "jobs/_maintenance_plan.py",
+        "or (vm is not ordered and self._may_go_down(state, vm, now_s))",
+        "",
+        _JOBS,
+    ),
 )
 
 
--- a/currantstage/coordination/jobs/_reply_comparison.py
+++ b/currantstage/coordination/jobs/_reply_comparison.py
@@ -129,4 +129,5 @@
     run.loss = None
     run.listed_s = listed_s
     run.gauge = listed.gauge
-    run.task.record_checkpoint(listed.checkpoint, now_s)
+    if listed.checkpoint:
+        run.task.record_checkpoint(listed.checkpoint, now_s)
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -106,7 +106,7 @@
             worker_state.record_failure(task.step.job.job, now_s)
             task.failed_on |= {worker_state.entry.worker}
             self._jobs.count_failure(task, ended.run)
-        if is_current:
+        if is_current and ended.checkpoint:
             task.record_checkpoint(ended.checkpoint, now_s)
         if task.run is None:
             self.retry(task)
--- a/currantstage/coordination/jobs/_task_record.py
+++ b/currantstage/coordination/jobs/_task_record.py
@@ -95,8 +95,8 @@
         self.step.on_run_changed(self, earlier)
 
     def record_checkpoint(self, checkpoint: str, now_s: float) -> None:
-        """Keep a checkpoint that a worker has listed, if it lists any."""
-        if checkpoint and checkpoint != self.checkpoint:
+        """Keep a checkpoint that a worker has listed."""
+        if checkpoint != self.checkpoint:
             self.checkpoint = checkpoint
             self.checkpointed_s = now_s
 
--- a/currantstage/coordination/jobs/_worker_lease.py
+++ b/currantstage/coordination/jobs/_worker_lease.py
@@ -42,7 +42,9 @@
     def grant(self, now_s: float, tuning: SchedulerTuning) -> None:
         """Record that an order with a lease is sent."""
         self.granted_s = now_s
-        self.extend(now_s + longest_lease_s(tuning.worker_lease_ms))
+        end_s = now_s + longest_lease_s(tuning.worker_lease_ms)
+        if end_s > self.end_s:
+            self.end_s = end_s
 
     def extend(self, end_s: float) -> None:
         """Record that the known incarnation may have a lease until `end_s`."""
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -236,9 +236,8 @@
         return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
 
     def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
-        """Record that the worker has listed its runs under this scheduler's fence."""
-        if not self.is_synced:
-            self.lease.on_first_list(now_s, tuning)
+        """Record the worker's first list of its runs under this scheduler's fence."""
+        self.lease.on_first_list(now_s, tuning)
         self.is_synced = True
 
     def run_end_s(self, run: Run, tuning: SchedulerTuning) -> float:
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -121,13 +121,15 @@
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
             return RunChanges(lost=self._begin_incarnation(state, reply.born_ms))
-        state.expired_runs.clear()
+        if state.expired_runs:
+            state.expired_runs.clear()
         listed_s = state.clock.record(reply.clock_ms, sent_s, now_s)
         if order.fence < state.fence and not state.is_synced:
             return RunChanges()
         state.answered_fence = max(state.answered_fence, order.fence)
         state.acknowledged_upto = max(state.acknowledged_upto, order.seen_upto)
-        state.record_synced(now_s, self._tuning)
+        if not state.is_synced:
+            state.record_synced(now_s, self._tuning)
         settled_clock_ms = reply.clock_ms + self._tuning.max_stop_ms
         changes = compare_lists(
             state, order, reply, settled_clock_ms, sent_s, listed_s, now_s
--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -26,6 +26,7 @@
     "CloudApi.Address": "127.0.0.1:1",
     "Advice": "127.0.0.1:1",
     "Bounds.StopMs": "900",
+    "Bounds.HoldMaxMs": "10000",
     "Bounds.ConfigApplyMs": "3000",
     "Limits.LinkMbps": "200.0",
     "Limits.CpuShare": "0.717",
@@ -39,7 +40,7 @@
     """Render the deploy template as the platform does, with other `addresses`."""
     text = TEMPLATE.read_text(encoding="utf-8")
     limits = ("Limits.LinkMbps", "Limits.CpuShare", "Limits.Cores")
-    bounds = ("Bounds.StopMs", "Bounds.ConfigApplyMs")
+    bounds = ("Bounds.StopMs", "Bounds.HoldMaxMs", "Bounds.ConfigApplyMs")
     for section in ("Seeds.0", "Advice", *bounds, *limits):
         text = text.replace("{{#" + section + "}}", "")
         text = text.replace("{{/" + section + "}}", "")
@@ -64,6 +65,7 @@
     assert settings.peers.addresses == ("127.0.0.1:18191", "127.0.0.1:18199")
     assert settings.scheduler.owner_lease_ms > settings.scheduler.takeover_ms
     assert settings.scheduler.max_stop_ms == 900
+    assert settings.scheduler.max_lease_ms == 10_000
     assert settings.configuration.apply_ms == 3000
 
 
