--- a/bench/guards.py
+++ b/bench/guards.py
@@ -14,7 +14,15 @@
 
 ROOT = Path(__file__).parent.parent
 _CODE = Path("currantstage/coordination")
-_COPIED = ("currantstage", "tests", "spec", "bench", "examples", "pyproject.toml")
+_COPIED = (
+    "currantstage",
+    "tests",
+    "spec",
+    "bench",
+    "examples",
+    "pyproject.toml",
+    "KNOWN-RED.txt",
+)
 _TIMEOUT_S = 300.0
 #: Omits the shrinking phase of Hypothesis: a run ends with its first failure.
 _CONFTEST = """
