--- a/bench/guards.py
+++ b/bench/guards.py
@@ -340,7 +340,7 @@
         _JOBS,
     ),
     Removal(
-        "jobs: keep what a later life may run for the longest lease",
+        "jobs: keep what a later incarnation may run for the longest lease",
         "jobs/_worker_state.py",
         "return self.lease.latest_end_s(tuning)",
         "return self.lease.end_s",
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -96,8 +96,8 @@
         return self.sent_s is not None
 
     @property
-    def is_worker_spared(self) -> bool:
-        """Whether the order is confirmed and has not ended the worker.
+    def has_kept_its_worker(self) -> bool:
+        """Whether the order is confirmed and the worker is there all the same.
 
         The platform confirms an order also if the work was already done before.
         """
@@ -139,17 +139,17 @@
         Returns the workers that an order was to end and that are there all the same.
         """
         listed = {record.vm: record for record in records}
-        spared: list[WorkerId] = []
+        kept: list[WorkerId] = []
         for vm, record in listed.items():
             state = self._states.setdefault(vm, VmState(record, requested_s))
             if state.done_s is None or requested_s > state.done_s:
                 _apply_record(state, record, requested_s)
-                if state.is_worker_spared:
-                    spared.append(record.worker)
+                if state.has_kept_its_worker:
+                    kept.append(record.worker)
             self._clear_finished_goal(state, requested_s)
         for vm in self._states.keys() - listed.keys():
             del self._states[vm]
-        return spared
+        return kept
 
     def set_goal(self, state: VmState, goal: VmGoal, now_s: float) -> None:
         """Plan work on a VM."""
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -398,7 +398,7 @@
         worker = await self._reach(order.worker.worker)
         return worker if isinstance(worker, OrderOutcome) else OrderOutcome.ACCEPTED
 
-    # A worker that has started again takes what was meant for its former life.
+    # A worker that has started again takes what was meant for its earlier incarnation.
 
     def _start_late(self, order: StartOrder) -> None:
         worker = self._fleet.workers.get(order.worker.worker)
--- a/tests/jobs/test_worker_restarts.py
+++ b/tests/jobs/test_worker_restarts.py
@@ -1,4 +1,4 @@
-"""Orders that were meant for a worker's former life, and reach its next one."""
+"""Orders that were meant for a worker's earlier incarnation, and reach its next one."""
 
 from __future__ import annotations
 
@@ -130,9 +130,9 @@
         return self.now_s
 
 
-# TWICE: the renewal of the former life gave the next one a lease of the longest kind.
+# TWICE: an order for the earlier incarnation gave the next one the longest lease.
 @pytest.mark.parametrize("cut_after_s", [0.1, 0.6, 1.1, 1.6])
-def test_run_is_kept_until_a_lease_that_was_meant_for_the_former_life_is_over(
+def test_run_is_kept_until_a_lease_that_was_meant_for_the_earlier_incarnation_is_over(
     cut_after_s: float,
 ) -> None:
     worker = RestartedWorker()
@@ -149,9 +149,9 @@
     assert worker.released_s(run) > worker.lease_end_s
 
 
-# TWICE: a start was accepted by a life that the scheduler didn't know of.
+# TWICE: a start was accepted by an incarnation that the scheduler didn't know of.
 @pytest.mark.parametrize("is_listed", [False, True])
-def test_run_that_the_next_life_has_accepted_is_kept_for_its_longest_lease(
+def test_run_that_the_next_incarnation_has_accepted_is_kept_for_its_longest_lease(
     is_listed: bool,
 ) -> None:
     worker = RestartedWorker()
@@ -163,8 +163,8 @@
     assert worker.released_s(run) > worker.lease_end_s
 
 
-# TWICE: an unanswered start may be carried out by the next life, seconds later.
-def test_start_in_doubt_is_kept_while_a_next_life_may_carry_it_out() -> None:
+# TWICE: an unanswered start may be carried out by the next incarnation, seconds later.
+def test_start_in_doubt_is_kept_while_a_next_incarnation_may_carry_it_out() -> None:
     worker = RestartedWorker()
     worker.now_s = RESTART_S - 0.1
     run = worker.start(OrderOutcome.UNKNOWN)
@@ -175,9 +175,7 @@
     assert worker.released_s(run) > latest_s + MAX_LEASE_S / SLOWEST_RATE
 
 
-def test_run_that_the_known_life_has_listed_is_released_when_its_lease_is_over() -> (
-    None
-):
+def test_run_that_is_listed_is_released_when_its_lease_is_over() -> None:
     worker = RestartedWorker()
     worker.now_s = 5.0
     run = worker.start()
@@ -190,7 +188,7 @@
     assert worker.lease_end_s < worker.released_s(run) <= latest_s
 
 
-def test_run_is_released_at_once_when_the_next_life_lists_it_not() -> None:
+def test_run_is_released_at_once_when_the_next_incarnation_lists_it_not() -> None:
     worker = RestartedWorker()
     worker.now_s = RESTART_S - 0.1
     run = worker.start(OrderOutcome.UNKNOWN)
@@ -202,7 +200,7 @@
     assert run.task.run is None
 
 
-# TWICE: a start that an earlier scheduler had sent was taken by the next life.
+# TWICE: a start that an earlier scheduler had sent was taken by the next incarnation.
 @pytest.mark.parametrize("is_restart_known", [False, True])
 def test_adopted_run_is_kept_for_the_longest_lease(is_restart_known: bool) -> None:
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
@@ -233,7 +231,7 @@
     assert record.runs() == []
 
 
-# TWICE: the next life forgot an end that nobody had read, by a number of the former.
+# TWICE: the next incarnation forgot an end that nobody had read.
 def test_no_renewal_after_a_missed_one_has_ends_forgotten() -> None:
     worker = RestartedWorker()
     worker.now_s = 5.0
@@ -309,10 +307,8 @@
     run_scenario(scenario())
 
 
-# TWICE: the fence against an unanswered start is lost with the life that has seen it.
-def test_late_start_that_a_former_life_is_fenced_against_is_not_run_by_the_next() -> (
-    None
-):
+# TWICE: the fence against an unanswered start is lost with its incarnation.
+def test_late_start_is_not_run_by_an_incarnation_without_the_fence() -> None:
     async def scenario() -> None:
         site = await start_site(1, settle_s=20)
         site.workers.late_fraction = 1.0
