--- a/tests/jobs/records.py
+++ b/tests/jobs/records.py
@@ -4,13 +4,21 @@
 
 from typing import Any
 
-from currantstage.coordination.jobs import JobRecord, Run, RunPhase, StepRecord
+from currantstage.coordination.jobs import (
+    JobRecord,
+    Run,
+    RunPhase,
+    Scheduler,
+    StepRecord,
+)
 from currantstage.state import DataCentreId, PoolId, QueueId, TeamId
 from currantstage.state.jobs import (
     BornMs,
     JobId,
+    OrderOutcome,
     Resources,
     RunNumber,
+    StartOrder,
     Step,
     Submission,
     TaskPhase,
@@ -64,3 +72,21 @@
     }
     values.update(options)
     return WorkerEntry(worker=WorkerId(worker), **values)
+
+
+def start_runs(
+    scheduler: Scheduler, now_s: float, outcome: OrderOutcome = OrderOutcome.ACCEPTED
+) -> list[tuple[Run, StartOrder]]:
+    """Place, store and start what can be, all starts with the same outcome."""
+    scheduler.place(now_s, now_s * 1000)
+    batch = scheduler.take_batch()
+    if batch is None:
+        return []
+    started = []
+    for run in scheduler.on_batch_stored(batch):
+        order = scheduler.start_order(run, now_s)
+        assert order is not None
+        started.append((run, order))
+    for run, _ in started:
+        scheduler.on_start_outcome(run, outcome, now_s)
+    return started
