--- a/currantstage/application/jobs/_activity_log.py
+++ b/currantstage/application/jobs/_activity_log.py
@@ -58,15 +58,19 @@
         self._clock = clock
         self._waits = WaitReporter(scheduler)
         self._starts: Counter[str] = Counter()
+        self._relayed_starts = 0
         self._stages = StageTimes()
         self._ends: Counter[str] = Counter()
         self._jobs_ended: dict[QueueId, Counter[str]] = defaultdict(Counter)
         self._max_lag_s = 0.0
         self._max_commit_s = 0.0
 
-    def count_start(self, outcome: OrderOutcome, stages: StartStages) -> None:
+    def count_start(
+        self, outcome: OrderOutcome, stages: StartStages, *, is_relayed: bool
+    ) -> None:
         """Count an answered start order."""
         self._starts[outcome.value] += 1
+        self._relayed_starts += is_relayed
         self._stages.add(stages)
 
     def count_end(self, kind: EndKind) -> None:
@@ -103,6 +107,7 @@
             "currantstage:scheduler-activity",
             term=self._scheduler.term,
             starts=dict(self._starts),
+            relayed_starts=self._relayed_starts,
             start_stages_s=self._stages.take_means(),
             ends=dict(self._ends),
             jobs_ended={queue: dict(each) for queue, each in self._jobs_ended.items()},
@@ -116,6 +121,7 @@
             beyond_share=self._scheduler.team_rates.take_beyond(),
         )
         self._starts.clear()
+        self._relayed_starts = 0
         self._ends.clear()
         self._jobs_ended.clear()
         self._max_lag_s = self._max_commit_s = 0.0
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -14,7 +14,9 @@
 from currantstage.application.jobs._peer_admission import PeerAdmission
 from currantstage.application.jobs._peer_configuration import PeerConfigurationSource
 from currantstage.application.jobs._peer_query_handler import PeerQueryHandler
+from currantstage.application.jobs._relay_client import RelayClient
 from currantstage.application.jobs._repository import JobRepository
+from currantstage.application.jobs._start_relay import StartRelay
 from currantstage.coordination.jobs import StoreHealth
 
 if TYPE_CHECKING:
@@ -68,7 +70,14 @@
         )
         ports.metrics.observe_configuration(self.follower)
         self.ownership = LeaseOwnership(
-            self.directory, repository, self.follower, ports, tuning, health, random
+            self.directory,
+            repository,
+            self.follower,
+            ports,
+            tuning,
+            health,
+            RelayClient(self.directory, ports.clock),
+            random,
         )
         self._writer = JobWriter(repository, self.directory, health, ports.clock)
         admission = CallAdmission(
@@ -91,7 +100,12 @@
             ports.metrics,
         )
         self.query_handler = PeerQueryHandler(
-            self.follower, admission, self.directory, self.ownership, self._writer
+            self.follower,
+            admission,
+            self.directory,
+            self.ownership,
+            self._writer,
+            StartRelay(ports.orders, ports.clock, random),
         )
 
     def is_scheduler(self) -> bool:
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -174,6 +174,14 @@
             if member.entry_vm != self.own.entry_vm
         ]
 
+    def largest_peers(self) -> list[str]:
+        """Return the addresses of all other known daemons, by falling capacity."""
+        others = [
+            member for member in self._members if member.entry_vm != self.own.entry_vm
+        ]
+        others.sort(key=_by_capacity)
+        return [member.peer_address for member in others]
+
     async def _follow_members(self) -> None:
         has_joined = False
         while True:
@@ -186,3 +194,7 @@
                 await asyncio.sleep(PEER_TIMEOUT_S)
                 continue
             await asyncio.sleep(MEMBERS_INTERVAL_S)
+
+
+def _by_capacity(member: MemberRow) -> tuple[float, str]:
+    return -member.capacity.starts_per_s(), member.peer_address
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -33,6 +33,7 @@
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._directory import PeerDirectory
     from currantstage.application.jobs._ports import SchedulerPorts
+    from currantstage.application.jobs._relay_client import RelayClient
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import (
         LeaseTakeover,
@@ -62,6 +63,7 @@
         ports: SchedulerPorts,
         tuning: SchedulerTuning,
         health: StoreHealth,
+        relays: RelayClient,
         random: random.Random,
     ) -> None:
         self._directory = directory
@@ -70,6 +72,7 @@
         self._ports = ports
         self._tuning = tuning
         self._health = health
+        self._relays = relays
         self._random = random
         self._watch = LeaseWatch(LEASE_READ_INTERVAL_S, tuning)
         self._wake = asyncio.Event()
@@ -211,6 +214,7 @@
             self._ports,
             self._tuning,
             self._health,
+            self._relays,
             self._offer,
         )
         try:
--- a/currantstage/application/jobs/_peer_query_handler.py
+++ b/currantstage/application/jobs/_peer_query_handler.py
@@ -19,6 +19,7 @@
     LeaseReply,
     LeaseRequest,
     NotScheduler,
+    RelayStarts,
     StateQuery,
     StateReply,
     StoreCancel,
@@ -35,9 +36,13 @@
     from currantstage.application.jobs._job_writer import JobWriter
     from currantstage.application.jobs._ownership import LeaseOwnership
     from currantstage.application.jobs._session import SchedulerSession
+    from currantstage.application.jobs._start_relay import StartRelay
     from currantstage.protocol.jobs import PeerQuery, PeerReply
 
 
+LeaseQuery = LeaseLookup | LeaseReleased | LeaseOffer | LeaseRequest | LeaseHolderQuery
+
+
 class PeerQueryHandler:
     """Answers from the configuration and, if this daemon holds the lease, its jobs."""
 
@@ -48,39 +53,28 @@
         directory: PeerDirectory,
         ownership: LeaseOwnership,
         writer: JobWriter,
+        relay: StartRelay,
     ) -> None:
         self._follower = follower
         self._admission = admission
         self._directory = directory
         self._ownership = ownership
         self._writer = writer
+        self._relay = relay
 
     async def handle(self, query: PeerQuery) -> PeerReply:
         """Return the reply to `query`."""
+        if isinstance(query, RelayStarts):
+            return await self._relay.handle(query)
         if isinstance(query, AdmissionQuery):
             return await self._admission.decide_for_peer(query)
         if isinstance(query, ConfigurationStatusQuery | ConfigurationQuery):
             return self._handle_configuration_query(query)
-        if isinstance(query, LeaseReleased):
-            self._ownership.check_lease()
-            return Acknowledged()
-        if isinstance(query, LeaseOffer):
-            self._ownership.check_lease(query.term)
-            return Acknowledged()
-        if isinstance(query, LeaseRequest):
-            await self._ownership.hand_over(query.term)
-            return (
-                Acknowledged() if self._ownership.holds(query.term) else NotScheduler()
-            )
-        if isinstance(query, LeaseLookup):
-            return LeaseReply(self._directory.lease)
         if isinstance(query, StoreJob | StoreCancel):
             return StoreReply(await self._writer.write_directly(query))
+        if isinstance(query, LeaseQuery):
+            return await self._handle_lease_query(query)
         session = self._ownership.session
-        if isinstance(query, LeaseHolderQuery):
-            return (
-                Acknowledged() if self._ownership.holds(query.term) else NotScheduler()
-            )
         if (
             session is None
             or session.scheduler is None
@@ -89,6 +83,19 @@
             return NotScheduler()
         return _handle_job_query(query, session)
 
+    async def _handle_lease_query(self, query: LeaseQuery) -> PeerReply:
+        if isinstance(query, LeaseLookup):
+            return LeaseReply(self._directory.lease)
+        if isinstance(query, LeaseReleased):
+            self._ownership.check_lease()
+            return Acknowledged()
+        if isinstance(query, LeaseOffer):
+            self._ownership.check_lease(query.term)
+            return Acknowledged()
+        if isinstance(query, LeaseRequest):
+            await self._ownership.hand_over(query.term)
+        return Acknowledged() if self._ownership.holds(query.term) else NotScheduler()
+
     def _handle_configuration_query(
         self, query: ConfigurationStatusQuery | ConfigurationQuery
     ) -> PeerReply:
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -27,6 +27,7 @@
 
     from currantstage.application.jobs._configuration import ConfigurationFollower
     from currantstage.application.jobs._ports import SchedulerPorts
+    from currantstage.application.jobs._relay_client import RelayClient
     from currantstage.application.jobs._repository import JobRepository
     from currantstage.coordination.jobs import (
         LeaseRow,
@@ -67,6 +68,7 @@
     ports : SchedulerPorts
     tuning : SchedulerTuning
     health : StoreHealth
+    relays : RelayClient
     offer : callable
         Notifies the other daemons that the lease of a term can't be renewed.
     """
@@ -82,6 +84,7 @@
         ports: SchedulerPorts,
         tuning: SchedulerTuning,
         health: StoreHealth,
+        relays: RelayClient,
         offer: Callable[[Term], Coroutine[Any, Any, None]],
     ) -> None:
         self._takeover = takeover
@@ -89,6 +92,7 @@
         self._follower = follower
         self._ports = ports
         self._tuning = tuning
+        self._relays = relays
         self._turns = TurnWatch(ports.clock, ports.metrics)
         self._entries: dict[WorkerId, WorkerEntry] = {}
         self._ended = asyncio.Event()
@@ -199,6 +203,8 @@
             scheduler,
             self._lease_writer.held_lease,
             self._ports,
+            self._relays,
+            self._tuning,
             activity,
             self._lease_writer.wake,
             self._ended.set,
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -7,17 +7,23 @@
 
 from eliot import log_message
 
-from currantstage.application.jobs._start_stages import StartStages
+from currantstage.application.jobs._start_sender import StartSender
 from currantstage.state.jobs import OrderOutcome, RenewalReply
 from currantstage.util import Notifier, TaskSet, wait_for_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable
+    from collections.abc import Callable, Collection, Coroutine, Sequence
     from typing import Any
 
     from currantstage.application.jobs._activity_log import ActivityLog
     from currantstage.application.jobs._ports import SchedulerPorts
-    from currantstage.coordination.jobs import HeldLease, Run, Scheduler
+    from currantstage.application.jobs._relay_client import RelayClient
+    from currantstage.coordination.jobs import (
+        HeldLease,
+        Run,
+        Scheduler,
+        SchedulerTuning,
+    )
     from currantstage.state.jobs import (
         EndKind,
         RenewalOrder,
@@ -49,6 +55,8 @@
     scheduler : Scheduler
     held : HeldLease
     ports : SchedulerPorts
+    relays : RelayClient
+    tuning : SchedulerTuning
     activity : ActivityLog
     on_change : callable
         Called when progress may have to be stored, or tasks may have become
@@ -63,6 +71,8 @@
         scheduler: Scheduler,
         held_lease: HeldLease,
         ports: SchedulerPorts,
+        relays: RelayClient,
+        tuning: SchedulerTuning,
         activity: ActivityLog,
         on_change: Callable[[], None],
         on_superseded: Callable[[], None],
@@ -74,6 +84,16 @@
         self._on_change = on_change
         self._on_superseded = on_superseded
         self._tasks = TaskSet(on_superseded)
+        self._starts = StartSender(
+            scheduler,
+            held_lease,
+            ports,
+            relays,
+            tuning,
+            activity,
+            self._tasks,
+            self._on_starts_answered,
+        )
         self._wake_events: dict[WorkerId, asyncio.Event] = {}
         self._progress_stored = Notifier()
 
@@ -85,11 +105,9 @@
         """Stop sending orders; runs that were started continue."""
         await self._tasks.close()
 
-    def start_runs(self, runs: Iterable[Run]) -> None:
+    def start_runs(self, runs: Sequence[Run]) -> None:
         """Send start orders for runs whose placement is stored."""
-        stored_s = self._now_s()
-        for run in runs:
-            self._tasks.spawn(self._start_run(run, stored_s))
+        self._starts.send(runs)
 
     def on_progress_stored(self) -> None:
         """Resume the renewals that wait until ends of runs are stored."""
@@ -132,44 +150,14 @@
                 self._wake_events[worker] = asyncio.Event()
                 self._tasks.spawn(self._renew_lease_forever(worker))
 
-    async def _start_run(self, run: Run, stored_s: float) -> None:
-        now_s = self._now_s()
-        if not self._held_lease.is_valid(now_s):
-            return
-        clock_age_s = self._scheduler.clock_age_s(run.worker, now_s)
-        order = self._scheduler.start_order(run, now_s)
-        if order is None:
-            self._on_change()
-            return
-        outcome = await self._ports.orders.start(order)
-        answered_s = self._now_s()
-        self._scheduler.on_start_outcome(run, outcome, answered_s)
-        self._ports.metrics.count_start(outcome, now_s - run.placed_s, clock_age_s)
-        stages = StartStages(
-            storing_s=stored_s - run.placed_s,
-            queued_s=now_s - stored_s,
-            answering_s=answered_s - now_s,
-        )
-        self._activity.count_start(outcome, stages)
-        log_message(
-            "currantstage:task-start",
-            job=order.task.job,
-            task=_format_task(order.task),
-            run=order.run,
-            worker=order.worker.worker,
-            born_ms=order.worker.born_ms,
-            fence=order.fence,
-            outcome=outcome.value,
-            waited_s=round(now_s - run.placed_s, 3),
-            until_ms=order.until_ms,
-            clock_age_s=round(clock_age_s, 3),
-            configuration=self._scheduler.configuration.version,
-        )
-        self._wake_worker(order.worker.worker)
+    def _on_starts_answered(self, workers: Collection[WorkerId]) -> None:
+        for worker in workers:
+            self._wake_worker(worker)
         self.send_orders()
         self._on_change()
-        if self._scheduler.can_settle_starts(order.worker.worker):
-            await self._renew_lease_now(order.worker.worker)
+        for worker in workers:
+            if self._scheduler.can_settle_starts(worker):
+                self._tasks.spawn(self._renew_lease_now(worker))
 
     async def _renew_lease_now(self, worker: WorkerId) -> None:
         """Renew a lease at once, to get the outcomes of starts that are in doubt.
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -44,6 +44,12 @@
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
+from currantstage.coordination.jobs._start_relays import (
+    RELAY_PERMIT_S,
+    RelayTable,
+    StartDivision,
+    divide_starts,
+)
 from currantstage.coordination.jobs._store_health import StoreHealth
 from currantstage.coordination.jobs._task_record import TaskRecord
 from currantstage.coordination.jobs._team_usage import TeamUsage
@@ -107,6 +113,10 @@
     "WantedVms",
     "WorkDemand",
     "ProgressBatch",
+    "RELAY_PERMIT_S",
+    "RelayTable",
+    "StartDivision",
+    "divide_starts",
     "Rank",
     "Run",
     "RunPhase",
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -88,7 +88,8 @@
     ----------
     ground : TakeoverGround
     holder_active_s : float
-        How much longer earlier holders may send orders, in seconds. A holder that has
+        How much longer earlier holders may send orders, in seconds; what they have
+        given to relays may be sent for some time after that. A holder that has
         ended sends none; one that is merely silent may act until its lease has
         expired, even if others have held the lease in the meantime.
     """
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -16,6 +16,7 @@
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._run_lifecycle import RunLifecycle
 from currantstage.coordination.jobs._run_supervisor import RunSupervisor
+from currantstage.coordination.jobs._start_relays import RELAY_PERMIT_S
 from currantstage.coordination.jobs._task_placer import TaskPlacer, pool_of
 from currantstage.coordination.jobs._team_rates import TeamRates
 from currantstage.coordination.jobs._team_usage import TeamUsage
@@ -137,7 +138,7 @@
         age_s = max(0.0, unix_ms - submission.accepted_unix_ms) / 1000
         record = self._add_job(submission, now_s - age_s)
         if progress is not None:
-            orders_end_s = now_s + takeover.holder_active_s
+            orders_end_s = now_s + takeover.holder_active_s + RELAY_PERMIT_S
             for task in self.jobs.restore(record, progress):
                 self._adopt(task, orders_end_s, now_s)
         if is_cancelled:
@@ -230,8 +231,13 @@
         """Return the runs whose start may be ordered now that `batch` is stored."""
         return self._batcher.on_stored(batch)
 
-    def start_order(self, run: Run, now_s: float) -> StartOrder | None:
-        """Return the start order for a stored run; None if it is no longer valid."""
+    def start_order(
+        self, run: Run, now_s: float, max_delay_s: float = 0.0
+    ) -> StartOrder | None:
+        """Return the start order for a stored run; None if it is no longer valid.
+
+        It is sent by `max_delay_s` from now at the latest.
+        """
         worker_state = self.workers.get(run.worker)
         if (
             worker_state is None
@@ -241,7 +247,7 @@
             return None
         until_ms = None
         if worker_state.is_synced and not worker_state.is_silent:
-            until_ms = worker_state.grant_until_ms(now_s, self._tuning)
+            until_ms = worker_state.grant_until_ms(now_s, self._tuning, max_delay_s)
         if until_ms is None:
             self._lifecycle.release(run)
             self._lifecycle.retry(run.task)
--- a/currantstage/coordination/jobs/_tuning.py
+++ b/currantstage/coordination/jobs/_tuning.py
@@ -45,6 +45,12 @@
         How long a pool must have surplus VMs before it releases them.
     demand_horizon_ms : int
         Time within which a pool should finish its current work.
+    max_direct_starts : int
+        Number of start orders under way from which on further ones are sent by other
+        daemons.
+    min_relayed_starts : int
+        Mean number of start orders for each of these daemons that makes one more worth
+        its messages.
     upkeep_ms, move_ms : int
         How long a VM is down for maintenance or while it moves to another pool.
     """
@@ -66,5 +72,7 @@
     min_vms_per_pool: int = 3
     surplus_ms: int = 1500
     demand_horizon_ms: int = 1200
+    max_direct_starts: int = 32
+    min_relayed_starts: int = 8
     upkeep_ms: int = 2000
     move_ms: int = 1500
--- a/currantstage/coordination/jobs/_worker_lease.py
+++ b/currantstage/coordination/jobs/_worker_lease.py
@@ -29,7 +29,7 @@
     end_s : float
         When the last lease that the known incarnation may have has certainly expired.
     granted_s : float
-        When the last order with a lease was sent.
+        When the last order with a lease was sent, at the latest.
     may_have_late_orders : bool
         The worker has restarted, and the new incarnation has answered no order of its
         own yet, which would make it reject those of before.
@@ -39,9 +39,15 @@
     granted_s: float = float("-inf")
     may_have_late_orders: bool = False
 
-    def grant(self, now_s: float, tuning: SchedulerTuning) -> None:
-        """Record that an order with a lease is sent."""
-        self.granted_s = now_s
+    def grant(
+        self, now_s: float, tuning: SchedulerTuning, max_delay_s: float = 0.0
+    ) -> None:
+        """Record that an order with a lease is sent, now or up to `max_delay_s` later.
+
+        The delay doesn't move the end of the lease, unless a later incarnation takes
+        the order.
+        """
+        self.granted_s = max(self.granted_s, now_s + max_delay_s)
         end_s = now_s + longest_lease_s(tuning.worker_lease_ms)
         if end_s > self.end_s:
             self.end_s = end_s
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -228,11 +228,16 @@
         """Invalidate all unanswered orders once the next one is answered."""
         self.fence = Fence(self.fence + 1)
 
-    def grant_until_ms(self, now_s: float, tuning: SchedulerTuning) -> int | None:
-        """Return the end of a new lease on the worker's clock, and record it."""
+    def grant_until_ms(
+        self, now_s: float, tuning: SchedulerTuning, max_delay_s: float = 0.0
+    ) -> int | None:
+        """Return the end of a new lease on the worker's clock, and record it.
+
+        The order that grants it is sent by `max_delay_s` from now at the latest.
+        """
         if not self.clock.reading_ms:
             return None
-        self.lease.grant(now_s, tuning)
+        self.lease.grant(now_s, tuning, max_delay_s)
         return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
 
     def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -16,6 +16,9 @@
     ConfigurationVersion,
     JobId,
     JobState,
+    OrderOutcome,
+    RelayPermit,
+    StartOrder,
     Submission,
     Term,
 )
@@ -116,6 +119,21 @@
     """Notifies peers that the scheduler's lease was released."""
 
 
+class RelayStarts(Struct, frozen=True, kw_only=True, tag="relay-starts"):
+    """Requests that the receiver sends start orders of the scheduler.
+
+    Parameters
+    ----------
+    orders : tuple of StartOrder
+        Empty if only the receiver's clock is to be read.
+    permit : RelayPermit, optional
+        How long they may be sent.
+    """
+
+    orders: tuple[StartOrder, ...] = ()
+    permit: RelayPermit | None = None
+
+
 class Acknowledged(Struct, frozen=True, tag="noted"):
     """Acknowledges a message."""
 
@@ -187,6 +205,24 @@
     confirmed_ago_s: float | None
 
 
+class StartsRelayed(Struct, frozen=True, kw_only=True, tag="starts-relayed"):
+    """Outcomes of relayed start orders.
+
+    Parameters
+    ----------
+    outcomes : tuple of OrderOutcome
+        In the order of the request.
+    incarnation : int
+        Identifies the process that replies.
+    clock_ms : int
+        Time on its clock.
+    """
+
+    outcomes: tuple[OrderOutcome, ...]
+    incarnation: int
+    clock_ms: int
+
+
 PeerQuery = (
     JobAccepted
     | JobCancelled
@@ -202,6 +238,7 @@
     | LeaseRequest
     | LeaseOffer
     | LeaseReleased
+    | RelayStarts
 )
 PeerReply = (
     Acknowledged
@@ -213,6 +250,7 @@
     | ConfigurationStatus
     | ConfigurationReply
     | AdmissionReply
+    | StartsRelayed
 )
 
 
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -139,6 +139,8 @@
         #: Daemons that do not answer peers, and those whose connections are reset.
         self.silent_daemons: set[str] = set()
         self.resetting_daemons: set[str] = set()
+        #: Time in seconds after which paused daemons handle a query of a peer.
+        self.peer_delays_s: dict[str, float] = {}
         #: Capacities of daemons that differ from the default.
         self.capacities: dict[str, SchedulerCapacity] = {}
         #: Workers that the advice service allows; None allows all.
--- a/currantstage/standin/jobs/_site_ports.py
+++ b/currantstage/standin/jobs/_site_ports.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from currantstage.standin.jobs._virtual_loop import CURRENT_PROCESS
 from currantstage.standin.jobs._workers import WORKERS_TABLE
 from currantstage.state.jobs import (
     FleetConfiguration,
@@ -22,6 +23,10 @@
 from currantstage.transport import PeerFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from currantstage.application.jobs import JobCore
     from currantstage.protocol.jobs import PeerQuery, PeerReply
     from currantstage.standin.jobs._site import SimulatedSite
     from currantstage.standin.jobs._store import StoreConnection
@@ -48,6 +53,14 @@
         core = self._site.daemons.get(address)
         if core is None:
             return PeerFailure.REFUSED
+        handling = _spawn_in(address, self._handle(core, query, address))
+        done, _ = await asyncio.wait([handling], timeout=timeout_s)
+        if not done or handling.cancelled():
+            return PeerFailure.NO_REPLY
+        return handling.result()
+
+    async def _handle(self, core: JobCore, query: PeerQuery, address: str) -> PeerReply:
+        await asyncio.sleep(self._site.peer_delays_s.get(address, 0.0))
         return await core.query_handler.handle(query)
 
 
@@ -107,6 +120,17 @@
         return _worker_changes(page) if page else None
 
 
+def _spawn_in(
+    process: str, work: Coroutine[Any, Any, PeerReply]
+) -> asyncio.Task[PeerReply]:
+    """Run `work` in a simulated process, whatever becomes of the caller."""
+    token = CURRENT_PROCESS.set(process)
+    try:
+        return asyncio.ensure_future(work)
+    finally:
+        CURRENT_PROCESS.reset(token)
+
+
 def _worker_changes(page: RowPage) -> WorkerChanges:
     entries = [
         msgspec.json.decode(row.value, type=WorkerEntry)
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from itertools import cycle
 from typing import TYPE_CHECKING
 
@@ -84,6 +85,8 @@
         self.silent: set[WorkerId] = set()
         #: Pairs of a daemon and a worker that is unreachable for it.
         self.unreachable_pairs: set[tuple[str, WorkerId]] = set()
+        #: Number of start orders that each daemon has sent.
+        self.starts_by_caller: Counter[str] = Counter()
         self.late_fraction = 0.0
         self.late_hold_fraction = 0.0
         self.failing_fraction = 0.0
@@ -177,6 +180,7 @@
 
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Start a run."""
+        self._fleet.starts_by_caller[self._caller] += 1
         worker = await self._reach(order.worker.worker)
         if isinstance(worker, OrderOutcome):
             return worker
--- a/currantstage/state/jobs/_workers.py
+++ b/currantstage/state/jobs/_workers.py
@@ -163,6 +163,21 @@
     percent: int
 
 
+class RelayPermit(Struct, frozen=True, kw_only=True):
+    """Permission of a daemon to send orders of the scheduler for a short time.
+
+    Parameters
+    ----------
+    incarnation : int
+        The process that it is given to; one that has restarted has another clock.
+    until_ms : int
+        When the permission ends, on that daemon's clock.
+    """
+
+    incarnation: int
+    until_ms: int
+
+
 class OrderOutcome(Enum):
     """Result of an order to a worker."""
 
@@ -176,6 +191,8 @@
     UNHEALTHY = "unhealthy"
     OTHER_WORKER = "other-worker"
     UNSENT = "unsent"
+    #: The daemon that was to relay it has certainly not sent it.
+    NOT_RELAYED = "not-relayed"
     UNKNOWN = "unknown"
 
 
