--- a/currantstage/coordination/jobs/_room_forecast.py
+++ b/currantstage/coordination/jobs/_room_forecast.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
-from operator import itemgetter
+from bisect import bisect_left, bisect_right
+from operator import attrgetter, itemgetter
 from typing import TYPE_CHECKING, NamedTuple
 
 from currantstage.coordination.jobs._step_graph import estimated_run_s
@@ -88,6 +88,12 @@
                 return each.at_s
         return NEVER_S
 
+    def free_at(self, worker: WorkerState, at_s: float) -> Resources:
+        """Return what a worker is expected to have free at a later time."""
+        releases = self._releases_of(worker)
+        ended = bisect_right(releases, at_s, key=attrgetter("at_s"))
+        return releases[ended - 1].free if ended else worker.free
+
     def _releases_of(self, worker: WorkerState) -> list[_Release]:
         """Return what the expected ends of a worker's runs make free, in order."""
         key = worker.entry.worker
--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -16,7 +16,7 @@
 from currantstage.coordination.jobs._worker_state import StartBlocker
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Callable, Set
 
     from currantstage.coordination.jobs._records import StepRecord
     from currantstage.coordination.jobs._run import Run
@@ -177,6 +177,29 @@
             return []
         return [each.worker for each in request.holds if each.pool == pool]
 
+    def find_shared(
+        self,
+        step: StepRecord,
+        pool: PoolId,
+        may_start: Callable[[WorkerState], bool],
+    ) -> WorkerState | None:
+        """Return a worker held for another step that has room for both.
+
+        A task of `step` that is placed there leaves the room that the other waits for.
+        """
+        needs = StepNeeds(step)
+        others = [each for each in self._requests.values() if each.step is not step]
+        for request in others:
+            for hold in request.holds:
+                if (
+                    hold.pool == pool
+                    and needs.obstacle(hold.worker) is None
+                    and may_start(hold.worker)
+                    and self._leaves_room(hold, StepNeeds(request.step), needs)
+                ):
+                    return hold.worker
+        return None
+
     def rooms(self, step: StepRecord, pool: PoolId, now_s: float) -> int:
         """Return how many of the workers held for `step` can take its task now."""
         needs = StepNeeds(step)
@@ -245,6 +268,12 @@
             and (blocker is None or blocker in _MOMENTARY)
         )
 
+    def _leaves_room(self, hold: RoomHold, holder: StepNeeds, guest: StepNeeds) -> bool:
+        """Return whether a worker has room for `holder` in time beside one `guest`."""
+        worker = hold.worker
+        free = self._forecast.free_at(worker, hold.until_s).minus(guest.resources)
+        return holder.obstacle_with(worker, free, holder.runs_on(worker)) is None
+
     def _suits(
         self, hold: RoomHold, needs: StepNeeds, workers: CandidateWorkers
     ) -> bool:
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -53,26 +53,33 @@
         Those that other steps may use as well.
     may_start : callable
         Whether tasks of the step may be placed on a held worker at all.
+    find_shared : callable
+        Returns a worker that is held for another step and has room for both, if any.
     """
 
     held: list[WorkerState]
     open: CandidateWorkers
     may_start: Callable[[WorkerState], bool]
+    find_shared: Callable[[], WorkerState | None]
 
     def choose(self, task: TaskRecord, placement: TaskPlacement) -> WorkerState | None:
         """Return the worker for `task`, a held one if it has room."""
-        if not self.held:
-            return placement.choose(task, self.open)
-        needs = StepNeeds(task.step)
-        for each in self.held:
-            if needs.obstacle(each) is None and self.may_start(each):
-                return each
-        return placement.choose(task, self.open)
+        if self.held:
+            needs = StepNeeds(task.step)
+            for each in self.held:
+                if needs.obstacle(each) is None and self.may_start(each):
+                    return each
+        return placement.choose(task, self.open) or self.find_shared()
 
     def only(self, is_allowed: Callable[[WorkerState], bool]) -> StepWorkers:
-        """Return the workers that `is_allowed` accepts as well."""
+        """Return the workers that `is_allowed` accepts, none of them a shared one."""
         held = [each for each in self.held if is_allowed(each)]
-        return replace(self, held=held, open=self.open.only(is_allowed))
+        return replace(
+            self,
+            held=held,
+            open=self.open.only(is_allowed),
+            find_shared=_find_nothing,
+        )
 
 
 class TaskPlacer:
@@ -173,12 +180,21 @@
         """Return the workers that may run `step`: those held for it, and open ones."""
         queue = self._waiting.queue_of(step)
         is_long_running = step.step.is_long_running
+
+        def may_start(worker: WorkerState) -> bool:
+            is_open = worker.accepts_starts(now_s)
+            return is_open and _is_advised(step, queue, worker, now_s)
+
+        def find_shared() -> WorkerState | None:
+            if not self.holds.is_search_due(step, now_s):
+                return None
+            return self.holds.find_shared(step, workers.pool, may_start)
+
         return StepWorkers(
             self.holds.held_for(step, workers.pool) if is_long_running else [],
             _advised(step, queue, workers, now_s),
-            lambda each: (
-                each.accepts_starts(now_s) and _is_advised(step, queue, each, now_s)
-            ),
+            may_start,
+            find_shared if is_long_running else _find_nothing,
         )
 
     def _place_trials(
@@ -326,6 +342,10 @@
         self._jobs.requeue(run.task)
 
 
+def _find_nothing() -> None:
+    return None
+
+
 def pool_of(job: JobRecord, configuration: FleetConfiguration) -> PoolId:
     """Return the pool that the job's queue is routed to now."""
     submission = job.submission
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -53,6 +53,10 @@
         StepKey,
     )
 
+    _StepWorkers = tuple[
+        list[WorkerState], list[WorkerState], Callable[[], WorkerState | None]
+    ]
+
 
 @dataclass(eq=False)
 class _PlainHold:
@@ -164,6 +168,29 @@
         holds = request.holds if request else []
         return [hold.worker for hold in holds if hold.pool == pool]
 
+    def find_shared(
+        self,
+        step: StepRecord,
+        allowed: Callable[[WorkerState], bool],
+        pool: PoolId,
+        now_s: float,
+    ) -> WorkerState | None:
+        """Return a worker held for another step that has room for both."""
+        own = self.requests.get(step.key)
+        if self._searches >= MAX_SEARCHES or (own and now_s < own.search_due_s):
+            return None
+        for request in self.requests.values():
+            for hold in request.holds:
+                if (
+                    request is not own
+                    and hold.pool == pool
+                    and _allows(step, hold.worker)
+                    and allowed(hold.worker)
+                    and _leaves_room(hold, request.step, step, now_s)
+                ):
+                    return hold.worker
+        return None
+
     def on_placed(self, run: Run) -> None:
         """Release the worker of a run that it was held for."""
         self._held_before += self._held()
@@ -401,16 +428,27 @@
         workers: list[WorkerState],
         pool: PoolId,
         now_s: float,
-    ) -> tuple[list[WorkerState], list[WorkerState]]:
-        """Return the workers held for a step, and those that are open to all."""
+    ) -> _StepWorkers:
+        """Return the workers held for a step, those open to all, and a shared one."""
         held = [
             each
             for each in self.holds.held_for(step, pool)
             if each.accepts_starts(now_s)
         ]
+
+        def may_start(worker: WorkerState) -> bool:
+            advised = _advised(step, queue, [worker], now_s)
+            return worker.accepts_starts(now_s) and bool(advised)
+
+        def find_shared() -> WorkerState | None:
+            if not step.step.is_long_running:
+                return None
+            return self.holds.find_shared(step, may_start, pool, now_s)
+
         return (
             _advised(step, queue, held, now_s),
             _advised(step, queue, workers, now_s),
+            find_shared,
         )
 
     def _hold(
@@ -460,6 +498,7 @@
                 allowed = (
                     [each for each in allowed[0] if each.is_open_to_trial()],
                     [each for each in allowed[1] if each.is_open_to_trial()],
+                    lambda: None,
                 )
             run = self._place_task(task, allowed, configuration, now_s, None)
             if run is not None:
@@ -490,7 +529,7 @@
         self,
         step: StepRecord,
         tasks: Sequence[TaskRecord],
-        workers: tuple[list[WorkerState], list[WorkerState]],
+        workers: _StepWorkers,
         configuration: FleetConfiguration,
         now_s: float,
     ) -> list[Run]:
@@ -510,7 +549,7 @@
     def _place_task(
         self,
         task: TaskRecord,
-        workers: tuple[list[WorkerState], list[WorkerState]],
+        workers: _StepWorkers,
         configuration: FleetConfiguration,
         now_s: float,
         number: RunNumber | None,
@@ -519,13 +558,13 @@
         amount = task.step.step.resources
         if not self._teams.allows(team, amount, configuration):
             return None
-        held, open_workers = workers
+        held, open_workers, find_shared = workers
         fitting = [each for each in held if _allows(task.step, each)]
         if fitting:
             worker_state: WorkerState | None = fitting[0]
         else:
             unheld = [each for each in open_workers if not self.holds.is_held(each)]
-            worker_state = choose(task, unheld)
+            worker_state = choose(task, unheld) or find_shared()
         if worker_state is None:
             return None
         run = Run(
@@ -644,6 +683,22 @@
     return float("inf")
 
 
+def _leaves_room(
+    hold: _PlainHold, holder: StepRecord, guest: StepRecord, now_s: float
+) -> bool:
+    """Return whether a task of `guest` leaves room for one of `holder` in time."""
+    worker = hold.worker
+    free = worker.entry.capacity.minus(guest.step.reserved_resources)
+    for run in worker.runs.values():
+        if _end_s(run, now_s) > hold.until_s:
+            free = free.minus(run.reserved_resources)
+    here = sum(run.task.step is holder for run in worker.runs.values())
+    spec = holder.step
+    is_full = bool(spec.max_per_worker) and here >= spec.max_per_worker
+    has_label = not spec.needed_label or spec.needed_label in worker.entry.labels
+    return has_label and not is_full and spec.reserved_resources.fits(free)
+
+
 def _fits_beside(step: StepRecord, worker: WorkerState, runs: Sequence[Run]) -> bool:
     """Return whether a worker would allow a task of a step if it had just `runs`."""
     spec = step.step
