--- a/currantstage/coordination/jobs/_preemption.py
+++ b/currantstage/coordination/jobs/_preemption.py
@@ -38,20 +38,31 @@
 
 
 def cheapest_preemption(
-    needs: StepNeeds, workers: Iterable[WorkerState], now_s: float
+    needs: StepNeeds,
+    workers: Iterable[WorkerState],
+    now_s: float,
+    *,
+    with_gangs: bool = False,
 ) -> Preemption | None:
     """Return the runs whose stop makes room for one more task of a step.
 
     Of all workers that could have room, it is the one where the least work is lost;
-    None if there is no such worker.
+    None if there is no such worker. Whole gangs are stopped if that is `with_gangs`.
     """
-    options = (_preemption(needs, each, now_s) for each in workers)
+    options = (_preemption(needs, each, now_s, with_gangs) for each in workers)
     found = [each for each in options if each is not None]
     return min(found, key=lambda each: each.lost_core_s, default=None)
 
 
 def lost_core_s(run: Run, now_s: float) -> float:
-    """Return the work of a run that its stop would lose, in core-seconds."""
+    """Return the work that the stop of a run would lose, in core-seconds.
+
+    The members of a gang lose their work together.
+    """
+    return sum(_own_lost_core_s(each, now_s) for each in _stopped_with(run))
+
+
+def _own_lost_core_s(run: Run, now_s: float) -> float:
     step = run.step
     if run.is_stopping or step.is_checkpointing:
         return 0.0
@@ -64,7 +75,7 @@
 
 
 def _preemption(
-    needs: StepNeeds, worker: WorkerState, now_s: float
+    needs: StepNeeds, worker: WorkerState, now_s: float, with_gangs: bool
 ) -> Preemption | None:
     runs_here = needs.runs_on(worker)
     if needs.obstacle_with(worker, worker.entry.capacity, runs_here) is not None:
@@ -74,7 +85,8 @@
     for run in sorted(worker.runs.values(), key=lambda run: lost_core_s(run, now_s)):
         if needs.resources.fits(free):
             break
-        if _makes_room(run, now_s) and _eases(run.reserved_resources, needs, free):
+        makes_room = _makes_room(run, now_s, with_gangs)
+        if makes_room and _eases(run.reserved_resources, needs, free):
             free = free.plus(run.reserved_resources)
             stopped.append(run)
     if not stopped or not needs.resources.fits(free):
@@ -84,34 +96,47 @@
         if needs.resources.fits(without):
             free = without
             stopped.remove(run)
-    # Those that are being stopped already make room by themselves.
-    ordered = tuple(run for run in stopped if not run.is_stopping)
+    # A dict keeps their order. Those that are being stopped make room by themselves.
+    ordered = dict.fromkeys(
+        each
+        for run in stopped
+        if not run.is_stopping
+        for each in _stopped_with(run)
+        if not each.is_stopping
+    )
     if not ordered:
         return None
-    lost = sum(lost_core_s(run, now_s) for run in ordered)
-    return Preemption(worker, ordered, lost)
+    lost = sum(_own_lost_core_s(run, now_s) for run in ordered)
+    return Preemption(worker, tuple(ordered), lost)
 
 
 def is_preemptible(run: Run) -> bool:
-    """Return whether a run may be stopped for a long-running task.
+    """Return whether a run may be stopped for a long-running task by itself.
 
-    The stop of a member of a gang would cost the work of all of them.
+    The stop of a member of a gang costs the work of all of them.
     """
-    step = run.step
+    return _is_stoppable(run) and not run.step.is_gang
+
+
+def _is_stoppable(run: Run) -> bool:
     return (
         run.phase is RunPhase.RUNNING
         and not run.is_stopping
-        and not step.is_long_running
-        and not step.is_gang
+        and not run.step.is_long_running
         and not run.is_trial
     )
 
 
-def _makes_room(run: Run, now_s: float) -> bool:
+def _stopped_with(run: Run) -> list[Run]:
+    """Return the runs that end if `run` is stopped."""
+    return run.task.step.runs() if run.step.is_gang else [run]
+
+
+def _makes_room(run: Run, now_s: float, with_gangs: bool) -> bool:
     """Return whether a run can be stopped, or has just been."""
     if run.is_stopping:
         return now_s - run.stop_ordered_s <= STOP_S
-    return is_preemptible(run)
+    return _is_stoppable(run) if with_gangs else is_preemptible(run)
 
 
 def _eases(amount: Resources, needs: StepNeeds, free: Resources) -> bool:
--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -39,6 +39,8 @@
 ROOM_WITHIN_S = 4.0
 #: How long a step waits before other tasks are stopped for it, in seconds.
 PREEMPT_AFTER_S = 1.5
+#: How long it waits before whole gangs are stopped, if that of other tasks is in vain.
+PREEMPT_GANGS_AFTER_S = 3.0
 #: Minimum time between two searches for workers to hold for a step, in seconds, and
 #: after one that has found none.
 SEARCH_INTERVAL_S = 0.25
@@ -328,6 +330,8 @@
         others = [each for each in candidates if not self.is_held(each)]
         others.extend(each.worker for each in late)
         preemption = cheapest_preemption(needs, others, now_s)
+        if preemption is None and now_s >= request.since_s + PREEMPT_GANGS_AFTER_S:
+            preemption = cheapest_preemption(needs, others, now_s, with_gangs=True)
         if preemption is None:
             return
         if late:
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -22,6 +22,7 @@
     MAX_HOLD_S,
     MAX_SEARCHES,
     PREEMPT_AFTER_S,
+    PREEMPT_GANGS_AFTER_S,
     PREEMPTION_HOLD_S,
     ROOM_WITHIN_S,
     SEARCH_INTERVAL_S,
@@ -287,12 +288,9 @@
             return
         open_workers = [each for each in workers if not self.is_held(each)]
         open_workers += [hold.worker for hold in late]
-        options = []
-        for index, each in enumerate(open_workers):
-            stopped = _stopped_for(request.step, each, now_s)
-            if stopped:
-                work = sum(_lost_work(run, now_s) for run in stopped)
-                options.append((work, index, stopped))
+        options = _options(request.step, open_workers, now_s, may_stop_gangs=False)
+        if not options and now_s >= request.since_s + PREEMPT_GANGS_AFTER_S:
+            options = _options(request.step, open_workers, now_s, may_stop_gangs=True)
         if not options:
             return
         _, index, stopped = min(options, key=itemgetter(0, 1))
@@ -711,8 +709,30 @@
     return has_label and not is_full and spec.reserved_resources.fits(free)
 
 
+def _options(
+    step: StepRecord,
+    workers: list[WorkerState],
+    now_s: float,
+    *,
+    may_stop_gangs: bool,
+) -> list[tuple[float, int, list[Run]]]:
+    """Return the work lost, the index of each worker and the runs to stop there."""
+    options = []
+    for index, each in enumerate(workers):
+        here = _stopped_for(step, each, now_s, may_stop_gangs) or []
+        stopped: list[Run] = []
+        for run in here:
+            gang = run.task.step.runs() if run.step.is_gang else [run]
+            stopped += [one for one in gang if one not in stopped]
+        stopped = [run for run in stopped if not run.is_stopping]
+        if stopped:
+            work = sum(_lost_work(run, now_s) for run in stopped)
+            options.append((work, index, stopped))
+    return options
+
+
 def _stopped_for(
-    step: StepRecord, worker: WorkerState, now_s: float
+    step: StepRecord, worker: WorkerState, now_s: float, may_stop_gangs: bool
 ) -> list[Run] | None:
     """Return the runs to stop for a task of a step; None if that makes no room."""
     if not _may_fit(step, worker):
@@ -720,10 +740,11 @@
     wanted = step.step.reserved_resources
     free = worker.free
     stopped: list[Run] = []
-    for run in sorted(worker.runs.values(), key=lambda run: _lost_work(run, now_s)):
+    for run in sorted(worker.runs.values(), key=lambda run: _lost_by_stop(run, now_s)):
         if wanted.fits(free):
             break
-        if _may_stop(run, now_s) and _is_lacking(wanted, free, run.reserved_resources):
+        may_stop = _may_stop(run, now_s, may_stop_gangs)
+        if may_stop and _is_lacking(wanted, free, run.reserved_resources):
             free = free.plus(run.reserved_resources)
             stopped.append(run)
     if not wanted.fits(free):
@@ -735,11 +756,12 @@
     return [run for run in stopped if not run.is_stopping]
 
 
-def _may_stop(run: Run, now_s: float) -> bool:
+def _may_stop(run: Run, now_s: float, may_stop_gangs: bool) -> bool:
     if run.is_stopping:
         return run.stop_ordered_s + STOP_S >= now_s
     spec = run.step
-    kept = spec.is_long_running or spec.is_gang or run.is_trial
+    is_kept_gang = spec.is_gang and not may_stop_gangs
+    kept = spec.is_long_running or is_kept_gang or run.is_trial
     return run.phase is RunPhase.RUNNING and not kept
 
 
@@ -753,6 +775,12 @@
     return any(lacking > 0 and has > 0 for lacking, has in pairs)
 
 
+def _lost_by_stop(run: Run, now_s: float) -> float:
+    """Return the work that is lost by the stop of a run, with that of its gang."""
+    ended = run.task.step.runs() if run.step.is_gang else [run]
+    return sum(_lost_work(each, now_s) for each in ended)
+
+
 def _lost_work(run: Run, now_s: float) -> float:
     spec = run.step
     if run.is_stopping or spec.is_checkpointing:
