--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -191,16 +191,31 @@
                 continue
             pause_s = MIN_SILENT_RETRY_S
             if reply.ended:
-                await self._progress_stored.wait(MAX_STORE_WAIT_S)
+                await self._wait_until_stored(worker)
             elif not order.wait_ms:
                 await wait_for_event(wake, MIN_RENEWAL_INTERVAL_S)
         del self._wake_events[worker]
 
+    async def _wait_until_stored(self, worker: WorkerId) -> None:
+        """Wait for a write, and until all ends that a worker has listed are stored.
+
+        Until they are acknowledged, it replies at once, and lists them again.
+        """
+        until_s = self._now_s() + MAX_STORE_WAIT_S
+        while True:
+            left_s = until_s - self._now_s()
+            if left_s <= 0 or not await self._progress_stored.wait(left_s):
+                return
+            if not self._scheduler.has_unstored_ends(worker):
+                return
+
     def _on_hold_outcome(
         self, order: RenewalOrder, reply: RenewalReply | OrderOutcome, sent_s: float
     ) -> None:
         was_silent = self._scheduler.is_silent(order.worker.worker)
-        self._scheduler.on_renewal_outcome(order, reply, sent_s, self._now_s())
+        new_ends = self._scheduler.on_renewal_outcome(
+            order, reply, sent_s, self._now_s()
+        )
         if isinstance(reply, RenewalReply):
             if reply.born_ms != order.worker.born_ms:
                 log_message(
@@ -219,7 +234,7 @@
                     running=len(reply.running),
                     fence=order.fence,
                 )
-            for ended in reply.ended:
+            for ended in new_ends:
                 self._ports.metrics.count_end(ended.kind)
                 self._activity.count_end(ended.kind)
                 _log_end(order, ended.task, ended.run, ended.kind)
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -47,6 +47,7 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.state import PoolId, QueueId
     from currantstage.state.jobs import (
+        EndedTask,
         FleetConfiguration,
         JobId,
         PageKey,
@@ -296,14 +297,25 @@
             return None
         return worker_state.next_renewal(now_s, self._tuning)
 
+    def has_unstored_ends(self, worker: WorkerId) -> bool:
+        """Return whether a worker has listed ends that can't be acknowledged yet."""
+        worker_state = self.workers.get(worker)
+        return worker_state is not None and bool(worker_state.unstored_ends)
+
     def on_renewal_outcome(
         self,
         order: RenewalOrder,
         reply: RenewalReply | OrderOutcome,
         sent_s: float,
         now_s: float,
-    ) -> None:
-        """Apply a worker's reply to a renewal, or the failure to get one."""
+    ) -> Sequence[EndedTask]:
+        """Apply a worker's reply to a renewal, or the failure to get one.
+
+        Returns
+        -------
+        sequence of EndedTask
+            Ends that the worker has not listed before.
+        """
         if isinstance(reply, OrderOutcome):
             worker_state = self.workers.get(order.worker.worker)
             is_newest = worker_state is not None and order.fence >= worker_state.fence
@@ -311,9 +323,10 @@
                 self.is_superseded = True
             for run in self.workers.on_renewal_failure(order, reply, sent_s, now_s):
                 self._lifecycle.on_lost(run)
-            return
+            return ()
         changes = self.workers.on_renewal_reply(order, reply, sent_s, now_s)
         self._apply_changes(order.worker.worker, changes, now_s)
+        return changes.ended
 
     def may_renew(self, worker: WorkerId) -> bool:
         """Return whether a worker may have to be sent renewals, now or later."""
