--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -271,10 +271,16 @@
         )
 
     def _leaves_room(self, hold: RoomHold, holder: StepNeeds, guest: StepNeeds) -> bool:
-        """Return whether a worker has room for `holder` in time beside one `guest`."""
+        """Return whether a worker has room for `holder` in time beside one `guest`.
+
+        Room that it has now stays: a run may be about to be stopped for it.
+        """
         worker = hold.worker
-        free = self._forecast.free_at(worker, hold.until_s).minus(guest.resources)
-        return holder.obstacle_with(worker, free, holder.runs_on(worker)) is None
+        free = worker.free
+        if holder.obstacle(worker) is not None:
+            free = self._forecast.free_at(worker, hold.until_s)
+        left = free.minus(guest.resources)
+        return holder.obstacle_with(worker, left, holder.runs_on(worker)) is None
 
     def _suits(
         self, hold: RoomHold, needs: StepNeeds, workers: CandidateWorkers
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -687,8 +687,9 @@
     """Return whether a task of `guest` leaves room for one of `holder` in time."""
     worker = hold.worker
     free = worker.entry.capacity.minus(guest.step.reserved_resources)
+    has_room_now = _fits_beside(holder, worker, list(worker.runs.values()))
     for run in worker.runs.values():
-        if _end_s(run, now_s) > hold.until_s:
+        if has_room_now or _end_s(run, now_s) > hold.until_s:
             free = free.minus(run.reserved_resources)
     here = sum(run.task.step is holder for run in worker.runs.values())
     spec = holder.step
--- a/tests/jobs/test_room_holds.py
+++ b/tests/jobs/test_room_holds.py
@@ -16,6 +16,7 @@
     Scheduler,
     SchedulerTuning,
 )
+from currantstage.coordination.jobs._leaving_runs import LeavingRun
 from currantstage.coordination.jobs._placement import StepNeeds
 from currantstage.coordination.jobs._preemption import cheapest_preemption, lost_core_s
 from currantstage.coordination.jobs._room_forecast import (
@@ -146,11 +147,9 @@
 
     def fill(self, worker: str, estimate_ms: int, **options: Any) -> Run:
         """Take most of a worker's memory by a run with this estimate."""
+        values = {"resources": Resources(1000, MOST_MEMORY_MB), **options}
         step = self.submit(
-            resources=Resources(1000, MOST_MEMORY_MB),
-            estimated_run_ms=estimate_ms,
-            needed_label=f"only-{worker}",
-            **options,
+            estimated_run_ms=estimate_ms, needed_label=f"only-{worker}", **values
         )
         start_runs(self.scheduler, self.now_s)
         run = step.tasks[0].run
@@ -513,6 +512,28 @@
     assert [run.worker for run in small.runs()] == ["a"]
 
 
+def test_room_that_is_ready_for_a_leaving_task_is_not_given_away() -> None:
+    """Its run was to be stopped for that room, and the next room was seconds away."""
+    pool = _Pool(_workers("a", "b"))
+    early = pool.fill("a", 3500, resources=Resources(1000, 10_000))
+    pool.fill("a", 3400, resources=Resources(1000, 6000))
+    leaving = _lasting(pool, resources=Resources(1000, 10_000))
+    pool.advance(0.1)
+    (run,) = leaving.runs()
+    state = pool.scheduler.workers.get(run.worker)
+    assert state is not None
+    assert run.worker == "b"
+    state.is_cordoned = True
+    pool.scheduler.hold_room_for([LeavingRun(run)], pool.now_s)
+    assert _held(pool, leaving) == {"a"}
+    pool.renew(early)
+    assert pool.scheduler.held_rooms(leaving, pool.now_s) == 1
+    guest = _lasting(pool, resources=Resources(1000, 3000))
+    pool.advance(0.3)
+    assert pool.scheduler.held_rooms(leaving, pool.now_s) == 1
+    assert guest.runs() == []
+
+
 def test_steps_that_wait_do_not_hold_a_whole_pool() -> None:
     """`MAX_HELD_SHARE` is of what other steps have left, and adds up to everything."""
     names = "abcdefgh"
