--- a/bench/guards.py
+++ b/bench/guards.py
@@ -41,6 +41,8 @@
 _STORE = "tests/coordination/test_store_access.py"
 _JOBS = "tests/jobs"
 _EVACUATION = "tests/jobs/test_evacuation_plan.py"
+_HOLDS = "tests/jobs/test_room_holds.py"
+_RELAYS = "tests/jobs/test_start_relays.py"
 _ROOM = "tests/jobs/test_room_for_long_running_tasks.py"
 
 
@@ -411,6 +413,41 @@
         "if False:",
         _ROOM,
     ),
+    Removal(
+        "jobs: a guest of a held worker leaves the room that is there now",
+        "jobs/_room_holds.py",
+        "if holder.obstacle(worker) is not None:",
+        "if True:",
+        _HOLDS,
+    ),
+    Removal(
+        "jobs: a lease may be granted as late as a relay's permit allows",
+        "jobs/_worker_lease.py",
+        "now_s + max_delay_s",
+        "now_s",
+        _RELAYS,
+    ),
+    Removal(
+        "jobs: relays may send orders of earlier schedulers",
+        "jobs/_scheduler.py",
+        "takeover.holder_active_s + RELAY_PERMIT_S",
+        "takeover.holder_active_s",
+        "tests/jobs/test_worker_restarts.py",
+    ),
+    Removal(
+        "jobs: gangs and long-running tasks don't depend on a relay",
+        "jobs/_start_relays.py",
+        "if run.step.is_gang or run.step.is_long_running:",
+        "if False:",
+        _RELAYS,
+    ),
+    Removal(
+        "jobs: a relay that has failed isn't used for a while",
+        "jobs/_start_relays.py",
+        "if now_s >= self._relay(peer).paused_until_s:",
+        "if True:",
+        _RELAYS,
+    ),
 )
 
 
