--- a/currantstage/application/jobs/_relay_client.py
+++ b/currantstage/application/jobs/_relay_client.py
@@ -42,8 +42,8 @@
         self._directory = directory
         self._clock = clock
         self._table = RelayTable()
-        # Daemons whose clocks are being read.
-        self._unread: set[str] = set()
+        # Daemons whose clocks are to be read, until the reply comes.
+        self._being_read: set[str] = set()
 
     def ready_relays(self) -> list[str]:
         """Return the addresses of the daemons that can relay orders now."""
@@ -57,9 +57,9 @@
         unread = [
             each
             for each in self._candidates(now_s)
-            if each not in self._unread and not self._table.is_ready(each, now_s)
+            if each not in self._being_read and not self._table.is_ready(each, now_s)
         ]
-        self._unread.update(unread)
+        self._being_read.update(unread)
         return unread
 
     async def read_clock(self, relay: str) -> None:
@@ -67,7 +67,7 @@
         try:
             await self._send(relay, RelayStarts())
         finally:
-            self._unread.discard(relay)
+            self._being_read.discard(relay)
 
     async def start(
         self, relay: str, orders: Sequence[StartOrder]
