--- a/currantstage/coordination/jobs/_preemption.py
+++ b/currantstage/coordination/jobs/_preemption.py
@@ -47,7 +47,8 @@
     """Return the runs whose stop makes room for one more task of a step.
 
     Of all workers that could have room, it is the one where the least work is lost;
-    None if there is no such worker. Whole gangs are stopped if that is `with_gangs`.
+    None if there is no such worker. Members of gangs are only stopped `with_gangs`, all
+    of a gang together.
     """
     options = (_preemption(needs, each, now_s, with_gangs) for each in workers)
     found = [each for each in options if each is not None]
