Stand-in: the longest lease of a site's workers, and VMs that are lost for good

The simulated workers granted 6 s at most on every site; it is an attribute of all workers now, 6 s by default. `SimulatedVms.lose` takes a VM down silently and for good. The sum of what a worker's runs reserve moves from the oracle to the worker, where the check for absent tasks needs it too. No simulation changes by default.

--- a/currantstage/standin/jobs/_oracle.py
+++ b/currantstage/standin/jobs/_oracle.py
@@ -146,10 +146,7 @@
                     self._add_violation("ORDER", f"{task} before {key}")
 
     def _check_capacity(self, worker: SimulatedWorker) -> None:
-        used = NO_RESOURCES
-        for each in worker.runs.values():
-            step = self.submitted[each.task.job].steps[each.task.step]
-            used = used.plus(step.reserved_resources)
+        used = worker.used_resources()
         if not used.fits(worker.entry.capacity):
             self._add_violation("LIMIT", f"{worker.name} holds {used}")
 
--- a/currantstage/standin/jobs/_simulated_worker.py
+++ b/currantstage/standin/jobs/_simulated_worker.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.state.jobs import (
+    NO_RESOURCES,
     EndedTask,
     EndKind,
     EndNumber,
@@ -21,6 +22,7 @@
     from currantstage.standin.jobs._workers import SimulatedWorkers
     from currantstage.state.jobs import (
         RenewalOrder,
+        Resources,
         RunNumber,
         StartOrder,
         StopOrder,
@@ -30,7 +32,7 @@
 
 #: Maximum number of ends in one reply.
 MAX_LISTED_ENDS = 500
-#: Longest lease that a worker grants, in seconds.
+#: Longest lease that a worker grants by default, in seconds.
 MAX_LEASE_S = 6.0
 #: Time that it takes to stop a run, in seconds.
 STOP_DURATION_S = 0.1
@@ -86,6 +88,14 @@
         age_s = virtual_now_s() - self.entry.born_ms / 1000
         return int(age_s * self.clock_rate * 1000) + 1
 
+    def used_resources(self) -> Resources:
+        """Return the resources that its runs reserve."""
+        used = NO_RESOURCES
+        for task in self.runs:
+            step = self._fleet.oracle.submitted[task.job].steps[task.step]
+            used = used.plus(step.reserved_resources)
+        return used
+
     def start(self, order: StartOrder, *, is_late: bool) -> OrderOutcome:
         """Carry out an order to start a run."""
         if not self._accept_fence(order.fence):
@@ -164,8 +174,9 @@
         self.ended = [each for each in self.ended if each.number > seen_upto]
 
     def extend_lease(self, until_ms: int) -> None:
-        """Extend the lease to `until_ms`, but to `MAX_LEASE_S` from now at most."""
-        clock_duration_s = min(MAX_LEASE_S, (until_ms - self.clock_ms()) / 1000)
+        """Extend the lease to `until_ms`, but to the longest one from now at most."""
+        max_lease_s = self._fleet.max_lease_s
+        clock_duration_s = min(max_lease_s, (until_ms - self.clock_ms()) / 1000)
         duration_s = clock_duration_s / self.clock_rate
         self.lease_end_s = max(self.lease_end_s, virtual_now_s() + duration_s)
         asyncio.get_running_loop().call_at(self.lease_end_s + 0.001, self._expire_lease)
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -75,6 +75,19 @@
         """Remove a VM without a worker."""
         del self._records[VmId(vm)]
 
+    def lose(self, vm: str) -> None:
+        """Take a VM down for good; its worker ends without a sign of it."""
+        record = self._records[VmId(vm)]
+        self._workers.crash(record.worker, is_silent=True)
+        self._records[record.vm] = msgspec.structs.replace(
+            record, condition=VmCondition.DOWN
+        )
+
+    def vm_of(self, worker: WorkerId) -> VmId:
+        """Return the VM that a worker is on."""
+        records = self._records.values()
+        return next(each.vm for each in records if each.worker == worker)
+
     def pool_of(self, vm: str) -> PoolId:
         """Return the pool that a VM is in."""
         return self._records[VmId(vm)].pool
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from currantstage.standin.jobs._simulated_worker import (
+    MAX_LEASE_S,
     SimulatedWorker,
     virtual_now_s,
 )
@@ -90,6 +91,8 @@
         self.late_fraction = 0.0
         self.late_hold_fraction = 0.0
         self.failing_fraction = 0.0
+        #: Longest lease that a worker grants, in seconds.
+        self.max_lease_s = MAX_LEASE_S
         #: Whether a worker that a task has crashed comes back under another id.
         self.returns_under_new_id = False
         #: Time from a crash that a task causes to the worker's return, in seconds.
@@ -125,6 +128,14 @@
         self.silent.discard(worker)
         self.add(msgspec.structs.replace(old.entry, born_ms=born_ms))
 
+    def is_reachable(self, worker: WorkerId) -> bool:
+        """Return whether a worker is up and can be reached."""
+        return (
+            self.workers[worker].is_up
+            and worker not in self.unreachable
+            and worker not in self.silent
+        )
+
     def is_deadly(self, task: TaskKey) -> bool:
         """Return whether a task crashes every worker that starts it."""
         spec = self.oracle.submitted[task.job].spec
