--- a/currantstage/standin/jobs/__init__.py
+++ b/currantstage/standin/jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from currantstage.standin.jobs._absence_watch import AbsenceWatch
 from currantstage.standin.jobs._oracle import Oracle
 from currantstage.standin.jobs._site import (
     POOLS,
@@ -29,6 +30,7 @@
     "MAX_ROW_BYTES",
     "POOLS",
     "SPARE_POOL",
+    "AbsenceWatch",
     "LoopClock",
     "Oracle",
     "SimulatedSite",
