Log of adopted runs: how each is settled, and no times that nobody measured

Callers saw a long-running task away for 11.6 s, and the log couldn't tell why: `task-lost` gave the age of the reading of a worker's clock as 4,541 to 91,034 s where that clock had never been read, as `WorkerClock.age_s` counted from zero, and `placed_ago_s` counted from the adoption for a run that an earlier scheduler had placed.

`age_s` is now None without a reading, in `task-lost`, `task-start` and the histogram `worker_clock_age`, which leaves such starts out. `task-lost` has `is_adopted`, `in_doubt_s` and `listed_ago_s`, and no `placed_ago_s` for an adopted run. `job explain` shows both.

No decision is changed.

--- a/currantstage/application/jobs/_configuration.py
+++ b/currantstage/application/jobs/_configuration.py
@@ -319,6 +319,8 @@
             listener()
 
 
-def loggable_age_s(age_s: float) -> float | None:
+def loggable_age_s(age_s: float | None) -> float | None:
     """Return an age rounded to milliseconds; None if there has been no answer yet."""
-    return round(age_s, 3) if math.isfinite(age_s) else None
+    if age_s is None or not math.isfinite(age_s):
+        return None
+    return round(age_s, 3)
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -129,7 +129,7 @@
         self._latencies["job_call_duration"].record(duration_s, {"kind": kind})
 
     def count_start(
-        self, outcome: OrderOutcome, waited_s: float, clock_age_s: float
+        self, outcome: OrderOutcome, waited_s: float, clock_age_s: float | None
     ) -> None:
         """Count a start order.
 
@@ -138,12 +138,14 @@
         outcome : OrderOutcome
         waited_s : float
             Time since the task was placed, in seconds.
-        clock_age_s : float
-            Age of the reading of the worker's clock that its lease is reckoned from.
+        clock_age_s : float or None
+            Age of the reading of the worker's clock that its lease is reckoned from;
+            None if there is none.
         """
         self._starts.add(1, {"outcome": outcome.value})
         self._latencies["task_start_wait"].record(waited_s)
-        self._latencies["worker_clock_age"].record(clock_age_s)
+        if clock_age_s is not None:
+            self._latencies["worker_clock_age"].record(clock_age_s)
 
     def count_end(self, kind: EndKind) -> None:
         """Count the end of a run."""
--- a/currantstage/application/jobs/_scheduler_loader.py
+++ b/currantstage/application/jobs/_scheduler_loader.py
@@ -122,6 +122,13 @@
         workers=len(workers.entries),
         store_version=jobs.version,
     )
+    log_message(
+        "currantstage:runs-adopted",
+        term=term,
+        runs=scheduler.adopted_runs.run_count,
+        workers=scheduler.adopted_runs.worker_count,
+        earlier_active_s=round(takeover.holder_active_s, 3),
+    )
     return LoadedScheduler(
         scheduler=scheduler,
         workers=tuple(workers.entries),
--- a/currantstage/application/jobs/_start_sender.py
+++ b/currantstage/application/jobs/_start_sender.py
@@ -7,6 +7,7 @@
 
 from eliot import log_message
 
+from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.application.jobs._start_stages import StartStages
 from currantstage.coordination.jobs import RELAY_PERMIT_S, divide_starts
 
@@ -37,7 +38,7 @@
     stored_s : float
         When the placement was stored.
     sent_s : float
-    clock_age_s : float
+    clock_age_s : float or None
         Age of the reading of the worker's clock that the lease was reckoned from.
     relay : str
         Address of the relay; empty if the order was sent directly.
@@ -47,7 +48,7 @@
     order: StartOrder
     stored_s: float
     sent_s: float
-    clock_age_s: float
+    clock_age_s: float | None
     relay: str
 
 
@@ -165,7 +166,7 @@
             outcome=outcome.value,
             waited_s=round(waited_s, 3),
             until_ms=order.until_ms,
-            clock_age_s=round(sent.clock_age_s, 3),
+            clock_age_s=loggable_age_s(sent.clock_age_s),
             configuration=self._scheduler.configuration.version,
             relay=sent.relay,
         )
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -7,6 +7,7 @@
 
 from eliot import log_message
 
+from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.application.jobs._start_sender import StartSender
 from currantstage.state.jobs import OrderOutcome, RenewalReply
 from currantstage.util import Notifier, TaskSet, wait_for_event
@@ -117,6 +118,7 @@
         """Send the stop and pace orders that the scheduler has decided on."""
         self._log_lost_runs()
         self._log_preempted_runs()
+        self._log_settled_adoption()
         if not self._held_lease.is_valid(self._now_s()):
             return
         if self._scheduler.is_superseded:
@@ -263,9 +265,12 @@
                 cause=lost.loss.cause.value,
                 companions=lost.loss.companions,
                 phase=lost.run.phase.value,
-                placed_ago_s=round(now_s - lost.run.placed_s, 3),
-                clock_age_s=round(
-                    self._scheduler.clock_age_s(lost.run.worker, now_s), 3
+                is_adopted=lost.run.is_adopted,
+                placed_ago_s=_placed_ago_s(lost.run, now_s),
+                in_doubt_s=loggable_age_s(lost.run.in_doubt_s(now_s)),
+                listed_ago_s=loggable_age_s(now_s - lost.run.listed_s),
+                clock_age_s=loggable_age_s(
+                    self._scheduler.clock_age_s(lost.run.worker, now_s)
                 ),
             )
 
@@ -278,10 +283,22 @@
                 task=_format_task(task),
                 run=each.run.number,
                 worker=each.run.worker,
-                placed_ago_s=round(self._now_s() - each.run.placed_s, 3),
+                placed_ago_s=_placed_ago_s(each.run, self._now_s()),
                 preempted_for=".".join(map(str, each.step)),
             )
 
+    def _log_settled_adoption(self) -> None:
+        summary = self._scheduler.adopted_runs.take_summary(self._now_s())
+        if summary is not None:
+            log_message(
+                "currantstage:adopted-runs-settled",
+                term=self._scheduler.term,
+                duration_s=round(summary.duration_s, 3),
+                listed=summary.listed,
+                lease_expired=summary.lease_expired,
+                process_ended=summary.process_ended,
+            )
+
     async def _stop_run(self, order: StopOrder) -> None:
         outcome = await self._ports.orders.stop(order)
         log_message(
@@ -311,6 +328,11 @@
     return ".".join(map(str, task))
 
 
+def _placed_ago_s(run: Run, now_s: float) -> float | None:
+    """Return how long ago a run was placed; None if an earlier scheduler did it."""
+    return None if run.is_adopted else round(now_s - run.placed_s, 3)
+
+
 def _log_end(order: RenewalOrder, task: TaskKey, run: int, kind: EndKind) -> None:
     log_message(
         "currantstage:task-end",
--- a/currantstage/cmd/_job_timeline.py
+++ b/currantstage/cmd/_job_timeline.py
@@ -18,6 +18,8 @@
         "lease-lost",
         "lease-released",
         "scheduler-started",
+        "runs-adopted",
+        "adopted-runs-settled",
         "store-lost",
         "store-regained",
     )
--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -49,6 +49,8 @@
         When its worker last listed it, at the earliest.
     is_adopted : bool
         An earlier scheduler placed it, and may have ordered its stop.
+    in_doubt_since_s : float
+        When its phase was last set to `RunPhase.IN_DOUBT`.
     settled_clock_ms : int
         Time on the worker's clock at which stops that earlier schedulers have ordered
         have certainly ended the run.
@@ -79,6 +81,7 @@
     is_listed: bool = False
     listed_s: float = float("-inf")
     is_adopted: bool = False
+    in_doubt_since_s: float = float("-inf")
     settled_clock_ms: int = 0
     listed_clock_ms: int = 0
     percent: int = 0
@@ -122,6 +125,17 @@
         """Whether it is long-running and at work, so that it crashes no worker."""
         return self.step.is_long_running and self.percent >= FULL_WORK_PERCENT
 
+    def put_in_doubt(self, now_s: float) -> None:
+        """Record that it is unknown from now on whether its worker runs it."""
+        self.phase = RunPhase.IN_DOUBT
+        self.in_doubt_since_s = now_s
+
+    def in_doubt_s(self, now_s: float) -> float | None:
+        """Return how long it has been in doubt; None if it isn't."""
+        if self.phase is not RunPhase.IN_DOUBT:
+            return None
+        return now_s - self.in_doubt_since_s
+
     def is_recently_listed(self, now_s: float) -> bool:
         """Return whether its worker has listed it recently."""
         return (
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._adopted_runs import Settlement
 from currantstage.coordination.jobs._records import (
     FailureReason,
     JobFailure,
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from currantstage.coordination.jobs._adopted_runs import AdoptedRuns
     from currantstage.coordination.jobs._job_table import JobTable
     from currantstage.coordination.jobs._records import JobRecord
     from currantstage.coordination.jobs._task_record import TaskRecord
@@ -48,6 +50,8 @@
     teams : TeamUsage
     max_attempts : callable
         Returns how many runs of a task of a job may fail.
+    adopted_runs : AdoptedRuns
+        Told how the runs of earlier schedulers are settled.
     """
 
     def __init__(
@@ -56,15 +60,19 @@
         workers: WorkerTable,
         teams: TeamUsage,
         max_attempts: Callable[[JobRecord], int],
+        adopted_runs: AdoptedRuns,
     ) -> None:
         self._jobs = jobs
         self._workers = workers
         self._teams = teams
         self._max_attempts = max_attempts
+        self._adopted_runs = adopted_runs
         self._lost: list[LostRun] = []
 
     def on_running(self, run: Run) -> None:
         """Record that a run goes on; stop it if its job has ended."""
+        if run.is_adopted:
+            self._adopted_runs.settle(run, Settlement.LISTED)
         record = run.task.step.job
         if not record.is_started:
             record.is_started = True
@@ -91,6 +99,7 @@
         run = worker_state.runs.get(ended.task)
         is_current = run is not None and run.number == ended.run
         if run is not None and is_current:
+            self._adopted_runs.settle(run, Settlement.LISTED)
             self.release(run)
         if task.crashes:
             # A worker that lists the end of a run has not crashed under it.
@@ -126,6 +135,7 @@
     def on_lost(self, run: Run) -> None:
         """Apply the loss of a run that the worker table has already released."""
         self._teams.remove(run.team, run.step.resources)
+        self._adopted_runs.settle_lost(run)
         if run.loss is not None:
             self._lost.append(LostRun(run, run.loss))
             self._count_crash(run, run.loss)
@@ -136,6 +146,7 @@
 
     def on_expired(self, run: Run, now_s: float) -> None:
         """Apply the loss of a run whose lease has expired on a silent worker."""
+        self._adopted_runs.settle(run, Settlement.LEASE_EXPIRED)
         self.on_lost(run)
         if len(run.task.crashes) >= MAX_LOST_WORKERS:
             run.task.not_before_s = now_s + SUSPECT_PAUSE_S
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._adopted_runs import AdoptedRuns
 from currantstage.coordination.jobs._arrivals import ArrivalMeter
 from currantstage.coordination.jobs._availability import may_interrupt
 from currantstage.coordination.jobs._early_cancellations import EarlyCancellations
@@ -105,8 +106,9 @@
             placement or SpreadPlacement(),
         )
         self._batcher = ProgressBatcher(self.jobs)
+        self.adopted_runs = AdoptedRuns()
         self._lifecycle = RunLifecycle(
-            self.jobs, self.workers, self.teams, self.max_attempts
+            self.jobs, self.workers, self.teams, self.max_attempts, self.adopted_runs
         )
         self._supervisor = RunSupervisor(self._lifecycle, tuning)
         self._preempted: list[PreemptedRun] = []
@@ -276,7 +278,7 @@
         elif run.phase is RunPhase.RUNNING:
             return
         elif outcome is OrderOutcome.UNKNOWN:
-            run.phase = RunPhase.IN_DOUBT
+            run.put_in_doubt(now_s)
         elif outcome is OrderOutcome.OTHER_WORKER:
             # The answer of another process: this run never started.
             run.phase = RunPhase.UNSENT
@@ -338,10 +340,13 @@
         worker_state = self.workers.get(worker)
         return worker_state is not None and worker_state.is_silent
 
-    def clock_age_s(self, worker: WorkerId, now_s: float) -> float:
-        """Return the age of the latest reading of a worker's clock, in seconds."""
+    def clock_age_s(self, worker: WorkerId, now_s: float) -> float | None:
+        """Return the age of the latest reading of a worker's clock, in seconds.
+
+        None if its known incarnation has not been heard of.
+        """
         worker_state = self.workers.get(worker)
-        return worker_state.clock.age_s(now_s) if worker_state is not None else 0.0
+        return worker_state.clock.age_s(now_s) if worker_state is not None else None
 
     def take_stop_orders(self) -> Sequence[StopOrder]:
         """Return the stop orders to send now."""
@@ -437,10 +442,12 @@
             RunPhase.IN_DOUBT,
             placed_s=now_s,
             is_adopted=True,
+            in_doubt_since_s=now_s,
         )
         self.workers.adopt(run, task.born_ms, orders_end_s)
         task.assign(run)
         self.teams.add(run.team, run.step.resources)
+        self.adopted_runs.add(run)
 
     def _apply_changes(
         self, worker: WorkerId, changes: RunChanges, now_s: float
--- a/currantstage/coordination/jobs/_start_relays.py
+++ b/currantstage/coordination/jobs/_start_relays.py
@@ -113,8 +113,8 @@
 
     def is_ready(self, peer: str, now_s: float) -> bool:
         """Return whether the clock of `peer` has been read lately."""
-        clock = self._relay(peer).clock
-        return clock.reading_ms > 0 and clock.age_s(now_s) < MAX_RELAY_READING_AGE_S
+        age_s = self._relay(peer).clock.age_s(now_s)
+        return age_s is not None and age_s < MAX_RELAY_READING_AGE_S
 
     def permit(self, peer: str, now_s: float) -> RelayPermit:
         """Return the permission to send an order that is decided on now."""
--- a/currantstage/coordination/jobs/_worker_clock.py
+++ b/currantstage/coordination/jobs/_worker_clock.py
@@ -65,10 +65,17 @@
         elapsed_ms = (now_s - self.read_s) * 1000
         return int(self.reading_ms + elapsed_ms * (1 - MAX_SLOWNESS))
 
-    def age_s(self, now_s: float) -> float:
-        """Return the time since the latest reading."""
-        return now_s - self.read_s
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the latest reading; None if there is none.
+
+        >>> WorkerClock(reading_ms=5000, read_s=2.0).age_s(10.0)
+        8.0
+        >>> WorkerClock().age_s(10.0) is None
+        True
+        """
+        return now_s - self.read_s if self.reading_ms > 0 else None
 
     def is_outdated(self, now_s: float) -> bool:
         """Return whether a lease that is granted now would be considerably shorter."""
-        return self.reading_ms > 0 and self.age_s(now_s) >= MAX_READING_AGE_S
+        age_s = self.age_s(now_s)
+        return age_s is not None and age_s >= MAX_READING_AGE_S
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -84,7 +84,7 @@
             if state is None:
                 self._add(entry)
             else:
-                lost.extend(self._apply_entry(state, entry))
+                lost.extend(self._apply_entry(state, entry, now_s))
         for worker, state in list(self._states.items()):
             state.is_listed = worker in listed
             self._discard_if_unlisted(worker, state, now_s)
@@ -120,7 +120,8 @@
             return RunChanges(ended=take_new_ends(state, reply))
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
-            return RunChanges(lost=self._begin_incarnation(state, reply.born_ms))
+            lost = self._begin_incarnation(state, reply.born_ms, now_s)
+            return RunChanges(lost=lost)
         if state.expired_runs:
             state.expired_runs.clear()
         listed_s = state.clock.record(reply.clock_ms, sent_s, now_s)
@@ -204,7 +205,9 @@
         self.room.on_room_changed(state)
         return state
 
-    def _apply_entry(self, state: WorkerState, entry: WorkerEntry) -> list[Run]:
+    def _apply_entry(
+        self, state: WorkerState, entry: WorkerEntry, now_s: float
+    ) -> list[Run]:
         if entry == state.entry:
             return []
         if entry.born_ms < state.entry.born_ms:
@@ -212,12 +215,14 @@
             return []
         lost: list[Run] = []
         if entry.born_ms > state.entry.born_ms:
-            lost = self._begin_incarnation(state, entry.born_ms)
+            lost = self._begin_incarnation(state, entry.born_ms, now_s)
         state.entry = entry
         self.room.on_room_changed(state)
         return lost
 
-    def _begin_incarnation(self, state: WorkerState, born_ms: BornMs) -> list[Run]:
+    def _begin_incarnation(
+        self, state: WorkerState, born_ms: BornMs, now_s: float
+    ) -> list[Run]:
         """Reset the state of a worker that has restarted under its id."""
         self._note_late_ends(state)
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
@@ -239,7 +244,7 @@
                 ended.append(run)
             else:
                 # Accepted, perhaps already by the new incarnation; its lists will show.
-                run.phase = RunPhase.IN_DOUBT
+                run.put_in_doubt(now_s)
         return self._remove_all(state, ended)
 
     def _note_replaced(self, entries: Iterable[WorkerEntry]) -> None:
--- a/tests/jobs/test_takeover.py
+++ b/tests/jobs/test_takeover.py
@@ -9,6 +9,7 @@
     SchedulerTuning,
     TakeoverGround,
 )
+from currantstage.coordination.jobs._adopted_runs import AdoptionSummary
 from currantstage.standin.jobs import build_configuration
 from currantstage.state.jobs import (
     BornMs,
@@ -86,3 +87,35 @@
     _list_runs(scheduler, runs, clock_ms=5900, now_s=2.2)
     assert scheduler.interrupt(runs[0], now_s=2.3)
     assert not scheduler.interrupt(runs[1], now_s=2.3)
+
+
+def test_adopted_runs_that_a_worker_lists_are_settled_at_once() -> None:
+    scheduler, runs = _take_over()
+    assert scheduler.adopted_runs.run_count == len(runs)
+    assert scheduler.adopted_runs.worker_count == 1
+    assert scheduler.adopted_runs.take_summary(now_s=0.1) is None
+    _list_runs(scheduler, runs, clock_ms=5000, now_s=0.2)
+    summary = scheduler.adopted_runs.take_summary(now_s=0.2)
+    assert summary == AdoptionSummary(0.2, len(runs), 0, 0)
+    assert scheduler.adopted_runs.take_summary(now_s=0.3) is None
+
+
+def test_adopted_runs_that_no_list_has_are_settled_by_the_list() -> None:
+    scheduler, runs = _take_over()
+    _list_runs(scheduler, [], clock_ms=5000, now_s=0.2)
+    summary = scheduler.adopted_runs.take_summary(now_s=0.2)
+    assert summary == AdoptionSummary(0.2, len(runs), 0, 0)
+
+
+def test_adopted_runs_are_settled_by_the_end_of_their_lease() -> None:
+    scheduler, runs = _take_over()
+    scheduler.tick(now_s=20.0)
+    summary = scheduler.adopted_runs.take_summary(now_s=20.0)
+    assert summary == AdoptionSummary(20.0, 0, len(runs), 0)
+
+
+def test_adopted_runs_are_settled_by_the_end_of_their_process() -> None:
+    scheduler, runs = _take_over()
+    scheduler.retire_worker(WORKER)
+    summary = scheduler.adopted_runs.take_summary(now_s=1.0)
+    assert summary == AdoptionSummary(1.0, 0, 0, len(runs))
