No order after the write that releases the lease has been sent

A scheduler that was told to stop went on renewing, starting, stopping and ordering VMs until the store had answered the write that releases its lease. The write that releases the lease also woke the VM order that waited for a write that lists its VM, so that it was sent without the lease.

`HeldLease.give_up` is called as that write is sent, and when another holder is found: from then on the lease is neither valid nor certainly held, for orders of any kind. If the write turns out not to be stored, the lease stays unused until it is released or the daemon has ended. An order for a VM is checked once more after the lease lists the VM; one that is not sent any more counts as without an answer (`unsent`).

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -43,6 +43,7 @@
 _EVACUATION = "tests/jobs/test_evacuation_plan.py"
 _HOLDS = "tests/jobs/test_room_holds.py"
 _RELAYS = "tests/jobs/test_start_relays.py"
+_RELEASE = "tests/jobs/test_release.py"
 _ROOM = "tests/jobs/test_room_for_long_running_tasks.py"
 
 
@@ -266,6 +267,13 @@
         "return True",
         _JOBS,
     ),
+    Removal(
+        "jobs: no order once the lease may have been released",
+        "jobs/_owner_lease.py",
+        "self._is_given_up = True",
+        "self._is_given_up = False",
+        _RELEASE,
+    ),
     Removal(
         "jobs: wait for the rest of a silent holder's lease",
         "jobs/_owner_lease.py",
--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from currantstage.coordination.jobs import FleetManager, VmWork
-from currantstage.state.jobs import StoreUnavailable
+from currantstage.state.jobs import StoreUnavailable, VmOrderOutcome
 from currantstage.util import TaskSet
 
 if TYPE_CHECKING:
@@ -54,8 +54,9 @@
         Fencing token of the orders.
     vm_order_cooldown : VmOrderCooldown
     list_in_lease : OrderLister
-    is_certainly_held : callable
-        Whether no other daemon can have taken the scheduler's lease.
+    may_order : callable
+        Whether orders may be sent: no other daemon can have taken the scheduler's
+        lease.
     send_orders : callable
         Sends the stop orders for runs on VMs that are to be emptied.
     start_renewals : callable
@@ -68,7 +69,7 @@
         term: Term,
         vm_order_cooldown: VmOrderCooldown,
         list_in_lease: OrderLister,
-        is_certainly_held: Callable[[], bool],
+        may_order: Callable[[], bool],
         send_orders: Callable[[], None],
         start_renewals: Callable[[], None],
         repository: JobRepository,
@@ -79,7 +80,7 @@
         self._manager = FleetManager(scheduler, tuning, vm_order_cooldown)
         self._term = term
         self._list_in_lease = list_in_lease
-        self._is_fresh = is_certainly_held
+        self._may_order = may_order
         self._send_orders = send_orders
         self._start_renewals = start_renewals
         self._repository = repository
@@ -99,7 +100,7 @@
             await self._tasks.close()
 
     async def _run_once(self) -> None:
-        if not self._is_fresh():
+        if not self._may_order():
             return
         try:
             await self._load_waves()
@@ -107,7 +108,7 @@
         except StoreUnavailable as error:
             log_message("currantstage:fleet-read-failed", reason=str(error))
             return
-        if not self._is_fresh():
+        if not self._may_order():
             return
         for order in self._manager.plan(self._ports.clock.now_s()):
             self._tasks.spawn(self._execute_order(order))
@@ -165,11 +166,7 @@
         goal = order.goal
         is_upkeep = goal.work is VmWork.MAINTENANCE
         await self._list_in_lease(order.vm, is_upkeep=is_upkeep)
-        if is_upkeep:
-            outcome = await self._ports.vms.maintain(order.vm, goal.wave, self._term)
-        else:
-            assert goal.pool is not None
-            outcome = await self._ports.vms.move(order.vm, goal.pool, self._term)
+        outcome = await self._send(order)
         log_message(
             "currantstage:vm-order",
             vm=order.vm,
@@ -182,6 +179,16 @@
         self._manager.on_order_outcome(order, outcome, self._ports.clock.now_s())
         self._record_waves()
 
+    async def _send(self, order: VmOrder) -> VmOrderOutcome:
+        """Send an order, unless the write that lists it has released the lease."""
+        if not self._may_order():
+            return VmOrderOutcome.UNSENT
+        goal = order.goal
+        if goal.work is VmWork.MAINTENANCE:
+            return await self._ports.vms.maintain(order.vm, goal.wave, self._term)
+        assert goal.pool is not None
+        return await self._ports.vms.move(order.vm, goal.pool, self._term)
+
     def _record_waves(self) -> None:
         """Store which VMs have been maintained, as far as that is not yet stored."""
         for wave in self._manager.maintenance.waves.values():
--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -179,6 +179,8 @@
         lease = self._next_lease(sent_s, is_last=is_last)
         attempt = CommitAttempt(lease, sent_s, batch, removed, is_last)
         self._attempts.add(attempt)
+        if is_last:
+            self.held_lease.give_up()
         try:
             outcome = await self._write(attempt)
         except StoreUnavailable as error:
@@ -304,6 +306,7 @@
             holder=row.holder if row else None,
             newer_term=row.term if row else None,
         )
+        self.held_lease.give_up()
         self._ended.set()
 
     def _on_batch_failed(self, batch: ProgressBatch | None) -> None:
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -230,6 +230,15 @@
         self._tuning = tuning
         self._confirmed_s = confirmed_s
         self._failing_since_s: float | None = None
+        self._is_given_up = False
+
+    def give_up(self) -> None:
+        """Record that the lease is being released, or is lost: send no more orders.
+
+        From the sending of the write that releases it, another daemon may hold the
+        lease, although the response to that write is late or lost.
+        """
+        self._is_given_up = True
 
     def confirm(self, sent_s: float) -> None:
         """Record that a write sent at `sent_s` was confirmed."""
@@ -255,10 +264,14 @@
 
     def is_valid(self, now_s: float) -> bool:
         """Return whether orders may still be sent."""
+        if self._is_given_up:
+            return False
         return now_s - self._confirmed_s < self._tuning.owner_lease_ms / 1000
 
     def is_certainly_held(self, now_s: float) -> bool:
         """Return whether no other daemon can have taken the lease over yet."""
+        if self._is_given_up:
+            return False
         return now_s - self._confirmed_s < self._tuning.takeover_ms / 1000
 
     def needs_successor(
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -51,6 +51,8 @@
         self._entries: dict[VmId, WorkerEntry] = {}
         self._terms: dict[VmId, int] = {}
         self._ordered_s: dict[VmId, float] = {}
+        #: When a scheduler of each term last sent an order, in seconds.
+        self.last_order_s: dict[Term, float] = {}
         self._restarts = 0
         #: How late the next maintenance orders are carried out, in seconds; each of
         #: them gets no answer.
@@ -99,6 +101,7 @@
 
     async def move(self, vm: VmId, pool: PoolId, term: Term) -> VmOrderOutcome:
         """Move a VM to another pool; this ends every run on it."""
+        self.last_order_s[term] = asyncio.get_running_loop().time()
         await asyncio.sleep(CALL_LATENCY_S)
         record = self._records[vm]
         if record.pool == pool:
@@ -111,6 +114,7 @@
 
     async def maintain(self, vm: VmId, wave: int, term: Term) -> VmOrderOutcome:
         """Take a VM down for maintenance; this ends every run on it."""
+        self.last_order_s[term] = asyncio.get_running_loop().time()
         await asyncio.sleep(CALL_LATENCY_S)
         if self.late_upkeeps_s:
             late_s = self.late_upkeeps_s.pop(0)
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -88,6 +88,8 @@
         self.unreachable_pairs: set[tuple[str, WorkerId]] = set()
         #: Number of start orders that each daemon has sent.
         self.starts_by_caller: Counter[str] = Counter()
+        #: When each daemon last sent an order of any kind, in seconds.
+        self.last_order_s: dict[str, float] = {}
         self.late_fraction = 0.0
         self.late_hold_fraction = 0.0
         self.failing_fraction = 0.0
@@ -246,6 +248,7 @@
 
     async def _reach(self, worker: WorkerId) -> SimulatedWorker | OrderOutcome:
         fleet = self._fleet
+        fleet.last_order_s[self._caller] = virtual_now_s()
         found = fleet.workers.get(worker)
         is_unreachable = (
             worker in fleet.unreachable
--- a/currantstage/state/jobs/_workers.py
+++ b/currantstage/state/jobs/_workers.py
@@ -226,3 +226,4 @@
     NOT_IN_WAVE = "not-in-wave"
     MALFORMED = "malformed"
     UNAVAILABLE = "unavailable"
+    UNSENT = "unsent"
