Release of the lease: wait for the ends of ordered stops, and for starts

LOST: a long-running task whose run had been ordered to stop was away for 7.5 s in a simulated site. The scheduler was told to stop after it had sent the stop, released its lease with the next write, 17 ms later, and ended; the run ended as ordered, its worker's VM went away for planned work, and nobody had read the end. The next scheduler kept the run for the longest lease.

From the request on, the scheduler places nothing (as before) and orders no VM; the release waits for the outcomes of starts that are on their way and for the ends of ordered stops, for `MAX_OUTCOME_WAIT_S` (0.3 s; a stop takes 0.2 s at most on the platform), and stores them. Workers that are silent aren't waited for. The release is no longer written together with placements whose starts haven't been sent.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -274,6 +274,13 @@
         "self._is_given_up = False",
         _RELEASE,
     ),
+    Removal(
+        "jobs: wait for ordered stops before the release",
+        "jobs/_run.py",
+        "return self.is_stopping",
+        "return False",
+        _RELEASE,
+    ),
     Removal(
         "jobs: wait for the rest of a silent holder's lease",
         "jobs/_owner_lease.py",
--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -56,7 +56,7 @@
     list_in_lease : OrderLister
     may_order : callable
         Whether orders may be sent: no other daemon can have taken the scheduler's
-        lease.
+        lease, and it is not to be released.
     send_orders : callable
         Sends the stop orders for runs on VMs that are to be emptied.
     start_renewals : callable
--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -44,6 +44,8 @@
 COMMIT_INTERVAL_S = 0.012
 #: Pause after a failed write, in seconds.
 COMMIT_RETRY_S = 0.05
+#: Maximum time that a release waits for the outcomes of starts and stops, in seconds.
+MAX_OUTCOME_WAIT_S = 0.3
 #: Maximum number of progress rows that one write removes, alone and beside others.
 MAX_REMOVED_ROWS = 50
 MAX_REMOVED_BESIDE = 8
@@ -109,6 +111,7 @@
         self._wake = asyncio.Event()
         self._renewed = Notifier()
         self._is_releasing = False
+        self._outcomes_until_s = float("inf")
         self._is_offered = False
         #: A batch that the store has refused; the next write is of the lease alone.
         self._refused: ProgressBatch | None = None
@@ -121,6 +124,10 @@
         """Return whether no other daemon can have taken the lease yet."""
         return self.held_lease.is_certainly_held(self._now_s())
 
+    def may_order_vms(self) -> bool:
+        """Return whether an order for a VM may be sent; not once a release is due."""
+        return self.is_certainly_held() and not self._is_releasing
+
     def needs_successor(self) -> bool:
         """Return whether the store has not confirmed the latest writes."""
         return self.held_lease.needs_successor(
@@ -140,8 +147,13 @@
         self._progress_to_remove.extend(pages)
 
     def request_release(self) -> None:
-        """Release the lease once all progress is stored."""
+        """Release the lease once all progress is stored.
+
+        That includes the outcomes of starts and stops that are under way, if they are
+        known within `MAX_OUTCOME_WAIT_S`.
+        """
         self._is_releasing = True
+        self._outcomes_until_s = self._now_s() + MAX_OUTCOME_WAIT_S
         self._wake.set()
 
     async def list_vm(self, vm: VmId, *, is_upkeep: bool) -> None:
@@ -174,7 +186,7 @@
         sent_s = self._now_s()
         if batch is None and not self._is_write_due(sent_s):
             return
-        is_last = self._is_releasing and not self._has_unsaved()
+        is_last = self._may_release(sent_s)
         removed = tuple(self._progress_to_remove[: _max_removed(batch)])
         lease = self._next_lease(sent_s, is_last=is_last)
         attempt = CommitAttempt(lease, sent_s, batch, removed, is_last)
@@ -208,15 +220,20 @@
     def _is_write_due(self, now_s: float) -> bool:
         """Return whether the lease is to be written even without progress."""
         return (
-            self._is_releasing
+            self._may_release(now_s)
             or self._refused is not None
             or self.held_lease.is_renewal_due(now_s)
             or not self.held_lease.is_confirmed_since(self._vm_added_s)
             or self.worker_leases.is_write_due()
         )
 
-    def _has_unsaved(self) -> bool:
-        return self._source is not None and self._source.has_unsaved
+    def _may_release(self, now_s: float) -> bool:
+        """Return whether the next write may release the lease."""
+        if not self._is_releasing or self._source is None:
+            return self._is_releasing
+        if self._source.has_unsaved:
+            return False
+        return now_s >= self._outcomes_until_s or not self._source.has_open_orders
 
     def _next_lease(self, now_s: float, *, is_last: bool) -> LeaseRow:
         sequence = self._attempts.next_sequence()
--- a/currantstage/application/jobs/_progress_source.py
+++ b/currantstage/application/jobs/_progress_source.py
@@ -47,6 +47,11 @@
         """Whether there is progress that no batch has covered yet."""
         return self._scheduler.jobs.has_unsaved
 
+    @property
+    def has_open_orders(self) -> bool:
+        """Whether workers are about to settle starts or stops."""
+        return self._scheduler.has_open_orders()
+
     def next_batch(self, *, is_placing: bool) -> ProgressBatch | None:
         """Return the next batch, after placing ready tasks if `is_placing`."""
         if is_placing:
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -265,7 +265,7 @@
             self.lease.term,
             self._lease_writer.vm_order_cooldown,
             self._lease_writer.list_vm,
-            self.is_certainly_held,
+            self._lease_writer.may_order_vms,
             self._send_orders,
             self._start_renewals,
             self._repository,
--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -135,6 +135,13 @@
         """Whether it is long-running and at work, so that it crashes no worker."""
         return self.step.is_long_running and self.percent >= FULL_WORK_PERCENT
 
+    @property
+    def has_open_order(self) -> bool:
+        """Whether its start is to be sent or answered, or its worker is to stop it."""
+        if self.phase is RunPhase.RUNNING:
+            return self.is_stopping
+        return self.phase is not RunPhase.IN_DOUBT
+
     def put_in_doubt(self, now_s: float) -> None:
         """Record that it is unknown from now on whether its worker runs it."""
         self.phase = RunPhase.IN_DOUBT
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -348,6 +348,17 @@
         worker_state = self.workers.get(worker)
         return worker_state.clock.age_s(now_s) if worker_state is not None else None
 
+    def has_open_orders(self) -> bool:
+        """Return whether workers are about to settle starts or stops.
+
+        Those on workers that don't answer are left out.
+        """
+        return any(
+            worker_state.has_open_orders()
+            for worker_state in self.workers.states()
+            if not worker_state.is_silent
+        )
+
     def take_stop_orders(self) -> Sequence[StopOrder]:
         """Return the stop orders to send now."""
         return self._supervisor.take_stops()
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -209,6 +209,10 @@
         """Return whether the outcome of any start is unknown."""
         return any(run.phase is RunPhase.IN_DOUBT for run in self.runs.values())
 
+    def has_open_orders(self) -> bool:
+        """Return whether any start is to be answered, or any run to be stopped yet."""
+        return any(run.has_open_order for run in self.runs.values())
+
     def can_settle_starts(self) -> bool:
         """Return whether a renewal can settle all starts whose outcome is unknown."""
         return self.has_start_in_doubt() and not self._has_unanswered_start()
--- a/tests/jobs/test_release.py
+++ b/tests/jobs/test_release.py
@@ -1,4 +1,4 @@
-"""What a scheduler that is told to stop still orders."""
+"""What a scheduler that is told to stop still orders, and what it waits for."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 from currantstage.application.jobs._lease_writer import LeaseWriter
 from currantstage.coordination.jobs import HeldLease, SchedulerTuning
-from currantstage.standin.jobs import SimulatedSite
+from currantstage.standin.jobs import POOLS, SimulatedSite, _workers
 from currantstage.state import VmId
-from currantstage.state.jobs import RowName
-from tests.jobs.site import run_scenario, start_site, step
+from currantstage.state.jobs import JobId, RowName, TaskKey, WorkerId
+from tests.jobs.site import SETTLE_S, run_scenario, start_site, step
 
 TUNING = SchedulerTuning()
 _LEASE = RowName("scheduler", "scheduler", "lease")
@@ -19,6 +19,14 @@
 LOOK_S = 0.001
 #: Longer than a scheduler tries to release its lease, in seconds.
 ENDED_S = 2.0
+#: Time until a started site has given its tasks to workers that have listed them, and
+#: until a stop that is decided on has been ordered, in seconds.
+LISTED_S = 1.5
+STOP_ORDERED_S = 0.12
+#: Time in which the next scheduler starts what waits, in seconds.
+PROMPT_S = 1.5
+#: Latency of a call to a worker, in seconds; longer than between two writes.
+SLOW_LINK_S = 0.05
 
 
 async def _wait_until_released(site: SimulatedSite) -> float:
@@ -79,6 +87,84 @@
     run_scenario(scenario())
 
 
+def _running_tasks(site: SimulatedSite, job: JobId) -> set[TaskKey]:
+    return {
+        task for task, runs in site.oracle.running.items() if runs and task.job == job
+    }
+
+
+def test_end_of_a_stopped_run_is_stored_before_the_lease_is_released() -> None:
+    """LOST: the next scheduler kept the run, whose worker was gone, for 7.4 s."""
+
+    async def scenario(seed: int) -> None:
+        site = SimulatedSite(seed)
+        # No VM moves away, so that the task has room elsewhere.
+        site.tuning = SchedulerTuning(min_vms_per_pool=3)
+        await site.start()
+        await asyncio.sleep(SETTLE_S)
+        job = await site.submit((step(1, run_ms=0, is_long_running=True),))
+        await asyncio.sleep(LISTED_S)
+        name = _scheduler_name(site)
+        session = site.daemons[name].ownership.session
+        assert session is not None
+        assert session.scheduler is not None
+        record = session.scheduler.jobs.get(job)
+        assert record is not None
+        (run,) = record.runs()
+        run.is_stopping = True
+        await asyncio.sleep(STOP_ORDERED_S)
+        await site.stop_daemon(name)
+        site.workers.crash(run.worker, is_silent=True)
+        await asyncio.sleep(PROMPT_S)
+        assert len(_running_tasks(site, job)) == 1
+        assert site.oracle.violations == []
+
+    for seed in range(1, 6):
+        run_scenario(scenario(seed))
+
+
+def test_refusal_of_a_start_is_stored_before_the_lease_is_released(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next scheduler kept runs that workers had refused, but not in time."""
+
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        name = _scheduler_name(site)
+        for number in range(2):
+            site.workers.crash(WorkerId(f"i-{POOLS[0]}-{number}"))
+        job = await site.submit((step(3, run_ms=60_000),))
+        async with asyncio.timeout(ENDED_S):
+            while site.workers.starts_by_caller[name] < 3:
+                await asyncio.sleep(LOOK_S)
+        await site.stop_daemon(name)
+        await asyncio.sleep(PROMPT_S)
+        assert len(_running_tasks(site, job)) == 3
+        assert site.oracle.violations == []
+
+    monkeypatch.setattr(_workers, "ONE_WAY_LATENCY_S", SLOW_LINK_S)
+    for seed in range(1, 6):
+        run_scenario(scenario(seed))
+
+
+def test_release_waits_for_a_worker_that_does_not_answer_for_a_short_time_only() -> (
+    None
+):
+    async def scenario(seed: int) -> None:
+        site = await start_site(seed)
+        job = await site.submit((step(1, run_ms=60_000),))
+        await asyncio.sleep(1)
+        worker = next(each for each in site.workers.workers.values() if each.runs)
+        site.workers.unreachable.add(worker.entry.worker)
+        await site.cancel(job)
+        started_s = asyncio.get_running_loop().time()
+        await site.stop_daemon(_scheduler_name(site))
+        assert asyncio.get_running_loop().time() - started_s < 0.5
+
+    for seed in range(1, 6):
+        run_scenario(scenario(seed))
+
+
 def test_lease_that_is_given_up_permits_no_orders() -> None:
     held = HeldLease(TUNING, confirmed_s=0.0)
     assert held.is_valid(1.0)
