Long-running gangs: keep the held room until there is room for all members

Two causes: - Each attempt to place the gang in which some member found no place released the held workers of those that had found one (`RoomHolds.on_placed`, which `_undo` can't take back). They are now released once all are placed. - A held worker that had room was released 0.5 s after it got it, as if it were in vain. For a gang it is now held for up to 4 s more (`GANG_HOLD_S`).

--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -35,6 +35,9 @@
 HOLD_TOLERANCE_S = 0.5
 #: How long a worker on which runs are being stopped is held, in seconds.
 PREEMPTION_HOLD_S = 2.0
+#: How much longer a worker with room for a member of a gang is held, until all members
+#: have room, in seconds.
+GANG_HOLD_S = 4.0
 #: Time from the first wait of a step until its tasks should have room, in seconds.
 ROOM_WITHIN_S = 4.0
 #: How long a step waits before other tasks are stopped for it, in seconds.
@@ -261,7 +264,8 @@
         worker = hold.worker
         blocker = worker.start_blocker(now_s)
         is_in_vain = now_s > hold.until_s
-        if is_in_vain and self.leaving.count(step):
+        is_for_gang = step.step.is_gang and now_s <= hold.until_s + GANG_HOLD_S
+        if is_in_vain and (is_for_gang or self.leaving.count(step)):
             is_in_vain = StepNeeds(step).obstacle(worker) is not None
         return (
             not is_in_vain
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -297,6 +297,8 @@
                     self._undo(each)
                 return []
             placed.append(run)
+        for each in placed:
+            self.holds.on_placed(each)
         return placed
 
     def _place_task(
@@ -329,7 +331,7 @@
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
         self._jobs.place(task, run.number)
-        if run.step.is_long_running:
+        if run.step.is_long_running and not run.step.is_gang:
             self.holds.on_placed(run)
         return run
 
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -17,6 +17,7 @@
 from currantstage.coordination.jobs._preemption import PreemptedRun
 from currantstage.coordination.jobs._room_forecast import STOP_S
 from currantstage.coordination.jobs._room_holds import (
+    GANG_HOLD_S,
     HOLD_TOLERANCE_S,
     MAX_HELD_SHARE,
     MAX_HOLD_S,
@@ -105,7 +106,7 @@
                 hold
                 for hold in request.holds
                 if self._is_valid(hold, now_s)
-                and (now_s <= hold.until_s or self._is_ready_for_leaving(hold, step))
+                and (now_s <= hold.until_s or self._is_ready_late(hold, step, now_s))
             ]
             request.holds = sorted(valid, key=lambda hold: hold.room_s)[:count]
         self._held_before = self._held()
@@ -141,10 +142,12 @@
             and not step.job.state.is_final
         ]
 
-    def _is_ready_for_leaving(self, hold: _PlainHold, step: StepRecord) -> bool:
-        """Return whether a late hold has room for a task that is still to leave."""
+    def _is_ready_late(self, hold: _PlainHold, step: StepRecord, now_s: float) -> bool:
+        """Return whether a late hold has room for a task that waits for others."""
         runs = list(hold.worker.runs.values())
-        return bool(self.leaving_runs(step)) and _fits_beside(step, hold.worker, runs)
+        is_gang = step.step.is_gang and now_s <= hold.until_s + GANG_HOLD_S
+        is_waiting = is_gang or bool(self.leaving_runs(step))
+        return is_waiting and _fits_beside(step, hold.worker, runs)
 
     def rooms(self, step: StepRecord, pool: PoolId, now_s: float) -> int:
         """Return how many of the workers held for `step` can take its task now."""
@@ -542,6 +545,8 @@
                     self._undo(each)
                 return []
             placed.append(run)
+        for each in placed:
+            self.holds.on_placed(each)
         return placed
 
     def _place_task(
@@ -580,7 +585,8 @@
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
         self._jobs.place(task, run.number)
-        self.holds.on_placed(run)
+        if not run.step.is_gang:
+            self.holds.on_placed(run)
         return run
 
     def _undo(self, run: Run) -> None:
--- a/tests/jobs/test_placement_equivalence.py
+++ b/tests/jobs/test_placement_equivalence.py
@@ -218,6 +218,7 @@
         if kind < 0.1:
             options["is_long_running"] = True
             options["max_per_worker"] = rng.choice((0, 1))
+            options["is_gang"] = rng.random() < 0.3
         elif kind < 0.2:
             options["is_gang"] = True
         elif kind < 0.3:
--- a/tests/jobs/test_planned_work_and_room.py
+++ b/tests/jobs/test_planned_work_and_room.py
@@ -24,12 +24,15 @@
 LONG_S = 120.0
 
 
-def _lasting(task_count: int, memory_mb: int, max_unavailable: int = 1) -> Arrival:
+def _lasting(
+    task_count: int, memory_mb: int, max_unavailable: int = 1, *, is_gang: bool = False
+) -> Arrival:
     """Return a long-running job of which a worker holds one task."""
     step = Step(
         task_count=task_count,
         resources=Resources(2000, memory_mb),
         estimated_run_ms=900,
+        is_gang=is_gang,
         is_long_running=True,
         max_unavailable=max_unavailable,
         max_per_worker=1,
@@ -143,3 +146,12 @@
     lasting = _lasting(8, memory_mb=50_000, max_unavailable=0)
     _play_wave(fleet, [lasting, *_misjudged(seed, 0.4)], max_down=8)
     assert fleet.longest_away_s(lasting) <= MAX_AWAY_S
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_gang_is_not_away_for_long_as_the_stop_of_one_member_ends_it(seed: int) -> None:
+    """Workers held for some members were released before there was room for all."""
+    fleet = LoadedFleet({POOL: 8, SPARE_POOL: 0})
+    gang = _lasting(3, memory_mb=50_000, is_gang=True)
+    _play_wave(fleet, [gang, *_misjudged(seed, 0.3)], max_down=2)
+    assert fleet.longest_away_s(gang) <= MAX_AWAY_S
