One function for the name of a task or step

The same line stood in the worker driver, the start sender, the activity log, the progress source and, in other words, in the client of the workers. `format_key` stands beside the keys; nothing that is logged or sent changes.

--- a/bench/scheduler_link.py
+++ b/bench/scheduler_link.py
@@ -14,11 +14,10 @@
 
 from bench.harness import listen
 from currantstage.platform import PlatformHttp, StoreClient, WorkerClient
-from currantstage.platform._workers import format_task
 from currantstage.standin.jobs import POOLS, SimulatedSite, VirtualTimeLoop
 from currantstage.standin.jobs._store import StoreConnection
 from currantstage.standin.jobs._workers import WorkerConnections
-from currantstage.state.jobs import RenewalReply, Resources, Step
+from currantstage.state.jobs import RenewalReply, Resources, Step, format_key
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -237,11 +236,11 @@
         "ClockMs": reply.clock_ms,
         "born": reply.born_ms,
         "Running": [
-            [format_task(run.task), run.run, run.checkpoint, run.percent, run.gauge]
+            [format_key(run.task), run.run, run.checkpoint, run.percent, run.gauge]
             for run in reply.running
         ],
         "Ended": [
-            [end.number, format_task(end.task), end.run, "done", end.checkpoint]
+            [end.number, format_key(end.task), end.run, "done", end.checkpoint]
             for end in reply.ended
         ],
     }
--- a/currantstage/application/jobs/_activity_log.py
+++ b/currantstage/application/jobs/_activity_log.py
@@ -10,7 +10,7 @@
 
 from currantstage.application.jobs._start_stages import StageTimes
 from currantstage.coordination.jobs import WaitReporter, count_blockers
-from currantstage.state.jobs import EndKind, JobState, OrderOutcome
+from currantstage.state.jobs import EndKind, JobState, OrderOutcome, format_key
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -132,7 +132,7 @@
             log_message(
                 "currantstage:task-waiting",
                 job=wait.task.job,
-                task=".".join(map(str, wait.task)),
+                task=format_key(wait.task),
                 pool=wait.pool,
                 waited_s=round(wait.waited_s, 3),
                 is_long_running=wait.is_long_running,
--- a/currantstage/application/jobs/_progress_source.py
+++ b/currantstage/application/jobs/_progress_source.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 
 from currantstage.application.jobs._turn_watch import TurnWatch, TurnWork
-from currantstage.state.jobs import JobState
+from currantstage.state.jobs import JobState, format_key
 
 if TYPE_CHECKING:
     from currantstage.application.jobs._activity_log import ActivityLog
@@ -104,7 +104,7 @@
                 state=state.value,
                 age_s=round(age_s, 3),
                 reason=failure.reason.value if failure else None,
-                failed_task=".".join(map(str, failure.task)) if failure else None,
+                failed_task=format_key(failure.task) if failure else None,
             )
         for write in batch.writes:
             self._ports.metrics.count_page(write.size_bytes)
--- a/currantstage/application/jobs/_start_sender.py
+++ b/currantstage/application/jobs/_start_sender.py
@@ -10,6 +10,7 @@
 from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.application.jobs._start_stages import StartStages
 from currantstage.coordination.jobs import RELAY_PERMIT_S, divide_starts
+from currantstage.state.jobs import format_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -158,7 +159,7 @@
         log_message(
             "currantstage:task-start",
             job=order.task.job,
-            task=".".join(map(str, order.task)),
+            task=format_key(order.task),
             run=order.run,
             worker=order.worker.worker,
             born_ms=order.worker.born_ms,
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -9,7 +9,7 @@
 
 from currantstage.application.jobs._configuration import loggable_age_s
 from currantstage.application.jobs._start_sender import StartSender
-from currantstage.state.jobs import OrderOutcome, RenewalReply
+from currantstage.state.jobs import OrderOutcome, RenewalReply, format_key
 from currantstage.util import Notifier, TaskSet, wait_for_event
 
 if TYPE_CHECKING:
@@ -132,7 +132,7 @@
         for pace in self._scheduler.take_pace_orders():
             log_message(
                 "currantstage:task-pace",
-                task=_format_task(pace.task),
+                task=format_key(pace.task),
                 worker=pace.worker.worker,
                 percent=pace.percent,
             )
@@ -259,7 +259,7 @@
             log_message(
                 "currantstage:task-lost",
                 job=task.job,
-                task=_format_task(task),
+                task=format_key(task),
                 run=lost.run.number,
                 worker=lost.run.worker,
                 cause=lost.loss.cause.value,
@@ -280,11 +280,11 @@
             log_message(
                 "currantstage:task-preempted",
                 job=task.job,
-                task=_format_task(task),
+                task=format_key(task),
                 run=each.run.number,
                 worker=each.run.worker,
                 placed_ago_s=_placed_ago_s(each.run, self._now_s()),
-                preempted_for=".".join(map(str, each.step)),
+                preempted_for=format_key(each.step),
             )
 
     def _log_settled_adoption(self) -> None:
@@ -304,7 +304,7 @@
         log_message(
             "currantstage:task-stop",
             job=order.task.job,
-            task=_format_task(order.task),
+            task=format_key(order.task),
             run=order.run,
             worker=order.worker.worker,
             outcome=outcome.value,
@@ -324,10 +324,6 @@
     await work
 
 
-def _format_task(task: TaskKey) -> str:
-    return ".".join(map(str, task))
-
-
 def _placed_ago_s(run: Run, now_s: float) -> float | None:
     """Return how long ago a run was placed; None if an earlier scheduler did it."""
     return None if run.is_adopted else round(now_s - run.placed_s, 3)
@@ -336,7 +332,7 @@
 def _log_end(order: RenewalOrder, task: TaskKey, run: int, kind: EndKind) -> None:
     log_message(
         "currantstage:task-end",
-        task=_format_task(task),
+        task=format_key(task),
         run=run,
         worker=order.worker.worker,
         kind=kind.value,
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -27,6 +27,7 @@
     StartOrder,
     StopOrder,
     TaskKey,
+    format_key,
 )
 from currantstage.util import UndecodableError, decode_json
 
@@ -119,7 +120,7 @@
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Start a run."""
         body = _Start(
-            task=format_task(order.task),
+            task=format_key(order.task),
             run=order.run,
             spec=order.spec,
             until_ms=order.until_ms,
@@ -131,13 +132,13 @@
 
     async def stop(self, order: StopOrder) -> OrderOutcome:
         """Stop a run."""
-        body = _Stop(task=format_task(order.task), run=order.run, fence=order.fence)
+        body = _Stop(task=format_key(order.task), run=order.run, fence=order.fence)
         return _outcome(await self._post(order, "run-stop", body))
 
     async def pace(self, order: PaceOrder) -> OrderOutcome:
         """Limit the speed of a run to a percentage."""
         body = _Pace(
-            task=format_task(order.task),
+            task=format_key(order.task),
             run=order.run,
             percent=order.percent,
             fence=order.fence,
@@ -183,15 +184,6 @@
         )
 
 
-def format_task(task: TaskKey) -> str:
-    """Format the platform's name of a task.
-
-    >>> format_task(TaskKey(JobId("5c0e"), 0, 1, 17))
-    '5c0e.0.1.17'
-    """
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
-
-
 def parse_task(text: str) -> TaskKey:
     """Parse the platform's name of a task; raises `ValueError`.
 
--- a/currantstage/state/jobs/__init__.py
+++ b/currantstage/state/jobs/__init__.py
@@ -22,6 +22,7 @@
     TaskKey,
     Term,
     WorkerId,
+    format_key,
     is_job_id,
 )
 from currantstage.state.jobs._jobs import (
@@ -146,5 +147,6 @@
     "WorkerId",
     "WorkerOrders",
     "WorkerSource",
+    "format_key",
     "is_job_id",
 ]
--- a/currantstage/state/jobs/_ids.py
+++ b/currantstage/state/jobs/_ids.py
@@ -44,6 +44,15 @@
     number: int
 
 
+def format_key(key: StepKey | TaskKey) -> str:
+    """Return the name of a step or task that log lines and orders to workers have.
+
+    >>> format_key(TaskKey(JobId("5c0e"), 0, 1, 17))
+    '5c0e.0.1.17'
+    """
+    return ".".join(map(str, key))
+
+
 def is_job_id(text: str) -> bool:
     """Return whether `text` is a valid job identifier.
 
