Stand-in: lists of VMs that arrive late or name the former worker

The stand-in can list the former worker meanwhile, can delay a list after it was made, and can take a VM down without an order, with no Id until it is up with another worker.

--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -57,6 +57,10 @@
         #: How late the next maintenance orders are carried out, in seconds; each of
         #: them gets no answer.
         self.late_upkeeps_s: list[float] = []
+        #: How late a list arrives that was made in time, in seconds.
+        self.list_delay_s = 0.0
+        #: Whether a VM at planned work is listed with the worker that it had.
+        self.lists_former_worker = False
 
     def add(self, vm: str, entry: WorkerEntry, *, has_worker: bool) -> None:
         """Add a VM, with or without a worker on it."""
@@ -97,7 +101,15 @@
     async def list(self) -> tuple[VmRecord, ...]:
         """Return all VMs."""
         await asyncio.sleep(CALL_LATENCY_S)
-        return tuple(self._records.values())
+        records = tuple(self._records.values())
+        if self.list_delay_s:
+            await asyncio.sleep(self.list_delay_s)
+        return records
+
+    def fail(self, vm: str, downtime_s: float) -> None:
+        """Take a VM down without an order; it returns with another worker."""
+        record = self._records[VmId(vm)]
+        self._take_down(record, VmCondition.DOWN, record.pool, downtime_s)
 
     async def move(self, vm: VmId, pool: PoolId, term: Term) -> VmOrderOutcome:
         """Move a VM to another pool; this ends every run on it."""
@@ -170,8 +182,13 @@
     ) -> None:
         if record.worker:
             self._workers.crash(record.worker)
+        is_planned = condition is not VmCondition.DOWN
+        keeps_worker = is_planned and self.lists_former_worker
         self._records[record.vm] = msgspec.structs.replace(
-            record, condition=condition, pool=pool, worker=WorkerId("")
+            record,
+            condition=condition,
+            pool=pool,
+            worker=record.worker if keeps_worker else WorkerId(""),
         )
         asyncio.get_running_loop().call_later(downtime_s, self._bring_up, record.vm)
 
