Orders for VMs keep their age when the lease is taken over

Cause: the lease listed the VMs of recent orders without their age, so that each scheduler counted the 3.4 s between orders of two schedulers, and the 12 s for which an upkeep without an answer may be late, from its own takeover. With a takeover every 2 s a VM that was ordered once is left alone for the whole series, and its wave stands still with it.

The lease lists orders now (vm_orders): VM, age, the worker that the order ends, whether it is maintenance and whether it may still be carried out. The next scheduler counts on from there. An order has the age zero until its call has ended, so that neither time can begin too early. A write that takes longer than the cooldown dropped the VM of an order that was still to be sent: also mended.

Rows of an earlier version decode as before: their orders count from the takeover. The VMs are written in the former fields as well, for daemons that know only these.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message
 
-from currantstage.coordination.jobs import FleetManager, VmWork
+from currantstage.coordination.jobs import FleetManager
 from currantstage.state.jobs import StoreUnavailable, VmOrderOutcome
 from currantstage.util import TaskSet
 
@@ -24,7 +24,7 @@
         VmOrderCooldown,
         WaveState,
     )
-    from currantstage.state import PoolId, VmId
+    from currantstage.state import PoolId
     from currantstage.state.jobs import Term
 
 #: Interval between planning rounds, in seconds.
@@ -40,8 +40,8 @@
 class OrderLister(Protocol):
     """Has the lease list a VM for which an order is about to be sent."""
 
-    async def __call__(self, vm: VmId, *, is_upkeep: bool) -> None:
-        """Wait until the lease lists the VM, and whether the order is maintenance."""
+    async def __call__(self, order: VmOrder) -> None:
+        """Wait until the lease lists the order."""
 
 
 class FleetDriver:
@@ -164,8 +164,7 @@
 
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
-        is_upkeep = goal.work is VmWork.MAINTENANCE
-        await self._list_in_lease(order.vm, is_upkeep=is_upkeep)
+        await self._list_in_lease(order)
         outcome = await self._send(order)
         log_message(
             "currantstage:vm-order",
@@ -184,7 +183,7 @@
         if not self._may_order():
             return VmOrderOutcome.UNSENT
         goal = order.goal
-        if goal.work is VmWork.MAINTENANCE:
+        if order.is_upkeep:
             return await self._ports.vms.maintain(order.vm, goal.wave, self._term)
         assert goal.pool is not None
         return await self._ports.vms.move(order.vm, goal.pool, self._term)
--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -36,8 +36,8 @@
         ProgressBatch,
         SchedulerTuning,
         StoreHealth,
+        VmOrder,
     )
-    from currantstage.state import VmId
     from currantstage.state.jobs import PageKey
 
 #: Minimum interval between writes, in seconds; a partition takes 150 a second.
@@ -94,9 +94,7 @@
         #: The lease as this daemon last wrote it.
         self.lease = lease
         self.held_lease = HeldLease(tuning, taken_s)
-        self.vm_order_cooldown = VmOrderCooldown(
-            lease.ordered_vms, taken_s, tuning, lease.upkeep_vms
-        )
+        self.vm_order_cooldown = VmOrderCooldown(lease.all_vm_orders(), taken_s, tuning)
         self.worker_leases = WorkerLeaseBook(leases, tuning)
         self._version = version
         self._attempts = CommitAttempts(lease)
@@ -156,22 +154,19 @@
         self._outcomes_until_s = self._now_s() + MAX_OUTCOME_WAIT_S
         self._wake.set()
 
-    async def list_vm(self, vm: VmId, *, is_upkeep: bool) -> None:
-        """Wait until a renewal of the lease lists `vm`, and the order's kind.
+    async def list_vm_order(self, order: VmOrder) -> None:
+        """Wait until a renewal of the lease lists an order that is about to be sent.
 
         A daemon that takes the lease over afterwards sends no order for the VM during
         the cooldown. If one has taken it over already, the renewal can't succeed, and
         this never returns.
         """
         added_s = self._now_s()
-        self.vm_order_cooldown.record_order(vm, added_s)
-        if is_upkeep:
-            self.vm_order_cooldown.record_upkeep(vm)
+        self.vm_order_cooldown.record_order(order)
         self._vm_added_s = added_s
         while not self.held_lease.is_confirmed_since(added_s):
             self._wake.set()
             await self._renewed.wait()
-        self.vm_order_cooldown.record_order(vm, self._now_s())
 
     async def run(self) -> None:
         """Write the lease and progress until the lease has been lost or released."""
@@ -240,6 +235,7 @@
         lease = replace(
             self.lease,
             sequence=sequence,
+            vm_orders=self.vm_order_cooldown.listed(now_s),
             ordered_vms=self.vm_order_cooldown.recent(now_s),
             upkeep_vms=self.vm_order_cooldown.open_upkeeps(now_s),
             earlier_acts_ms=self._earlier_orders_ms(now_s),
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -186,6 +186,7 @@
             holder=own.entry_vm,
             address=own.peer_address,
             term=term,
+            vm_orders=stored.row.vm_orders if stored.row else (),
             ordered_vms=stored.row.ordered_vms if stored.row else (),
             upkeep_vms=stored.row.upkeep_vms if stored.row else (),
             earlier_acts_ms=math.ceil(takeover.holder_active_s * 1000),
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -264,7 +264,7 @@
             scheduler,
             self.lease.term,
             self._lease_writer.vm_order_cooldown,
-            self._lease_writer.list_vm,
+            self._lease_writer.list_vm_order,
             self._lease_writer.may_order_vms,
             self._send_orders,
             self._start_renewals,
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -28,6 +28,7 @@
     LeaseRow,
     LeaseTakeover,
     LeaseWatch,
+    ListedVmOrder,
     TakeoverGround,
     takeover_deference_s,
 )
@@ -110,6 +111,7 @@
     "LeaseRow",
     "LeaseWatch",
     "LeastWorkFirst",
+    "ListedVmOrder",
     "NO_HOLDER",
     "PaceController",
     "PoolDemand",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -114,11 +114,12 @@
         if outcome is VmOrderOutcome.FENCED:
             # A later scheduler has sent orders for VMs, so this one must stop.
             self._is_fenced = True
+        self._cooldown.record_outcome(order, outcome, now_s)
         done = self.vms.on_order_outcome(order, outcome, now_s)
         if done is not None:
             self._scheduler.retire_worker(done.ended_worker)
         wave = self.maintenance.waves.get(order.goal.wave)
-        if order.goal.work is not VmWork.MAINTENANCE or wave is None:
+        if not order.is_upkeep or wave is None:
             return
         skipped = outcome in (VmOrderOutcome.NOT_IN_WAVE, VmOrderOutcome.MALFORMED)
         if done is not None or skipped:
@@ -159,7 +160,7 @@
             if not self._may_send(vm, now_s):
                 return []
         self.vms.record_sent(vm, now_s)
-        return [VmOrder(vm.record.vm, vm.goal)]
+        return [VmOrder(vm.record.vm, vm.goal, vm.ended_worker)]
 
     def _may_send(self, vm: VmState, now_s: float) -> bool:
         """Return whether the order for a drained VM may be sent now."""
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -14,7 +14,7 @@
     WorkerLeaseRow,
 )
 from currantstage.state import EntryVmId, VmId
-from currantstage.state.jobs import Term
+from currantstage.state.jobs import Term, WorkerId
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -35,6 +35,30 @@
 NO_HOLDER = EntryVmId("")
 
 
+class ListedVmOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """An order for a VM, as the lease lists it from before its sending.
+
+    Parameters
+    ----------
+    vm : VmId
+    worker : WorkerId
+        The worker that the order ends; empty if none is known.
+    age_ms : int
+        How long before this write the order was last sent, at the latest; zero until
+        its call has ended.
+    is_upkeep : bool
+        Whether it is for maintenance.
+    is_open : bool
+        Whether it may still be carried out, as far as its answers tell.
+    """
+
+    vm: VmId
+    worker: WorkerId = WorkerId("")
+    age_ms: int = 0
+    is_upkeep: bool = False
+    is_open: bool = False
+
+
 class LeaseRow(Struct, frozen=True, kw_only=True):
     """Stored row of the lease.
 
@@ -48,10 +72,11 @@
         Incremented by each new holder.
     sequence : int
         Incremented by each write of the holder.
-    ordered_vms : tuple of VmId
-        VMs that this holder or a recent one has sent an order for, or is about to.
-    upkeep_vms : tuple of VmId
-        Those of them whose maintenance was ordered and may still be carried out.
+    vm_orders : tuple of ListedVmOrder
+        Orders for VMs that this holder or a recent one has sent, or is about to.
+    ordered_vms, upkeep_vms : tuple of VmId
+        The VMs of these orders, and of those for maintenance that may still be carried
+        out, for daemons of an earlier version, whose rows have nothing else.
     earlier_acts_ms : int
         How long after this write earlier holders may still send orders.
     worker_leases : tuple of WorkerLeaseRow
@@ -68,6 +93,7 @@
     address: str
     term: Term
     sequence: int = 0
+    vm_orders: tuple[ListedVmOrder, ...] = ()
     ordered_vms: tuple[VmId, ...] = ()
     upkeep_vms: tuple[VmId, ...] = ()
     earlier_acts_ms: int = 0
@@ -75,6 +101,19 @@
     other_leases: RemainingLease | None = None
     lists_late_orders: bool = False
 
+    def all_vm_orders(self) -> tuple[ListedVmOrder, ...]:
+        """Return the orders for VMs, also those in a row of an earlier version."""
+        listed = {each.vm for each in self.vm_orders}
+        others = {*self.ordered_vms, *self.upkeep_vms} - listed
+        return self.vm_orders + tuple(
+            ListedVmOrder(
+                vm=vm,
+                is_upkeep=vm in self.upkeep_vms,
+                is_open=vm in self.upkeep_vms,
+            )
+            for vm in sorted(others)
+        )
+
 
 class HolderAnswer(Enum):
     """Result of querying the holder about the lease.
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -37,10 +37,16 @@
 
 @dataclass(frozen=True, slots=True)
 class VmOrder:
-    """An order for a VM that is to be sent now."""
+    """An order for a VM that is to be sent now, and the worker that it ends."""
 
     vm: VmId
     goal: VmGoal
+    worker: WorkerId = WorkerId("")
+
+    @property
+    def is_upkeep(self) -> bool:
+        """Whether it is for maintenance."""
+        return self.goal.work is VmWork.MAINTENANCE
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/jobs/test_release.py
+++ b/tests/jobs/test_release.py
@@ -7,9 +7,8 @@
 import pytest
 
 from currantstage.application.jobs._lease_writer import LeaseWriter
-from currantstage.coordination.jobs import HeldLease, SchedulerTuning
+from currantstage.coordination.jobs import HeldLease, SchedulerTuning, VmOrder
 from currantstage.standin.jobs import POOLS, SimulatedSite, _workers
-from currantstage.state import VmId
 from currantstage.state.jobs import JobId, RowName, TaskKey, WorkerId
 from tests.jobs.site import SETTLE_S, run_scenario, start_site, step
 
@@ -69,13 +68,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The write that released the lease also woke the order that waited for one."""
-    list_vm = LeaseWriter.list_vm
+    list_vm_order = LeaseWriter.list_vm_order
 
-    async def release_and_list_vm(
-        writer: LeaseWriter, vm: VmId, *, is_upkeep: bool
-    ) -> None:
+    async def release_and_list_vm(writer: LeaseWriter, order: VmOrder) -> None:
         writer.request_release()
-        await list_vm(writer, vm, is_upkeep=is_upkeep)
+        await list_vm_order(writer, order)
 
     async def scenario() -> None:
         site = await start_site(seed=1)
@@ -83,7 +80,7 @@
         await asyncio.sleep(ENDED_S)
         assert site.vms.last_order_s == {}
 
-    monkeypatch.setattr(LeaseWriter, "list_vm", release_and_list_vm)
+    monkeypatch.setattr(LeaseWriter, "list_vm_order", release_and_list_vm)
     run_scenario(scenario())
 
 
