A list of VMs that shows the end of a worker releases its runs

Cause: the platform's list shows when a VM moves, is in maintenance or has another worker, and no scheduler concluded anything from it. A run on the former worker was kept until its lease had certainly expired: 4.3 s within a term, 7.4 s after a takeover (11.5 s where the longest lease is 10 s), and anew with each takeover.

What callers saw: LOST, a long-running task that is away for longer than 6 s.

Change: VmWorkers keeps the workers that lists have shown on each VM, and those that the lease names with the orders of earlier schedulers. A later list that shows the VM at planned work, or up with another worker, ends them: their runs are released, whatever their phase. VMs that are down or missing, or up without a worker, show nothing, nor does a worker that no VM lists.

At planned work, or with an order listed for the VM, the loss is planned, also if the next worker at the address was known before and had counted as a crash. Otherwise the process has ended (worker-ended), which is what another worker at the address means today; for a run that was adopted in doubt the crash may have come before the start. The worker's fence rises, so that a reply from before its end opens it to no task. It isn't retired: it is called while its entry is listed, as before, in case the list was wrong.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -158,7 +158,15 @@
             return
         records = await self._ports.vms.list()
         self._listed_s = requested_s
-        for worker in self._manager.observe(records, requested_s):
+        observed = self._manager.observe(records, requested_s)
+        for each in observed.ended:
+            log_message(
+                "currantstage:worker-ended",
+                worker=each.worker,
+                vm=each.vm,
+                is_planned=each.is_planned,
+            )
+        for worker in observed.reinstated:
             log_message("currantstage:worker-reinstated", worker=worker)
             self._start_renewals()
 
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -49,6 +49,7 @@
 from currantstage.coordination.jobs._records import JobRecord, StepRecord
 from currantstage.coordination.jobs._reply_comparison import RunChanges
 from currantstage.coordination.jobs._run import Run, RunPhase
+from currantstage.coordination.jobs._run_loss import LossCause
 from currantstage.coordination.jobs._scheduler import Scheduler
 from currantstage.coordination.jobs._scheduler_capacity import SchedulerCapacity
 from currantstage.coordination.jobs._start_relays import (
@@ -112,6 +113,7 @@
     "LeaseWatch",
     "LeastWorkFirst",
     "ListedVmOrder",
+    "LossCause",
     "NO_HOLDER",
     "PaceController",
     "PoolDemand",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from currantstage.coordination.jobs._pool_sizing import DemandSizing
 from currantstage.coordination.jobs._vm_division import MaxMinDivision
 from currantstage.coordination.jobs._vm_table import VmOrder, VmState, VmTable, VmWork
+from currantstage.coordination.jobs._vm_workers import PLANNED_CONDITIONS, VmWorkers
 from currantstage.state.jobs import (
     NO_RESOURCES,
     Resources,
@@ -29,7 +31,7 @@
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
     from currantstage.coordination.jobs._worker_state import WorkerState
-    from currantstage.state import PoolId
+    from currantstage.state import PoolId, VmId
     from currantstage.state.jobs import VmRecord, WorkerId
 
 #: Weight of a long-running task in the choice of the VM that is easiest to drain, in
@@ -41,6 +43,30 @@
 REGISTRATION_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class EndedWorker:
+    """A worker that its VM has no more, by planned work or otherwise."""
+
+    worker: WorkerId
+    vm: VmId
+    is_planned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedWorkers:
+    """What a list of VMs has shown of workers.
+
+    Parameters
+    ----------
+    ended : list of EndedWorker
+    reinstated : list of WorkerId
+        Workers that were taken for ended and run on.
+    """
+
+    ended: list[EndedWorker]
+    reinstated: list[WorkerId]
+
+
 class FleetManager:
     """Decides which VM is maintained or moved next.
 
@@ -62,6 +88,7 @@
         self._scheduler = scheduler
         self.vms = VmTable(tuning)
         self._cooldown = cooldown
+        self._vm_workers = VmWorkers(cooldown.inherited)
         self.maintenance = MaintenancePlan(self.vms, cooldown, tuning)
         self._pools = PoolPlan(
             self.vms,
@@ -75,13 +102,20 @@
 
     def observe(
         self, records: Iterable[VmRecord], requested_s: float
-    ) -> list[WorkerId]:
-        """Apply the platform's list of VMs; return the workers that are reinstated."""
-        return [
+    ) -> ObservedWorkers:
+        """Apply the platform's list of VMs, which was requested at `requested_s`."""
+        listed = tuple(records)
+        ended = [
+            each
+            for record in listed
+            for each in self._end_former_workers(record, requested_s)
+        ]
+        reinstated = [
             worker
-            for worker in self.vms.observe(records, requested_s)
+            for worker in self.vms.observe(listed, requested_s)
             if self._scheduler.reinstate_worker(worker)
         ]
+        return ObservedWorkers(ended, reinstated)
 
     def plan(self, now_s: float) -> list[VmOrder]:
         """Set goals, drain VMs and return the orders that are due."""
@@ -142,6 +176,20 @@
             vm.goal is not None for vm in self.vms.states()
         )
 
+    def _end_former_workers(
+        self, record: VmRecord, requested_s: float
+    ) -> list[EndedWorker]:
+        """Release the runs of workers that a VM has no more; return these workers."""
+        vm = record.vm
+        is_planned = record.condition in PLANNED_CONDITIONS or self._cooldown.is_listed(
+            vm, requested_s
+        )
+        return [
+            EndedWorker(worker, vm, is_planned)
+            for worker in sorted(self._vm_workers.observe(record))
+            if self._scheduler.end_worker(worker, is_planned=is_planned)
+        ]
+
     def _cordon(self) -> None:
         cordoned = {vm.record.worker for vm in self.vms.states() if vm.goal is not None}
         for worker_state in self._scheduler.workers.states():
--- a/currantstage/coordination/jobs/_run_loss.py
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -15,7 +15,7 @@
 class LossCause(Enum):
     """What has ended a run that no worker lists as ended."""
 
-    #: The process of the worker has ended: another one has its address or its id.
+    #: The process of the worker has ended: another one has its address, id or VM.
     WORKER_ENDED = "worker-ended"
     #: The worker was silent until the run's lease had certainly expired.
     LEASE_EXPIRED = "lease-expired"
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -387,6 +387,18 @@
             for run in self.workers.retire(worker_state):
                 self._lifecycle.on_lost(run)
 
+    def end_worker(self, worker: WorkerId, *, is_planned: bool) -> bool:
+        """Record that a worker's VM has it no more; return whether that is news.
+
+        It is called as before while it is listed, in case the list of VMs was wrong.
+        """
+        worker_state = self.workers.get(worker)
+        if worker_state is None or worker_state.is_retired:
+            return False
+        for run in self.workers.end_without_vm(worker_state, is_planned=is_planned):
+            self._lifecycle.on_lost(run)
+        return True
+
     def reinstate_worker(self, worker: WorkerId) -> bool:
         """Record that a worker runs on; return whether it was taken for ended.
 
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -223,6 +223,16 @@
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         return self._remove_all(state, list(state.runs.values()))
 
+    def end_without_vm(self, state: WorkerState, *, is_planned: bool) -> list[Run]:
+        """Record that a worker's VM has it no more; return the runs lost with it.
+
+        Its replies to earlier renewals, which may still come, don't count.
+        """
+        state.raise_fence()
+        if is_planned:
+            _record_planned_end(state)
+        return self.end_incarnation(state)
+
     def retire(self, state: WorkerState) -> list[Run]:
         """Record that a worker was ended; its entry may stay listed for a while."""
         state.is_retired = True
@@ -350,6 +360,13 @@
             run.loss = RunLoss(cause, companions)
 
 
+def _record_planned_end(state: WorkerState) -> None:
+    """Record that no crash has ended a worker, whatever was seen of its end before."""
+    state.expired_runs.clear()
+    for run in _sent_runs(state):
+        run.loss = RunLoss(LossCause.PLANNED, companions=0)
+
+
 def _unlisted_entry(worker: WorkerId, born_ms: BornMs) -> WorkerEntry:
     return WorkerEntry(
         worker=worker,
--- a/tests/jobs/test_planned_work_scenarios.py
+++ b/tests/jobs/test_planned_work_scenarios.py
@@ -9,7 +9,7 @@
 
 from currantstage.coordination.jobs import SchedulerTuning
 from currantstage.standin.jobs import POOLS, SPARE_POOL, SimulatedSite
-from currantstage.state.jobs import MaintenanceWave
+from currantstage.state.jobs import MaintenanceWave, WorkerId
 from tests.jobs.site import SETTLE_S, run_scenario, step
 
 if TYPE_CHECKING:
@@ -159,6 +159,15 @@
     run_scenario(scenario())
 
 
+async def _stop_scheduler(site: SimulatedSite, *, is_killed: bool) -> None:
+    name = site.scheduler_name()
+    assert name is not None
+    if is_killed:
+        site.kill_daemon(name)
+    else:
+        await site.stop_daemon(name)
+
+
 @pytest.mark.parametrize("late_s", [2.0, 5.0, 8.0, 11.0])
 @pytest.mark.parametrize("is_killed", [False, True])
 def test_late_upkeep_of_an_earlier_scheduler_overlaps_with_no_other(
@@ -179,14 +188,38 @@
         while site.vms.late_upkeeps_s:
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.3)
-        name = site.scheduler_name()
-        assert name is not None
-        if is_killed:
-            site.kill_daemon(name)
-        else:
-            await site.stop_daemon(name)
+        await _stop_scheduler(site, is_killed=is_killed)
         await asyncio.sleep(40)
         assert {vm for _, vm in site.vms.maintained} == set(vms)
         assert site.oracle.violations == []
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("lists_former_worker", [False, True])
+@pytest.mark.parametrize("list_delay_s", [0.0, 1.0])
+def test_upkeep_at_a_takeover_keeps_no_long_running_task_away(
+    lists_former_worker: bool, list_delay_s: float
+) -> None:
+    """LOST: each scheduler after it kept the run, as its worker gave no answer."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed=36)
+        site.vms.lists_former_worker = lists_former_worker
+        site.vms.list_delay_s = list_delay_s
+        vm, worker = f"m-{POOLS[0]}-0", f"i-{POOLS[0]}-0"
+        site.vms.late_upkeeps_s.append(1.2)
+        _announce(site, (vm,), complete_by_s=40)
+        while site.vms.late_upkeeps_s:
+            await asyncio.sleep(0.01)
+        job = await site.submit(
+            (step(1, needed_label="rack-0", is_long_running=True, max_unavailable=1),),
+        )
+        await _stop_scheduler(site, is_killed=False)
+        while site.workers.workers[WorkerId(worker)].is_up:
+            await asyncio.sleep(0.01)
+        await _stop_scheduler(site, is_killed=True)
+        assert await longest_away_s(site, {job: 1}, 20) < MAX_AWAY_S
+        assert site.oracle.violations == []
+
+    run_scenario(scenario())
