Late upkeeps for one wave count against the other waves of their VM

Cause: an upkeep that an earlier scheduler had ordered for one wave counted as over for a wave that was done with the VM already, and any answered upkeep of the VM settled it. Neither says anything of the other wave's order: the platform confirms an order that was carried out before, and need not have seen the new term by that.

What callers saw: nothing yet.

Change: the lease lists the wave of each maintenance order. An upkeep is open until its own wave is done with the VM, or the answer to an order for that wave settles it; a row of an earlier version names no wave, so that any answer settles it as before.

Evidence: two tests, each of which fails with its half of the change taken out.

--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -158,7 +158,7 @@
         skipped = outcome in (VmOrderOutcome.NOT_IN_WAVE, VmOrderOutcome.MALFORMED)
         if done is not None or skipped:
             wave.done.add(order.vm)
-            self._cooldown.settle_upkeep(order.vm)
+            self._cooldown.settle_upkeep(order.vm, wave.wave.number)
 
     def is_wave_done(self, wave: WaveState) -> bool:
         """Return whether every existing VM of the wave has been maintained."""
--- a/currantstage/coordination/jobs/_maintenance_plan.py
+++ b/currantstage/coordination/jobs/_maintenance_plan.py
@@ -134,7 +134,7 @@
         self, vm: VmState, load: Callable[[VmState], float], now_s: float
     ) -> tuple[bool, float]:
         """Rank a VM for maintenance: first those that others have to wait for."""
-        return not self._is_open(vm, now_s), load(vm)
+        return not self._may_go_down(vm, now_s), load(vm)
 
     def may_order(self, vm: VmState, now_s: float) -> bool:
         """Return whether all waves that include a VM allow it to go down."""
@@ -153,17 +153,20 @@
         return sum(
             _is_down(vm)
             or not self._cooldown.may_order(vm.record.vm, now_s)
-            or (vm is not ordered and self._may_go_down(state, vm, now_s))
+            or (vm is not ordered and self._may_go_down(vm, now_s))
             for vm in members
             if vm is not None
         )
 
-    def _may_go_down(self, state: WaveState, vm: VmState, now_s: float) -> bool:
+    def _may_go_down(self, vm: VmState, now_s: float) -> bool:
         """Return whether an order of an earlier term may still take a VM down."""
-        return vm.record.vm not in state.done and self._is_open(vm, now_s)
+        ordered = self._cooldown.inherited_upkeeps(vm.record.vm, now_s)
+        return not all(self._is_done(vm, wave) for wave in ordered)
 
-    def _is_open(self, vm: VmState, now_s: float) -> bool:
-        return self._cooldown.has_inherited_upkeep(vm.record.vm, now_s)
+    def _is_done(self, vm: VmState, wave: int | None) -> bool:
+        """Return whether a VM is known to have been maintained in a wave."""
+        state = None if wave is None else self.waves.get(wave)
+        return state is not None and vm.record.vm in state.done
 
     def drain_timeout_s(self, state: WaveState, now_s: float) -> float:
         """Return how long a draining VM may wait for its tasks to end."""
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -48,6 +48,8 @@
         its call has ended.
     is_upkeep : bool
         Whether it is for maintenance.
+    wave : int, optional
+        The wave of that maintenance; unknown in a row of an earlier version.
     is_open : bool
         Whether it may still be carried out, as far as its answers tell.
     """
@@ -56,6 +58,7 @@
     worker: WorkerId = WorkerId("")
     age_ms: int = 0
     is_upkeep: bool = False
+    wave: int | None = None
     is_open: bool = False
 
 
--- a/currantstage/coordination/jobs/_vm_order_cooldown.py
+++ b/currantstage/coordination/jobs/_vm_order_cooldown.py
@@ -30,6 +30,8 @@
     worker : WorkerId
         The worker that it ends.
     is_upkeep : bool
+    wave : int, optional
+        The wave of the maintenance, if it is known.
     called_s : float, optional
         When its last call ended, so that it was sent by then; None until it has.
     is_open : bool
@@ -39,6 +41,7 @@
     vm: VmId
     worker: WorkerId
     is_upkeep: bool
+    wave: int | None = None
     called_s: float | None = None
     is_open: bool = True
 
@@ -88,6 +91,7 @@
                 vm=each.vm,
                 worker=each.worker,
                 is_upkeep=each.is_upkeep,
+                wave=each.wave,
                 called_s=taken_s - each.age_ms / 1000,
                 is_open=each.is_open,
             )
@@ -105,7 +109,9 @@
 
     def record_order(self, order: VmOrder) -> None:
         """Record that an order is about to be sent."""
-        self._own[order.vm] = _RecordedOrder(order.vm, order.worker, order.is_upkeep)
+        self._own[order.vm] = _RecordedOrder(
+            order.vm, order.worker, order.is_upkeep, order.wave
+        )
 
     def record_outcome(
         self, order: VmOrder, outcome: VmOrderOutcome, now_s: float
@@ -118,22 +124,24 @@
         if outcome is VmOrderOutcome.DONE and not own.is_upkeep:
             own.is_open = False
 
-    def settle_upkeep(self, vm: VmId) -> None:
-        """Record that no maintenance order for a VM can be carried out any more."""
+    def settle_upkeep(self, vm: VmId, wave: int) -> None:
+        """Record that no maintenance of a VM for a wave can be carried out any more."""
         for order in self._orders():
-            if order.vm == vm and order.is_upkeep:
+            if order.vm == vm and order.is_upkeep and order.wave in (wave, None):
                 order.is_open = False
 
-    def has_inherited_upkeep(self, vm: VmId, now_s: float) -> bool:
-        """Return whether an earlier scheduler's maintenance order may be carried out.
+    def inherited_upkeeps(self, vm: VmId, now_s: float) -> list[int | None]:
+        """Return the waves for which a VM may go down by an earlier scheduler's order.
 
         Orders of this scheduler are known by the state of their VMs.
         """
-        return any(
-            each.is_open_upkeep and each.age_s(now_s) < self._max_delay_s
+        return [
+            each.wave
             for each in self._earlier
             if each.vm == vm
-        )
+            and each.is_open_upkeep
+            and each.age_s(now_s) < self._max_delay_s
+        ]
 
     def listed(self, now_s: float) -> tuple[ListedVmOrder, ...]:
         """Return the orders that the lease has to list."""
@@ -143,6 +151,7 @@
                 worker=each.worker,
                 age_ms=int(each.age_s(now_s) * 1000),
                 is_upkeep=each.is_upkeep,
+                wave=each.wave,
                 is_open=each.is_open,
             )
             for each in self._orders()
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -48,6 +48,11 @@
         """Whether it is for maintenance."""
         return self.goal.work is VmWork.MAINTENANCE
 
+    @property
+    def wave(self) -> int | None:
+        """The wave of that maintenance."""
+        return self.goal.wave if self.is_upkeep else None
+
 
 @dataclass(slots=True, eq=False)
 class VmState:
--- a/tests/jobs/test_vm_order_cooldown.py
+++ b/tests/jobs/test_vm_order_cooldown.py
@@ -12,6 +12,7 @@
     VmGoal,
     VmOrder,
     VmOrderCooldown,
+    VmState,
     VmTable,
     VmWork,
 )
@@ -43,14 +44,14 @@
 MOVE = VmGoal(VmWork.MOVE, pool=PoolId("parcels"))
 
 
-def _ordered(vm: VmId, age_ms: int = 0) -> ListedVmOrder:
+def _ordered(vm: VmId) -> ListedVmOrder:
     """Return an order of an earlier scheduler that has been answered."""
-    return ListedVmOrder(vm=vm, age_ms=age_ms)
+    return ListedVmOrder(vm=vm)
 
 
-def _open_upkeep(vm: VmId, age_ms: int = 0) -> ListedVmOrder:
+def _open_upkeep(vm: VmId, wave: int | None = None) -> ListedVmOrder:
     """Return a maintenance order of an earlier scheduler without an answer."""
-    return ListedVmOrder(vm=vm, age_ms=age_ms, is_upkeep=True, is_open=True)
+    return ListedVmOrder(vm=vm, is_upkeep=True, wave=wave, is_open=True)
 
 
 def _cooldown(*inherited: ListedVmOrder) -> VmOrderCooldown:
@@ -118,7 +119,7 @@
     assert other is not None
     assert not plan.may_order(other, 13.5)
     assert plan.may_order(ordered, 13.5)
-    cooldown.settle_upkeep(A)
+    cooldown.settle_upkeep(A, wave=1)
     assert plan.may_order(other, 13.5)
 
 
@@ -146,7 +147,7 @@
     cooldown.record_order(VmOrder(B, UPKEEP))
     assert cooldown.open_upkeeps(11.0) == (A, B)
     assert cooldown.open_upkeeps(30.0) == (B,)
-    cooldown.settle_upkeep(B)
+    cooldown.settle_upkeep(B, wave=1)
     assert cooldown.open_upkeeps(30.0) == ()
 
 
@@ -172,8 +173,8 @@
     _send(first, VmOrder(A, UPKEEP), 10.0)
     second = _taken_again(first, written_s=15.0, taken_s=15.0)
     third = _taken_again(second, written_s=120.0, taken_s=120.0)
-    assert third.has_inherited_upkeep(A, 221.9)
-    assert not third.has_inherited_upkeep(A, 222.1)
+    assert third.inherited_upkeeps(A, 221.9) == [1]
+    assert third.inherited_upkeeps(A, 222.1) == []
 
 
 # It is sent only once the write that lists it is confirmed, which may take long.
@@ -200,7 +201,7 @@
     cooldown = _cooldown(_open_upkeep(A))
     _send(cooldown, VmOrder(A, MOVE), 14.0, VmOrderOutcome.DONE)
     later = _taken_again(cooldown, written_s=15.0, taken_s=15.0)
-    assert later.has_inherited_upkeep(A, 121.9)
+    assert later.inherited_upkeeps(A, 121.9) == [None]
 
 
 def test_lease_of_an_earlier_version_lists_its_orders_for_vms() -> None:
@@ -217,7 +218,9 @@
 
 
 def test_lease_lists_the_worker_that_an_order_for_its_vm_ends() -> None:
-    order = ListedVmOrder(vm=A, worker=WORKER, age_ms=20, is_upkeep=True, is_open=True)
+    order = ListedVmOrder(
+        vm=A, worker=WORKER, age_ms=20, is_upkeep=True, wave=2, is_open=True
+    )
     row = LeaseRow(
         holder=EntryVmId("e"),
         address="a",
@@ -227,3 +230,36 @@
         upkeep_vms=(A,),
     )
     assert decode_lease(encode_row(row)).all_vm_orders() == (order,)
+
+
+def _two_waves(*inherited: ListedVmOrder) -> tuple[MaintenancePlan, VmState]:
+    """Return a plan of two waves, and the VM B, which only the first one names.
+
+    The first one is done with the VM A.
+    """
+    cooldown = _cooldown(*inherited)
+    plan, vms = _plan(cooldown)
+    plan.waves[1].done.add(A)
+    second = MaintenanceWave(number=2, vms=(A,), complete_by_s=30.0, max_down=1)
+    plan.announce(second, (), 10.0)
+    other = vms.get(B)
+    assert other is not None
+    return plan, other
+
+
+# VMs count against all waves that name them (docs/QUESTIONS.md).
+def test_late_upkeep_for_one_wave_counts_against_another_that_is_done_with_the_vm() -> (
+    None
+):
+    plan, other = _two_waves(_open_upkeep(A, wave=2))
+    assert not plan.may_order(other, 13.5)
+    plan.waves[2].done.add(A)
+    assert plan.may_order(other, 13.5)
+
+
+def test_answer_for_one_wave_settles_no_late_upkeep_for_another() -> None:
+    cooldown = _cooldown(_open_upkeep(A, wave=2))
+    cooldown.settle_upkeep(A, wave=1)
+    assert cooldown.inherited_upkeeps(A, 11.0) == [2]
+    cooldown.settle_upkeep(A, wave=2)
+    assert cooldown.inherited_upkeeps(A, 11.0) == []
