Store late orders for all workers whose next scheduler wouldn't know of them

Cause: a first list extends a worker's lease only where an order for an earlier incarnation may have reached it, and the row that says where left cases out.

- an order of the scheduler before last, to a worker whose adopted run has ended since;
- workers whose runs the successor doesn't adopt: of a cancelled job, or placed and not stored yet;
- workers that an earlier row named and that this scheduler never saw listed;
- a start given to a relay that breaks off and may send it until its permit ends;
- a restart with an earlier birth time, after the time of day was set back: a later incarnation was recognised by a later birth time only.

What callers would have seen: a task started again while its run goes on for up to 6 s on a worker that has restarted and is cut off (TWICE).

Change: the row has the time until which orders may come late for each such worker, and which incarnation has answered one, as that one rejects what was sent before it. A run that is adopted with another birth time than its worker's counts as placed before a restart. Nothing is concluded from the order of birth times after a takeover, so that no run is released before the worker has answered or its lease is over.

Eight cases in tests/jobs/test_inherited_leases.py, of which seven failed before.

--- a/currantstage/coordination/jobs/_inherited_leases.py
+++ b/currantstage/coordination/jobs/_inherited_leases.py
@@ -10,9 +10,11 @@
 
 from currantstage.coordination.jobs._start_relays import RELAY_PERMIT_S
 from currantstage.coordination.jobs._worker_clock import longest_lease_s
-from currantstage.state.jobs import WorkerId
+from currantstage.state.jobs import BornMs, WorkerId
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from currantstage.coordination.jobs._owner_lease import LeaseTakeover
     from currantstage.coordination.jobs._run import Run
     from currantstage.coordination.jobs._tuning import SchedulerTuning
@@ -82,6 +84,8 @@
         carries out late.
     late_orders_ms : int
         How long after the write such orders may come, if any are known.
+    answered_born_ms : BornMs
+        The newest incarnation that has answered an order and so rejects earlier ones.
     """
 
     worker: WorkerId
@@ -89,6 +93,7 @@
     is_renewed: bool = False
     allows_late_orders: bool = False
     late_orders_ms: int = 0
+    answered_born_ms: BornMs = BornMs(0)
 
 
 class InheritedLeases:
@@ -155,23 +160,35 @@
             return float("-inf")
         return self._written_s + row.late_orders_ms / 1000
 
+    def answered_born_ms(self, worker: WorkerId) -> BornMs:
+        """Return which incarnation of a worker is stored to have answered an order."""
+        row = self._rows.get(worker)
+        return row.answered_born_ms if row is not None else BornMs(0)
+
     def knows_late_orders(self, now_s: float) -> bool:
         """Return whether a worker without a row can't take a late order any more."""
         return self._lists_late_orders or now_s > self._all_late_orders_until_s
 
-    def rows(self, now_s: float) -> tuple[WorkerLeaseRow, ...]:
-        """Return what is to be stored before this scheduler knows of any worker."""
+    def rows(
+        self, now_s: float, without: Container[WorkerId] = ()
+    ) -> tuple[WorkerLeaseRow, ...]:
+        """Return what is to be stored of workers that this scheduler doesn't know.
+
+        It knows those in `without`.
+        """
         return tuple(
-            replace(
-                row,
-                remaining=RemainingLease.from_ends(
-                    row.remaining.ends(self._written_s), now_s
-                ),
-                late_orders_ms=remaining_ms(
-                    self.late_orders_until_s(row.worker), now_s
-                ),
-            )
+            self._updated(row, now_s)
             for row in self._rows.values()
+            if row.worker not in without
+        )
+
+    def _updated(self, row: WorkerLeaseRow, now_s: float) -> WorkerLeaseRow:
+        ends = row.remaining.ends(self._written_s)
+        late_orders_until_s = self.late_orders_until_s(row.worker)
+        return replace(
+            row,
+            remaining=RemainingLease.from_ends(ends, now_s),
+            late_orders_ms=remaining_ms(late_orders_until_s, now_s),
         )
 
     def other_leases(self, now_s: float) -> RemainingLease:
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -468,12 +468,10 @@
             was_listed=task.is_listed,
             in_doubt_since_s=now_s,
         )
-        may_run = self.workers.adopt(run, leases)
+        self.workers.adopt(run, leases)
         task.assign(run)
         self.teams.add(run.team, run.step.resources)
         self.adopted_runs.add(run)
-        if not may_run:
-            self._lifecycle.on_lost(run)
 
     def _apply_changes(
         self, worker: WorkerId, changes: RunChanges, now_s: float
--- a/currantstage/coordination/jobs/_worker_lease.py
+++ b/currantstage/coordination/jobs/_worker_lease.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantstage.coordination.jobs._worker_clock import longest_lease_s
+from currantstage.state.jobs import BornMs
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._inherited_leases import RunEnds
@@ -44,8 +45,11 @@
         The worker has restarted, and the new incarnation has answered no order of its
         own yet, which would make it reject those of before.
     late_orders_until_s : float
-        Until when an order for an earlier incarnation may be carried out, by one that
-        has answered no order of its own.
+        Until when orders of earlier schedulers, and those for earlier incarnations, may
+        be carried out by an incarnation that has answered none of its own.
+    answered_born_ms : BornMs
+        The newest incarnation that is known to have answered one of them; it rejects
+        what was sent before.
     """
 
     end_s: float = 0.0
@@ -55,6 +59,7 @@
     earlier_orders_end_s: float = float("-inf")
     may_have_late_orders: bool = False
     late_orders_until_s: float = float("-inf")
+    answered_born_ms: BornMs = BornMs(0)
 
     def grant(
         self, now_s: float, tuning: SchedulerTuning, max_delay_s: float = 0.0
@@ -92,15 +97,19 @@
         """
         self.late_orders_until_s = max(self.late_orders_until_s, until_s)
 
-    def on_first_list(self, now_s: float, tuning: SchedulerTuning) -> None:
+    def on_first_list(
+        self, born_ms: BornMs, now_s: float, tuning: SchedulerTuning
+    ) -> None:
         """Record the first list under the fence of this scheduler.
 
         Until then the worker may have taken orders of earlier schedulers, and orders
         that were meant for an earlier incarnation.
         """
         self.end_s = min(self.end_s, now_s + longest_lease_s(tuning.worker_lease_ms))
-        taken_s = min(now_s, self.late_orders_until_s)
-        self.extend(taken_s + longest_lease_s(tuning.max_lease_ms))
+        if born_ms != self.answered_born_ms:
+            taken_s = min(now_s, self.late_orders_until_s)
+            self.extend(taken_s + longest_lease_s(tuning.max_lease_ms))
+        self.answered_born_ms = born_ms
         self.may_have_late_orders = False
 
     def listed_end_s(self) -> float:
--- a/currantstage/coordination/jobs/_worker_lease_book.py
+++ b/currantstage/coordination/jobs/_worker_lease_book.py
@@ -9,9 +9,12 @@
     WorkerLeaseRow,
     remaining_ms,
 )
+from currantstage.coordination.jobs._run import RunPhase
 from currantstage.coordination.jobs._worker_clock import longest_lease_s
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from currantstage.coordination.jobs._inherited_leases import InheritedLeases
     from currantstage.coordination.jobs._owner_lease import LeaseRow
     from currantstage.coordination.jobs._tuning import SchedulerTuning
@@ -71,14 +74,14 @@
         if self._workers is None:
             return self._inherited.rows(now_s)
         granted_end_s = now_s + longest_lease_s(self._tuning.worker_lease_ms)
-        rows = []
+        rows = list(self._inherited_rows(self._workers, now_s))
         for state in self._workers.states():
             is_listed = state.lease.long_end_s > granted_end_s
             if state.runs and not state.is_responsive:
                 self._suspend(state, sequence)
                 is_listed = True
-            elif not state.runs and state.has_open_grants(now_s, self._tuning):
-                is_listed = True
+            elif not is_listed and not _is_adoptable(state):
+                is_listed = state.has_open_grants(now_s, self._tuning)
             if is_listed:
                 rows.append(self._row(state, now_s))
         return tuple(rows)
@@ -98,6 +101,14 @@
                 if heard_of is not None:
                     heard_of.may_be_renewed = True
 
+    def _inherited_rows(
+        self, workers: WorkerTable, now_s: float
+    ) -> Iterator[WorkerLeaseRow]:
+        """Yield what is inherited of workers that were never listed in this term."""
+        for row in self._inherited.rows(now_s, without=workers):
+            if row.late_orders_ms or row.remaining.listed_ms:
+                yield row
+
     def _suspend(self, state: WorkerState, sequence: int) -> None:
         state.may_be_renewed = False
         self._not_renewed[state.entry.worker] = sequence
@@ -112,4 +123,16 @@
             late_orders_ms=remaining_ms(
                 state.late_orders_until_s(now_s, self._tuning), now_s
             ),
+            answered_born_ms=state.lease.answered_born_ms,
         )
+
+
+def _is_adoptable(state: WorkerState) -> bool:
+    """Return whether the next scheduler adopts a run of a worker.
+
+    By that it knows that the worker was sent orders.
+    """
+    return any(
+        run.phase is not RunPhase.UNSENT and not run.task.step.job.state.is_final
+        for run in state.runs.values()
+    )
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -272,7 +272,8 @@
         """
         self.open_grants -= 1
         if outcome is OrderOutcome.UNKNOWN:
-            self.lost_grant_s = now_s
+            # A relay may have been about to send it.
+            self.lost_grant_s = max(now_s, self.lease.granted_s)
 
     def has_open_grants(self, now_s: float, tuning: SchedulerTuning) -> bool:
         """Return whether an order with a lease may still be carried out."""
@@ -286,7 +287,7 @@
 
     def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
         """Record the worker's first list of its runs under this scheduler's fence."""
-        self.lease.on_first_list(now_s, tuning)
+        self.lease.on_first_list(self.entry.born_ms, now_s, tuning)
         self.is_synced = True
 
     def run_end_s(self, run: Run, tuning: SchedulerTuning) -> float:
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -66,6 +66,9 @@
         #: Workers of each pool by their free resources.
         self.room = RoomIndex()
 
+    def __contains__(self, worker: object) -> bool:
+        return worker in self._states
+
     def get(self, worker: WorkerId) -> WorkerState | None:
         """Return the worker of that id."""
         return self._states.get(worker)
@@ -100,17 +103,13 @@
         for state in self._states.values():
             _inherit_lease(state, leases)
 
-    def adopt(self, run: Run, leases: InheritedLeases) -> bool:
+    def adopt(self, run: Run, leases: InheritedLeases) -> None:
         """Record a run that an earlier scheduler placed.
 
         A worker that has restarted since may run it as well, since the start order may
-        have reached the new incarnation; its lists will show.
-
-        Returns
-        -------
-        bool
-            Whether the run may be in progress. It has ended if an incarnation of the
-            worker has listed it, and a later one is known.
+        have reached the new incarnation; its lists will show. Which of two incarnations
+        is the later one is not concluded from their times of birth, as the time of day
+        may have been set back.
         """
         born_ms = run.task.born_ms
         state = self._states.get(run.worker)
@@ -118,19 +117,16 @@
             # Its entry may have expired while the worker, whose lease has not, runs on.
             state = self._add(_unlisted_entry(run.worker, born_ms))
             state.is_listed = False
-        if run.was_listed and born_ms > state.entry.born_ms:
-            # What a scheduler has heard from the worker is newer than its entry.
-            state.entry = _with_incarnation(state.entry, born_ms)
-        state.lease.on_adopted(
-            leases.ends(run.worker), leases.late_orders_end_s(run.worker)
-        )
-        if born_ms < state.entry.born_ms:
+        _inherit_lease(state, leases)
+        if not state.lease.answered_born_ms:
+            # Its placement shows that this incarnation had answered.
+            state.lease.answered_born_ms = born_ms
+        late_s = self._tuning.max_order_delay_ms / 1000
+        orders_end_s = leases.late_orders_end_s(run.worker)
+        state.lease.expect_late_orders(orders_end_s + late_s)
+        if born_ms != state.entry.born_ms:
             state.lease.on_restart(self._tuning)
-            if run.was_listed:
-                _record_loss(state, [run], LossCause.ENDED_LATE)
-                return False
         state.add(run)
-        return True
 
     def on_renewal_reply(
         self, order: RenewalOrder, reply: RenewalReply, sent_s: float, now_s: float
@@ -338,10 +334,12 @@
 
 
 def _inherit_lease(state: WorkerState, leases: InheritedLeases) -> None:
-    """Allow for a lease, and for late orders, that an earlier scheduler has stored."""
-    worker = state.entry.worker
-    state.lease.extend(leases.stored_end_s(worker))
-    state.lease.expect_late_orders(leases.late_orders_until_s(worker))
+    """Allow for the leases and the late orders of earlier schedulers."""
+    worker, lease = state.entry.worker, state.lease
+    lease.on_adopted(leases.ends(worker), leases.late_orders_end_s(worker))
+    lease.extend(leases.stored_end_s(worker))
+    lease.expect_late_orders(leases.late_orders_until_s(worker))
+    lease.answered_born_ms = leases.answered_born_ms(worker) or lease.answered_born_ms
 
 
 def _sent_runs(state: WorkerState) -> list[Run]:
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -12,10 +12,13 @@
     InheritedLeases,
     LeaseRow,
     LeaseTakeover,
+    RemainingLease,
     Scheduler,
     SchedulerTuning,
     TakeoverGround,
     WorkerLeaseBook,
+    WorkerLeaseRow,
+    WorkerState,
 )
 from currantstage.coordination.jobs._worker_clock import longest_lease_s
 from currantstage.standin.jobs import build_configuration
@@ -141,7 +144,14 @@
         (step_record,) = record.occurrences[0]
         self._stored.task = step_record.tasks[0].progress()
 
-    def renew(self, now_s: float, *, is_answered: bool = True, born_ms: int = 1) -> int:
+    def renew(
+        self,
+        now_s: float,
+        *,
+        is_answered: bool = True,
+        is_running: bool = True,
+        born_ms: int = 1,
+    ) -> int:
         """Send a renewal; return the end of the lease that it grants, or zero."""
         order = self.scheduler.next_renewal(WORKER, now_s)
         assert order is not None
@@ -152,6 +162,7 @@
             running = tuple(
                 RunningTask(run.task.key, run.number, "", 100, 0.0)
                 for run in record.runs()
+                if is_running
             )
             clock_ms = int(now_s * 1000) + 1
             reply = RenewalReply(clock_ms, BornMs(born_ms), running, ())
@@ -227,7 +238,9 @@
 
 
 def test_listed_run_ends_at_once_when_its_worker_has_restarted() -> None:
-    assert StoredState().take_over(10.0, born_ms=2).has_released
+    successor = StoredState().take_over(10.0, born_ms=2)
+    successor.renew(10.1, born_ms=2, is_running=False)
+    assert successor.has_released
     successor = StoredState().take_over(10.0)
     successor.scheduler.update_workers((entry(WORKER, born_ms=BornMs(2)),), 10.1)
     assert successor.has_released
@@ -294,8 +307,8 @@
 def test_long_lease_of_a_worker_is_stored_without_runs_on_it() -> None:
     stored = StoredState()
     successor = stored.take_over(10.0, born_ms=2)
+    successor.renew(10.1, born_ms=2, is_running=False)
     assert successor.has_released
-    successor.renew(10.1, born_ms=2)
     (row,) = successor.sent_row(10.2).worker_leases
     assert row.remaining.listed_ms >= int((LONGEST_S - 0.1) * 1000)
     stored.row = successor.sent_row(10.2)
@@ -314,14 +327,23 @@
 
 
 # TWICE: the daemons of former versions don't say which workers they have sent orders.
-def test_first_list_extends_the_lease_after_a_daemon_of_a_former_version() -> None:
-    stored = StoredState()
-    stored.row = replace(stored.row, lists_late_orders=False)
-    successor = stored.take_over(10.0)
-    successor.renew(10.1)
-    successor.write(10.2)
-    assert not stored.row.lists_late_orders
-    assert stored.take_over(10.3).released_s(10.3) > 10.1 + LONGEST_S
+def test_any_worker_may_have_late_orders_after_a_daemon_of_a_former_version() -> None:
+    takeover = LeaseTakeover(TakeoverGround.HOLDER_ENDED)
+    leases = InheritedLeases(takeover, 10.0, TUNING)
+    until_s = leases.late_orders_until_s(WORKER)
+    assert until_s == 10.0 + RELAY_PERMIT_S + TUNING.max_order_delay_ms / 1000
+    assert not leases.knows_late_orders(until_s)
+    assert leases.knows_late_orders(until_s + 0.1)
+
+
+def _idle_state(successor: Successor, now_s: float) -> WorkerState:
+    """Let the only run end, and return the state of its worker."""
+    successor.scheduler.cancel(JOB, now_s)
+    state = successor.scheduler.workers.get(WORKER)
+    assert state is not None
+    for run in list(state.runs.values()):
+        state.remove(run)
+    return state
 
 
 # TWICE: an order for a worker that has been idle since can reach its next incarnation.
@@ -333,19 +355,101 @@
     successor = stored.take_over(10.0)
     successor.renew(10.1)
     successor.write(10.2)
-    state = successor.scheduler.workers.get(WORKER)
-    assert state is not None
     if is_under_way:
-        assert successor.scheduler.next_renewal(WORKER, 10.3) is not None
+        assert successor.scheduler.next_renewal(WORKER, 30.3) is not None
     else:
-        successor.renew(10.3, is_answered=False)
-    successor.scheduler.cancel(JOB, 10.4)
-    for run in list(state.runs.values()):
-        state.remove(run)
-    (row,) = successor.sent_row(10.5).worker_leases
+        successor.renew(30.3, is_answered=False)
+    _idle_state(successor, 30.4)
+    (row,) = successor.sent_row(30.5).worker_leases
     expected_ms = TUNING.max_order_delay_ms - (0 if is_under_way else 200)
     assert abs(row.late_orders_ms - expected_ms) <= 1
-    assert successor.sent_row(10.3 + 60).worker_leases == () or is_under_way
+    assert successor.sent_row(30.3 + 60).worker_leases == () or is_under_way
+
+
+# TWICE: late orders to a worker were forgotten once the adopted run on it had ended.
+def test_late_orders_are_stored_after_an_adopted_run_has_ended() -> None:
+    stored = StoredState()
+    successor = stored.take_over(10.0)
+    successor.renew(10.1)
+    _idle_state(successor, 10.2)
+    stored.row = successor.sent_row(10.3)
+    (row,) = stored.row.worker_leases
+    assert row.answered_born_ms == 1
+    third = InheritedLeases(stored.takeover(), 12.0, TUNING)
+    late_s = RELAY_PERMIT_S + TUNING.max_order_delay_ms / 1000
+    assert third.late_orders_until_s(WORKER) >= 10.0 + late_s
+
+
+# TWICE: a restarted worker could take an order that nobody knew of any more.
+@pytest.mark.parametrize("born_ms", [1, 2])
+def test_first_list_extends_the_lease_only_of_an_incarnation_that_has_not_answered(
+    born_ms: int,
+) -> None:
+    scheduler = Scheduler(Term(3), build_configuration(), TUNING)
+    scheduler.update_workers((entry(WORKER, born_ms=BornMs(born_ms)),), 12.0)
+    row = WorkerLeaseRow(
+        WORKER, RemainingLease(0, 0), late_orders_ms=9000, answered_born_ms=BornMs(1)
+    )
+    takeover = LeaseTakeover(
+        TakeoverGround.HOLDER_ENDED, worker_leases=(row,), lists_late_orders=True
+    )
+    scheduler.workers.inherit(InheritedLeases(takeover, 12.0, TUNING))
+    state = scheduler.workers.get(WORKER)
+    assert state is not None
+    state.record_synced(12.1, TUNING)
+    has_long_lease = state.lease.listed_end_s() > 12.1 + GRANTED_S + 0.1
+    assert has_long_lease == (born_ms == 2)
+
+
+# TWICE: a scheduler dropped what was stored of a worker that it never saw listed.
+def test_leases_of_workers_that_are_not_listed_are_passed_on() -> None:
+    stored = StoredState()
+    row = WorkerLeaseRow(
+        WorkerId("other"), RemainingLease(5000, 5000), late_orders_ms=9000
+    )
+    stored.row = replace(stored.row, worker_leases=(row,))
+    successor = stored.take_over(10.0)
+    successor.renew(10.1)
+    (passed_on,) = successor.sent_row(11.0).worker_leases
+    assert passed_on.worker == WorkerId("other")
+    assert passed_on.late_orders_ms == 8000
+    assert successor.sent_row(30.0).worker_leases == ()
+
+
+# TWICE: runs that no successor adopts hid that their worker was sent orders.
+def test_worker_with_a_run_that_is_not_adopted_is_stored_for_its_late_orders() -> None:
+    stored = StoredState()
+    successor = stored.take_over(10.0)
+    successor.renew(10.1)
+    successor.write(10.2)
+    assert successor.sent_row(10.3).worker_leases == ()
+    successor.scheduler.cancel(JOB, 10.4)
+    (row,) = successor.sent_row(10.5).worker_leases
+    assert row.late_orders_ms > 0
+
+
+# TWICE: a relay that breaks off may have been about to send the start.
+def test_start_that_a_relay_may_still_send_counts_from_the_end_of_its_permit() -> None:
+    successor = StoredState().take_over(10.0)
+    successor.renew(10.1)
+    successor.write(10.2)
+    state = successor.scheduler.workers.get(WORKER)
+    assert state is not None
+    assert state.grant_until_ms(30.0, TUNING, RELAY_PERMIT_S) is not None
+    state.settle_grant(OrderOutcome.UNKNOWN, 30.1)
+    late_s = RELAY_PERMIT_S + TUNING.max_order_delay_ms / 1000
+    assert state.late_orders_until_s(30.1, TUNING) == 30.0 + late_s
+
+
+# TWICE: after the time of day was set back, a later incarnation has a lower birth time.
+def test_restart_is_known_by_another_birth_time_and_not_by_a_later_one() -> None:
+    stored = StoredState()
+    stored.task = replace(stored.task, born_ms=BornMs(5), is_listed=False)
+    successor = stored.take_over(10.0, born_ms=2)
+    successor.renew(10.1, born_ms=2)
+    state = successor.scheduler.workers.get(WORKER)
+    assert state is not None
+    assert state.lease.listed_end_s() >= 10.1 + LONGEST_S
 
 
 def test_only_long_running_tasks_have_their_listing_stored() -> None:
