Gang without room for all members: nothing placed, nothing to store

Each attempt to place a gang of which some member found no worker marked the others as placed and took that back: its progress was stored anew with every pass (100 writes in 100 passes), and a number of its runs was used up each time. Members now get a worker first, and count as placed once all have one.

The new test fails on the code before; the plain algorithm of `test_placement_equivalence` does the same. Placing takes no more calls.

--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -298,6 +298,7 @@
                 return []
             placed.append(run)
         for each in placed:
+            self._jobs.place(each.task, each.number)
             self.holds.on_placed(each)
         return placed
 
@@ -309,9 +310,9 @@
         now_s: float,
         number: RunNumber | None,
     ) -> Run | None:
+        step = task.step.step
         team = task.step.job.submission.team
-        amount = task.step.step.resources
-        if not self._teams.allows(team, amount, configuration):
+        if not self._teams.allows(team, step.resources, configuration):
             return None
         worker_state = workers.choose(task, self._placement)
         if worker_state is None:
@@ -326,12 +327,15 @@
             is_trial=bool(task.crashes) and task.needs_trial,
         )
         worker_state.add(run)
-        self._teams.add(team, amount)
+        self._teams.add(team, step.resources)
         task.assign(run)
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
+        if step.is_gang:
+            # It counts as placed once all members have a worker.
+            return run
         self._jobs.place(task, run.number)
-        if run.step.is_long_running and not run.step.is_gang:
+        if step.is_long_running:
             self.holds.on_placed(run)
         return run
 
@@ -341,7 +345,6 @@
             worker_state.remove(run)
         self._teams.remove(run.team, run.step.resources)
         run.task.assign(None)
-        self._jobs.requeue(run.task)
 
 
 def _find_nothing() -> None:
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -546,6 +546,7 @@
                 return []
             placed.append(run)
         for each in placed:
+            self._jobs.place(each.task, each.number)
             self.holds.on_placed(each)
         return placed
 
@@ -584,8 +585,8 @@
         task.assign(run)
         task.worker = worker_state.entry.worker
         task.born_ms = worker_state.entry.born_ms
-        self._jobs.place(task, run.number)
         if not run.step.is_gang:
+            self._jobs.place(task, run.number)
             self.holds.on_placed(run)
         return run
 
@@ -595,7 +596,6 @@
             worker_state.remove(run)
         self._teams.remove(run.team, run.step.resources)
         run.task.assign(None)
-        self._jobs.requeue(run.task)
 
 
 def choose(task: TaskRecord, workers: Sequence[WorkerState]) -> WorkerState | None:
--- a/tests/jobs/test_gang_checkpoints.py
+++ b/tests/jobs/test_gang_checkpoints.py
@@ -93,3 +93,18 @@
 
 def test_first_start_of_a_gang_carries_no_checkpoint() -> None:
     assert {order.checkpoint for _, order in Gang().start()} == {""}
+
+
+def test_gang_without_room_for_all_members_leaves_nothing_to_store() -> None:
+    """Each pass stored its progress anew, and used up a number of its runs."""
+    gang = Gang()
+    (record,) = gang.scheduler.jobs.open_jobs()
+    gang.scheduler.cancel(record.job, gang.now_s)
+    large = step(len(WORKERS) + 1, cpu=5000, is_gang=True)
+    gang.scheduler.submit(submission(JobId("1" * 16), large), gang.now_s)
+    assert gang.scheduler.take_batch() is not None
+    for _ in range(5):
+        assert gang.start() == []
+        assert gang.scheduler.take_batch() is None
+    (record,) = gang.scheduler.jobs.open_jobs()
+    assert {task.run_number for task in record.occurrences[0][0].tasks} == {0}
