Specification of the worker leases that a scheduler inherits

Change: a second model beside it. A worker restarts under its id, and the next incarnation may carry out an order that was meant for an earlier one, with the longest lease. The row of the scheduler's lease says whether the worker is renewed and until when its runs may go on; the placement says which incarnation has listed the run. Rows without renewal, and the release, take effect late or never. The lease itself (terms, validity, the wait for a silent holder) is a precondition, as `OwnershipModel` proves it; that model is unchanged.

--- /dev/null
+++ b/spec/_inherited_leases.py
@@ -0,0 +1,705 @@
+"""Successive schedulers and the leases of a worker that restarts under its id.
+
+There is one worker, on which a task is placed once before it is started elsewhere. The
+worker may restart, and its next incarnation may carry out an order that was meant for
+an earlier one; it then grants the longest lease. The stored entry of the worker's lease
+and the stored list of the run tell the next scheduler how long to wait.
+
+The guards of `OwnershipModel` (whether a lease may be taken, and what is valid) are
+preconditions here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
+from typing import ClassVar
+
+import z3
+
+from spec._engine import Step, variables
+from spec._inherited_lemmas import lemmas
+from spec._inherited_state import (
+    ELSEWHERE,
+    IN_DOUBT,
+    LONGEST_LEASE_S,
+    ORDINARY_LEASE_S,
+    PLACED,
+    PROMPT_ORDER_S,
+    STORED,
+    UNPLACED,
+    WAITING,
+    InheritedLeases,
+    LeaseEntry,
+    Order,
+    RowWrite,
+    Scheduler,
+    later,
+    may_take_late,
+)
+from spec._ownership import FENCES_PER_TERM, NAMES, OWNER_LEASE_S
+
+_TRUE, _FALSE = z3.BoolVal(True), z3.BoolVal(False)
+_ZERO = z3.IntVal(0)
+
+
+class InheritedLeasesModel:
+    """The specification of inherited worker leases; implements `Model`."""
+
+    name = "inherited leases"
+    search_depth = 24
+    prefix = (
+        "a takes the lease",
+        "a stores that it renews the worker",
+        "a reads the first list of the worker",
+    )
+    hints: ClassVar[Mapping[str, tuple[str, ...]]] = {
+        "carry the end of a lease that is longer than usual": (
+            "a grants the worker a lease",
+            "the worker restarts",
+            "the grant of a takes effect",
+            "a learns of a restart from a reply",
+            "a raises its fence",
+            "a reads the first list of the worker",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "a stores that it renews the worker",
+            "a ends",
+            "b takes the lease",
+            "time passes",
+        ),
+        "carry the end of listed runs": (
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "a sends a row without renewal of the worker",
+            "the row of a takes effect",
+            "a ends",
+            "b takes the lease",
+        ),
+        "carry the end of other runs": (
+            "a stores the placement",
+            "a sends the start",
+            "the worker restarts",
+            "time passes",
+            "the start of a takes effect",
+            "a sends a row without renewal of the worker",
+            "the row of a takes effect",
+            "a ends",
+            "b takes the lease",
+            "time passes",
+        ),
+        "carry the end of runs that start late": (
+            "a stores the placement",
+            "a sends the start",
+            "the worker restarts",
+            "the store lists the worker's incarnation",
+            "a learns of a restart from the store",
+            "time passes",
+            "the start of a takes effect",
+            "a sends a row without renewal of the worker",
+            "the row of a takes effect",
+            "a ends",
+            "b takes the lease",
+        ),
+        "store the renewal before the first order": (
+            "time passes",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "a stores that it renews the worker",
+            "a ends",
+            "b takes the lease",
+            "b reads the first list of the worker",
+            "time passes",
+            "b grants the worker a lease",
+            "the grant of b takes effect",
+            "b ends",
+            "a restarts",
+            "a takes the lease",
+            "time passes",
+        ),
+        "order nothing once a row without renewal is sent": (
+            "time passes",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "a sends a row without renewal of the worker",
+            "time passes",
+            "a grants the worker a lease",
+            "the grant of a takes effect",
+            "the row of a takes effect",
+            "a ends",
+            "b takes the lease",
+            "time passes",
+        ),
+        "order nothing once the release is sent": (
+            "time passes",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "a stores that it renews the worker",
+            "a sends the write that releases its lease",
+            "the release by a takes effect",
+            "b takes the lease",
+            "time passes",
+            "a grants the worker a lease",
+            "the grant of a takes effect",
+            "time passes",
+        ),
+        "list a new incarnation under a new fence": (
+            "a grants the worker a lease",
+            "the worker restarts",
+            "a learns of a restart from a reply",
+            "a reads the first list of the worker",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "time passes",
+            "the grant of a takes effect",
+            "time passes",
+        ),
+        "assume the longest lease at a first list": (
+            "a grants the worker a lease",
+            "the worker restarts",
+            "the grant of a takes effect",
+            "a learns of a restart from a reply",
+            "a raises its fence",
+            "a reads the first list of the worker",
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "time passes",
+        ),
+        "rely on the list of the known incarnation": (
+            "a stores the placement",
+            "a sends the start",
+            "the worker restarts",
+            "time passes",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+            "time passes",
+        ),
+        "wait out the lease of a listed run": (
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+            "a notes that the known incarnation has the run",
+        ),
+        "wait out the longest lease of another run": (
+            "a stores the placement",
+            "a sends the start",
+            "the start of a takes effect",
+        ),
+        "wait for late orders after a restart": (
+            "a stores the placement",
+            "a sends the start",
+            "the worker restarts",
+            "the store lists the worker's incarnation",
+            "a learns of a restart from the store",
+            "time passes",
+            "the start of a takes effect",
+        ),
+    }
+
+    def fresh(self, label: str) -> InheritedLeases:
+        """Return a state of fresh constants."""
+        return InheritedLeases.fresh(label)
+
+    def is_initial(self, state: InheritedLeases) -> z3.BoolRef:
+        """Return whether nothing has happened yet."""
+        pairs = zip(variables(state), variables(InheritedLeases.initial()), strict=True)
+        return z3.And(*(term == value for (_, term), (_, value) in pairs))
+
+    def safety_properties(self, state: InheritedLeases) -> Mapping[str, z3.BoolRef]:
+        """Return the safety properties."""
+        runs_twice = z3.And(state.placement.phase == ELSEWHERE, state.worker.is_running)
+        return {"the worker runs no task that is started elsewhere": z3.Not(runs_twice)}
+
+    def lemmas(self, state: InheritedLeases) -> Mapping[str, z3.BoolRef]:
+        """Return the auxiliary invariants of the proof."""
+        return lemmas(state)
+
+    def steps(self, state: InheritedLeases, label: str) -> list[Step[InheritedLeases]]:
+        """Return all steps from `state`."""
+        moment_s = z3.Real(f"{label}.moment_s")
+        found = [*_world_steps(state, moment_s)]
+        for name in NAMES:
+            found.extend(_lease_steps(state, name, moment_s))
+            found.extend(_row_steps(state, name, moment_s, label))
+            found.extend(_order_steps(state, name))
+            found.extend(_knowledge_steps(state, name, moment_s))
+            found.extend(_release_steps(state, name))
+            found.extend(_effect_steps(state, name))
+        return found
+
+
+def _world_steps(
+    state: InheritedLeases, moment_s: z3.ArithRef
+) -> Iterator[Step[InheritedLeases]]:
+    worker = state.worker
+    is_running = z3.And(worker.is_running, moment_s <= worker.until_s)
+    yield Step(
+        "time passes",
+        {},
+        replace(state.with_worker(is_running=is_running), now_s=moment_s),
+        when=moment_s > state.now_s,
+    )
+    yield Step(
+        "the worker restarts",
+        {},
+        state.with_worker(
+            incarnation=worker.incarnation + 1,
+            fence=_ZERO,
+            is_running=_FALSE,
+            until_s=z3.RealVal(0),
+        ),
+    )
+    yield Step(
+        "the store lists the worker's incarnation",
+        {},
+        state.with_worker(listed_incarnation=worker.incarnation),
+    )
+
+
+def _lease_steps(
+    state: InheritedLeases, name: str, orders_until_s: z3.ArithRef
+) -> Iterator[Step[InheritedLeases]]:
+    each = state.schedulers[name]
+    has_holder = z3.Or(
+        *(
+            z3.And(other.is_active, other.term == state.term)
+            for other in state.schedulers.values()
+        )
+    )
+    has_ended = z3.Or(state.is_released, z3.Not(has_holder))
+    yield Step(
+        f"{name} takes the lease",
+        {},
+        _with_taken_lease(state, name, orders_until_s),
+        when=z3.And(
+            z3.Not(each.is_active),
+            each.term == 0,
+            orders_until_s >= state.now_s,
+            orders_until_s >= state.earlier_orders_until_s,
+            z3.Or(has_ended, orders_until_s >= state.written_s + OWNER_LEASE_S),
+        ),
+    )
+    yield Step(
+        f"{name} ends",
+        {},
+        state.with_scheduler(name, is_active=_FALSE),
+        when=each.is_active,
+    )
+    pending = (each.row_write.is_sent, *(order.is_sent for order in each.orders))
+    yield Step(
+        f"{name} restarts",
+        {},
+        replace(state, schedulers={**state.schedulers, name: Scheduler.initial()}),
+        when=z3.And(z3.Not(each.is_active), each.term > 0, z3.Not(z3.Or(*pending))),
+    )
+    yield Step(
+        f"{name} raises its fence",
+        {},
+        state.with_scheduler(name, fence=each.fence + 1),
+        when=z3.And(each.is_active, each.fence + 1 < (each.term + 1) * FENCES_PER_TERM),
+    )
+    yield Step(
+        f"{name} sends the write that releases its lease",
+        {},
+        state.with_scheduler(name, is_releasing=_TRUE),
+        when=_may_write(state, each),
+    )
+    yield Step(
+        f"the release by {name} takes effect",
+        {},
+        replace(state, is_released=_TRUE),
+        when=z3.And(each.is_releasing, each.term == state.term),
+    )
+
+
+def _with_taken_lease(
+    state: InheritedLeases, name: str, orders_until_s: z3.ArithRef
+) -> InheritedLeases:
+    """Return the state after a daemon has taken the lease and read what is stored."""
+    entry, placement = state.entry, state.placement
+    is_placed = placement.phase == PLACED
+    is_listed = z3.And(is_placed, placement.is_listed)
+    known = z3.If(
+        z3.And(is_listed, placement.incarnation > state.worker.listed_incarnation),
+        placement.incarnation,
+        state.worker.listed_incarnation,
+    )
+    has_ended = z3.And(is_listed, known > placement.incarnation)
+    may_run = z3.And(is_placed, z3.Not(has_ended))
+    is_bound = z3.And(is_listed, z3.Not(has_ended))
+    listed_s = orders_until_s + ORDINARY_LEASE_S
+    unlisted_s = orders_until_s + PROMPT_ORDER_S + LONGEST_LEASE_S
+    scheduler = replace(
+        Scheduler.initial(),
+        is_active=_TRUE,
+        term=state.term + 1,
+        fence=(state.term + 1) * FENCES_PER_TERM,
+        confirmed_s=state.now_s,
+        phase=z3.If(may_run, IN_DOUBT, WAITING),
+        incarnation=known,
+        released_incarnation=z3.If(
+            placement.phase == ELSEWHERE, placement.released_incarnation, known
+        ),
+        is_listed=is_bound,
+        has_rejected_orders=is_bound,
+        listed_s=_inherited_end_s(entry, entry.listed_s, listed_s),
+        unlisted_s=_inherited_end_s(entry, entry.unlisted_s, unlisted_s),
+        counted_incarnation=z3.If(
+            entry.is_renewed, placement.incarnation, entry.incarnation
+        ),
+        orders_end_s=orders_until_s,
+    )
+    return replace(
+        state,
+        term=scheduler.term,
+        written_s=state.now_s,
+        earlier_orders_until_s=orders_until_s,
+        is_released=_FALSE,
+        entry=LeaseEntry(
+            is_renewed=_FALSE,
+            listed_s=scheduler.listed_s,
+            unlisted_s=scheduler.unlisted_s,
+            incarnation=scheduler.counted_incarnation,
+        ),
+        schedulers={**state.schedulers, name: scheduler},
+    )
+
+
+def _inherited_end_s(
+    entry: LeaseEntry, stored_s: z3.ArithRef, granted_s: z3.ArithRef
+) -> z3.ArithRef:
+    return z3.If(entry.is_renewed, later(stored_s, granted_s), stored_s)
+
+
+def _row_steps(
+    state: InheritedLeases, name: str, carried_s: z3.ArithRef, label: str
+) -> Iterator[Step[InheritedLeases]]:
+    each, placement = state.schedulers[name], state.placement
+    carried_unlisted_s = z3.Real(f"{label}.carried_unlisted_s")
+    stores_list = z3.And(z3.Bool(f"{label}.stores_list"), each.is_listed)
+    will_be_listed = z3.Or(stores_list, placement.is_listed)
+    is_carried = z3.Or(
+        z3.Not(will_be_listed),
+        carried_s >= each.listed_s,
+        each.listed_s <= state.now_s + ORDINARY_LEASE_S,
+    )
+    renewed = state.with_scheduler(
+        name,
+        confirmed_s=state.now_s,
+        is_renewal_stored=_TRUE,
+        is_suspended=_FALSE,
+        row_write=RowWrite.none(),
+    )
+    renewed = _with_stored_list(renewed, stores_list, each.incarnation)
+    entry = LeaseEntry(_TRUE, carried_s, carried_s, each.incarnation)
+    yield Step(
+        f"{name} stores that it renews the worker",
+        {"carry the end of a lease that is longer than usual": is_carried},
+        replace(renewed, written_s=state.now_s, entry=entry),
+        when=_may_write(state, each),
+    )
+    end_s = later(each.listed_s, each.unlisted_s)
+    is_late_carried = z3.Or(
+        z3.Not(each.may_have_late_orders), carried_unlisted_s >= each.late_end_s
+    )
+    row_write = RowWrite(
+        is_sent=_TRUE,
+        sent_s=state.now_s,
+        entry=LeaseEntry(_FALSE, carried_s, carried_unlisted_s, each.incarnation),
+        is_listed=stores_list,
+    )
+    yield Step(
+        f"{name} sends a row without renewal of the worker",
+        {
+            "carry the end of listed runs": carried_s >= each.listed_s,
+            "carry the end of other runs": carried_unlisted_s >= end_s,
+            "carry the end of runs that start late": is_late_carried,
+        },
+        state.with_scheduler(name, row_write=row_write, is_suspended=_TRUE),
+        when=_may_write(state, each),
+    )
+    written = each.row_write
+    stored = state.with_scheduler(
+        name,
+        confirmed_s=later(each.confirmed_s, written.sent_s),
+        row_write=RowWrite.none(),
+    )
+    stored = _with_stored_list(stored, written.is_listed, written.entry.incarnation)
+    yield Step(
+        f"the row of {name} takes effect",
+        {},
+        replace(stored, written_s=state.now_s, entry=written.entry),
+        when=z3.And(
+            written.is_sent, each.term == state.term, z3.Not(state.is_released)
+        ),
+    )
+
+
+def _with_stored_list(
+    state: InheritedLeases, is_stored: z3.BoolRef, incarnation: z3.ArithRef
+) -> InheritedLeases:
+    """Return the state after the list of a placed run may have been stored."""
+    placement = state.placement
+    is_new = z3.And(is_stored, placement.phase == PLACED)
+    return state.with_placement(
+        is_listed=z3.Or(placement.is_listed, is_new),
+        incarnation=z3.If(is_new, incarnation, placement.incarnation),
+    )
+
+
+def _order_steps(state: InheritedLeases, name: str) -> Iterator[Step[InheritedLeases]]:
+    each = state.schedulers[name]
+    guards = {
+        "store the renewal before the first order": each.is_renewal_stored,
+        "order nothing once a row without renewal is sent": z3.Not(each.is_suspended),
+        "order nothing once the release is sent": z3.Not(each.is_releasing),
+    }
+    is_ready = z3.And(each.is_active, each.is_synced, _is_valid(state, each))
+    order = Order(_TRUE, state.now_s, each.fence, each.incarnation)
+    granted = state.with_scheduler(
+        name,
+        listed_s=later(each.listed_s, state.now_s + ORDINARY_LEASE_S),
+        unlisted_s=later(
+            each.unlisted_s, state.now_s + PROMPT_ORDER_S + LONGEST_LEASE_S
+        ),
+        orders_end_s=later(each.orders_end_s, state.now_s),
+    )
+    yield Step(
+        f"{name} grants the worker a lease",
+        guards,
+        granted.with_scheduler(name, grant=order),
+        when=is_ready,
+    )
+    yield Step(
+        f"{name} sends the start",
+        guards,
+        granted.with_scheduler(name, phase=IN_DOUBT, start=order),
+        when=z3.And(is_ready, each.phase == STORED),
+    )
+    placed = state.with_scheduler(name, phase=STORED, confirmed_s=state.now_s)
+    placed = placed.with_placement(phase=PLACED, incarnation=each.incarnation)
+    yield Step(
+        f"{name} stores the placement",
+        {},
+        replace(placed, written_s=state.now_s),
+        when=z3.And(
+            _may_write(state, each),
+            each.is_synced,
+            state.placement.phase == UNPLACED,
+        ),
+    )
+
+
+def _knowledge_steps(
+    state: InheritedLeases, name: str, first_end_s: z3.ArithRef
+) -> Iterator[Step[InheritedLeases]]:
+    each, worker = state.schedulers[name], state.worker
+    for source, incarnation in (
+        ("the store", worker.listed_incarnation),
+        ("a reply", worker.incarnation),
+    ):
+        yield Step(
+            f"{name} learns of a restart from {source}",
+            {},
+            _with_known_restart(state, name, incarnation),
+            when=z3.And(each.is_active, incarnation > each.incarnation),
+        )
+    is_reached = z3.And(
+        each.is_active,
+        _is_valid(state, each),
+        each.fence >= worker.fence,
+        each.incarnation == worker.incarnation,
+    )
+    is_fenced = [
+        z3.Or(
+            z3.Not(order.is_sent),
+            order.incarnation == each.incarnation,
+            order.fence < each.fence,
+        )
+        for order in each.orders
+    ]
+    yield Step(
+        f"{name} reads the first list of the worker",
+        {
+            "list a new incarnation under a new fence": z3.And(*is_fenced),
+            "assume the longest lease at a first list": z3.Or(
+                each.has_rejected_orders,
+                first_end_s >= state.now_s + LONGEST_LEASE_S,
+            ),
+        },
+        state.with_worker(fence=each.fence).with_scheduler(
+            name,
+            is_synced=_TRUE,
+            listed_s=later(each.listed_s, first_end_s),
+            counted_incarnation=each.incarnation,
+        ),
+        when=z3.And(is_reached, z3.Not(each.is_synced)),
+    )
+    is_in_list = z3.And(is_reached, each.is_synced, worker.is_running)
+    yield Step(
+        f"{name} notes that the known incarnation has the run",
+        {"rely on the list of the known incarnation": is_in_list},
+        state.with_scheduler(name, is_listed=_TRUE),
+        when=z3.And(each.is_active, each.phase == IN_DOUBT),
+    )
+    yield Step(
+        f"{name} reads that nothing runs",
+        {},
+        _with_run_given_up(state.with_worker(fence=each.fence), name, each.incarnation),
+        when=z3.And(
+            is_reached,
+            each.is_synced,
+            each.phase == IN_DOUBT,
+            z3.Not(worker.is_running),
+            z3.Or(z3.Not(each.start.is_sent), each.start.fence < each.fence),
+        ),
+    )
+
+
+def _with_known_restart(
+    state: InheritedLeases, name: str, incarnation: z3.ArithRef
+) -> InheritedLeases:
+    """Return the state after a scheduler has learned of a new incarnation.
+
+    A run that an earlier incarnation has listed ended with that one.
+    """
+    each = state.schedulers[name]
+    is_lost = z3.And(each.phase == IN_DOUBT, each.is_listed)
+    return state.with_scheduler(
+        name,
+        incarnation=incarnation,
+        released_incarnation=z3.If(is_lost, incarnation, each.released_incarnation),
+        phase=z3.If(is_lost, WAITING, each.phase),
+        is_synced=_FALSE,
+        is_listed=_FALSE,
+        has_rejected_orders=_FALSE,
+    )
+
+
+def _with_run_given_up(
+    state: InheritedLeases, name: str, incarnation: z3.ArithRef
+) -> InheritedLeases:
+    return state.with_scheduler(
+        name, phase=WAITING, is_listed=_FALSE, released_incarnation=incarnation
+    )
+
+
+def _release_steps(
+    state: InheritedLeases, name: str
+) -> Iterator[Step[InheritedLeases]]:
+    each = state.schedulers[name]
+    is_late_over = z3.Or(
+        z3.Not(each.may_have_late_orders), state.now_s > each.late_end_s
+    )
+    is_unlisted_over = z3.And(
+        state.now_s > each.listed_s, state.now_s > each.unlisted_s
+    )
+    yield Step(
+        f"{name} gives up the run",
+        {
+            "wait out the lease of a listed run": z3.Or(
+                z3.Not(each.is_listed), state.now_s > each.listed_s
+            ),
+            "wait out the longest lease of another run": z3.Or(
+                each.is_listed, is_unlisted_over
+            ),
+            "wait for late orders after a restart": z3.Or(each.is_listed, is_late_over),
+        },
+        _with_run_given_up(state, name, each.incarnation),
+        when=z3.And(
+            each.is_active,
+            each.phase == IN_DOUBT,
+            each.incarnation >= state.worker.listed_incarnation,
+        ),
+    )
+    moved = state.with_placement(
+        phase=ELSEWHERE, released_incarnation=each.released_incarnation
+    )
+    yield Step(
+        f"{name} starts the task elsewhere",
+        {},
+        replace(moved, written_s=state.now_s).with_scheduler(
+            name, confirmed_s=state.now_s
+        ),
+        when=z3.And(
+            _may_write(state, each),
+            each.phase == WAITING,
+            state.placement.phase == PLACED,
+        ),
+    )
+
+
+def _effect_steps(state: InheritedLeases, name: str) -> Iterator[Step[InheritedLeases]]:
+    each, worker = state.schedulers[name], state.worker
+    for label, order in (("start", each.start), ("grant", each.grant)):
+        arrived = state.with_scheduler(name, **{label: replace(order, is_sent=_FALSE)})
+        yield Step(f"the {label} of {name} is lost", {}, arrived, when=order.is_sent)
+        is_own = order.incarnation == worker.incarnation
+        is_start = label == "start"
+        ordinary_s = order.sent_s + ORDINARY_LEASE_S
+        longest_s = state.now_s + LONGEST_LEASE_S
+        until_s = later(worker.until_s, z3.If(is_own, ordinary_s, longest_s))
+        is_in_time = z3.If(
+            is_own,
+            state.now_s <= ordinary_s,
+            may_take_late(state, order),
+        )
+        effect = (arrived if is_start else state).with_worker(
+            fence=later(order.fence, worker.fence),
+            is_running=z3.Or(worker.is_running, z3.BoolVal(is_start)),
+            until_s=until_s,
+        )
+        may_start = _may_still_start(state) if is_start else _TRUE
+        yield Step(
+            f"the {label} of {name} takes effect",
+            {},
+            effect,
+            when=z3.And(
+                order.is_sent, order.fence >= worker.fence, is_in_time, may_start
+            ),
+        )
+
+
+def _may_still_start(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether the worker may carry out the start of a run.
+
+    What an incarnation does that starts after the run was given up is left out.
+    """
+    latest = [
+        z3.Implies(
+            state.placement.phase == ELSEWHERE,
+            state.worker.incarnation <= state.placement.released_incarnation,
+        )
+    ]
+    for each in state.schedulers.values():
+        has_given_up = z3.And(
+            each.is_active, each.term == state.term, each.phase == WAITING
+        )
+        latest.append(
+            z3.Implies(
+                has_given_up, state.worker.incarnation <= each.released_incarnation
+            )
+        )
+    return z3.And(*latest)
+
+
+def _may_write(state: InheritedLeases, each: Scheduler) -> z3.BoolRef:
+    return z3.And(each.is_active, each.term == state.term, z3.Not(state.is_released))
+
+
+def _is_valid(state: InheritedLeases, each: Scheduler) -> z3.BoolRef:
+    return state.now_s <= each.confirmed_s + OWNER_LEASE_S
--- /dev/null
+++ b/spec/_inherited_lemmas.py
@@ -0,0 +1,500 @@
+"""Auxiliary invariants of the model of inherited worker leases."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+import z3
+
+from spec._inherited_state import (
+    ELSEWHERE,
+    IN_DOUBT,
+    LATE_ORDER_S,
+    LONGEST_LEASE_S,
+    ORDINARY_LEASE_S,
+    PLACED,
+    PROMPT_ORDER_S,
+    STORED,
+    UNPLACED,
+    WAITING,
+    InheritedLeases,
+    LeaseEntry,
+    Order,
+    Scheduler,
+)
+from spec._ownership import FENCES_PER_TERM, OWNER_LEASE_S
+
+
+def lemmas(state: InheritedLeases) -> Mapping[str, z3.BoolRef]:
+    """Return the auxiliary invariants, by name."""
+    parts = {
+        "terms, fences and times are ordered": _is_ordered,
+        "incarnations are ordered": _is_incarnation_ordered,
+        "deposed schedulers order nothing after the stated time": _is_expiry_stated,
+        "a row without renewal binds its holder": _is_suspension_stored,
+        "the task has one start": _has_one_start,
+        "a listed run is in its incarnation": _is_listed_run_bound,
+        "a synced incarnation rejects earlier orders": _is_fence_in_force,
+        "the stored incarnation rejects earlier orders": _is_stored_fence_in_force,
+        "the entry covers every lease": _is_entry_sufficient,
+        "a row on its way covers every lease": _is_row_write_sufficient,
+        "the holder covers every lease": _is_holder_informed,
+        "a run that was given up has ended": _has_released_run_ended,
+    }
+    return {name: part(state) for name, part in parts.items()}
+
+
+def _is_ordered(state: InheritedLeases) -> z3.BoolRef:
+    worker = state.worker
+    parts = [
+        state.now_s >= 0,
+        state.written_s <= state.now_s,
+        state.term >= 0,
+        worker.fence >= 0,
+        worker.fence < _fence_end(state.term),
+        worker.until_s <= state.now_s + LONGEST_LEASE_S,
+        z3.Implies(worker.is_running, state.now_s <= worker.until_s),
+        z3.Or(*(state.placement.phase == each for each in _STORED_PHASES)),
+        z3.Or(state.entry.is_renewed, state.entry.listed_s >= 0),
+    ]
+    for each in state.schedulers.values():
+        parts += _scheduler_order(state, each)
+    one, other = state.schedulers.values()
+    parts.append(z3.Implies(one.term > 0, one.term != other.term))
+    return z3.And(*parts)
+
+
+_STORED_PHASES = (UNPLACED, PLACED, ELSEWHERE)
+_PHASES = (WAITING, STORED, IN_DOUBT)
+
+
+def _scheduler_order(state: InheritedLeases, each: Scheduler) -> list[z3.BoolRef]:
+    has_fences = z3.And(each.term > 0, state.worker.fence < _fence_end(each.term))
+    is_current = each.term == state.term
+    parts = [
+        z3.And(each.term >= 0, each.term <= state.term),
+        z3.And(
+            each.fence >= _first_fence(each.term), each.fence < _fence_end(each.term)
+        ),
+        each.confirmed_s <= state.now_s,
+        z3.Implies(is_current, each.confirmed_s <= state.written_s),
+        z3.Implies(each.term == 0, z3.Not(each.is_active)),
+        z3.Implies(has_fences, state.worker.fence <= each.fence),
+        z3.Or(*(each.phase == phase for phase in _PHASES)),
+        each.listed_s >= 0,
+        each.row_write.sent_s <= state.now_s,
+        each.row_write.entry.listed_s >= 0,
+    ]
+    for order in each.orders:
+        is_own = z3.And(
+            each.term > 0,
+            order.fence >= _first_fence(each.term),
+            order.fence <= each.fence,
+            order.sent_s <= state.now_s,
+            order.incarnation <= each.incarnation,
+        )
+        parts.append(z3.Implies(order.is_sent, is_own))
+    return parts
+
+
+def _is_incarnation_ordered(state: InheritedLeases) -> z3.BoolRef:
+    current = state.worker.incarnation
+    parts = [
+        state.worker.listed_incarnation >= 1,
+        state.worker.listed_incarnation <= current,
+        state.placement.released_incarnation <= current,
+        state.placement.incarnation <= current,
+        state.entry.incarnation <= current,
+    ]
+    for each in state.schedulers.values():
+        parts += [
+            z3.And(each.incarnation >= 0, each.incarnation <= current),
+            each.released_incarnation <= current,
+            z3.Implies(each.is_synced, each.counted_incarnation == each.incarnation),
+            each.counted_incarnation <= current,
+            each.row_write.entry.incarnation <= each.incarnation,
+        ]
+    return z3.And(*parts)
+
+
+def _is_expiry_stated(state: InheritedLeases) -> z3.BoolRef:
+    parts = []
+    for each in state.schedulers.values():
+        is_deposed = z3.And(each.is_active, each.term < state.term)
+        is_stated = each.confirmed_s + OWNER_LEASE_S <= state.earlier_orders_until_s
+        parts.append(
+            z3.Implies(z3.And(is_deposed, z3.Not(each.is_releasing)), is_stated)
+        )
+        is_last = z3.And(state.is_released, each.is_active, each.term == state.term)
+        parts.append(z3.Implies(is_last, each.is_releasing))
+    return z3.And(*parts)
+
+
+def _is_suspension_stored(state: InheritedLeases) -> z3.BoolRef:
+    parts = []
+    for each in state.schedulers.values():
+        is_current = z3.And(each.term > 0, each.term == state.term)
+        is_renewing = z3.And(each.is_renewal_stored, z3.Not(each.is_suspended))
+        parts += [
+            z3.Implies(
+                z3.And(is_current, is_renewing, each.is_active), state.entry.is_renewed
+            ),
+            z3.Implies(
+                each.row_write.is_sent, z3.And(each.term > 0, each.is_suspended)
+            ),
+            z3.Implies(each.row_write.is_sent, z3.Not(each.row_write.entry.is_renewed)),
+        ]
+    return z3.And(*parts)
+
+
+def _has_one_start(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether the task runs, or its one start is left, at most once."""
+    tokens, lists = [state.worker.is_running], [state.placement.is_listed]
+    for each in state.schedulers.values():
+        tokens += [each.start.is_sent, each.phase == STORED]
+        lists += [each.is_listed, each.row_write.is_listed]
+    has_any = z3.Or(*tokens)
+    idle = z3.And(*(each.phase == WAITING for each in state.schedulers.values()))
+    is_unplaced = state.placement.phase == UNPLACED
+    return z3.And(
+        z3.AtMost(*tokens, 1),
+        z3.Implies(is_unplaced, z3.And(z3.Not(has_any), idle)),
+        z3.Implies(is_unplaced, z3.Not(z3.Or(*lists))),
+        z3.Implies(is_unplaced, state.placement.incarnation == 0),
+    )
+
+
+def _is_listed_run_bound(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether a run that was listed is in that incarnation or has ended."""
+    placement = state.placement
+    parts = [z3.Implies(placement.is_listed, _is_bound(state, placement.incarnation))]
+    for each in state.schedulers.values():
+        is_current = z3.And(each.term > 0, each.term == state.term)
+        parts += [
+            z3.Implies(
+                z3.And(is_current, each.is_active, each.is_listed),
+                z3.And(
+                    each.phase == IN_DOUBT,
+                    z3.Or(each.is_synced, each.has_rejected_orders),
+                    _is_bound(state, each.incarnation),
+                ),
+            ),
+            z3.Implies(
+                z3.And(is_current, each.row_write.is_sent, each.row_write.is_listed),
+                z3.And(
+                    _is_bound(state, each.row_write.entry.incarnation),
+                    z3.Or(
+                        each.incarnation > each.row_write.entry.incarnation,
+                        each.is_synced,
+                        each.has_rejected_orders,
+                    ),
+                ),
+            ),
+            z3.Implies(
+                z3.And(is_current, each.has_rejected_orders),
+                z3.And(
+                    placement.is_listed,
+                    placement.incarnation == each.incarnation,
+                    z3.Implies(
+                        each.row_write.is_sent,
+                        each.row_write.entry.incarnation == each.incarnation,
+                    ),
+                ),
+            ),
+            z3.Implies(
+                z3.And(is_current, placement.is_listed, placement.phase == PLACED),
+                z3.Or(
+                    each.incarnation > placement.incarnation,
+                    z3.And(
+                        each.incarnation == placement.incarnation,
+                        z3.Or(each.is_synced, each.has_rejected_orders),
+                    ),
+                ),
+            ),
+        ]
+    return z3.And(*parts)
+
+
+def _is_bound(state: InheritedLeases, incarnation: z3.ArithRef) -> z3.BoolRef:
+    """Return whether the task can run in one incarnation only."""
+    parts = [
+        z3.Implies(state.worker.is_running, state.worker.incarnation == incarnation)
+    ]
+    for each in state.schedulers.values():
+        parts.append(z3.Not(z3.Or(each.start.is_sent, each.phase == STORED)))
+    return z3.And(*parts)
+
+
+def _is_fence_in_force(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether a worker that a scheduler has synced rejects earlier orders."""
+    parts = []
+    for each in state.schedulers.values():
+        is_known = each.incarnation == state.worker.incarnation
+        is_fenced = [state.worker.fence >= _first_fence(each.term)]
+        is_fenced += [z3.Not(_is_takeable_late(state, order)) for order in each.orders]
+        parts.append(
+            z3.Implies(
+                z3.And(each.term > 0, each.is_synced, is_known), z3.And(*is_fenced)
+            )
+        )
+    return z3.And(*parts)
+
+
+def _is_stored_fence_in_force(state: InheritedLeases) -> z3.BoolRef:
+    placement = state.placement
+    is_current = z3.And(
+        placement.phase != UNPLACED, placement.incarnation == state.worker.incarnation
+    )
+    parts = []
+    for each in state.schedulers.values():
+        parts += [z3.Not(_is_takeable_late(state, order)) for order in each.orders]
+        may_order_earlier = z3.And(
+            each.is_active,
+            each.is_synced,
+            each.incarnation < state.worker.incarnation,
+        )
+        is_fenced = _fence_end(each.term) <= state.worker.fence
+        parts.append(z3.Implies(may_order_earlier, is_fenced))
+    return z3.Implies(is_current, z3.And(*parts))
+
+
+def _is_entry_sufficient(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether the next scheduler waits long enough by what is stored."""
+    entry, is_listed_here = state.entry, _is_stored_list_current(state)
+    renewed_s = state.now_s + ORDINARY_LEASE_S
+    is_renewed_covered = z3.Or(
+        state.worker.until_s <= entry.listed_s, state.worker.until_s <= renewed_s
+    )
+    return z3.If(
+        entry.is_renewed,
+        z3.Implies(is_listed_here, is_renewed_covered),
+        _is_write_sufficient(state, entry, is_listed_here),
+    )
+
+
+def _is_row_write_sufficient(state: InheritedLeases) -> z3.BoolRef:
+    parts = []
+    for each in state.schedulers.values():
+        written = each.row_write
+        is_open = z3.And(written.is_sent, each.term == state.term)
+        is_listed_here = z3.Or(
+            z3.And(
+                written.is_listed,
+                written.entry.incarnation == state.worker.incarnation,
+            ),
+            _is_stored_list_current(state),
+        )
+        parts.append(
+            z3.Implies(
+                is_open, _is_write_sufficient(state, written.entry, is_listed_here)
+            )
+        )
+    return z3.And(*parts)
+
+
+def _is_stored_list_current(state: InheritedLeases) -> z3.BoolRef:
+    placement = state.placement
+    return z3.And(
+        placement.phase == PLACED,
+        placement.is_listed,
+        placement.incarnation == state.worker.incarnation,
+    )
+
+
+def _is_write_sufficient(
+    state: InheritedLeases, entry: LeaseEntry, is_listed_here: z3.BoolRef
+) -> z3.BoolRef:
+    """Return whether an entry without renewal covers every lease."""
+    worker = state.worker
+    is_late = z3.And(
+        worker.incarnation > entry.incarnation,
+        worker.incarnation <= worker.listed_incarnation,
+    )
+    return z3.And(
+        z3.Implies(is_listed_here, _is_listed_covered(state, entry.listed_s)),
+        _are_orders_covered(state, entry.unlisted_s, entry.incarnation),
+        z3.Or(
+            worker.until_s <= entry.listed_s,
+            worker.until_s <= entry.unlisted_s,
+            is_late,
+        ),
+    )
+
+
+def _is_holder_informed(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether the holder waits long enough by what it knows."""
+    worker = state.worker
+    parts = []
+    for each in state.schedulers.values():
+        is_known = z3.And(
+            z3.Or(each.is_synced, each.has_rejected_orders),
+            each.incarnation == worker.incarnation,
+        )
+        is_late = z3.And(
+            worker.incarnation > each.counted_incarnation,
+            worker.incarnation <= worker.listed_incarnation,
+            worker.until_s <= each.late_end_s,
+        )
+        is_informed = z3.And(
+            z3.Implies(is_known, _is_listed_covered(state, each.listed_s)),
+            _are_orders_covered(state, each.unlisted_s, each.counted_incarnation),
+            z3.Or(
+                worker.until_s <= each.listed_s,
+                worker.until_s <= each.unlisted_s,
+                is_late,
+            ),
+            *_orders_before(state, each.orders_end_s),
+        )
+        is_holder = z3.And(each.is_active, each.term == state.term)
+        parts.append(z3.Implies(is_holder, is_informed))
+    return z3.And(*parts)
+
+
+def _orders_before(state: InheritedLeases, end_s: z3.ArithRef) -> Iterator[z3.BoolRef]:
+    """Yield that orders are sent by `end_s`."""
+    yield state.earlier_orders_until_s <= end_s
+    for each in state.schedulers.values():
+        for order in each.orders:
+            yield z3.Implies(order.is_sent, order.sent_s <= end_s)
+
+
+def _is_listed_covered(state: InheritedLeases, listed_s: z3.ArithRef) -> z3.BoolRef:
+    """Return whether the lease of the current incarnation ends by `listed_s`."""
+    worker = state.worker
+    parts = [worker.until_s <= listed_s]
+    for each in state.schedulers.values():
+        for order in each.orders:
+            is_open = z3.And(
+                order.is_sent,
+                order.incarnation == worker.incarnation,
+                order.fence >= worker.fence,
+            )
+            end_s = order.sent_s + ORDINARY_LEASE_S
+            parts.append(z3.Implies(is_open, end_s <= listed_s))
+        is_open = z3.And(
+            _may_order_deposed(state, each), worker.fence < _fence_end(each.term)
+        )
+        end_s = each.confirmed_s + OWNER_LEASE_S + ORDINARY_LEASE_S
+        parts.append(z3.Implies(is_open, end_s <= listed_s))
+    return z3.And(*parts)
+
+
+def _are_orders_covered(
+    state: InheritedLeases, unlisted_s: z3.ArithRef, counted: z3.ArithRef
+) -> z3.BoolRef:
+    """Return whether leases by orders, also by late ones, end by `unlisted_s`.
+
+    Late ones are covered up to the incarnation `counted`.
+    """
+    worker = state.worker
+    prompt_s = PROMPT_ORDER_S + LONGEST_LEASE_S
+    late_s = LATE_ORDER_S + LONGEST_LEASE_S
+    is_counted = worker.incarnation <= counted
+    parts = []
+    for each in state.schedulers.values():
+        for order in each.orders:
+            is_covered = order.sent_s + prompt_s <= unlisted_s
+            parts.append(z3.Implies(order.is_sent, is_covered))
+            is_late = z3.And(is_counted, _is_takeable_late(state, order))
+            is_covered = order.sent_s + late_s <= unlisted_s
+            parts.append(z3.Implies(is_late, is_covered))
+        last_s = each.confirmed_s + OWNER_LEASE_S
+        may_order = _may_order_deposed(state, each)
+        parts.append(z3.Implies(may_order, last_s + prompt_s <= unlisted_s))
+        is_late = z3.And(
+            may_order,
+            is_counted,
+            each.is_synced,
+            each.incarnation < worker.incarnation,
+            worker.fence < _fence_end(each.term),
+        )
+        parts.append(z3.Implies(is_late, last_s + late_s <= unlisted_s))
+    return z3.And(*parts)
+
+
+def _may_order_deposed(state: InheritedLeases, each: Scheduler) -> z3.BoolRef:
+    """Return whether a deposed scheduler may send an order that grants a lease."""
+    return z3.And(
+        each.is_active,
+        each.term < state.term,
+        each.is_renewal_stored,
+        z3.Not(each.is_suspended),
+        z3.Not(each.is_releasing),
+        state.now_s <= each.confirmed_s + OWNER_LEASE_S,
+    )
+
+
+def _is_takeable_late(state: InheritedLeases, order: Order) -> z3.BoolRef:
+    """Return whether the worker does not reject an order for an earlier incarnation."""
+    return z3.And(
+        order.is_sent,
+        order.incarnation < state.worker.incarnation,
+        order.fence >= state.worker.fence,
+    )
+
+
+def _has_released_run_ended(state: InheritedLeases) -> z3.BoolRef:
+    placement = state.placement
+    parts = [
+        z3.Implies(
+            placement.phase == ELSEWHERE,
+            _has_ended(state, placement.released_incarnation),
+        )
+    ]
+    for each in state.schedulers.values():
+        has_given_up = z3.And(
+            each.is_active,
+            each.term == state.term,
+            each.phase == WAITING,
+            placement.phase != UNPLACED,
+        )
+        parts.append(
+            z3.Implies(has_given_up, _has_ended(state, each.released_incarnation))
+        )
+        is_moved = z3.And(
+            each.term > 0, each.term == state.term, placement.phase == ELSEWHERE
+        )
+        parts.append(z3.Implies(is_moved, each.phase == WAITING))
+    return z3.And(*parts)
+
+
+def _has_ended(state: InheritedLeases, released: z3.ArithRef) -> z3.BoolRef:
+    """Return whether the run neither runs nor starts up to an incarnation."""
+    worker = state.worker
+    parts = [z3.Not(worker.is_running)]
+    for each in state.schedulers.values():
+        order = each.start
+        is_own = order.incarnation == worker.incarnation
+        end_s = order.sent_s + z3.If(is_own, ORDINARY_LEASE_S, LATE_ORDER_S)
+        parts.append(
+            z3.Or(
+                worker.incarnation > released,
+                z3.Not(order.is_sent),
+                order.fence < worker.fence,
+                state.now_s > end_s,
+            )
+        )
+        may_start = z3.And(
+            each.is_active,
+            each.phase == STORED,
+            each.is_renewal_stored,
+            z3.Not(each.is_suspended),
+            z3.Not(each.is_releasing),
+            state.now_s <= each.confirmed_s + OWNER_LEASE_S,
+        )
+        parts.append(
+            z3.Or(
+                worker.incarnation > released,
+                z3.Not(may_start),
+                _fence_end(each.term) <= worker.fence,
+            )
+        )
+    return z3.And(*parts)
+
+
+def _first_fence(term: z3.ArithRef) -> z3.ArithRef:
+    return term * FENCES_PER_TERM
+
+
+def _fence_end(term: z3.ArithRef) -> z3.ArithRef:
+    return (term + 1) * FENCES_PER_TERM
--- a/spec/_report.py
+++ b/spec/_report.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from spec import _allotments, _notes, _ownership
+from spec import _allotments, _inherited_leases, _notes, _ownership
 from spec._engine import Model, find_trace, guard_names, prove_inductive
 
 
@@ -16,6 +16,7 @@
         _allotments.AllotmentModel(),
         _notes.NoteModel(),
         _ownership.OwnershipModel(),
+        _inherited_leases.InheritedLeasesModel(),
     )
 
 
@@ -25,6 +26,7 @@
         _allotments.AllotmentModel(_allotments.SEARCH_NAMES),
         _notes.NoteModel(_notes.SEARCH_NAMES),
         _ownership.OwnershipModel(),
+        _inherited_leases.InheritedLeasesModel(),
     )
 
 
