Inherited leases: the end of a run, three daemons, and restarts learned late

Evidence: with the first version of the model, three conditions that looked sound gave a run that violates the promise, each in a trial on a changed copy:

- Late orders counted only as far as the stored entry knew of a restart.
- The end of a longer lease carried only while the holder itself has the listed run.

Change: a run may end by itself, the end is stored, and another task is placed; the list that a new holder reads may be out of date; the proofs have three daemons, so that two deposed ones may be active at once. The first and the third condition are guards now, the second is part of the bound. No earlier guard or invariant is relaxed; "the holder's stored list" is replaced by "the stored incarnation rejects earlier orders", which holds for every worker on which a list was inherited.

--- a/spec/_inherited_leases.py
+++ b/spec/_inherited_leases.py
@@ -1,12 +1,14 @@
 """Successive schedulers and the leases of a worker that restarts under its id.
 
-There is one worker, on which a task is placed once before it is started elsewhere. The
-worker may restart, and its next incarnation may carry out an order that was meant for
-an earlier one; it then grants the longest lease. The stored entry of the worker's lease
-and the stored list of the run tell the next scheduler how long to wait.
+There is one worker, on which one task after the other is placed, until a task is
+started elsewhere. The worker may restart, and its next incarnation may carry out an
+order that was meant for an earlier one; it then grants the longest lease. The stored
+entry of the worker's lease and the stored list of the run tell the next scheduler how
+long to wait.
 
 The guards of `OwnershipModel` (whether a lease may be taken, and what is valid) are
-preconditions here.
+preconditions here. What an incarnation does that starts after a run was given up is
+left out.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 import z3
 
 from spec._engine import Step, variables
+from spec._inherited_hints import HINTS
 from spec._inherited_lemmas import lemmas
 from spec._inherited_state import (
     ELSEWHERE,
@@ -37,8 +40,12 @@
     later,
     may_take_late,
 )
-from spec._ownership import FENCES_PER_TERM, NAMES, OWNER_LEASE_S
+from spec._ownership import FENCES_PER_TERM, OWNER_LEASE_S
 
+#: Daemons of the proofs; each may hold the lease again after a restart.
+PROOF_NAMES = ("a", "b", "c")
+#: Daemons of the searches for counterexamples.
+SEARCH_NAMES = ("a", "b")
 _TRUE, _FALSE = z3.BoolVal(True), z3.BoolVal(False)
 _ZERO = z3.IntVal(0)
 
@@ -47,176 +54,28 @@
     """The specification of inherited worker leases; implements `Model`."""
 
     name = "inherited leases"
-    search_depth = 24
+    search_depth = 34
     prefix = (
         "a takes the lease",
         "a stores that it renews the worker",
         "a reads the first list of the worker",
     )
-    hints: ClassVar[Mapping[str, tuple[str, ...]]] = {
-        "carry the end of a lease that is longer than usual": (
-            "a grants the worker a lease",
-            "the worker restarts",
-            "the grant of a takes effect",
-            "a learns of a restart from a reply",
-            "a raises its fence",
-            "a reads the first list of the worker",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "a stores that it renews the worker",
-            "a ends",
-            "b takes the lease",
-            "time passes",
-        ),
-        "carry the end of listed runs": (
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "a sends a row without renewal of the worker",
-            "the row of a takes effect",
-            "a ends",
-            "b takes the lease",
-        ),
-        "carry the end of other runs": (
-            "a stores the placement",
-            "a sends the start",
-            "the worker restarts",
-            "time passes",
-            "the start of a takes effect",
-            "a sends a row without renewal of the worker",
-            "the row of a takes effect",
-            "a ends",
-            "b takes the lease",
-            "time passes",
-        ),
-        "carry the end of runs that start late": (
-            "a stores the placement",
-            "a sends the start",
-            "the worker restarts",
-            "the store lists the worker's incarnation",
-            "a learns of a restart from the store",
-            "time passes",
-            "the start of a takes effect",
-            "a sends a row without renewal of the worker",
-            "the row of a takes effect",
-            "a ends",
-            "b takes the lease",
-        ),
-        "store the renewal before the first order": (
-            "time passes",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "a stores that it renews the worker",
-            "a ends",
-            "b takes the lease",
-            "b reads the first list of the worker",
-            "time passes",
-            "b grants the worker a lease",
-            "the grant of b takes effect",
-            "b ends",
-            "a restarts",
-            "a takes the lease",
-            "time passes",
-        ),
-        "order nothing once a row without renewal is sent": (
-            "time passes",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "a sends a row without renewal of the worker",
-            "time passes",
-            "a grants the worker a lease",
-            "the grant of a takes effect",
-            "the row of a takes effect",
-            "a ends",
-            "b takes the lease",
-            "time passes",
-        ),
-        "order nothing once the release is sent": (
-            "time passes",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "a stores that it renews the worker",
-            "a sends the write that releases its lease",
-            "the release by a takes effect",
-            "b takes the lease",
-            "time passes",
-            "a grants the worker a lease",
-            "the grant of a takes effect",
-            "time passes",
-        ),
-        "list a new incarnation under a new fence": (
-            "a grants the worker a lease",
-            "the worker restarts",
-            "a learns of a restart from a reply",
-            "a reads the first list of the worker",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "time passes",
-            "the grant of a takes effect",
-            "time passes",
-        ),
-        "assume the longest lease at a first list": (
-            "a grants the worker a lease",
-            "the worker restarts",
-            "the grant of a takes effect",
-            "a learns of a restart from a reply",
-            "a raises its fence",
-            "a reads the first list of the worker",
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "time passes",
-        ),
-        "rely on the list of the known incarnation": (
-            "a stores the placement",
-            "a sends the start",
-            "the worker restarts",
-            "time passes",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-            "time passes",
-        ),
-        "wait out the lease of a listed run": (
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-            "a notes that the known incarnation has the run",
-        ),
-        "wait out the longest lease of another run": (
-            "a stores the placement",
-            "a sends the start",
-            "the start of a takes effect",
-        ),
-        "wait for late orders after a restart": (
-            "a stores the placement",
-            "a sends the start",
-            "the worker restarts",
-            "the store lists the worker's incarnation",
-            "a learns of a restart from the store",
-            "time passes",
-            "the start of a takes effect",
-        ),
-    }
+    hints: ClassVar[Mapping[str, tuple[str, ...]]] = HINTS
+
+    def __init__(self, names: tuple[str, ...] = PROOF_NAMES) -> None:
+        self._names = names
 
     def fresh(self, label: str) -> InheritedLeases:
         """Return a state of fresh constants."""
-        return InheritedLeases.fresh(label)
+        return InheritedLeases.fresh(label, self._names)
 
     def is_initial(self, state: InheritedLeases) -> z3.BoolRef:
         """Return whether nothing has happened yet."""
-        pairs = zip(variables(state), variables(InheritedLeases.initial()), strict=True)
+        pairs = zip(
+            variables(state),
+            variables(InheritedLeases.initial(self._names)),
+            strict=True,
+        )
         return z3.And(*(term == value for (_, term), (_, value) in pairs))
 
     def safety_properties(self, state: InheritedLeases) -> Mapping[str, z3.BoolRef]:
@@ -232,8 +91,8 @@
         """Return all steps from `state`."""
         moment_s = z3.Real(f"{label}.moment_s")
         found = [*_world_steps(state, moment_s)]
-        for name in NAMES:
-            found.extend(_lease_steps(state, name, moment_s))
+        for name in self._names:
+            found.extend(_lease_steps(state, name, moment_s, label))
             found.extend(_row_steps(state, name, moment_s, label))
             found.extend(_order_steps(state, name))
             found.extend(_knowledge_steps(state, name, moment_s))
@@ -253,6 +112,12 @@
         replace(state.with_worker(is_running=is_running), now_s=moment_s),
         when=moment_s > state.now_s,
     )
+    yield Step(
+        "the run ends",
+        {},
+        state.with_worker(is_running=_FALSE),
+        when=worker.is_running,
+    )
     yield Step(
         "the worker restarts",
         {},
@@ -271,7 +136,7 @@
 
 
 def _lease_steps(
-    state: InheritedLeases, name: str, orders_until_s: z3.ArithRef
+    state: InheritedLeases, name: str, orders_until_s: z3.ArithRef, label: str
 ) -> Iterator[Step[InheritedLeases]]:
     each = state.schedulers[name]
     has_holder = z3.Or(
@@ -281,15 +146,22 @@
         )
     )
     has_ended = z3.Or(state.is_released, z3.Not(has_holder))
+    # The list that the new holder reads may be out of date.
+    listed = z3.Int(f"{label}.listed_incarnation")
+    orders_end_s = z3.Real(f"{label}.orders_end_s")
     yield Step(
         f"{name} takes the lease",
-        {},
-        _with_taken_lease(state, name, orders_until_s),
+        {"count late orders from each takeover": orders_end_s >= orders_until_s},
+        _with_taken_lease(state, name, orders_until_s, listed).with_scheduler(
+            name, orders_end_s=orders_end_s
+        ),
         when=z3.And(
             z3.Not(each.is_active),
             each.term == 0,
             orders_until_s >= state.now_s,
             orders_until_s >= state.earlier_orders_until_s,
+            listed >= 0,
+            listed <= state.worker.listed_incarnation,
             z3.Or(has_ended, orders_until_s >= state.written_s + OWNER_LEASE_S),
         ),
     )
@@ -327,17 +199,17 @@
 
 
 def _with_taken_lease(
-    state: InheritedLeases, name: str, orders_until_s: z3.ArithRef
+    state: InheritedLeases,
+    name: str,
+    orders_until_s: z3.ArithRef,
+    listed: z3.ArithRef,
 ) -> InheritedLeases:
     """Return the state after a daemon has taken the lease and read what is stored."""
     entry, placement = state.entry, state.placement
     is_placed = placement.phase == PLACED
     is_listed = z3.And(is_placed, placement.is_listed)
-    known = z3.If(
-        z3.And(is_listed, placement.incarnation > state.worker.listed_incarnation),
-        placement.incarnation,
-        state.worker.listed_incarnation,
-    )
+    is_newer = z3.And(is_listed, placement.incarnation > listed)
+    known = z3.If(is_newer, placement.incarnation, listed)
     has_ended = z3.And(is_listed, known > placement.incarnation)
     may_run = z3.And(is_placed, z3.Not(has_ended))
     is_bound = z3.And(is_listed, z3.Not(has_ended))
@@ -361,7 +233,6 @@
         counted_incarnation=z3.If(
             entry.is_renewed, placement.incarnation, entry.incarnation
         ),
-        orders_end_s=orders_until_s,
     )
     return replace(
         state,
@@ -388,15 +259,17 @@
 def _row_steps(
     state: InheritedLeases, name: str, carried_s: z3.ArithRef, label: str
 ) -> Iterator[Step[InheritedLeases]]:
-    each, placement = state.schedulers[name], state.placement
+    each = state.schedulers[name]
     carried_unlisted_s = z3.Real(f"{label}.carried_unlisted_s")
     stores_list = z3.And(z3.Bool(f"{label}.stores_list"), each.is_listed)
-    will_be_listed = z3.Or(stores_list, placement.is_listed)
     is_carried = z3.Or(
-        z3.Not(will_be_listed),
         carried_s >= each.listed_s,
         each.listed_s <= state.now_s + ORDINARY_LEASE_S,
     )
+    has_listed_run = z3.And(
+        each.is_listed, z3.Or(stores_list, state.placement.is_listed)
+    )
+    has_unstored_end = z3.And(z3.Not(each.is_listed), state.placement.is_listed)
     renewed = state.with_scheduler(
         name,
         confirmed_s=state.now_s,
@@ -408,7 +281,14 @@
     entry = LeaseEntry(_TRUE, carried_s, carried_s, each.incarnation)
     yield Step(
         f"{name} stores that it renews the worker",
-        {"carry the end of a lease that is longer than usual": is_carried},
+        {
+            "carry the end of a longer lease": z3.Or(
+                z3.Not(has_listed_run), is_carried
+            ),
+            "carry it until the end of the run is stored": z3.Or(
+                z3.Not(has_unstored_end), is_carried
+            ),
+        },
         replace(renewed, written_s=state.now_s, entry=entry),
         when=_may_write(state, each),
     )
@@ -629,6 +509,16 @@
     moved = state.with_placement(
         phase=ELSEWHERE, released_incarnation=each.released_incarnation
     )
+    yield Step(
+        f"{name} stores the end of the run",
+        {},
+        _with_next_task(state, name),
+        when=z3.And(
+            _may_write(state, each),
+            state.placement.phase != UNPLACED,
+            *map(_is_idle, state.schedulers.values()),
+        ),
+    )
     yield Step(
         f"{name} starts the task elsewhere",
         {},
@@ -643,6 +533,30 @@
     )
 
 
+def _is_idle(each: Scheduler) -> z3.BoolRef:
+    """Return whether nothing of the task is left in a scheduler, or on its way."""
+    is_open = (
+        each.phase != WAITING,
+        each.is_listed,
+        each.start.is_sent,
+        each.row_write.is_sent,
+        each.row_write.is_listed,
+    )
+    return z3.Not(z3.Or(*is_open))
+
+
+def _with_next_task(state: InheritedLeases, name: str) -> InheritedLeases:
+    """Return the state after the task has ended; the next one is not placed yet."""
+    ended = state.with_placement(
+        phase=UNPLACED,
+        incarnation=_ZERO,
+        is_listed=_FALSE,
+        released_incarnation=_ZERO,
+    )
+    written = ended.with_scheduler(name, confirmed_s=state.now_s)
+    return replace(written, written_s=state.now_s)
+
+
 def _effect_steps(state: InheritedLeases, name: str) -> Iterator[Step[InheritedLeases]]:
     each, worker = state.schedulers[name], state.worker
     for label, order in (("start", each.start), ("grant", each.grant)):
--- a/spec/_inherited_lemmas.py
+++ b/spec/_inherited_lemmas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from itertools import combinations
 
 import z3
 
@@ -35,7 +36,7 @@
         "the task has one start": _has_one_start,
         "a listed run is in its incarnation": _is_listed_run_bound,
         "a synced incarnation rejects earlier orders": _is_fence_in_force,
-        "the stored incarnation rejects earlier orders": _is_stored_fence_in_force,
+        "the stored incarnation rejects earlier orders": _is_inherited_fence_in_force,
         "the entry covers every lease": _is_entry_sufficient,
         "a row on its way covers every lease": _is_row_write_sufficient,
         "the holder covers every lease": _is_holder_informed,
@@ -59,8 +60,8 @@
     ]
     for each in state.schedulers.values():
         parts += _scheduler_order(state, each)
-    one, other = state.schedulers.values()
-    parts.append(z3.Implies(one.term > 0, one.term != other.term))
+    for one, other in combinations(state.schedulers.values(), 2):
+        parts.append(z3.Implies(one.term > 0, one.term != other.term))
     return z3.And(*parts)
 
 
@@ -191,15 +192,8 @@
                 ),
             ),
             z3.Implies(
-                z3.And(is_current, each.has_rejected_orders),
-                z3.And(
-                    placement.is_listed,
-                    placement.incarnation == each.incarnation,
-                    z3.Implies(
-                        each.row_write.is_sent,
-                        each.row_write.entry.incarnation == each.incarnation,
-                    ),
-                ),
+                z3.And(is_current, each.has_rejected_orders, each.row_write.is_sent),
+                each.row_write.entry.incarnation == each.incarnation,
             ),
             z3.Implies(
                 z3.And(is_current, placement.is_listed, placement.phase == PLACED),
@@ -240,22 +234,27 @@
     return z3.And(*parts)
 
 
-def _is_stored_fence_in_force(state: InheritedLeases) -> z3.BoolRef:
-    placement = state.placement
-    is_current = z3.And(
-        placement.phase != UNPLACED, placement.incarnation == state.worker.incarnation
-    )
-    parts = []
+def _is_inherited_fence_in_force(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether a worker on which a run is stored rejects earlier orders."""
+    placement, current = state.placement, state.worker.incarnation
+    has_stored = [z3.And(placement.phase != UNPLACED, placement.incarnation == current)]
+    rejected = []
     for each in state.schedulers.values():
-        parts += [z3.Not(_is_takeable_late(state, order)) for order in each.orders]
+        has_stored.append(
+            z3.And(
+                each.term > 0,
+                each.term == state.term,
+                each.has_rejected_orders,
+                each.incarnation == current,
+            )
+        )
+        rejected += [z3.Not(_is_takeable_late(state, order)) for order in each.orders]
         may_order_earlier = z3.And(
-            each.is_active,
-            each.is_synced,
-            each.incarnation < state.worker.incarnation,
+            each.is_active, each.is_synced, each.incarnation < current
         )
         is_fenced = _fence_end(each.term) <= state.worker.fence
-        parts.append(z3.Implies(may_order_earlier, is_fenced))
-    return z3.Implies(is_current, z3.And(*parts))
+        rejected.append(z3.Implies(may_order_earlier, is_fenced))
+    return z3.Implies(z3.Or(*has_stored), z3.And(*rejected))
 
 
 def _is_entry_sufficient(state: InheritedLeases) -> z3.BoolRef:
--- a/spec/_inherited_state.py
+++ b/spec/_inherited_state.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 import z3
 
-from spec._ownership import NAMES
-
 #: Maximum length of a lease that the incarnation grants for which the order was meant,
 #: and of one that a later incarnation grants, by the slowest clock, in seconds.
 ORDINARY_LEASE_S = z3.Q(408, 100)
@@ -352,7 +350,7 @@
     schedulers: Mapping[str, Scheduler]
 
     @classmethod
-    def fresh(cls, label: str) -> InheritedLeases:
+    def fresh(cls, label: str, names: Iterable[str]) -> InheritedLeases:
         """Return a state of fresh constants."""
         return cls(
             now_s=z3.Real(f"{label}.now_s"),
@@ -363,11 +361,11 @@
             entry=LeaseEntry.fresh(f"{label}.entry"),
             placement=Placement.fresh(f"{label}.placement"),
             worker=Worker.fresh(f"{label}.worker"),
-            schedulers={name: Scheduler.fresh(f"{label}.{name}") for name in NAMES},
+            schedulers={name: Scheduler.fresh(f"{label}.{name}") for name in names},
         )
 
     @classmethod
-    def initial(cls) -> InheritedLeases:
+    def initial(cls, names: Iterable[str]) -> InheritedLeases:
         """Return the state in which nothing has happened yet."""
         return cls(
             now_s=_NO_TIME,
@@ -380,7 +378,7 @@
             worker=Worker(
                 FIRST_INCARNATION, FIRST_INCARNATION, _ZERO, _FALSE, _NO_TIME
             ),
-            schedulers=dict.fromkeys(NAMES, Scheduler.initial()),
+            schedulers=dict.fromkeys(names, Scheduler.initial()),
         )
 
     def with_scheduler(self, name: str, **changes: object) -> InheritedLeases:
--- a/spec/_report.py
+++ b/spec/_report.py
@@ -26,7 +26,7 @@
         _allotments.AllotmentModel(_allotments.SEARCH_NAMES),
         _notes.NoteModel(_notes.SEARCH_NAMES),
         _ownership.OwnershipModel(),
-        _inherited_leases.InheritedLeasesModel(),
+        _inherited_leases.InheritedLeasesModel(_inherited_leases.SEARCH_NAMES),
     )
 
 
