Grants of leases that are under way belong to the worker's lease

No change of behaviour: their count and the last one without an answer, which stood in the worker's state, move to where the other bounds of its lease are.

--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -270,7 +270,7 @@
         """Apply the outcome of a start order."""
         worker_state = self.workers.get(run.worker)
         if worker_state is not None:
-            worker_state.settle_grant(outcome, now_s)
+            worker_state.lease.settle_grant(outcome, now_s)
         if worker_state is None or run.task.run is not run:
             return
         if outcome is OrderOutcome.ACCEPTED:
--- a/currantstage/coordination/jobs/_worker_lease.py
+++ b/currantstage/coordination/jobs/_worker_lease.py
@@ -9,7 +9,7 @@
     PROMPT_ORDER_DELAY_MS,
     longest_lease_s,
 )
-from currantstage.state.jobs import BornMs
+from currantstage.state.jobs import BornMs, OrderOutcome
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._inherited_leases import RunEnds
@@ -35,6 +35,11 @@
         incarnation.
     granted_s : float
         When the last order with a lease was sent, at the latest.
+    open_grants : int
+        Number of orders with a lease that are under way.
+    lost_grant_s : float
+        When the last order with a lease was found to have no answer, or when a relay
+        may have sent it at the latest.
     adopted_end_s : float
         When a run of an earlier scheduler that no list is known to have shown has
         certainly ended, unless the worker has restarted.
@@ -54,6 +59,8 @@
     end_s: float = 0.0
     long_end_s: float = float("-inf")
     granted_s: float = float("-inf")
+    open_grants: int = 0
+    lost_grant_s: float = float("-inf")
     adopted_end_s: float = float("-inf")
     earlier_orders_end_s: float = float("-inf")
     may_have_late_orders: bool = False
@@ -68,11 +75,31 @@
         The delay doesn't move the end of the lease, unless a later incarnation takes
         the order.
         """
+        self.open_grants += 1
         self.granted_s = max(self.granted_s, now_s + max_delay_s)
         end_s = now_s + longest_lease_s(tuning.worker_lease_ms)
         if end_s > self.end_s:
             self.end_s = end_s
 
+    def settle_grant(
+        self,
+        outcome: OrderOutcome = OrderOutcome.ACCEPTED,
+        now_s: float = float("-inf"),
+    ) -> None:
+        """Record that the outcome of an order with a lease is known, or never will be.
+
+        One without an answer may be carried out late, also by a later incarnation.
+        """
+        self.open_grants -= 1
+        if outcome is OrderOutcome.UNKNOWN:
+            self.lost_grant_s = max(now_s, self.granted_s)
+
+    def latest_order_s(self, now_s: float, tuning: SchedulerTuning) -> float:
+        """Return until when a later incarnation may carry out orders of before."""
+        sent_s = now_s if self.open_grants else self.lost_grant_s
+        delay_s = tuning.max_order_delay_ms / 1000
+        return max(self.late_orders_until_s, sent_s + delay_s)
+
     def extend(self, end_s: float) -> None:
         """Record that the known incarnation may have a longer lease until `end_s`."""
         self.long_end_s = max(self.long_end_s, end_s)
--- a/currantstage/coordination/jobs/_worker_lease_book.py
+++ b/currantstage/coordination/jobs/_worker_lease_book.py
@@ -120,7 +120,7 @@
                 yield row
 
     def _has_late_orders(self, state: WorkerState, now_s: float) -> bool:
-        return state.has_open_grants(now_s, self._tuning)
+        return state.lease.latest_order_s(now_s, self._tuning) > now_s
 
     def _suspend(self, state: WorkerState, sequence: int) -> None:
         state.may_be_renewed = False
@@ -136,10 +136,10 @@
         )
         if _is_adoptable(state) and not lease.may_have_late_orders:
             return row
-        late_orders_until_s = state.late_orders_until_s(now_s, self._tuning)
+        latest_order_s = lease.latest_order_s(now_s, self._tuning)
         return replace(
             row,
-            late_orders_ms=remaining_ms(late_orders_until_s, now_s),
+            late_orders_ms=remaining_ms(latest_order_s, now_s),
             answered_born_ms=lease.answered_born_ms,
         )
 
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -15,7 +15,6 @@
     NO_RESOURCES,
     EndNumber,
     Fence,
-    OrderOutcome,
     RenewalOrder,
     Resources,
     Term,
@@ -97,10 +96,6 @@
         The worker has reported its runs under this scheduler's fence.
     may_be_renewed : bool
         Whether the next scheduler will allow for leases that are granted from now on.
-    open_grants : int
-        Number of orders with a lease that are under way.
-    lost_grant_s : float
-        When the last order with a lease was found to have no answer.
     is_listed : bool
         Whether the store lists the worker.
     missed_renewals : int
@@ -135,8 +130,6 @@
     unstored_ends: dict[EndNumber, TaskKey] = field(default_factory=dict)
     is_synced: bool = False
     may_be_renewed: bool = True
-    open_grants: int = 0
-    lost_grant_s: float = float("-inf")
     is_listed: bool = True
     missed_renewals: int = 0
     missed_s: float = float("-inf")
@@ -258,33 +251,8 @@
         if not self.clock.reading_ms or not self.may_be_renewed:
             return None
         self.lease.grant(now_s, tuning, max_delay_s)
-        self.open_grants += 1
         return self.clock.earliest_ms(now_s) + tuning.worker_lease_ms
 
-    def settle_grant(
-        self,
-        outcome: OrderOutcome = OrderOutcome.ACCEPTED,
-        now_s: float = float("-inf"),
-    ) -> None:
-        """Record that the outcome of an order with a lease is known, or never will be.
-
-        One without an answer may be carried out late, also by a later incarnation.
-        """
-        self.open_grants -= 1
-        if outcome is OrderOutcome.UNKNOWN:
-            # A relay may have been about to send it.
-            self.lost_grant_s = max(now_s, self.lease.granted_s)
-
-    def has_open_grants(self, now_s: float, tuning: SchedulerTuning) -> bool:
-        """Return whether an order with a lease may still be carried out."""
-        return self.late_orders_until_s(now_s, tuning) > now_s
-
-    def late_orders_until_s(self, now_s: float, tuning: SchedulerTuning) -> float:
-        """Return until when a later incarnation may carry out orders of before."""
-        sent_s = now_s if self.open_grants else self.lost_grant_s
-        delay_s = tuning.max_order_delay_ms / 1000
-        return max(self.lease.late_orders_until_s, sent_s + delay_s)
-
     def record_synced(self, now_s: float, tuning: SchedulerTuning) -> None:
         """Record the worker's first list of its runs under this scheduler's fence."""
         self.lease.on_first_list(self.entry.born_ms, now_s, tuning)
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -136,7 +136,7 @@
         if state is None:
             return RunChanges()
         if order.until_ms is not None:
-            state.settle_grant()
+            state.lease.settle_grant()
         state.missed_renewals = 0
         if sent_s < state.newest_renewal_sent_s:
             # A newer reply has overtaken this one; only its ends are of use.
@@ -175,7 +175,7 @@
         if state is None:
             return []
         if order.until_ms is not None:
-            state.settle_grant(outcome, now_s)
+            state.lease.settle_grant(outcome, now_s)
         if outcome is OrderOutcome.OTHER_WORKER:
             return self.end_incarnation(state)
         if outcome is OrderOutcome.FENCED:
@@ -325,7 +325,8 @@
             self._unlisted_since_s.pop(worker, None)
             return
         since_s = self._unlisted_since_s.setdefault(worker, now_s)
-        if state.runs or state.has_open_grants(now_s, self._tuning):
+        latest_order_s = state.lease.latest_order_s(now_s, self._tuning)
+        if state.runs or latest_order_s > now_s:
             return
         if now_s - since_s > UNLISTED_RETENTION_S:
             del self._states[worker]
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -473,9 +473,9 @@
     state = successor.scheduler.workers.get(WORKER)
     assert state is not None
     assert state.grant_until_ms(30.0, TUNING, RELAY_PERMIT_S) is not None
-    state.settle_grant(OrderOutcome.UNKNOWN, 30.1)
+    state.lease.settle_grant(OrderOutcome.UNKNOWN, 30.1)
     late_s = RELAY_PERMIT_S + TUNING.max_order_delay_ms / 1000
-    assert state.late_orders_until_s(30.1, TUNING) == 30.0 + late_s
+    assert state.lease.latest_order_s(30.1, TUNING) == 30.0 + late_s
 
 
 # TWICE: after the time of day was set back, a later incarnation has a lower birth time.
