An entry that is older than the listing of a run doesn't end it

Cause: a change of a worker's entry ended every run that an earlier scheduler had stored as listed in another incarnation. A list that is two restarts behind passes through the incarnation in between, so that a run of the newest one was taken for ended and started elsewhere at once (TWICE).

Change: an entry ends such a run only if it replaces the incarnation that has listed it; a reply, which is always newer, if it comes from any other one.

test_entry_that_is_older_than_the_listing_of_a_run_does_not_end_it failed before.

--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -143,7 +143,7 @@
             return RunChanges(ended=take_new_ends(state, reply))
         state.newest_renewal_sent_s = sent_s
         if reply.born_ms != state.entry.born_ms:
-            lost = self._begin_incarnation(state, reply.born_ms, now_s)
+            lost = self._begin_incarnation(state, reply.born_ms, now_s, is_reply=True)
             return RunChanges(lost=lost)
         if state.expired_runs:
             state.expired_runs.clear()
@@ -257,15 +257,20 @@
             return []
         lost: list[Run] = []
         if entry.born_ms > state.entry.born_ms:
-            lost = self._begin_incarnation(state, entry.born_ms, now_s)
+            lost = self._begin_incarnation(state, entry.born_ms, now_s, is_reply=False)
         state.entry = entry
         self.room.on_room_changed(state)
         return lost
 
     def _begin_incarnation(
-        self, state: WorkerState, born_ms: BornMs, now_s: float
+        self, state: WorkerState, born_ms: BornMs, now_s: float, *, is_reply: bool
     ) -> list[Run]:
-        """Reset the state of a worker that has restarted under its id."""
+        """Reset the state of a worker that has restarted under its id.
+
+        An entry, unlike a reply, may be of an incarnation before the one that has
+        listed a run to an earlier scheduler.
+        """
+        former_ms = state.entry.born_ms
         self._note_late_ends(state)
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         state.entry = _with_incarnation(state.entry, born_ms)
@@ -280,8 +285,10 @@
         state.unstored_ends.clear()
         ended = []
         for run in state.runs.values():
-            if run.was_listed and run.task.born_ms != born_ms:
-                ended.append(run)
+            if run.was_listed:
+                listed_ms = run.task.born_ms
+                if listed_ms != born_ms if is_reply else listed_ms == former_ms:
+                    ended.append(run)
             elif run.phase is not RunPhase.RUNNING:
                 continue
             elif run.is_listed:
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -489,6 +489,17 @@
     assert state.lease.listed_end_s() >= 10.1 + LONGEST_S
 
 
+# TWICE: an entry of an incarnation in between ended a run that a later one had listed.
+def test_entry_that_is_older_than_the_listing_of_a_run_does_not_end_it() -> None:
+    stored = StoredState()
+    stored.task = replace(stored.task, born_ms=BornMs(5))
+    successor = stored.take_over(10.0, born_ms=3)
+    successor.scheduler.update_workers((entry(WORKER, born_ms=BornMs(4)),), 10.1)
+    assert not successor.has_released
+    successor.renew(10.2, born_ms=5)
+    assert not successor.has_released
+
+
 def test_only_long_running_tasks_have_their_listing_stored() -> None:
     stored = StoredState(is_long_running=False)
     stored.task = replace(stored.task, is_listed=False)
