Rows of the lease: one maximum, and what is left out is not forgotten

Cause: the maximum of left out workers with longer leases (the whole fleet after a daemon of a former version, 68,381 bytes for 1,100 workers again) and inherited rows, and a silent worker beyond it counted with the lease that is granted now although its own was longer. Found by the review; no fleet of today's deployments is that large.

Change: at most 700 workers are listed; all others count as renewed, with the latest end of their leases, and as having late orders.

--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -242,6 +242,7 @@
             earlier_acts_ms=self._earlier_orders_ms(now_s),
             worker_leases=listing.worker_leases,
             other_leases=listing.other_leases,
+            are_others_renewed=listing.are_others_renewed,
             lists_late_orders=listing.lists_late_orders,
         )
         return replace(lease, holder=NO_HOLDER, address="") if is_last else lease
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -193,6 +193,7 @@
             earlier_acts_ms=math.ceil(takeover.holder_active_s * 1000),
             worker_leases=listing.worker_leases,
             other_leases=listing.other_leases,
+            are_others_renewed=listing.are_others_renewed,
             lists_late_orders=listing.lists_late_orders,
         )
         outcome = await self._repository.write_lease(lease, stored.version)
--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -167,8 +167,10 @@
         The worker's regular renewal may be waiting for the end of a run.
         """
         now_s = self._now_s()
+        if not self._held_lease.is_valid(now_s):
+            return
         order = self._scheduler.next_renewal(worker, now_s)
-        if order is not None and self._held_lease.is_valid(now_s):
+        if order is not None:
             reply = await self._ports.orders.hold(order)
             self._on_hold_outcome(order, reply, now_s)
 
--- a/currantstage/coordination/jobs/_inherited_leases.py
+++ b/currantstage/coordination/jobs/_inherited_leases.py
@@ -17,7 +17,7 @@
 from currantstage.state.jobs import BornMs, WorkerId
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Iterable
 
     from currantstage.coordination.jobs._owner_lease import LeaseTakeover
     from currantstage.coordination.jobs._run import Run
@@ -69,6 +69,17 @@
             unlisted_ms=remaining_ms(ends.unlisted_s, now_s),
         )
 
+    @classmethod
+    def latest(cls, leases: Iterable[RemainingLease]) -> RemainingLease | None:
+        """Return one that lasts as long as each of `leases`; None if there are none."""
+        found = list(leases)
+        if not found:
+            return None
+        return cls(
+            listed_ms=max(each.listed_ms for each in found),
+            unlisted_ms=max(each.unlisted_ms for each in found),
+        )
+
     def ends(self, at_s: float) -> RunEnds:
         """Return the ends if the write was made by `at_s`."""
         return RunEnds(at_s + self.listed_ms / 1000, at_s + self.unlisted_ms / 1000)
@@ -108,12 +119,14 @@
     ----------
     worker_leases : tuple of WorkerLeaseRow
     other_leases : RemainingLease or None
+    are_others_renewed : bool
     lists_late_orders : bool
         As in `LeaseRow`.
     """
 
     worker_leases: tuple[WorkerLeaseRow, ...] = ()
     other_leases: RemainingLease | None = None
+    are_others_renewed: bool = False
     lists_late_orders: bool = True
 
 
@@ -142,10 +155,15 @@
             + RELAY_PERMIT_S
             + tuning.max_order_delay_ms / 1000
         )
+        #: End of the longer leases of workers without a row.
+        self._stored_end_s = float("-inf")
+        self._other_ends = _granted_ends(self.holders_active_until_s, tuning)
         if takeover.other_leases is not None:
-            self._other_ends = takeover.other_leases.ends(self._written_s)
-        else:
-            self._other_ends = _granted_ends(self.holders_active_until_s, tuning)
+            ends = takeover.other_leases.ends(self._written_s)
+            if takeover.are_others_renewed:
+                self._stored_end_s = ends.listed_s
+                ends = ends.latest(self._other_ends)
+            self._other_ends = ends
 
     def ends(self, worker: WorkerId) -> RunEnds:
         """Return when runs on `worker` have ended unless this scheduler renews them."""
@@ -156,10 +174,10 @@
         return ends.latest(self._other_ends) if row.is_renewed else ends
 
     def stored_end_s(self, worker: WorkerId) -> float:
-        """Return the end of a lease of `worker` that is stored by itself."""
+        """Return the end of a lease of `worker` that may be a longer one."""
         row = self._rows.get(worker)
         if row is None:
-            return float("-inf")
+            return self._stored_end_s
         return row.remaining.ends(self._written_s).listed_s
 
     def late_orders_end_s(self, worker: WorkerId) -> float:
--- a/currantstage/coordination/jobs/_owner_lease.py
+++ b/currantstage/coordination/jobs/_owner_lease.py
@@ -86,7 +86,10 @@
         Workers with runs that this holder doesn't renew, and those whose lease may last
         longer than what is granted now.
     other_leases : RemainingLease or None
-        The leases of all other workers, if this holder has renewed none of them.
+        The leases of all other workers, if they are known to end by then, or may last
+        longer than what is granted now.
+    are_others_renewed : bool
+        Whether this holder may renew them.
     lists_late_orders : bool
         Whether `worker_leases` has all workers without runs that orders may still reach
         late. Daemons of former versions don't list them.
@@ -102,6 +105,7 @@
     earlier_acts_ms: int = 0
     worker_leases: tuple[WorkerLeaseRow, ...] = ()
     other_leases: RemainingLease | None = None
+    are_others_renewed: bool = True
     lists_late_orders: bool = False
 
     def all_vm_orders(self) -> tuple[ListedVmOrder, ...]:
@@ -154,6 +158,7 @@
         For how long the lease's row has certainly been unchanged, in seconds.
     worker_leases : tuple of WorkerLeaseRow
     other_leases : RemainingLease or None
+    are_others_renewed : bool
     lists_late_orders : bool
         Leases of workers as in `LeaseRow`.
     """
@@ -163,6 +168,7 @@
     unchanged_s: float = 0.0
     worker_leases: tuple[WorkerLeaseRow, ...] = ()
     other_leases: RemainingLease | None = None
+    are_others_renewed: bool = True
     lists_late_orders: bool = False
 
 
@@ -240,6 +246,7 @@
             unchanged_s=self._unchanged_s,
             worker_leases=row.worker_leases,
             other_leases=row.other_leases,
+            are_others_renewed=row.are_others_renewed,
             lists_late_orders=row.lists_late_orders,
         )
         earlier_active_s = row.earlier_acts_ms / 1000
--- a/currantstage/coordination/jobs/_worker_lease_book.py
+++ b/currantstage/coordination/jobs/_worker_lease_book.py
@@ -26,10 +26,8 @@
 
 #: Sequence number before that of the first write of a term.
 BEFORE_FIRST_WRITE = -1
-#: Maximum numbers of workers that a write lists as not renewed, and for late orders
-#: only; the store accepts rows of 64 KiB.
-MAX_NOT_RENEWED = 700
-MAX_LATE = 300
+#: Maximum number of workers that a write lists; the store accepts rows of 64 KiB.
+MAX_LISTED_WORKERS = 700
 
 
 class WorkerLeaseBook:
@@ -70,34 +68,36 @@
     def listing(self, sequence: int, now_s: float) -> WorkerLeaseListing:
         """Return what the next write stores, and suspend the renewals that it excludes.
 
-        A worker that is left out because there are too many counts as one that may be
-        renewed, or may have late orders, which keeps its runs for longer.
+        If there are too many workers to list, all that are left out count as renewed,
+        with the latest end of their leases, and as having late orders.
         """
         if self._workers is None:
             return self._inherited.listing(now_s)
-        not_renewed, late = [], []
         granted_end_s = now_s + longest_lease_s(self._tuning.worker_lease_ms)
-        rows = list(self._inherited_rows(self._workers, now_s))
+        rows: list[WorkerLeaseRow] = []
         for state in self._workers.states():
-            if state.runs and not state.is_responsive:
-                not_renewed.append(state)
-            elif state.lease.long_end_s > granted_end_s:
+            is_not_renewed = bool(state.runs) and not state.is_responsive
+            if is_not_renewed and len(rows) < MAX_LISTED_WORKERS:
+                self._suspend(state, sequence)
+            if (
+                is_not_renewed
+                or state.lease.long_end_s > granted_end_s
+                or self._has_late_orders(state, now_s)
+            ):
                 rows.append(self._row(state, now_s))
-            elif not state.has_adoptable_run() and self._has_late_orders(state, now_s):
-                late.append(state)
-        for state in not_renewed[:MAX_NOT_RENEWED]:
-            self._suspend(state, sequence)
-            rows.append(self._row(state, now_s))
-        rows.extend(self._row(state, now_s) for state in late[:MAX_LATE])
+        rows.extend(self._inherited_rows(self._workers, now_s))
+        left_out = rows[MAX_LISTED_WORKERS:]
         knows_late_orders = self._inherited.knows_late_orders(now_s)
         return WorkerLeaseListing(
-            worker_leases=tuple(rows),
-            lists_late_orders=knows_late_orders and len(late) <= MAX_LATE,
+            worker_leases=tuple(rows[:MAX_LISTED_WORKERS]),
+            other_leases=RemainingLease.latest(each.remaining for each in left_out),
+            are_others_renewed=True,
+            lists_late_orders=knows_late_orders and not left_out,
         )
 
     def on_stored(self, lease: LeaseRow) -> None:
         """Permit the renewal of the workers that a confirmed write doesn't list."""
-        if self._workers is None or lease.other_leases is not None:
+        if self._workers is None or not lease.are_others_renewed:
             return
         if not self._workers.may_be_renewed:
             self._workers.may_be_renewed = True
@@ -119,6 +119,9 @@
                 yield row
 
     def _has_late_orders(self, state: WorkerState, now_s: float) -> bool:
+        """Return whether late orders would not be known by an adopted run."""
+        if state.has_adoptable_run():
+            return False
         return state.lease.latest_order_s(now_s, self._tuning) > now_s
 
     def _suspend(self, state: WorkerState, sequence: int) -> None:
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -36,6 +36,9 @@
 MAX_CONSECUTIVE_FAILURES = 3
 #: Minimum number of jobs among these failures, since some jobs fail on any worker.
 MIN_FAILED_JOBS = 2
+#: How long a worker that is granted no lease may delay its reply until a run ends, in
+#: milliseconds; a lease is due as soon as it may be granted.
+UNRENEWED_WAIT_MS = 200
 #: Consecutive unanswered renewals after which a worker counts as silent.
 SILENT_AFTER_MISSED_RENEWALS = 2
 
@@ -304,13 +307,15 @@
         until_ms = None
         if self.is_responsive and self.has_adoptable_run():
             until_ms = self.grant_until_ms(now_s, tuning)
-        is_prompt = until_ms is not None and not self.missed_renewals
+        wait_ms = 0
+        if self.runs and not (self.missed_renewals or is_in_doubt):
+            wait_ms = tuning.hold_wait_ms if until_ms is not None else UNRENEWED_WAIT_MS
         return RenewalOrder(
             worker=self.entry,
             fence=self.fence,
             seen_upto=self._next_seen_upto(),
             until_ms=until_ms,
-            wait_ms=tuning.hold_wait_ms if is_prompt and not is_in_doubt else 0,
+            wait_ms=wait_ms if self.is_synced else 0,
         )
 
     def _next_seen_upto(self) -> EndNumber:
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, fields
+from enum import Enum
 from typing import Any
 
 import pytest
@@ -26,6 +27,7 @@
     PROMPT_ORDER_DELAY_MS,
     longest_lease_s,
 )
+from currantstage.coordination.jobs._worker_lease_book import MAX_LISTED_WORKERS
 from currantstage.protocol.jobs import encode_row
 from currantstage.standin.jobs import MAX_ROW_BYTES, build_configuration
 from currantstage.state import EntryVmId
@@ -85,6 +87,7 @@
             holder_active_s,
             worker_leases=self.row.worker_leases,
             other_leases=self.row.other_leases,
+            are_others_renewed=self.row.are_others_renewed,
             lists_late_orders=self.row.lists_late_orders,
         )
 
@@ -434,12 +437,8 @@
     assert row.late_orders_ms > 0
 
 
-# LOST: a row of the lease that the store refuses ends each scheduler in turn.
-@pytest.mark.parametrize("is_idle", [False, True])
-def test_row_of_the_lease_fits_the_store_with_the_workers_of_a_large_fleet(
-    is_idle: bool,
-) -> None:
-    count = 1100
+def _large_fleet(count: int) -> tuple[Scheduler, InheritedLeases]:
+    """Return a scheduler that has adopted a long-running task on each worker."""
     workers = [WorkerId(f"i-{number:012x}") for number in range(count)]
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
     born_ms = BornMs(1_796_583_113_365)
@@ -453,16 +452,57 @@
     leases = InheritedLeases(StoredState().takeover(), 10.0, TUNING)
     job = submission(JOB, step(count, run_ms=0, is_long_running=True))
     scheduler.restore(job, StoredProgress(head), False, leases, 10.0, 0.0)
+    return scheduler, leases
+
+
+class FleetState(Enum):
+    """What is stored of the workers of a large fleet."""
+
+    UNHEARD = "unheard"
+    IDLE = "idle"
+    LONG_LEASES = "long-leases"
+
+
+# LOST: a row of the lease that the store refuses ends each scheduler in turn.
+@pytest.mark.parametrize("fleet_state", FleetState)
+def test_row_of_the_lease_fits_the_store_with_the_workers_of_a_large_fleet(
+    fleet_state: FleetState,
+) -> None:
+    scheduler, leases = _large_fleet(1100)
     book = WorkerLeaseBook(leases, TUNING)
     book.follow(scheduler.workers)
-    if is_idle:
-        for state in scheduler.workers.states():
+    for state in scheduler.workers.states():
+        if fleet_state is not FleetState.UNHEARD:
+            state.is_synced = True
+        if fleet_state is FleetState.IDLE:
             for run in list(state.runs.values()):
                 state.remove(run)
+        if fleet_state is FleetState.LONG_LEASES:
+            state.lease.extend(10.0 + LONGEST_S)
     row = replace(FIRST_ROW, **_fields(book.listing(1, 10.1)))
-    assert len(row.worker_leases) > 0
+    assert len(row.worker_leases) == MAX_LISTED_WORKERS
     assert len(encode_row(row)) < MAX_ROW_BYTES
-    assert row.lists_late_orders != is_idle
+    assert not row.lists_late_orders
+
+
+# TWICE: a worker that had no place in the row counted with a lease that was too short.
+def test_leases_of_workers_without_a_place_in_the_row_are_not_forgotten() -> None:
+    scheduler, leases = _large_fleet(MAX_LISTED_WORKERS + 2)
+    *_, last = scheduler.workers.states()
+    last.lease.extend(10.0 + LONGEST_S)
+    book = WorkerLeaseBook(leases, TUNING)
+    book.follow(scheduler.workers)
+    stored = StoredState()
+    stored.row = replace(FIRST_ROW, **_fields(book.listing(1, 10.1)))
+    book.on_stored(stored.row)
+    assert last.may_be_renewed
+    worker = last.entry.worker
+    assert worker not in {each.worker for each in stored.row.worker_leases}
+    later = InheritedLeases(stored.takeover(), 10.2, TUNING)
+    assert later.ends(worker).listed_s >= 10.0 + LONGEST_S
+    assert later.stored_end_s(worker) >= 10.0 + LONGEST_S
+    much_later = InheritedLeases(stored.takeover(), 30.0, TUNING)
+    assert much_later.ends(worker).listed_s >= 30.0 + GRANTED_S
 
 
 # TWICE: a relay that breaks off may have been about to send the start.
