--- a/tests/jobs/records.py
+++ b/tests/jobs/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import fields
 from typing import Any
 
 from currantstage.coordination.jobs import (
@@ -10,6 +11,7 @@
     RunPhase,
     Scheduler,
     StepRecord,
+    WorkerLeaseListing,
 )
 from currantstage.state import DataCentreId, PoolId, QueueId, TeamId
 from currantstage.state.jobs import (
@@ -74,6 +76,11 @@
     return WorkerEntry(worker=WorkerId(worker), **values)
 
 
+def listing_fields(listing: WorkerLeaseListing) -> dict[str, Any]:
+    """Return the fields of a listing of leases, as the lease's row has them."""
+    return {each.name: getattr(listing, each.name) for each in fields(listing)}
+
+
 def start_runs(
     scheduler: Scheduler, now_s: float, outcome: OrderOutcome = OrderOutcome.ACCEPTED
 ) -> list[tuple[Run, StartOrder]]:
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from enum import Enum
-from typing import Any
 
 import pytest
 from msgspec.structs import replace
@@ -19,7 +18,6 @@
     SchedulerTuning,
     TakeoverGround,
     WorkerLeaseBook,
-    WorkerLeaseListing,
     WorkerLeaseRow,
     WorkerState,
 )
@@ -46,7 +44,7 @@
     Term,
     WorkerId,
 )
-from tests.jobs.records import entry, submission
+from tests.jobs.records import entry, listing_fields, submission
 from tests.jobs.site import step
 
 TUNING = SchedulerTuning(max_lease_ms=10_000)
@@ -101,15 +99,11 @@
             self.row,
             term=Term(self.row.term + 1),
             sequence=0,
-            **_fields(leases.listing(now_s)),
+            **listing_fields(leases.listing(now_s)),
         )
         return Successor(self, leases, now_s, BornMs(born_ms))
 
 
-def _fields(listing: WorkerLeaseListing) -> dict[str, Any]:
-    return {each.name: getattr(listing, each.name) for each in fields(listing)}
-
-
 class Successor:
     """A scheduler that has taken over, and its writes of the lease."""
 
@@ -141,7 +135,7 @@
         return replace(
             self._stored.row,
             sequence=sequence,
-            **_fields(self.book.listing(sequence, now_s)),
+            **listing_fields(self.book.listing(sequence, now_s)),
         )
 
     def write(self, now_s: float) -> None:
@@ -479,7 +473,7 @@
                 state.remove(run)
         if fleet_state is FleetState.LONG_LEASES:
             state.lease.extend(10.0 + LONGEST_S)
-    row = replace(FIRST_ROW, **_fields(book.listing(1, 10.1)))
+    row = replace(FIRST_ROW, **listing_fields(book.listing(1, 10.1)))
     assert len(row.worker_leases) == MAX_LISTED_WORKERS
     assert len(encode_row(row)) < MAX_ROW_BYTES
     assert not row.lists_late_orders
@@ -493,7 +487,7 @@
     book = WorkerLeaseBook(leases, TUNING)
     book.follow(scheduler.workers)
     stored = StoredState()
-    stored.row = replace(FIRST_ROW, **_fields(book.listing(1, 10.1)))
+    stored.row = replace(FIRST_ROW, **listing_fields(book.listing(1, 10.1)))
     book.on_stored(stored.row)
     assert last.may_be_renewed
     worker = last.entry.worker
