A longer lease without a row outlives a scheduler that hasn't loaded

Cause: a scheduler that ends before it has loaded passes other_leases on as the end of leases that it doesn't renew, and the next one took it for a granted lease, which the first list of the worker shortens.

Change: that end counts as one of a longer lease in any case.

test_leases_of_workers_without_a_place_in_the_row_are_not_forgotten failed before.

--- a/currantstage/coordination/jobs/_inherited_leases.py
+++ b/currantstage/coordination/jobs/_inherited_leases.py
@@ -155,13 +155,13 @@
             + RELAY_PERMIT_S
             + tuning.max_order_delay_ms / 1000
         )
-        #: End of the longer leases of workers without a row.
+        #: When also longer leases of workers without a row have ended.
         self._stored_end_s = float("-inf")
         self._other_ends = _granted_ends(self.holders_active_until_s, tuning)
         if takeover.other_leases is not None:
             ends = takeover.other_leases.ends(self._written_s)
+            self._stored_end_s = ends.listed_s
             if takeover.are_others_renewed:
-                self._stored_end_s = ends.listed_s
                 ends = ends.latest(self._other_ends)
             self._other_ends = ends
 
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -270,7 +270,10 @@
         An entry, unlike a reply, may be of an incarnation before the one that has
         listed a run to an earlier scheduler.
         """
-        former_ms = state.entry.born_ms
+        ended_ms = {state.entry.born_ms}
+        if is_reply:
+            ended_ms.update(run.task.born_ms for run in state.runs.values())
+        ended_ms.discard(born_ms)
         self._note_late_ends(state)
         _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         state.entry = _with_incarnation(state.entry, born_ms)
@@ -286,8 +289,7 @@
         ended = []
         for run in state.runs.values():
             if run.was_listed:
-                listed_ms = run.task.born_ms
-                if listed_ms != born_ms if is_reply else listed_ms == former_ms:
+                if run.task.born_ms in ended_ms:
                     ended.append(run)
             elif run.phase is not RunPhase.RUNNING:
                 continue
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -240,7 +240,7 @@
     assert third.released_s(13.1) > 13.0 + late_s
 
 
-def test_listed_run_ends_at_once_when_its_worker_has_restarted() -> None:
+def test_listed_run_ends_as_soon_as_its_worker_is_known_to_have_restarted() -> None:
     successor = StoredState().take_over(10.0, born_ms=2)
     successor.renew(10.1, born_ms=2, is_running=False)
     assert successor.has_released
@@ -384,9 +384,10 @@
 
 
 # TWICE: a restarted worker could take an order that nobody knew of any more.
+@pytest.mark.parametrize("lists_late_orders", [False, True])
 @pytest.mark.parametrize("born_ms", [1, 2])
 def test_first_list_extends_the_lease_only_of_an_incarnation_that_has_not_answered(
-    born_ms: int,
+    born_ms: int, lists_late_orders: bool
 ) -> None:
     scheduler = Scheduler(Term(3), build_configuration(), TUNING)
     scheduler.update_workers((entry(WORKER, born_ms=BornMs(born_ms)),), 12.0)
@@ -394,7 +395,9 @@
         WORKER, RemainingLease(0, 0), late_orders_ms=9000, answered_born_ms=BornMs(1)
     )
     takeover = LeaseTakeover(
-        TakeoverGround.HOLDER_ENDED, worker_leases=(row,), lists_late_orders=True
+        TakeoverGround.HOLDER_ENDED,
+        worker_leases=(row,),
+        lists_late_orders=lists_late_orders,
     )
     scheduler.workers.inherit(InheritedLeases(takeover, 12.0, TUNING))
     state = scheduler.workers.get(WORKER)
@@ -495,6 +498,11 @@
     later = InheritedLeases(stored.takeover(), 10.2, TUNING)
     assert later.ends(worker).listed_s >= 10.0 + LONGEST_S
     assert later.stored_end_s(worker) >= 10.0 + LONGEST_S
+    # A scheduler that ends before it has loaded passes it on.
+    stored.row = replace(FIRST_ROW, **listing_fields(later.listing(10.3)))
+    third = InheritedLeases(stored.takeover(), 10.4, TUNING)
+    assert third.stored_end_s(worker) >= 10.0 + LONGEST_S
+    stored.row = replace(FIRST_ROW, **listing_fields(book.listing(2, 10.1)))
     much_later = InheritedLeases(stored.takeover(), 30.0, TUNING)
     assert much_later.ends(worker).listed_s >= 30.0 + GRANTED_S
 
