Inherited leases: answered incarnations, rows without late orders, stale lists

Cause: the model lacked what the code has carried since: which incarnation has answered an order, rows that don't list late orders, and that nothing is concluded from birth times at a takeover.

Change: the entry and the holder carry an incarnation that has answered; a stored placement implies one. A row may say that it doesn't list late orders. A holder keeps the incarnation of the run apart from the one that the list of workers shows, and keeps a listed run when the two differ. That leases are granted only where a run is stored was a precondition and is a guard now, as the code doesn't check it.

--- a/spec/_inherited_hints.py
+++ b/spec/_inherited_hints.py
@@ -24,6 +24,34 @@
     "a raises its fence",
     "a reads the first list of the worker",
 )
+#: A listed run on it, of which the same scheduler doesn't know how long it goes on.
+_LATE_GRANT = (
+    *_IDLE,
+    *_LONGER_LEASE,
+    *_RUN,
+    "a notes that the known incarnation has the run",
+    "time passes",
+)
+#: A listed run of the next scheduler on an incarnation that a late order may reach.
+_NEXT_RUN = (
+    "b stores that it renews the worker",
+    "b reads the first list of the worker",
+    "b stores the placement",
+    "b sends the start",
+    "the start of b takes effect",
+    "b notes that the known incarnation has the run",
+    "time passes",
+)
+#: The next scheduler meets an incarnation that carries out an order of the first one.
+_LATE_GRANT_AFTER_IDLE = (
+    *_IDLE,
+    "a ends",
+    "the worker restarts",
+    "the store lists the worker's incarnation",
+    "b takes the lease",
+    "the grant of a takes effect",
+    *_NEXT_RUN,
+)
 #: Steps that follow the prefix of the model, by the name of the removed guard.
 HINTS: dict[str, tuple[str, ...]] = {
     "count late orders from each takeover": (
@@ -50,20 +78,36 @@
         "b takes the lease",
         "time passes",
     ),
-    "carry late orders to an idle worker": (
-        *_IDLE,
+    "carry late orders to an idle worker": _LATE_GRANT_AFTER_IDLE,
+    "count late orders that are not listed": _LATE_GRANT_AFTER_IDLE,
+    "carry only an incarnation that has answered": _LATE_GRANT_AFTER_IDLE,
+    "grant leases only where a run is stored": (
+        *_RUN,
+        "the run ends",
+        "a reads that nothing runs",
+        "a stores the end of the run",
+        "time passes",
+        "a grants the worker a lease",
         "a ends",
         "the worker restarts",
         "the store lists the worker's incarnation",
         "b takes the lease",
-        "the grant of a takes effect",
-        "b stores that it renews the worker",
-        "b reads the first list of the worker",
-        "b stores the placement",
-        "b sends the start",
-        "the start of b takes effect",
-        "b notes that the known incarnation has the run",
         "time passes",
+        "the grant of a takes effect",
+        *_NEXT_RUN,
+    ),
+    "end a listed run only with its incarnation": (
+        "the worker restarts",
+        "the store lists the worker's incarnation",
+        "the worker restarts",
+        "a learns of a restart from a reply",
+        "a reads the first list of the worker",
+        *_RUN,
+        "a notes that the known incarnation has the run",
+        "a stores that it renews the worker",
+        "a ends",
+        "b takes the lease",
+        "b learns of a restart from the store",
     ),
     "carry the end of listed runs": (
         *_RUN,
@@ -166,13 +210,8 @@
         "the grant of a takes effect",
         "time passes",
     ),
-    "assume the longest lease where late orders are possible": (
-        *_IDLE,
-        *_LONGER_LEASE,
-        *_RUN,
-        "a notes that the known incarnation has the run",
-        "time passes",
-    ),
+    "assume the longest lease where late orders are possible": _LATE_GRANT,
+    "rely on the answer of the same incarnation": _LATE_GRANT,
     "rely on the list of the known incarnation": (
         "a stores the placement",
         "a sends the start",
--- a/spec/_inherited_leases.py
+++ b/spec/_inherited_leases.py
@@ -98,7 +98,7 @@
             found.extend(_lease_steps(state, name, moment_s, label))
             found.extend(_row_steps(state, name, moment_s, label))
             found.extend(_order_steps(state, name))
-            found.extend(_knowledge_steps(state, name, moment_s))
+            found.extend(_knowledge_steps(state, name, moment_s, label))
             found.extend(_release_steps(state, name))
             found.extend(_effect_steps(state, name))
         return found
@@ -156,10 +156,20 @@
         _allows_late_orders(state),
         orders_end_s >= orders_until_s,
     )
+    # Until when any worker may take late orders, if the row doesn't list where.
+    late_until_s = z3.Real(f"{label}.late_until_s")
+    is_unlisted_counted = z3.Or(
+        state.entry.lists_late_orders, late_until_s >= orders_until_s + LATE_ORDER_S
+    )
     yield Step(
         f"{name} takes the lease",
-        {"count late orders from each takeover": is_counted},
-        _with_taken_lease(state, name, orders_until_s, orders_end_s, listed),
+        {
+            "count late orders from each takeover": is_counted,
+            "count late orders that are not listed": is_unlisted_counted,
+        },
+        _with_taken_lease(
+            state, name, orders_until_s, orders_end_s, late_until_s, listed
+        ),
         when=z3.And(
             z3.Not(each.is_active),
             each.term == 0,
@@ -208,17 +218,19 @@
     name: str,
     orders_until_s: z3.ArithRef,
     orders_end_s: z3.ArithRef,
+    late_until_s: z3.ArithRef,
     listed: z3.ArithRef,
 ) -> InheritedLeases:
-    """Return the state after a daemon has taken the lease and read what is stored."""
+    """Return the state after a daemon has taken the lease and read what is stored.
+
+    It doesn't conclude which of two incarnations is the later one.
+    """
     entry, placement = state.entry, state.placement
     is_placed = placement.phase == PLACED
-    is_listed = z3.And(is_placed, placement.is_listed)
-    is_newer = z3.And(is_listed, placement.incarnation > listed)
-    known = z3.If(is_newer, placement.incarnation, listed)
-    has_restarted = z3.And(is_placed, known > placement.incarnation)
-    has_ended = z3.And(is_listed, has_restarted)
-    may_run = z3.And(is_placed, z3.Not(has_ended))
+    has_restarted = z3.And(is_placed, placement.incarnation != listed)
+    run_incarnation = z3.If(is_placed, placement.incarnation, _ZERO)
+    is_answered = entry.answered_incarnation != 0
+    answered = z3.If(is_answered, entry.answered_incarnation, run_incarnation)
     ordinary_end_s = orders_until_s + ORDINARY_LEASE_S
     listed_s = _inherited_end_s(entry, entry.listed_s, ordinary_end_s)
     unlisted_s = _inherited_end_s(
@@ -226,10 +238,13 @@
     )
     is_allowed = _allows_late_orders(state)
     late_orders_end_s = z3.If(is_allowed, NEVER_S, orders_end_s)
+    listed_until_s = z3.If(
+        entry.lists_late_orders, entry.late_orders_until_s, late_until_s
+    )
     late_orders_until_s = z3.If(
-        has_restarted,
-        later(entry.late_orders_until_s, late_orders_end_s + LATE_ORDER_S),
-        entry.late_orders_until_s,
+        is_placed,
+        later(listed_until_s, late_orders_end_s + LATE_ORDER_S),
+        listed_until_s,
     )
     scheduler = replace(
         Scheduler.initial(),
@@ -237,18 +252,20 @@
         term=state.term + 1,
         fence=(state.term + 1) * FENCES_PER_TERM,
         confirmed_s=state.now_s,
-        phase=z3.If(may_run, IN_DOUBT, WAITING),
-        incarnation=known,
+        phase=z3.If(is_placed, IN_DOUBT, WAITING),
+        incarnation=listed,
+        run_incarnation=run_incarnation,
         released_incarnation=z3.If(
-            placement.phase == ELSEWHERE, placement.released_incarnation, known
+            placement.phase == ELSEWHERE, placement.released_incarnation, listed
         ),
-        is_listed=z3.And(is_listed, z3.Not(has_ended)),
+        is_listed=z3.And(is_placed, placement.is_listed),
         granted_end_s=z3.If(is_placed, listed_s, later(listed_s, ordinary_end_s)),
         long_end_s=entry.listed_s,
         unlisted_s=unlisted_s,
         may_have_late_orders=has_restarted,
         orders_end_s=late_orders_end_s,
         late_orders_until_s=late_orders_until_s,
+        answered_incarnation=answered,
     )
     return replace(
         state,
@@ -288,13 +305,28 @@
     each, placement = state.schedulers[name], state.placement
     carried_unlisted_s = z3.Real(f"{label}.carried_unlisted_s")
     carried_late_s = z3.Real(f"{label}.carried_late_s")
+    lists_late_orders = z3.Bool(f"{label}.lists_late_orders")
+    carried_answered = z3.Int(f"{label}.carried_answered")
     stores_list = z3.And(z3.Bool(f"{label}.stores_list"), each.is_listed)
     is_long_carried = z3.Or(
         carried_s >= each.long_end_s,
         each.long_end_s <= state.now_s + ORDINARY_LEASE_S,
     )
-    is_late_carried = carried_late_s >= each.all_late_orders_until_s
-    entry = LeaseEntry(_TRUE, carried_s, carried_s, _FALSE, carried_late_s)
+    is_late_carried = z3.Or(
+        z3.Not(lists_late_orders), carried_late_s >= each.all_late_orders_until_s
+    )
+    is_answer_carried = z3.Or(
+        carried_answered == 0, carried_answered == each.answered_incarnation
+    )
+    entry = LeaseEntry(
+        is_renewed=_TRUE,
+        listed_s=carried_s,
+        unlisted_s=carried_s,
+        allows_late_orders=_FALSE,
+        late_orders_until_s=carried_late_s,
+        lists_late_orders=lists_late_orders,
+        answered_incarnation=carried_answered,
+    )
     written = state.with_scheduler(
         name,
         confirmed_s=state.now_s,
@@ -303,7 +335,8 @@
         row_write=RowWrite.none(),
     )
     written = replace(written, written_s=state.now_s, entry=entry)
-    guards = {"carry the end of a longer lease": is_long_carried}
+    answer_guard = {"carry only an incarnation that has answered": is_answer_carried}
+    guards = {"carry the end of a longer lease": is_long_carried, **answer_guard}
     idle_guards = {**guards, "carry late orders to an idle worker": is_late_carried}
     yield Step(
         f"{name} stores that it renews the worker",
@@ -313,14 +346,14 @@
                 placement.phase == PLACED, is_late_carried
             ),
         },
-        _with_stored_list(written, stores_list, each.incarnation),
+        _with_stored_list(written, stores_list, each.run_incarnation),
         when=_may_write(state, each),
     )
     placed = written.with_placement(phase=PLACED, incarnation=each.incarnation)
     yield Step(
         f"{name} stores the placement",
         guards,
-        placed.with_scheduler(name, phase=STORED),
+        placed.with_scheduler(name, phase=STORED, run_incarnation=each.incarnation),
         when=z3.And(
             _may_write(state, each),
             each.is_synced,
@@ -352,9 +385,11 @@
             unlisted_s=carried_unlisted_s,
             allows_late_orders=each.may_have_late_orders,
             late_orders_until_s=carried_late_s,
+            lists_late_orders=lists_late_orders,
+            answered_incarnation=carried_answered,
         ),
         is_listed=stores_list,
-        incarnation=each.incarnation,
+        incarnation=each.run_incarnation,
     )
     yield Step(
         f"{name} sends a row without renewal of the worker",
@@ -365,6 +400,7 @@
             "carry late orders to a silent worker": z3.Or(
                 z3.Not(each.may_have_late_orders), is_late_carried
             ),
+            **answer_guard,
         },
         state.with_scheduler(name, row_write=row_write, is_suspended=_TRUE),
         when=z3.And(
@@ -437,9 +473,12 @@
     )
     yield Step(
         f"{name} grants the worker a lease",
-        guards,
+        {
+            **guards,
+            "grant leases only where a run is stored": each.phase == IN_DOUBT,
+        },
         granted.with_scheduler(name, grant=order),
-        when=z3.And(is_ready, each.phase == IN_DOUBT),
+        when=is_ready,
     )
     yield Step(
         f"{name} sends the start",
@@ -450,17 +489,24 @@
 
 
 def _knowledge_steps(
-    state: InheritedLeases, name: str, first_end_s: z3.ArithRef
+    state: InheritedLeases, name: str, first_end_s: z3.ArithRef, label: str
 ) -> Iterator[Step[InheritedLeases]]:
     each, worker = state.schedulers[name], state.worker
+    ends_run = z3.And(
+        z3.Bool(f"{label}.ends_run"), each.phase == IN_DOUBT, each.is_listed
+    )
     for source, incarnation in (
         ("the store", worker.listed_incarnation),
         ("a reply", worker.incarnation),
     ):
         yield Step(
             f"{name} learns of a restart from {source}",
-            {},
-            _with_known_restart(state, name, incarnation),
+            {
+                "end a listed run only with its incarnation": z3.Or(
+                    z3.Not(ends_run), incarnation > each.run_incarnation
+                )
+            },
+            _with_known_restart(state, name, incarnation, ends_run),
             when=z3.And(each.is_active, incarnation > each.incarnation),
         )
     is_reached = z3.And(
@@ -478,12 +524,16 @@
         for order in each.orders
     ]
     taken_s = earlier(state.now_s, each.late_orders_until_s)
+    has_answered = z3.Bool(f"{label}.has_answered")
     yield Step(
         f"{name} reads the first list of the worker",
         {
             "list a new incarnation under a new fence": z3.And(*is_fenced),
-            "assume the longest lease where late orders are possible": (
-                first_end_s >= taken_s + LONGEST_LEASE_S
+            "assume the longest lease where late orders are possible": z3.Or(
+                has_answered, first_end_s >= taken_s + LONGEST_LEASE_S
+            ),
+            "rely on the answer of the same incarnation": z3.Or(
+                z3.Not(has_answered), each.answered_incarnation == each.incarnation
             ),
         },
         state.with_worker(fence=each.fence).with_scheduler(
@@ -492,6 +542,7 @@
             granted_end_s=earlier(each.granted_end_s, state.now_s + ORDINARY_LEASE_S),
             long_end_s=later(each.long_end_s, first_end_s),
             may_have_late_orders=_FALSE,
+            answered_incarnation=each.incarnation,
         ),
         when=z3.And(is_reached, z3.Not(each.is_synced)),
     )
@@ -499,7 +550,7 @@
     yield Step(
         f"{name} notes that the known incarnation has the run",
         {"rely on the list of the known incarnation": is_in_list},
-        state.with_scheduler(name, is_listed=_TRUE),
+        state.with_scheduler(name, is_listed=_TRUE, run_incarnation=each.incarnation),
         when=z3.And(each.is_active, each.phase == IN_DOUBT),
     )
     yield Step(
@@ -517,21 +568,24 @@
 
 
 def _with_known_restart(
-    state: InheritedLeases, name: str, incarnation: z3.ArithRef
+    state: InheritedLeases,
+    name: str,
+    incarnation: z3.ArithRef,
+    ends_run: z3.BoolRef,
 ) -> InheritedLeases:
     """Return the state after a scheduler has learned of a new incarnation.
 
-    A run that an earlier incarnation has listed ended with that one.
+    A run that an earlier incarnation has listed ended with that one. Otherwise, it is
+    kept until its bound is over or the new incarnation has listed its runs.
     """
     each = state.schedulers[name]
-    is_lost = z3.And(each.phase == IN_DOUBT, each.is_listed)
     return state.with_scheduler(
         name,
         incarnation=incarnation,
-        released_incarnation=z3.If(is_lost, incarnation, each.released_incarnation),
-        phase=z3.If(is_lost, WAITING, each.phase),
+        released_incarnation=z3.If(ends_run, incarnation, each.released_incarnation),
+        phase=z3.If(ends_run, WAITING, each.phase),
         is_synced=_FALSE,
-        is_listed=_FALSE,
+        is_listed=z3.And(each.is_listed, z3.Not(ends_run)),
         may_have_late_orders=_TRUE,
         late_orders_until_s=each.all_late_orders_until_s,
     )
@@ -566,7 +620,7 @@
             ),
             "wait for late orders after a restart": z3.Or(each.is_listed, is_late_over),
         },
-        _with_run_given_up(state, name, each.incarnation),
+        _with_run_given_up(state, name, each.newest_incarnation),
         when=z3.And(
             each.is_active,
             each.phase == IN_DOUBT,
--- a/spec/_inherited_lemmas.py
+++ b/spec/_inherited_lemmas.py
@@ -41,6 +41,7 @@
         "a listed run is in its incarnation": _is_listed_run_bound,
         "a synced incarnation rejects earlier orders": _is_fence_in_force,
         "the stored incarnation rejects earlier orders": _is_stored_fence_in_force,
+        "an incarnation that has answered rejects earlier orders": _is_answer_in_force,
         "the entry covers every lease": _is_entry_sufficient,
         "a row on its way covers every lease": _is_row_write_sufficient,
         "the holder covers every lease": _is_holder_informed,
@@ -106,12 +107,16 @@
         state.worker.listed_incarnation <= current,
         state.placement.released_incarnation <= current,
         state.placement.incarnation <= current,
+        state.entry.answered_incarnation <= current,
     ]
     for each in state.schedulers.values():
         parts += [
             z3.And(each.incarnation >= 0, each.incarnation <= current),
             each.released_incarnation <= current,
-            each.row_write.incarnation <= each.incarnation,
+            each.run_incarnation <= current,
+            each.answered_incarnation <= current,
+            each.row_write.incarnation <= current,
+            each.row_write.entry.answered_incarnation <= current,
         ]
     return z3.And(*parts)
 
@@ -176,12 +181,12 @@
         is_stored = z3.And(placement.is_listed, placement.phase == PLACED)
         is_in_doubt = z3.And(
             each.phase == IN_DOUBT,
-            each.incarnation >= placement.incarnation,
             z3.Or(
-                each.is_synced,
-                z3.And(is_stored, placement.incarnation == each.incarnation),
+                z3.And(each.is_synced, each.incarnation == each.run_incarnation),
+                each.incarnation > each.run_incarnation,
+                z3.And(is_stored, placement.incarnation == each.run_incarnation),
             ),
-            _is_bound(state, each.incarnation),
+            _is_bound(state, each.run_incarnation),
         )
         written = each.row_write
         parts += [
@@ -191,15 +196,25 @@
                 z3.And(
                     _is_bound(state, written.incarnation),
                     written.incarnation >= placement.incarnation,
+                    written.incarnation <= each.run_incarnation,
                     z3.Or(
-                        each.is_synced,
+                        z3.And(each.is_synced, each.incarnation == written.incarnation),
                         each.incarnation > written.incarnation,
                         z3.And(is_stored, placement.incarnation == written.incarnation),
                     ),
                 ),
             ),
             z3.Implies(
-                z3.And(is_current, is_stored), each.incarnation >= placement.incarnation
+                z3.And(is_current, placement.phase == PLACED),
+                each.run_incarnation >= placement.incarnation,
+            ),
+            z3.Implies(
+                z3.And(
+                    is_current,
+                    each.phase != WAITING,
+                    each.run_incarnation > each.incarnation,
+                ),
+                each.may_have_late_orders,
             ),
             z3.Implies(
                 z3.And(is_current, each.phase == STORED),
@@ -247,6 +262,23 @@
     return z3.Implies(is_stored, _rejects_earlier_orders(state))
 
 
+def _is_answer_in_force(state: InheritedLeases) -> z3.BoolRef:
+    """Return whether each incarnation that is marked as such has answered an order."""
+    current, marks = state.worker.incarnation, [state.entry.answered_incarnation]
+    for each in state.schedulers.values():
+        is_current = z3.And(each.term > 0, each.term == state.term)
+        marks += [
+            z3.If(is_current, each.answered_incarnation, 0),
+            z3.If(
+                z3.And(is_current, each.row_write.is_sent),
+                each.row_write.entry.answered_incarnation,
+                0,
+            ),
+        ]
+    has_answered = z3.Or(*(mark == current for mark in marks))
+    return z3.Implies(has_answered, _rejects_earlier_orders(state))
+
+
 def _rejects_earlier_orders(state: InheritedLeases) -> z3.BoolRef:
     """Return whether the worker rejects all orders for earlier incarnations."""
     parts = []
@@ -275,6 +307,13 @@
         z3.Implies(
             placement.phase == UNPLACED, _is_idle_entry_sufficient(state, entry)
         ),
+        z3.Implies(
+            z3.And(
+                placement.phase != ELSEWHERE,
+                entry.answered_incarnation == worker.incarnation,
+            ),
+            z3.Or(is_ordinary, is_long),
+        ),
         z3.Implies(
             z3.And(z3.Not(entry.is_renewed), placement.phase != ELSEWHERE),
             _is_silence_covered(state, entry),
@@ -285,13 +324,14 @@
 def _is_idle_entry_sufficient(state: InheritedLeases, entry: LeaseEntry) -> z3.BoolRef:
     """Return whether an entry covers late orders, as no run is stored."""
     worker = state.worker
-    return z3.And(
-        z3.Or(
-            worker.until_s <= state.now_s + ORDINARY_LEASE_S,
-            worker.until_s <= entry.listed_s,
-            worker.until_s <= entry.late_orders_until_s + LONGEST_LEASE_S,
-        ),
-        *_sent_by(state, entry.late_orders_until_s - LATE_ORDER_S),
+    is_lease_covered = z3.Or(
+        worker.until_s <= state.now_s + ORDINARY_LEASE_S,
+        worker.until_s <= entry.listed_s,
+        worker.until_s <= entry.late_orders_until_s + LONGEST_LEASE_S,
+    )
+    are_orders_covered = _sent_by(state, entry.late_orders_until_s - LATE_ORDER_S)
+    return z3.Or(
+        z3.Not(entry.lists_late_orders), z3.And(is_lease_covered, *are_orders_covered)
     )
 
 
@@ -309,14 +349,23 @@
     is_late_allowed = z3.And(
         is_bound,
         z3.Or(
-            worker.until_s <= entry.listed_s,
-            worker.until_s <= entry.late_orders_until_s + LONGEST_LEASE_S,
+            z3.Not(entry.lists_late_orders),
+            z3.And(
+                z3.Or(
+                    worker.until_s <= entry.listed_s,
+                    worker.until_s <= entry.late_orders_until_s + LONGEST_LEASE_S,
+                ),
+                *_sent_by(state, entry.late_orders_until_s - LATE_ORDER_S),
+            ),
         ),
-        *_sent_by(state, entry.late_orders_until_s - LATE_ORDER_S),
         *_sent_by(state, entry.unlisted_s - late_s),
     )
+    has_answered = z3.And(is_placed, entry.answered_incarnation == worker.incarnation)
     return z3.And(
-        z3.Implies(_is_placed_here(state), _is_listed_covered(state, entry.listed_s)),
+        z3.Implies(
+            z3.Or(_is_placed_here(state), has_answered),
+            _is_listed_covered(state, entry.listed_s),
+        ),
         z3.Implies(is_placed, z3.Or(is_bound, is_late)),
         z3.Implies(z3.And(is_placed, entry.allows_late_orders), is_late_allowed),
         *_sent_by(state, entry.unlisted_s - PROMPT_ORDER_S - LONGEST_LEASE_S),
@@ -398,7 +447,8 @@
         _is_listed_covered(state, each.listed_s),
         z3.Or(until_s <= state.now_s + ORDINARY_LEASE_S, until_s <= each.long_end_s),
     )
-    return z3.Implies(z3.Or(is_synced, is_adopted), is_covered)
+    has_answered = each.answered_incarnation == state.worker.incarnation
+    return z3.Implies(z3.Or(is_synced, is_adopted, has_answered), is_covered)
 
 
 def _is_first_list_sufficient(state: InheritedLeases, each: Scheduler) -> z3.BoolRef:
--- a/spec/_inherited_state.py
+++ b/spec/_inherited_state.py
@@ -76,6 +76,10 @@
         Whether `unlisted_s` allows for orders that are carried out late.
     late_orders_until_s : z3.ArithRef
         Until when such orders may come.
+    lists_late_orders : z3.BoolRef
+        Whether `late_orders_until_s` is right; if not, it may be any time.
+    answered_incarnation : z3.ArithRef
+        An incarnation that has answered an order, or zero.
     """
 
     is_renewed: z3.BoolRef
@@ -83,6 +87,8 @@
     unlisted_s: z3.ArithRef
     allows_late_orders: z3.BoolRef
     late_orders_until_s: z3.ArithRef
+    lists_late_orders: z3.BoolRef
+    answered_incarnation: z3.ArithRef
 
     @classmethod
     def fresh(cls, label: str) -> LeaseEntry:
@@ -93,12 +99,14 @@
             unlisted_s=z3.Real(f"{label}.unlisted_s"),
             allows_late_orders=z3.Bool(f"{label}.allows_late_orders"),
             late_orders_until_s=z3.Real(f"{label}.late_orders_until_s"),
+            lists_late_orders=z3.Bool(f"{label}.lists_late_orders"),
+            answered_incarnation=z3.Int(f"{label}.answered_incarnation"),
         )
 
     @classmethod
     def none(cls) -> LeaseEntry:
         """Return the entry of a row that does not name the worker."""
-        return cls(_TRUE, _NO_TIME, _NO_TIME, _FALSE, NEVER_S)
+        return cls(_TRUE, _NO_TIME, _NO_TIME, _FALSE, NEVER_S, _TRUE, _ZERO)
 
 
 @dataclass(frozen=True)
@@ -154,12 +162,14 @@
     phase : z3.ArithRef
     incarnation : z3.ArithRef
         Incarnation of the worker that it knows.
+    run_incarnation : z3.ArithRef
+        Incarnation on which the task was placed, or that has listed the run.
     released_incarnation : z3.ArithRef
-        That incarnation when it gave up the run.
+        The newest incarnation that it knew when it gave up the run.
     is_synced : z3.BoolRef
         That incarnation has listed its runs under the scheduler's fence.
     is_listed : z3.BoolRef
-        It has listed the task's run, now or to an earlier scheduler.
+        `run_incarnation` has listed the run, now or to an earlier scheduler.
     is_renewal_stored : z3.BoolRef
         The scheduler has stored in its term that it renews the worker.
     is_suspended : z3.BoolRef
@@ -176,6 +186,8 @@
         late, unless `unlisted_s` or `late_orders_until_s` allows for it.
     late_orders_until_s : z3.ArithRef
         Until when orders for an incarnation before the known one may be carried out.
+    answered_incarnation : z3.ArithRef
+        The newest incarnation that is known to have answered an order, or zero.
     row_write : RowWrite
     start, grant : Order
         Start of the task, and the newest order that grants a lease.
@@ -188,6 +200,7 @@
     confirmed_s: z3.ArithRef
     phase: z3.ArithRef
     incarnation: z3.ArithRef
+    run_incarnation: z3.ArithRef
     released_incarnation: z3.ArithRef
     is_synced: z3.BoolRef
     is_listed: z3.BoolRef
@@ -199,6 +212,7 @@
     may_have_late_orders: z3.BoolRef
     orders_end_s: z3.ArithRef
     late_orders_until_s: z3.ArithRef
+    answered_incarnation: z3.ArithRef
     row_write: RowWrite
     start: Order
     grant: Order
@@ -214,6 +228,7 @@
             confirmed_s=z3.Real(f"{label}.confirmed_s"),
             phase=z3.Int(f"{label}.phase"),
             incarnation=z3.Int(f"{label}.incarnation"),
+            run_incarnation=z3.Int(f"{label}.run_incarnation"),
             released_incarnation=z3.Int(f"{label}.released_incarnation"),
             is_synced=z3.Bool(f"{label}.is_synced"),
             is_listed=z3.Bool(f"{label}.is_listed"),
@@ -225,6 +240,7 @@
             may_have_late_orders=z3.Bool(f"{label}.may_have_late_orders"),
             orders_end_s=z3.Real(f"{label}.orders_end_s"),
             late_orders_until_s=z3.Real(f"{label}.late_orders_until_s"),
+            answered_incarnation=z3.Int(f"{label}.answered_incarnation"),
             row_write=RowWrite.fresh(f"{label}.row_write"),
             start=Order.fresh(f"{label}.start"),
             grant=Order.fresh(f"{label}.grant"),
@@ -241,6 +257,7 @@
             confirmed_s=_NO_TIME,
             phase=WAITING,
             incarnation=_ZERO,
+            run_incarnation=_ZERO,
             released_incarnation=_ZERO,
             is_synced=_FALSE,
             is_listed=_FALSE,
@@ -252,6 +269,7 @@
             may_have_late_orders=_FALSE,
             orders_end_s=NEVER_S,
             late_orders_until_s=NEVER_S,
+            answered_incarnation=_ZERO,
             row_write=RowWrite.none(),
             start=Order.none(),
             grant=Order.none(),
@@ -262,6 +280,11 @@
         """All orders that may still take effect."""
         return self.start, self.grant
 
+    @property
+    def newest_incarnation(self) -> z3.ArithRef:
+        """The newest incarnation that it knows to have run."""
+        return later(self.incarnation, self.run_incarnation)
+
     @property
     def listed_s(self) -> z3.ArithRef:
         """When the lease of the known incarnation has expired."""
@@ -418,7 +441,7 @@
 
 
 def later(one: z3.ArithRef, other: z3.ArithRef) -> z3.ArithRef:
-    """Return the later one of two times."""
+    """Return the later one of two times or incarnations."""
     return z3.If(one >= other, one, other)
 
 
