--- a/spec/_inherited_hints.py
+++ b/spec/_inherited_hints.py
@@ -24,6 +24,9 @@
     "a raises its fence",
     "a reads the first list of the worker",
 )
+#: A scheduler gives up the run, and the task is started elsewhere.
+_MOVED_BY_A = ("a gives up the run", "a starts the task elsewhere")
+_MOVED_BY_B = ("b gives up the run", "b starts the task elsewhere")
 #: A listed run on it, of which the same scheduler doesn't know how long it goes on.
 _LATE_GRANT = (
     *_IDLE,
@@ -31,6 +34,7 @@
     *_RUN,
     "a notes that the known incarnation has the run",
     "time passes",
+    *_MOVED_BY_A,
 )
 #: A listed run of the next scheduler on an incarnation that a late order may reach.
 _NEXT_RUN = (
@@ -51,6 +55,7 @@
     "b takes the lease",
     "the grant of a takes effect",
     *_NEXT_RUN,
+    *_MOVED_BY_B,
 )
 #: Steps that follow the prefix of the model, by the name of the removed guard.
 HINTS: dict[str, tuple[str, ...]] = {
@@ -67,6 +72,7 @@
         "b learns of a restart from the store",
         "time passes",
         "the start of a takes effect",
+        *_MOVED_BY_B,
     ),
     "carry the end of a longer lease": (
         *_IDLE,
@@ -77,6 +83,7 @@
         "a ends",
         "b takes the lease",
         "time passes",
+        *_MOVED_BY_B,
     ),
     "carry late orders to an idle worker": _LATE_GRANT_AFTER_IDLE,
     "count late orders that are not listed": _LATE_GRANT_AFTER_IDLE,
@@ -95,6 +102,7 @@
         "time passes",
         "the grant of a takes effect",
         *_NEXT_RUN,
+        *_MOVED_BY_B,
     ),
     "end a listed run only with its incarnation": (
         "the worker restarts",
@@ -116,6 +124,7 @@
         "the row of a takes effect",
         "a ends",
         "b takes the lease",
+        *_MOVED_BY_B,
     ),
     "carry the end of other runs": (
         "a stores the placement",
@@ -128,6 +137,7 @@
         "a ends",
         "b takes the lease",
         "time passes",
+        *_MOVED_BY_B,
     ),
     "carry the end of runs that start late": (
         "a stores the placement",
@@ -141,6 +151,7 @@
         "the row of a takes effect",
         "a ends",
         "b takes the lease",
+        *_MOVED_BY_B,
     ),
     "carry late orders to a silent worker": (
         "a stores the placement",
@@ -156,6 +167,7 @@
         "the start of a takes effect",
         "b reads the first list of the worker",
         "b notes that the known incarnation has the run",
+        *_MOVED_BY_B,
     ),
     "store the renewal before the first order": (
         "time passes",
@@ -172,6 +184,7 @@
         "a restarts",
         "a takes the lease",
         "time passes",
+        *_MOVED_BY_A,
     ),
     "order nothing once a row without renewal is sent": (
         "time passes",
@@ -185,6 +198,7 @@
         "a ends",
         "b takes the lease",
         "time passes",
+        *_MOVED_BY_B,
     ),
     "order nothing once the release is sent": (
         "time passes",
@@ -198,6 +212,7 @@
         "a grants the worker a lease",
         "the grant of a takes effect",
         "time passes",
+        *_MOVED_BY_B,
     ),
     "list a new incarnation under a new fence": (
         *_IDLE,
@@ -209,6 +224,7 @@
         "time passes",
         "the grant of a takes effect",
         "time passes",
+        *_MOVED_BY_A,
     ),
     "assume the longest lease where late orders are possible": _LATE_GRANT,
     "rely on the answer of the same incarnation": _LATE_GRANT,
@@ -224,8 +240,9 @@
     "wait out the lease of a listed run": (
         *_RUN,
         "a notes that the known incarnation has the run",
+        *_MOVED_BY_A,
     ),
-    "wait out the longest lease of another run": _RUN,
+    "wait out the longest lease of another run": (*_RUN, *_MOVED_BY_A),
     "wait for late orders after a restart": (
         "a stores the placement",
         "a sends the start",
@@ -234,5 +251,6 @@
         "a learns of a restart from the store",
         "time passes",
         "the start of a takes effect",
+        *_MOVED_BY_A,
     ),
 }
--- a/spec/_inherited_leases.py
+++ b/spec/_inherited_leases.py
@@ -259,7 +259,7 @@
             placement.phase == ELSEWHERE, placement.released_incarnation, listed
         ),
         is_listed=z3.And(is_placed, placement.is_listed),
-        granted_end_s=z3.If(is_placed, listed_s, later(listed_s, ordinary_end_s)),
+        granted_end_s=listed_s,
         long_end_s=entry.listed_s,
         unlisted_s=unlisted_s,
         may_have_late_orders=has_restarted,
--- a/spec/_inherited_lemmas.py
+++ b/spec/_inherited_lemmas.py
@@ -318,6 +318,34 @@
             z3.And(z3.Not(entry.is_renewed), placement.phase != ELSEWHERE),
             _is_silence_covered(state, entry),
         ),
+        z3.Implies(
+            z3.And(z3.Not(entry.is_renewed), placement.phase == UNPLACED),
+            _is_idle_silence_covered(state, entry),
+        ),
+    )
+
+
+def _is_idle_silence_covered(state: InheritedLeases, entry: LeaseEntry) -> z3.BoolRef:
+    """Return whether an entry without renewal covers the leases of an idle worker."""
+    worker = state.worker
+    return z3.And(
+        z3.Or(
+            worker.until_s <= entry.listed_s,
+            z3.Not(entry.lists_late_orders),
+            worker.until_s <= entry.late_orders_until_s + LONGEST_LEASE_S,
+        ),
+        z3.Implies(
+            entry.answered_incarnation == worker.incarnation,
+            worker.until_s <= entry.listed_s,
+        ),
+        _are_own_orders_covered(state, entry.listed_s),
+        *(
+            z3.Implies(
+                _may_order_deposed(state, each),
+                each.confirmed_s + OWNER_LEASE_S + ORDINARY_LEASE_S <= entry.listed_s,
+            )
+            for each in state.schedulers.values()
+        ),
     )
 
 
