A wave whose rows can't be read holds up no move

Callers saw jobs wait in a pool that got none of the spare VMs. Cause: the driver read the rows of each new wave before anything else, and a failed read ended the round of planning; while the store refuses that one partition, no VM was moved or maintained. Now such a wave waits by itself.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -143,11 +143,18 @@
     async def _load_waves(self) -> None:
         known = self._manager.maintenance.waves
         for wave in self._follower.waves:
-            if wave.number not in known:
+            if wave.number in known:
+                continue
+            try:
                 done = await self._repository.read_wave(wave.number)
-                self._manager.maintenance.announce(
-                    wave, done, self._ports.clock.now_s()
+            except StoreUnavailable as error:
+                log_message(
+                    "currantstage:wave-read-failed",
+                    wave=wave.number,
+                    reason=str(error),
                 )
+                return
+            self._manager.maintenance.announce(wave, done, self._ports.clock.now_s())
 
     async def _list_vms(self) -> None:
         requested_s = self._ports.clock.now_s()
--- a/tests/jobs/test_wave_rows.py
+++ b/tests/jobs/test_wave_rows.py
@@ -10,7 +10,7 @@
 from currantstage.application.jobs._repository import JobRepository
 from currantstage.coordination.jobs import SchedulerTuning
 from currantstage.platform import OperatorRows
-from currantstage.standin.jobs import POOLS, SimulatedSite, SimulatedStore
+from currantstage.standin.jobs import POOLS, SPARE_POOL, SimulatedSite, SimulatedStore
 from currantstage.standin.jobs._store import LATE_MAX_S
 from currantstage.state.jobs import (
     JobState,
@@ -122,3 +122,23 @@
         assert site.oracle.violations == []
 
     run_scenario(scenario())
+
+
+def test_wave_whose_rows_cant_be_read_holds_up_no_move() -> None:
+    """No VM joined a pool that lacked some, for as long as the rows were away."""
+
+    async def scenario() -> None:
+        site = await start_site(3)
+        site.store.refused_partitions.add("")
+        vms = (f"m-{POOLS[1]}-0",)
+        site.announce_wave(
+            MaintenanceWave(number=1, vms=vms, complete_by_s=20, max_down=1)
+        )
+        await asyncio.sleep(2.0)
+        for _ in range(20):
+            await site.submit((step(count=24, cpu=4000, run_ms=2000),))
+        await asyncio.sleep(5.0)
+        spare = [f"m-{SPARE_POOL}-{number}" for number in range(3)]
+        assert {site.vms.pool_of(vm) for vm in spare} == {POOLS[0]}
+
+    run_scenario(scenario())
