Circuit breaker for orders about VMs: no VM waits for an order that isn't carried out

Callers saw jobs of a pool stand still for up to 23 s with room for them. Cause: a VM is cordoned from the time its move is planned until the order is carried out, and nothing ended that wait. While the service for VMs answers orders with 503, every turn of the load planned more moves, both ways, until all workers of both pools were cordoned; while its list failed, nothing was planned, so that nothing was given up either. Class: room is kept for something until an outside service answers, without a bound.

Change: after 1 s of failures VmOrderBreaker gives up the work on all VMs but one, which takes a trial order; the first answer closes it. Maintenance that was ordered without an answer keeps its place in the wave for as long as it may be carried out late. A scheduler whose orders about VMs are fenced gives up what it hasn't sent, as well. The log says vm-service with is_failing and the cordoned VMs.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -87,6 +87,7 @@
         self._follower = follower
         self._ports = ports
         self._listed_s = float("-inf")
+        self._is_service_failing = False
         self._logged_sizes: dict[PoolId, tuple[int, int]] = {}
         self._tasks = TaskSet()
 
@@ -102,21 +103,36 @@
     async def _run_once(self) -> None:
         if not self._may_order():
             return
-        try:
-            await self._load_waves()
-            await self._list_vms()
-        except StoreUnavailable as error:
-            log_message("currantstage:fleet-read-failed", reason=str(error))
-            return
+        await self._load_waves()
+        is_listed = await self._list_vms()
         if not self._may_order():
             return
-        for order in self._manager.plan(self._ports.clock.now_s()):
-            self._tasks.spawn(self._execute_order(order))
+        now_s = self._ports.clock.now_s()
+        if is_listed:
+            for order in self._manager.plan(now_s):
+                self._tasks.spawn(self._execute_order(order))
+        else:
+            self._manager.on_list_failed(now_s)
+        self._log_breaker(now_s)
+        if not is_listed:
+            return
         self._log_sizes()
         self._send_orders()
         self._record_waves()
         await self._report_waves()
 
+    def _log_breaker(self, now_s: float) -> None:
+        """Log when the service for VMs begins to fail, and when it works again."""
+        is_failing = self._manager.breaker.is_open(now_s)
+        if is_failing == self._is_service_failing:
+            return
+        self._is_service_failing = is_failing
+        log_message(
+            "currantstage:vm-service",
+            is_failing=is_failing,
+            cordoned_vms=self._manager.cordoned_vms,
+        )
+
     def _log_sizes(self) -> None:
         """Log each pool whose size or share has changed."""
         for pool, size in self._manager.pool_sizes.items():
@@ -156,14 +172,19 @@
                 return
             self._manager.maintenance.announce(wave, done, self._ports.clock.now_s())
 
-    async def _list_vms(self) -> None:
+    async def _list_vms(self) -> bool:
+        """Read the list of VMs if that is due; return whether the known one counts."""
         requested_s = self._ports.clock.now_s()
         interval_s = (
             BUSY_LIST_INTERVAL_S if self._manager.is_busy else IDLE_LIST_INTERVAL_S
         )
         if requested_s - self._listed_s < interval_s:
-            return
-        records = await self._ports.vms.list()
+            return True
+        try:
+            records = await self._ports.vms.list()
+        except StoreUnavailable as error:
+            log_message("currantstage:vm-list-failed", reason=str(error))
+            return False
         self._listed_s = requested_s
         observed = self._manager.observe(records, requested_s)
         for each in observed.ended:
@@ -176,6 +197,7 @@
         for worker in observed.reinstated:
             log_message("currantstage:worker-reinstated", worker=worker)
             self._start_renewals()
+        return True
 
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -69,6 +69,7 @@
     PageWrite,
 )
 from currantstage.coordination.jobs._vm_division import MaxMinDivision, VmDivision
+from currantstage.coordination.jobs._vm_order_breaker import VmOrderBreaker
 from currantstage.coordination.jobs._vm_order_cooldown import VmOrderCooldown
 from currantstage.coordination.jobs._vm_table import (
     VmGoal,
@@ -152,6 +153,7 @@
     "VmOrder",
     "VmState",
     "VmTable",
+    "VmOrderBreaker",
     "VmOrderCooldown",
     "VmWork",
     "StartBlocker",
--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -12,6 +12,7 @@
 from currantstage.coordination.jobs._pool_plan import PoolPlan, VmPresence
 from currantstage.coordination.jobs._pool_sizing import DemandSizing
 from currantstage.coordination.jobs._vm_division import MaxMinDivision
+from currantstage.coordination.jobs._vm_order_breaker import VmOrderBreaker
 from currantstage.coordination.jobs._vm_table import VmOrder, VmState, VmTable, VmWork
 from currantstage.coordination.jobs._vm_workers import PLANNED_CONDITIONS, VmWorkers
 from currantstage.state.jobs import (
@@ -22,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from currantstage.coordination.jobs._maintenance_plan import WaveState
     from currantstage.coordination.jobs._pool_plan import PoolSize
@@ -89,6 +90,7 @@
         self.vms = VmTable(tuning)
         self._cooldown = cooldown
         self._vm_workers = VmWorkers(cooldown.inherited)
+        self.breaker = VmOrderBreaker(self.vms, tuning)
         self.maintenance = MaintenancePlan(self.vms, cooldown, tuning)
         self._pools = PoolPlan(
             self.vms,
@@ -104,6 +106,7 @@
         self, records: Iterable[VmRecord], requested_s: float
     ) -> ObservedWorkers:
         """Apply the platform's list of VMs, which was requested at `requested_s`."""
+        self.breaker.record_list(requested_s, is_answered=True)
         listed = tuple(records)
         ended = [
             each
@@ -120,16 +123,20 @@
     def plan(self, now_s: float) -> list[VmOrder]:
         """Set goals, drain VMs and return the orders that are due."""
         if self._is_fenced:
+            self._give_up_unsent()
             self._scheduler.hold_room_for((), now_s)
             return []
+        self.breaker.release_vms(now_s)
         self._cordon()
         self._evacuation.update(now_s)
-        self.maintenance.choose(self._load, self._evacuation.may_maintain, now_s)
+        self.maintenance.choose(
+            self._load, self._admitted(self._evacuation.may_maintain, now_s), now_s
+        )
         self._pools.choose(
             self._demand.measure(now_s),
             self._spare_pool(),
             self._load,
-            self._evacuation.may_move,
+            self._admitted(self._evacuation.may_move, now_s),
             partial(self._presence, now_s=now_s),
             now_s,
         )
@@ -141,10 +148,17 @@
             for order in self._advance(vm, now_s)
         ]
 
+    def on_list_failed(self, now_s: float) -> None:
+        """Give up planned work that waits for a service which doesn't answer."""
+        self.breaker.record_list(now_s, is_answered=False)
+        self.breaker.release_vms(now_s)
+        self._cordon()
+
     def on_order_outcome(
         self, order: VmOrder, outcome: VmOrderOutcome, now_s: float
     ) -> None:
         """Apply the outcome of an order."""
+        self.breaker.record_order(order, outcome, now_s)
         if outcome is VmOrderOutcome.FENCED:
             # A later scheduler has sent orders for VMs, so this one must stop.
             self._is_fenced = True
@@ -176,6 +190,31 @@
             vm.goal is not None for vm in self.vms.states()
         )
 
+    @property
+    def cordoned_vms(self) -> int:
+        """Number of VMs that are kept from running tasks for planned work."""
+        return sum(vm.goal is not None for vm in self.vms.states())
+
+    def _admitted(
+        self, may_work: Callable[[VmState], bool], now_s: float
+    ) -> Callable[[VmState], bool]:
+        """Return `may_work`, restricted to the work that the breaker allows."""
+
+        def may_begin(vm: VmState) -> bool:
+            if not self.breaker.allows_work(now_s) or not may_work(vm):
+                return False
+            self.breaker.begin_work(vm, now_s)
+            return True
+
+        return may_begin
+
+    def _give_up_unsent(self) -> None:
+        """Give up the work on VMs for which no order has been sent."""
+        for vm in self.vms.states():
+            if vm.goal is not None and vm.sent_s is None:
+                self.vms.clear_goal(vm)
+        self._cordon()
+
     def _end_former_workers(
         self, record: VmRecord, requested_s: float
     ) -> list[EndedWorker]:
@@ -199,6 +238,8 @@
         assert vm.goal is not None
         if vm.done_s is not None or vm.is_awaiting_answer or now_s < vm.retry_s:
             return []
+        if not self.breaker.allows_order(vm, now_s):
+            return []
         if not self._cooldown.may_order(vm.record.vm, now_s):
             return []
         wave = self.maintenance.waves.get(vm.goal.wave)
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -69,6 +69,8 @@
         When the goal was set.
     sent_s, done_s : float, optional
         When the order was first sent and when it was confirmed.
+    answered_s : float
+        When the latest call of the order ended, with or without an answer.
     retry_s : float
         No order is sent before this time.
     emptied_s : float, optional
@@ -86,6 +88,7 @@
     goal_set_s: float = 0.0
     sent_s: float | None = None
     done_s: float | None = None
+    answered_s: float = float("-inf")
     retry_s: float = 0.0
     emptied_s: float | None = None
     ended_worker: WorkerId = WorkerId("")
@@ -191,6 +194,7 @@
         if state is None or state.goal != order.goal:
             return None
         state.is_awaiting_answer = False
+        state.answered_s = now_s
         state.retry_s = now_s + ORDER_RETRY_S
         if outcome is VmOrderOutcome.DONE:
             state.done_s = now_s
--- a/tests/jobs/loaded_fleet.py
+++ b/tests/jobs/loaded_fleet.py
@@ -50,7 +50,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from currantstage.coordination.jobs import Run
 
@@ -114,6 +114,20 @@
         return self.in_time / max(1, self.asked)
 
 
+@dataclass(slots=True)
+class VmService:
+    """Faults of the platform's service for VMs.
+
+    Parameters
+    ----------
+    fails_orders, fails_lists : bool
+        Whether orders and requests for the list get no answer.
+    """
+
+    fails_orders: bool = False
+    fails_lists: bool = False
+
+
 @dataclass(slots=True)
 class _Vm:
     record: VmRecord
@@ -134,6 +148,7 @@
         Teams instead of those of the standard configuration.
     start_delay_s : float
         Time from the storing of a placement until the worker accepts the start.
+    vm_service : VmService
     """
 
     vms: dict[PoolId, int]
@@ -142,6 +157,7 @@
     )
     teams: tuple[JobTeam, ...] = ()
     start_delay_s: float = 0.0
+    vm_service: VmService = field(default_factory=VmService)
     scheduler: Scheduler = field(init=False)
     manager: FleetManager = field(init=False)
     moves: int = 0
@@ -203,8 +219,16 @@
         """Return how many VMs are in a pool or moving to it."""
         return sum(each.record.pool == pool for each in self._vms.values())
 
-    def play(self, arrivals: Sequence[Arrival], until_s: float) -> None:
-        """Hand in the jobs and schedule until `until_s`, counted from the start."""
+    def play(
+        self,
+        arrivals: Sequence[Arrival],
+        until_s: float,
+        on_turn: Callable[[float], None] | None = None,
+    ) -> None:
+        """Hand in the jobs and schedule until `until_s`, counted from the start.
+
+        `on_turn` is called after each turn with the time since the start.
+        """
         start_s = self.now_s
         waiting = sorted(arrivals, key=lambda each: each.at_s)
         turn = 0
@@ -213,6 +237,8 @@
                 self._submit(waiting.pop(0))
             self._run_turn(turn)
             turn += 1
+            if on_turn is not None:
+                on_turn(self.now_s - start_s)
             self.now_s += TURN_S
 
     def outcomes(self) -> list[tuple[Arrival, float | None]]:
@@ -296,6 +322,9 @@
             self._longest_away_s[key] = max(longest_s, away_s + TURN_S)
 
     def _plan(self) -> None:
+        if self.vm_service.fails_lists:
+            self.manager.on_list_failed(self.now_s)
+            return
         self.manager.observe([vm.record for vm in self._vms.values()], self.now_s)
         for order in self.manager.plan(self.now_s):
             outcome = self._execute(order)
@@ -303,6 +332,8 @@
         self._stop_interrupted()
 
     def _execute(self, order: VmOrder) -> VmOrderOutcome:
+        if self.vm_service.fails_orders:
+            return VmOrderOutcome.UNAVAILABLE
         vm = self._vms[order.vm]
         if vm.record.condition is not VmCondition.UP:
             return VmOrderOutcome.BUSY
--- a/tests/jobs/records.py
+++ b/tests/jobs/records.py
@@ -13,7 +13,7 @@
     StepRecord,
     WorkerLeaseListing,
 )
-from currantstage.state import DataCentreId, PoolId, QueueId, TeamId
+from currantstage.state import DataCentreId, PoolId, QueueId, TeamId, VmId
 from currantstage.state.jobs import (
     BornMs,
     JobId,
@@ -24,6 +24,8 @@
     Step,
     Submission,
     TaskPhase,
+    VmCondition,
+    VmRecord,
     WorkerEntry,
     WorkerId,
 )
@@ -45,6 +47,19 @@
     )
 
 
+def vm_record(vm: str) -> VmRecord:
+    """Return a VM that is up, with a worker of its own."""
+    return VmRecord(
+        vm=VmId(vm),
+        pool=PoolId("parcels"),
+        condition=VmCondition.UP,
+        data_centre=DataCentreId("dc"),
+        labels=("a", "r"),
+        capacity=Resources(8000, 16384, 0),
+        worker=WorkerId(f"i-{vm}"),
+    )
+
+
 def open_step(step: Step, job: str = "0" * 16) -> StepRecord:
     """Return the record of a job's only step."""
     return JobRecord(submission(job, step)).open_occurrence(0)[0]
