Moves to a pool that has too many VMs by now are given up

Moves of VMs were planned both ways between two pools as the load turned: only a move to the spare pool was reconsidered before its order was sent. The VMs of both ways were cordoned and ran nothing. Now an unsent move is given up once the pool that it goes to has more surplus than the VM's own.

--- a/currantstage/coordination/jobs/_pool_plan.py
+++ b/currantstage/coordination/jobs/_pool_plan.py
@@ -124,7 +124,8 @@
     ) -> None:
         """Set goals on VMs; pools that lack VMs come before the spare pool.
 
-        A move to the spare pool is reconsidered until its order is sent.
+        A move is reconsidered until its order is sent: a VM stays if its own pool can
+        use it better, and one that is to be spare may join another pool.
 
         Parameters
         ----------
@@ -140,10 +141,10 @@
         balance = {
             pool: size.surplus(gives_all=gives_all) for pool, size in self.sizes.items()
         }
-        leaving = self._keep_needed(self._leaving(spare_pool), balance)
+        self._keep_needed(balance)
         idle = [vm for vm in self._vms.states() if vm.goal is None and vm.is_up]
         donors = [vm for vm in idle if vm.record.pool == spare_pool]
-        donors.extend(sorted(leaving, key=load))
+        donors.extend(sorted(self._leaving_to(spare_pool), key=load))
         unneeded: list[VmState] = []
         for pool, surplus in balance.items():
             own = sorted((vm for vm in idle if vm.record.pool == pool), key=load)
@@ -195,35 +196,44 @@
             return -1.0
         return now_s - self._surplus_since_s.setdefault(pool, now_s)
 
-    def _leaving(self, spare_pool: PoolId | None) -> list[VmState]:
-        """Return the VMs that are being drained to move to the spare pool."""
+    def _unsent_moves(self) -> list[VmState]:
+        """Return the VMs that are being drained to move."""
         return [
             vm
             for vm in self._vms.states()
-            if vm.goal is not None
-            and vm.goal.work is VmWork.MOVE
-            and vm.goal.pool == spare_pool
-            and vm.is_up
+            if vm.goal is not None and vm.goal.work is VmWork.MOVE and vm.is_up
         ]
 
-    def _keep_needed(
-        self, leaving: list[VmState], balance: dict[PoolId, int]
-    ) -> list[VmState]:
-        """Keep the VMs that their own pools need again; return the others."""
-        others = []
-        for vm in leaving:
-            if balance.get(vm.record.pool, 0) < 0:
-                self._vms.clear_goal(vm)
-                balance[vm.record.pool] += 1
-            else:
-                others.append(vm)
-        return others
+    def _leaving_to(self, pool: PoolId | None) -> list[VmState]:
+        """Return the VMs that are being drained to move to `pool`."""
+        return [vm for vm in self._unsent_moves() if vm.target_pool() == pool]
+
+    def _keep_needed(self, balance: dict[PoolId, int]) -> None:
+        """Give up the moves of VMs that their own pools can use better."""
+        for vm in self._unsent_moves():
+            own, other = vm.record.pool, vm.target_pool()
+            if not _is_needless(balance.get(own, 0), balance.get(other)):
+                continue
+            self._vms.clear_goal(vm)
+            for pool, change in ((own, 1), (other, -1)):
+                if pool in balance:
+                    balance[pool] += change
 
     def _move(self, vm: VmState, pool: PoolId, now_s: float) -> None:
         planned_s = vm.goal_set_s if vm.goal is not None else now_s
         self._vms.set_goal(vm, VmGoal(VmWork.MOVE, pool=pool), planned_s)
 
 
+def _is_needless(own_surplus: int, other_surplus: int | None) -> bool:
+    """Return whether a move would take a VM to where it is needed less.
+
+    The spare pool has no surplus.
+    """
+    if other_surplus is None:
+        return own_surplus < 0
+    return other_surplus > max(0, own_surplus)
+
+
 def _max_replaced(wanted_vms: int) -> int:
     """Return how many dark VMs of a pool are replaced at most."""
     return math.ceil(wanted_vms * MAX_REPLACED_SHARE)
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -18,7 +18,7 @@
 from currantstage.coordination.jobs._fleet_manager import MOVE_DRAIN_TIMEOUT_S
 from currantstage.coordination.jobs._maintenance_plan import MAX_DRAIN_TIMEOUT_S
 from currantstage.standin.jobs import build_configuration
-from currantstage.state import DataCentreId, PoolId, TeamId, VmId
+from currantstage.state import DataCentreId, PoolId, QueueId, TeamId, VmId
 from currantstage.state.jobs import (
     MaintenanceWave,
     Resources,
@@ -68,6 +68,13 @@
         self.worker(worker).add(run)
         return run
 
+    def submit_to(self, pool: str, work: Step) -> None:
+        """Submit a job to another pool, which thereby lacks a VM."""
+        job = submission("2" * 16, work)
+        queue = QueueId(f"q-{pool}")
+        other = replace(job, queue=queue, pool=PoolId(pool))
+        self.scheduler.submit(other, self.now_s)
+
     def worker(self, worker: str) -> WorkerState:
         """Return the state of a worker."""
         worker_state = self.scheduler.workers.get(WorkerId(worker))
@@ -404,6 +411,7 @@
     fleet.run_other("w-1", run_ms=2000)
     move = VmGoal(VmWork.MOVE, pool=PoolId("parcels"))
     fleet.manager.vms.set_goal(fleet.vm("w-0"), move, NOW_S)
+    fleet.submit_to("parcels", _lasting(1, cpu=5000))
     fleet.plan_until(NOW_S + MOVE_DRAIN_TIMEOUT_S)
     assert fleet.vm("w-0").goal == move
     fleet.plan_until(NOW_S + MOVE_DRAIN_TIMEOUT_S + 0.2)
--- a/tests/jobs/test_pool_plan.py
+++ b/tests/jobs/test_pool_plan.py
@@ -56,10 +56,15 @@
         _choose(plan, demand, now_s)
 
 
-def _choose(plan: PoolPlan, demand: PoolDemand, now_s: float) -> None:
-    """Plan moves for that demand on the busy pool, and none on the idle one."""
+def _choose(
+    plan: PoolPlan,
+    demand: PoolDemand,
+    now_s: float,
+    idle: PoolDemand = PoolDemand(),  # noqa: B008
+) -> None:
+    """Plan moves for that demand on the busy pool, and by default none on the other."""
     plan.choose(
-        {BUSY: demand, IDLE: PoolDemand()},
+        {BUSY: demand, IDLE: idle},
         SPARE,
         lambda _: 0.0,
         lambda _: True,
@@ -158,6 +163,18 @@
     assert [vm.goal for vm in table.states()] == [None] * 5
 
 
+def test_vm_on_its_way_to_a_pool_that_has_too_many_stays() -> None:
+    """Moves went both ways between two pools, and neither could use their VMs."""
+    table = _table(busy=1, idle=4, spare=0)
+    plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
+    needs_three = PoolDemand(arriving_cores=24.0, capacity_cores=30.0)
+    for now_s in (0.0, 0.5):
+        _choose(plan, needs_three, now_s)
+    assert _targets(table) == {"busy": 3, "idle": 2, "spare": 0}
+    _choose(plan, PoolDemand(), 0.7, idle=needs_three)
+    assert [vm.goal for vm in table.states() if vm.goal is not None] == []
+
+
 def test_vm_whose_move_may_have_been_ordered_keeps_its_goal() -> None:
     table = _table(busy=1, idle=3, spare=0)
     plan = PoolPlan(table, DemandSizing(TUNING), MaxMinDivision(), 1.5)
