Crashes under tasks have a table of their own

A function that nothing called is gone. Callers and two tests use the new names; behaviour is unchanged.

--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -4,29 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec.structs import replace
-
+from currantstage.coordination.jobs._crash_table import CrashTable
 from currantstage.coordination.jobs._progress_pages import JobPages
-from currantstage.coordination.jobs._records import (
-    JobFailure,
-    JobRecord,
-    StepRecord,
-)
-from currantstage.coordination.jobs._task_record import TaskRecord
+from currantstage.coordination.jobs._records import JobRecord
 from currantstage.coordination.jobs._unsaved_pages import UnsavedPages
-from currantstage.state.jobs import (
-    CrashEvidence,
-    CrashRecord,
-    JobState,
-    RunNumber,
-    TaskPhase,
-)
+from currantstage.state.jobs import JobState, TaskPhase
 
 if TYPE_CHECKING:
+    from currantstage.coordination.jobs._records import JobFailure, StepRecord
+    from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.state import QueueId
     from currantstage.state.jobs import (
         JobId,
         PageKey,
+        RunNumber,
         StoredProgress,
         Submission,
         TaskKey,
@@ -48,7 +39,8 @@
         self._open: dict[JobId, JobRecord] = {}
         self._scheduled: dict[JobId, JobRecord] = {}
         self._changed: dict[JobId, JobRecord] = {}
-        self._trials: dict[TaskKey, TaskRecord] = {}
+        #: Crashes of workers under tasks.
+        self.crashes = CrashTable(self.mark_task_unsaved)
         self._unix_ms = 0
 
     def __len__(self) -> int:
@@ -109,8 +101,7 @@
         task.move_to(entry.phase)
         task.run_number = entry.run
         task.failed_runs = frozenset(entry.failed_runs)
-        task.crashes = {each.run: each for each in entry.crashes}
-        self._note_trial(task)
+        self.crashes.restore(task, entry.crashes)
         task.checkpoint = entry.checkpoint
         if entry.phase is TaskPhase.PLACED:
             task.worker = entry.worker
@@ -247,44 +238,6 @@
         counted.failed_runs |= {run}
         self.mark_task_unsaved(counted)
 
-    def count_crash(self, task: TaskRecord, crash: CrashRecord) -> None:
-        """Count a run whose worker crashed."""
-        task.crashes[crash.run] = crash
-        self._note_trial(task)
-        self.mark_task_unsaved(task)
-
-    def confirm_crash(self, task: TaskRecord, run: RunNumber) -> bool:
-        """Record that a silent worker had crashed; return whether that was open."""
-        crash = task.crashes.get(run)
-        if crash is None or crash.is_crash:
-            return False
-        self.count_crash(task, replace(crash, evidence=CrashEvidence.LATE_END))
-        return True
-
-    def clear_crash(self, task: TaskRecord, run: RunNumber) -> None:
-        """Take back a crash: the worker has turned out to live."""
-        if task.crashes.pop(run, None) is not None:
-            self.mark_task_unsaved(task)
-
-    def clear_crashes(self, task: TaskRecord) -> None:
-        """Take back all crashes under a task that is at work on a worker."""
-        if task.crashes:
-            task.crashes.clear()
-            self.mark_task_unsaved(task)
-
-    def waiting_trials(self) -> list[TaskRecord]:
-        """Return the waiting tasks that are to be tried alone on a worker."""
-        self._trials = {
-            key: task
-            for key, task in self._trials.items()
-            if task.needs_trial and not task.step.job.state.is_final
-        }
-        return [
-            task
-            for task in self._trials.values()
-            if task.phase is TaskPhase.WAITING and task.step.is_ready
-        ]
-
     def fail(self, record: JobRecord, failure: JobFailure) -> None:
         """End a job as failed."""
         if not record.state.is_final:
@@ -346,10 +299,6 @@
         pages = step.job.pages_of_step(step)
         return any(page in self.unsaved.pages for page in pages)
 
-    def _note_trial(self, task: TaskRecord) -> None:
-        if task.needs_trial:
-            self._trials[task.key] = task
-
     def _open_upto(self, record: JobRecord, due: int) -> None:
         """Open a job's first `due` occurrences, or a part of them if they are many."""
         opened_tasks = 0
@@ -370,7 +319,3 @@
     def _close(self, record: JobRecord) -> None:
         self._open.pop(record.job, None)
         self._scheduled.pop(record.job, None)
-
-
-def _task_count(record: JobRecord) -> int:
-    return record.submission.task_count
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -102,7 +102,7 @@
             self.release(run)
         if task.crashes:
             # A worker that lists the end of a run has not crashed under it.
-            self._jobs.clear_crash(task, ended.run)
+            self._jobs.crashes.discard(task, ended.run)
         if ended.kind is EndKind.DONE:
             worker_state.record_success()
             if not task.step.job.state.is_final:
@@ -153,7 +153,7 @@
     def on_late_end(self, run: Run) -> None:
         """Record that the worker of a run that has been lost had crashed."""
         task = run.task
-        if not self._jobs.confirm_crash(task, run.number):
+        if not self._jobs.crashes.confirm(task, run.number):
             return
         companions = run.loss.companions if run.loss else 0
         self._lost.append(LostRun(run, RunLoss(LossCause.ENDED_LATE, companions)))
@@ -205,11 +205,11 @@
         is_certain = evidence is CrashEvidence.PROCESS_END
         was_alone = is_certain and not loss.companions and run.has_started
         crash = CrashRecord(run.number, was_alone, not run.has_started, evidence)
-        self._jobs.count_crash(run.task, crash)
+        self._jobs.crashes.add(run.task, crash)
 
     def _end_suspicion(self, run: Run) -> None:
         """Clear a long-running task that is at work, and open its worker to others."""
-        self._jobs.clear_crashes(run.task)
+        self._jobs.crashes.clear(run.task)
         worker_state = self._workers.get(run.worker)
         if run.is_trial and worker_state is not None:
             worker_state.end_trial(run)
--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -210,7 +210,7 @@
         """
         placed: list[Run] = []
         is_held = False
-        for task in self._jobs.waiting_trials():
+        for task in self._jobs.crashes.waiting_trials():
             queue = self._waiting.queue_of(task.step)
             task_pool = queue.pool if queue else task.step.job.submission.pool
             if task_pool != pool or task.not_before_s > now_s:
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -487,7 +487,7 @@
     ) -> tuple[list[Run], list[WorkerState]]:
         placed: list[Run] = []
         held: WorkerState | None = None
-        for task in self._jobs.waiting_trials():
+        for task in self._jobs.crashes.waiting_trials():
             if task.step not in steps or task.not_before_s > now_s:
                 continue
             task.trial_since_s = min(task.trial_since_s, now_s)
--- a/tests/jobs/test_room_holds.py
+++ b/tests/jobs/test_room_holds.py
@@ -403,7 +403,7 @@
     assert record is not None
     task = record.occurrences[0][0].tasks[0]
     crash = CrashRecord(RunNumber(0), True, False, CrashEvidence.PROCESS_END)
-    fleet.scheduler.jobs.count_crash(task, crash)
+    fleet.scheduler.jobs.crashes.add(task, crash)
     rest = [replace(each, at_s=each.at_s - 4) for each in arrivals if each.at_s >= 4]
     fleet.play(rest, 16.0)
     assert max(fleet.first_waits_s(lasting)) <= MAX_WAIT_S
@@ -420,7 +420,7 @@
     assert _held(pool, step) == {"a"}
     suspect = pool.submit(resources=Resources(1000, 1000))
     crash = CrashRecord(RunNumber(0), True, False, CrashEvidence.PROCESS_END)
-    pool.scheduler.jobs.count_crash(suspect.tasks[0], crash)
+    pool.scheduler.jobs.crashes.add(suspect.tasks[0], crash)
     pool.renew(first)
     pool.advance(0.1)
     assert [run.worker for run in step.runs()] == ["a"]
