Room holds: what a step has requested has a module of its own

RoomHold and RoomRequest with the constants that only they use move to _room_request; _room_holds keeps the choice of workers. Two constants shared one comment, and one comment could only be read with the line before it.

--- a/currantstage/coordination/jobs/_placement_forecast.py
+++ b/currantstage/coordination/jobs/_placement_forecast.py
@@ -7,7 +7,7 @@
 
 from currantstage.coordination.jobs._preemption import is_preemptible
 from currantstage.coordination.jobs._room_forecast import expected_end_s
-from currantstage.coordination.jobs._room_holds import ROOM_WITHIN_S
+from currantstage.coordination.jobs._room_request import ROOM_WITHIN_S
 from currantstage.state.jobs import NO_RESOURCES
 
 if TYPE_CHECKING:
--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from heapq import nsmallest
 from operator import attrgetter, itemgetter
 from typing import TYPE_CHECKING
@@ -11,7 +10,8 @@
 from currantstage.coordination.jobs._leaving_runs import LeavingRuns
 from currantstage.coordination.jobs._placement import StepNeeds
 from currantstage.coordination.jobs._preemption import PreemptedRun, cheapest_preemption
-from currantstage.coordination.jobs._room_forecast import STOP_S, RoomForecast
+from currantstage.coordination.jobs._room_forecast import RoomForecast
+from currantstage.coordination.jobs._room_request import RoomHold, RoomRequest
 from currantstage.coordination.jobs._worker_room import ANY_AMOUNT
 from currantstage.coordination.jobs._worker_state import StartBlocker
 
@@ -31,96 +31,20 @@
 #: Maximum time for which a worker is held until it is expected to have room, in
 #: seconds; other tasks would lack it for too long.
 MAX_HOLD_S = 6.0
-#: How long after the expected time a held worker may still lack room, in seconds.
-HOLD_TOLERANCE_S = 0.5
-#: How long a worker on which runs are being stopped is held, in seconds.
-PREEMPTION_HOLD_S = 2.0
 #: How much longer a worker with room for a member of a gang is held, until all members
 #: have room, in seconds.
 GANG_HOLD_S = 4.0
-#: Time from the first wait of a step until its tasks should have room, in seconds.
-ROOM_WITHIN_S = 4.0
-#: How long a step waits before other tasks are stopped for it, in seconds.
-PREEMPT_AFTER_S = 1.5
-#: How long it waits before whole gangs are stopped, if that of other tasks is in vain.
+#: How long a step waits before whole gangs are stopped for it, in seconds, if stopping
+#: other tasks gives it no room.
 PREEMPT_GANGS_AFTER_S = 3.0
-#: Minimum time between two searches for workers to hold for a step, in seconds, and
-#: after one that has found none.
+#: Minimum time between two searches for workers to hold for a step, in seconds.
 SEARCH_INTERVAL_S = 0.25
-VAIN_SEARCH_INTERVAL_S = 1.0
 #: Maximum number of searches within `SEARCH_INTERVAL_S`.
 MAX_SEARCHES = 4
 #: Reasons to place no task on a worker that pass by themselves.
 _MOMENTARY = (StartBlocker.ORPHANS, StartBlocker.PAUSED, StartBlocker.START_IN_DOUBT)
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class RoomHold:
-    """A worker that takes no other tasks.
-
-    Parameters
-    ----------
-    worker : WorkerState
-    pool : PoolId
-        Pool of the worker when the hold began.
-    room_s : float
-        When it is expected to have room.
-    until_s : float
-        When the hold ends, if it still has none.
-    """
-
-    worker: WorkerState
-    pool: PoolId
-    room_s: float
-    until_s: float
-
-    @classmethod
-    def for_room(cls, worker: WorkerState, room_s: float) -> RoomHold:
-        """Return a hold of a worker whose runs will end by themselves."""
-        until_s = room_s + HOLD_TOLERANCE_S
-        return cls(worker, worker.entry.pool, room_s, until_s)
-
-    @classmethod
-    def for_preemption(cls, worker: WorkerState, now_s: float) -> RoomHold:
-        """Return a hold of a worker on which runs are being stopped."""
-        until_s = now_s + PREEMPTION_HOLD_S
-        return cls(worker, worker.entry.pool, now_s + STOP_S, until_s)
-
-    @property
-    def worker_id(self) -> WorkerId:
-        """Id of the held worker."""
-        return self.worker.entry.worker
-
-
-@dataclass(slots=True)
-class _RoomRequest:
-    """A long-running step that lacks room, and the workers held for it."""
-
-    step: StepRecord
-    since_s: float
-    holds: list[RoomHold] = field(default_factory=list)
-    search_due_s: float = -math.inf
-
-    def release(self, worker: WorkerId) -> None:
-        """Hold a worker no longer."""
-        self.holds = [each for each in self.holds if each.worker_id != worker]
-
-    def timely_holds(self, now_s: float) -> list[RoomHold]:
-        """Return the holds of workers that are expected to have room soon enough."""
-        latest_s = max(self.since_s + ROOM_WITHIN_S, now_s + STOP_S)
-        return [each for each in self.holds if each.room_s <= latest_s]
-
-    def next_search_s(self, now_s: float) -> float:
-        """Return when to search again after a search that has found no worker."""
-        preempting_s = self.since_s + PREEMPT_AFTER_S
-        next_s = now_s + VAIN_SEARCH_INTERVAL_S
-        return min(next_s, preempting_s) if now_s < preempting_s else next_s
-
-    def is_preempting(self, now_s: float) -> bool:
-        """Return whether its tasks have waited so long that others are stopped."""
-        return now_s >= self.since_s + PREEMPT_AFTER_S
-
-
 class RoomHolds:
     """Holds the workers that will have room first, one for each waiting task.
 
@@ -138,7 +62,7 @@
         self._workers = workers
         #: Runs whose tasks are to wait elsewhere.
         self.leaving = LeavingRuns()
-        self._requests: dict[StepKey, _RoomRequest] = {}
+        self._requests: dict[StepKey, RoomRequest] = {}
         self._held: set[WorkerId] = set()
         self._preempted: list[PreemptedRun] = []
         self._forecast = RoomForecast(0.0)
@@ -237,7 +161,7 @@
         count = waiting_count + self.leaving.count(step)
         if not count:
             return
-        request = self._requests.setdefault(step.key, _RoomRequest(step, now_s))
+        request = self._requests.setdefault(step.key, RoomRequest(step, now_s))
         needs = StepNeeds(step)
         request.holds = [h for h in request.holds if self._suits(h, needs, workers)]
         if len(request.timely_holds(now_s)) >= count:
@@ -296,7 +220,7 @@
         return obstacle is None and workers.allows(hold.worker)
 
     def _limit(
-        self, request: _RoomRequest, candidates: list[WorkerState], pool: PoolId
+        self, request: RoomRequest, candidates: list[WorkerState], pool: PoolId
     ) -> int:
         """Return how many workers of a pool may be held for a step."""
         held = sum(
@@ -309,7 +233,7 @@
 
     def _hold_first(
         self,
-        request: _RoomRequest,
+        request: RoomRequest,
         needs: StepNeeds,
         candidates: list[WorkerState],
         count: int,
@@ -326,7 +250,7 @@
 
     def _preempt(
         self,
-        request: _RoomRequest,
+        request: RoomRequest,
         needs: StepNeeds,
         candidates: list[WorkerState],
         count: int,
@@ -352,13 +276,13 @@
         )
 
     def _replace(
-        self, request: _RoomRequest, late: list[RoomHold], worker: WorkerState
+        self, request: RoomRequest, late: list[RoomHold], worker: WorkerState
     ) -> None:
         """Release the late hold of `worker`, or else the latest of them."""
         same = [each for each in late if each.worker is worker]
         dropped = same[0] if same else max(late, key=attrgetter("room_s"))
         request.release(dropped.worker_id)
 
-    def _add(self, request: _RoomRequest, hold: RoomHold) -> None:
+    def _add(self, request: RoomRequest, hold: RoomHold) -> None:
         request.holds.append(hold)
         self._held.add(hold.worker_id)
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -18,15 +18,17 @@
 from currantstage.coordination.jobs._room_forecast import STOP_S
 from currantstage.coordination.jobs._room_holds import (
     GANG_HOLD_S,
-    HOLD_TOLERANCE_S,
     MAX_HELD_SHARE,
     MAX_HOLD_S,
     MAX_SEARCHES,
-    PREEMPT_AFTER_S,
     PREEMPT_GANGS_AFTER_S,
+    SEARCH_INTERVAL_S,
+)
+from currantstage.coordination.jobs._room_request import (
+    HOLD_TOLERANCE_S,
+    PREEMPT_AFTER_S,
     PREEMPTION_HOLD_S,
     ROOM_WITHIN_S,
-    SEARCH_INTERVAL_S,
     VAIN_SEARCH_INTERVAL_S,
 )
 from currantstage.coordination.jobs._step_graph import DEFAULT_RUN_MS
