--- a/currantstage/coordination/jobs/_task_placer.py
+++ b/currantstage/coordination/jobs/_task_placer.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from dataclasses import dataclass, replace
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._placement import StepNeeds
 from currantstage.coordination.jobs._room_forecast import NEVER_S, expected_idle_s
 from currantstage.coordination.jobs._room_holds import RoomHolds
 from currantstage.coordination.jobs._run import Run, RunPhase
+from currantstage.coordination.jobs._step_workers import (
+    StepWorkers,
+    advised_workers,
+    find_no_worker,
+    is_advised,
+)
 from currantstage.coordination.jobs._task_record import share_checkpoint
 from currantstage.coordination.jobs._waiting_steps import WaitingSteps
 from currantstage.coordination.jobs._worker_room import ANY_AMOUNT, CandidateWorkers
@@ -18,22 +22,19 @@
 from currantstage.state.jobs import RunNumber
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from currantstage.coordination.jobs._job_table import JobTable
     from currantstage.coordination.jobs._leaving_runs import LeavingRun
     from currantstage.coordination.jobs._ordering import StepOrder
     from currantstage.coordination.jobs._placement import TaskPlacement
-    from currantstage.coordination.jobs._records import (
-        JobRecord,
-        StepRecord,
-    )
+    from currantstage.coordination.jobs._records import JobRecord, StepRecord
     from currantstage.coordination.jobs._step_lines import StepSelection
     from currantstage.coordination.jobs._task_record import TaskRecord
     from currantstage.coordination.jobs._team_usage import TeamUsage
     from currantstage.coordination.jobs._worker_table import WorkerTable
     from currantstage.state import PoolId
-    from currantstage.state.jobs import FleetConfiguration, JobQueue
+    from currantstage.state.jobs import FleetConfiguration
 
 #: Maximum time that a task waits for a worker without other runs, in seconds.
 MAX_TRIAL_WAIT_S = 2.0
@@ -41,47 +42,6 @@
 MAX_PLACED_PER_POOL = 256
 
 
-@dataclass(frozen=True, slots=True)
-class StepWorkers:
-    """Workers that may run a step.
-
-    Parameters
-    ----------
-    held : list of WorkerState
-        Those that are held for it, the one with the first room first.
-    open : CandidateWorkers
-        Those that other steps may use as well.
-    may_start : callable
-        Whether tasks of the step may be placed on a held worker at all.
-    find_shared : callable
-        Returns a worker that is held for another step and has room for both, if any.
-    """
-
-    held: list[WorkerState]
-    open: CandidateWorkers
-    may_start: Callable[[WorkerState], bool]
-    find_shared: Callable[[], WorkerState | None]
-
-    def choose(self, task: TaskRecord, placement: TaskPlacement) -> WorkerState | None:
-        """Return the worker for `task`, a held one if it has room."""
-        if self.held:
-            needs = StepNeeds(task.step)
-            for each in self.held:
-                if needs.obstacle(each) is None and self.may_start(each):
-                    return each
-        return placement.choose(task, self.open) or self.find_shared()
-
-    def only(self, is_allowed: Callable[[WorkerState], bool]) -> StepWorkers:
-        """Return the workers that `is_allowed` accepts, none of them a shared one."""
-        held = [each for each in self.held if is_allowed(each)]
-        return replace(
-            self,
-            held=held,
-            open=self.open.only(is_allowed),
-            find_shared=_find_nothing,
-        )
-
-
 class TaskPlacer:
     """Places tasks; reserves resources, team limit and run number in the same step."""
 
@@ -131,7 +91,7 @@
                 continue
             workers = self._open_workers(pool_of(step.job, configuration), now_s)
             queue = configuration.queue(step.job.submission.queue)
-            allowed = _advised(step, queue, workers, now_s)
+            allowed = advised_workers(step, queue, workers, now_s)
             waiting = self._allowed_waiting(step, configuration)
             self.holds.hold(step, waiting, allowed, now_s)
 
@@ -183,7 +143,7 @@
 
         def may_start(worker: WorkerState) -> bool:
             is_open = worker.accepts_starts(now_s)
-            return is_open and _is_advised(step, queue, worker, now_s)
+            return is_open and is_advised(step, queue, worker, now_s)
 
         def find_shared() -> WorkerState | None:
             if not self.holds.is_search_due(step, now_s):
@@ -192,9 +152,9 @@
 
         return StepWorkers(
             self.holds.held_for(step, workers.pool) if is_long_running else [],
-            _advised(step, queue, workers, now_s),
+            advised_workers(step, queue, workers, now_s),
             may_start,
-            find_shared if is_long_running else _find_nothing,
+            find_shared if is_long_running else find_no_worker,
         )
 
     def _place_trials(
@@ -347,10 +307,6 @@
         run.task.assign(None)
 
 
-def _find_nothing() -> None:
-    return None
-
-
 def pool_of(job: JobRecord, configuration: FleetConfiguration) -> PoolId:
     """Return the pool that the job's queue is routed to now."""
     submission = job.submission
@@ -369,24 +325,3 @@
         return workers
     held = min(candidates, key=lambda each: expected_idle_s(each, now_s))
     return workers.only(lambda each: each is not held)
-
-
-def _advised(
-    step: StepRecord,
-    queue: JobQueue | None,
-    workers: CandidateWorkers,
-    now_s: float,
-) -> CandidateWorkers:
-    """Return the workers that the queue's advice policy allows for `step`."""
-    if queue is None or queue.advice is None:
-        return workers
-    return workers.only(lambda each: _is_advised(step, queue, each, now_s))
-
-
-def _is_advised(
-    step: StepRecord, queue: JobQueue | None, worker: WorkerState, now_s: float
-) -> bool:
-    """Return whether the queue's advice policy allows `step` on `worker`."""
-    if queue is None or queue.advice is None:
-        return True
-    return step.ticket(worker.entry.worker, now_s) is not None
