Worker table: losses are recorded in _run_loss, leases inherited by WorkerLease

Three places recorded the end of a process in the same two steps; these are independent of each other, so that one method serves all of them. What only changes a lease is a method of WorkerLease.

--- a/currantstage/coordination/jobs/_run_loss.py
+++ b/currantstage/coordination/jobs/_run_loss.py
@@ -6,10 +6,14 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from currantstage.coordination.jobs._run import RunPhase
 from currantstage.state.jobs import CrashEvidence
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantstage.coordination.jobs._run import Run
+    from currantstage.coordination.jobs._worker_state import WorkerState
 
 
 class LossCause(Enum):
@@ -61,3 +65,26 @@
 
     run: Run
     loss: RunLoss
+
+
+def sent_runs(state: WorkerState) -> list[Run]:
+    """Return the runs whose start may have reached the worker."""
+    return [run for run in state.runs.values() if run.phase is not RunPhase.UNSENT]
+
+
+def record_loss(state: WorkerState, runs: Sequence[Run], cause: LossCause) -> None:
+    """Record why runs are lost, unless an earlier loss of theirs is on record."""
+    if state.is_leaving:
+        cause = LossCause.PLANNED
+    suspects = sum(not run.is_settled_in for run in runs)
+    for run in runs:
+        if run.loss is None:
+            companions = suspects - (not run.is_settled_in)
+            run.loss = RunLoss(cause, companions)
+
+
+def record_planned_end(state: WorkerState) -> None:
+    """Record that no crash has ended a worker, whatever was seen of its end before."""
+    state.expired_runs.clear()
+    for run in sent_runs(state):
+        run.loss = RunLoss(LossCause.PLANNED, companions=0)
--- a/currantstage/coordination/jobs/_worker_lease.py
+++ b/currantstage/coordination/jobs/_worker_lease.py
@@ -12,8 +12,12 @@
 from currantstage.state.jobs import BornMs, OrderOutcome
 
 if TYPE_CHECKING:
-    from currantstage.coordination.jobs._inherited_leases import RunEnds
+    from currantstage.coordination.jobs._inherited_leases import (
+        InheritedLeases,
+        RunEnds,
+    )
     from currantstage.coordination.jobs._tuning import SchedulerTuning
+    from currantstage.state.jobs import WorkerId
 
 
 @dataclass(slots=True)
@@ -104,6 +108,13 @@
         """Record that the known incarnation may have a longer lease until `end_s`."""
         self.long_end_s = max(self.long_end_s, end_s)
 
+    def inherit(self, leases: InheritedLeases, worker: WorkerId) -> None:
+        """Allow for the leases and the late orders of earlier schedulers."""
+        self.on_adopted(leases.ends(worker), leases.late_orders_end_s(worker))
+        self.extend(leases.stored_end_s(worker))
+        self.expect_late_orders(leases.late_orders_until_s(worker))
+        self.answered_born_ms = leases.answered_born_ms(worker) or self.answered_born_ms
+
     def on_adopted(self, ends: RunEnds, orders_end_s: float) -> None:
         """Record when the runs and the orders of earlier schedulers have ended."""
         self.end_s = max(self.end_s, ends.listed_s)
--- a/currantstage/coordination/jobs/_worker_table.py
+++ b/currantstage/coordination/jobs/_worker_table.py
@@ -12,7 +12,12 @@
     take_new_ends,
 )
 from currantstage.coordination.jobs._run import Run, RunPhase
-from currantstage.coordination.jobs._run_loss import LossCause, RunLoss
+from currantstage.coordination.jobs._run_loss import (
+    LossCause,
+    record_loss,
+    record_planned_end,
+    sent_runs,
+)
 from currantstage.coordination.jobs._worker_clock import WorkerClock
 from currantstage.coordination.jobs._worker_room import RoomIndex
 from currantstage.coordination.jobs._worker_state import (
@@ -101,7 +106,7 @@
         """Allow for orders that earlier schedulers have sent to any worker."""
         self._inherited = leases
         for state in self._states.values():
-            _inherit_lease(state, leases)
+            state.lease.inherit(leases, state.entry.worker)
 
     def adopt(self, run: Run, leases: InheritedLeases) -> None:
         """Record a run that an earlier scheduler placed.
@@ -117,7 +122,7 @@
             # Its entry may have expired while the worker, whose lease has not, runs on.
             state = self._add(_unlisted_entry(run.worker, born_ms))
             state.is_listed = False
-        _inherit_lease(state, leases)
+        state.lease.inherit(leases, run.worker)
         if not state.lease.answered_born_ms:
             # Its placement shows that this incarnation had answered.
             state.lease.answered_born_ms = born_ms
@@ -159,7 +164,7 @@
             state, order, reply, settled_clock_ms, sent_s, listed_s, now_s
         )
         if changes.lost:
-            _record_loss(state, changes.lost, LossCause.NOT_LISTED)
+            record_loss(state, changes.lost, LossCause.NOT_LISTED)
             self._remove_all(state, changes.lost)
         return changes
 
@@ -195,10 +200,10 @@
                 continue
             ended = [
                 run
-                for run in _sent_runs(state)
+                for run in sent_runs(state)
                 if now_s > state.run_end_s(run, self._tuning)
             ]
-            _record_loss(state, ended, LossCause.LEASE_EXPIRED)
+            record_loss(state, ended, LossCause.LEASE_EXPIRED)
             state.expired_runs.extend(ended)
             lost.extend(self._remove_all(state, ended))
         return lost
@@ -213,10 +218,9 @@
 
     def end_incarnation(self, state: WorkerState) -> list[Run]:
         """Record that a worker's process has ended; return the runs lost with it."""
-        self._note_late_ends(state)
+        self._record_process_end(state)
         state.is_synced = False
         state.missed_renewals = SILENT_AFTER_MISSED_RENEWALS
-        _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
         return self._remove_all(state, list(state.runs.values()))
 
     def end_without_vm(self, state: WorkerState, *, is_planned: bool) -> list[Run]:
@@ -226,7 +230,7 @@
         """
         state.raise_fence()
         if is_planned:
-            _record_planned_end(state)
+            record_planned_end(state)
         return self.end_incarnation(state)
 
     def retire(self, state: WorkerState) -> list[Run]:
@@ -242,7 +246,7 @@
             may_be_renewed=self.may_be_renewed,
         )
         if self._inherited is not None:
-            _inherit_lease(state, self._inherited)
+            state.lease.inherit(self._inherited, entry.worker)
         self._states[entry.worker] = state
         self.room.on_room_changed(state)
         return state
@@ -274,8 +278,7 @@
         if is_reply:
             ended_ms.update(run.task.born_ms for run in state.runs.values())
         ended_ms.discard(born_ms)
-        self._note_late_ends(state)
-        _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
+        self._record_process_end(state)
         state.entry = _with_incarnation(state.entry, born_ms)
         state.is_retired = False
         state.raise_fence()
@@ -309,18 +312,18 @@
         born_ms = {entry.address: entry.born_ms for entry in entries}
         for state in self._states.values():
             if born_ms.get(state.entry.address, 0) > state.entry.born_ms:
-                _record_loss(state, _sent_runs(state), LossCause.WORKER_ENDED)
-                self._note_late_ends(state)
+                self._record_process_end(state)
 
-    def _note_late_ends(self, state: WorkerState) -> None:
-        """Note that a worker's process has ended after its runs were released.
+    def _record_process_end(self, state: WorkerState) -> None:
+        """Record that a worker's process has ended, also for runs released before.
 
-        A worker that has been cordoned since, as it was silent, has crashed all the
-        same.
+        A worker that has been cordoned since their release, as it was silent, has
+        crashed all the same.
         """
         if not (state.is_retired or state.entry.is_draining):
             self._late_ends.extend(state.expired_runs)
         state.expired_runs.clear()
+        record_loss(state, sent_runs(state), LossCause.WORKER_ENDED)
 
     def _remove_all(self, state: WorkerState, runs: list[Run]) -> list[Run]:
         for run in runs:
@@ -343,38 +346,6 @@
             self.room.discard(worker)
 
 
-def _inherit_lease(state: WorkerState, leases: InheritedLeases) -> None:
-    """Allow for the leases and the late orders of earlier schedulers."""
-    worker, lease = state.entry.worker, state.lease
-    lease.on_adopted(leases.ends(worker), leases.late_orders_end_s(worker))
-    lease.extend(leases.stored_end_s(worker))
-    lease.expect_late_orders(leases.late_orders_until_s(worker))
-    lease.answered_born_ms = leases.answered_born_ms(worker) or lease.answered_born_ms
-
-
-def _sent_runs(state: WorkerState) -> list[Run]:
-    """Return the runs whose start may have reached the worker."""
-    return [run for run in state.runs.values() if run.phase is not RunPhase.UNSENT]
-
-
-def _record_loss(state: WorkerState, runs: list[Run], cause: LossCause) -> None:
-    """Record why runs are lost, unless an earlier loss of theirs is on record."""
-    if state.is_leaving:
-        cause = LossCause.PLANNED
-    suspects = sum(not run.is_settled_in for run in runs)
-    for run in runs:
-        if run.loss is None:
-            companions = suspects - (not run.is_settled_in)
-            run.loss = RunLoss(cause, companions)
-
-
-def _record_planned_end(state: WorkerState) -> None:
-    """Record that no crash has ended a worker, whatever was seen of its end before."""
-    state.expired_runs.clear()
-    for run in _sent_runs(state):
-        run.loss = RunLoss(LossCause.PLANNED, companions=0)
-
-
 def _unlisted_entry(worker: WorkerId, born_ms: BornMs) -> WorkerEntry:
     return WorkerEntry(
         worker=worker,
