Scheduler: adopted runs and listed runs are set up where the others are

Run.adopted builds the run that an earlier scheduler has placed; RunLifecycle.on_listed records that a worker lists a run, beside its other transitions.

--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -99,6 +99,20 @@
     is_suspect: bool = False
     is_trial: bool = False
 
+    @classmethod
+    def adopted(cls, task: TaskRecord, now_s: float) -> Run:
+        """Return the run of a task that an earlier scheduler has placed."""
+        return cls(
+            task,
+            task.run_number,
+            task.worker,
+            RunPhase.IN_DOUBT,
+            placed_s=now_s,
+            is_adopted=True,
+            was_listed=task.is_listed,
+            in_doubt_since_s=now_s,
+        )
+
     @property
     def step(self) -> Step:
         """The step that the run's task belongs to."""
--- a/currantstage/coordination/jobs/_run_lifecycle.py
+++ b/currantstage/coordination/jobs/_run_lifecycle.py
@@ -30,7 +30,7 @@
     from currantstage.coordination.jobs._team_usage import TeamUsage
     from currantstage.coordination.jobs._worker_state import WorkerState
     from currantstage.coordination.jobs._worker_table import WorkerTable
-    from currantstage.state.jobs import EndedTask
+    from currantstage.state.jobs import BornMs, EndedTask
 
 #: How long a task that has lost `MAX_LOST_WORKERS` is not started again, in seconds. A
 #: worker that has crashed is usually back by then, which tells it from one cut off.
@@ -83,6 +83,21 @@
         if run.is_suspect and run.is_settled_in:
             self._end_suspicion(run)
 
+    def on_listed(self, run: Run, born_ms: BornMs) -> None:
+        """Record that an incarnation of a worker lists a run.
+
+        For a long-running task that is stored, so that the next scheduler knows that
+        no other incarnation can run it.
+        """
+        self.on_running(run)
+        task = run.task
+        if task.is_listed:
+            return
+        task.is_listed = True
+        task.born_ms = born_ms
+        if task.step.step.is_long_running:
+            self._jobs.mark_task_unsaved(task)
+
     def on_accepted(self, run: Run, now_s: float) -> None:
         """Record that a worker has accepted the start of a run."""
         run.phase = RunPhase.RUNNING
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -458,16 +458,7 @@
             self._max_attempts[queue.queue] = queue.max_attempts
 
     def _adopt(self, task: TaskRecord, leases: InheritedLeases, now_s: float) -> None:
-        run = Run(
-            task,
-            task.run_number,
-            task.worker,
-            RunPhase.IN_DOUBT,
-            placed_s=now_s,
-            is_adopted=True,
-            was_listed=task.is_listed,
-            in_doubt_since_s=now_s,
-        )
+        run = Run.adopted(task, now_s)
         self.workers.adopt(run, leases)
         task.assign(run)
         self.teams.add(run.team, run.step.resources)
@@ -488,13 +479,7 @@
         if changes.stops:
             self._supervisor.add_stops(changes.stops)
         for run in changes.running:
-            self._lifecycle.on_running(run)
-            task = run.task
-            if not task.is_listed:
-                task.is_listed = True
-                task.born_ms = worker_state.entry.born_ms
-                if task.step.step.is_long_running:
-                    self.jobs.mark_task_unsaved(task)
+            self._lifecycle.on_listed(run, worker_state.entry.born_ms)
         self._supervisor.adjust_pace(worker_state, now_s)
 
     def _on_refused(
