--- a/tests/jobs/records.py
+++ b/tests/jobs/records.py
@@ -17,13 +17,17 @@
 from currantstage.state.jobs import (
     BornMs,
     JobId,
+    JobProgress,
+    JobState,
     OrderOutcome,
     Resources,
     RunNumber,
     StartOrder,
     Step,
+    StoredProgress,
     Submission,
     TaskPhase,
+    TaskProgress,
     VmCondition,
     VmRecord,
     WorkerEntry,
@@ -91,6 +95,27 @@
     return WorkerEntry(worker=WorkerId(worker), **values)
 
 
+def placed_task(worker: WorkerId, index: int = 0, **options: Any) -> TaskProgress:
+    """Return the stored progress of a task of the first step, placed on `worker`."""
+    return TaskProgress(
+        occurrence=0,
+        step=0,
+        index=index,
+        phase=TaskPhase.PLACED,
+        run=RunNumber(1),
+        worker=worker,
+        born_ms=BornMs(1),
+        **options,
+    )
+
+
+def stored_progress(job: JobId, *tasks: TaskProgress) -> StoredProgress:
+    """Return what is stored of a job of which `tasks` have started."""
+    return StoredProgress(
+        JobProgress(job=job, state=JobState.RUNNING, is_started=True, tasks=tasks)
+    )
+
+
 def listing_fields(listing: WorkerLeaseListing) -> dict[str, Any]:
     """Return the fields of a listing of leases, as the lease's row has them."""
     return {each.name: getattr(listing, each.name) for each in fields(listing)}
--- a/tests/jobs/test_doubt_after_takeover.py
+++ b/tests/jobs/test_doubt_after_takeover.py
@@ -24,22 +24,25 @@
     EndKind,
     EndNumber,
     JobId,
-    JobProgress,
     JobState,
     OrderOutcome,
     RenewalReply,
     RunningTask,
     RunNumber,
     Step,
-    StoredProgress,
     Submission,
     TaskKey,
-    TaskPhase,
-    TaskProgress,
     Term,
     WorkerId,
 )
-from tests.jobs.records import POOL, QUEUE, entry, start_runs
+from tests.jobs.records import (
+    POOL,
+    QUEUE,
+    entry,
+    placed_task,
+    start_runs,
+    stored_progress,
+)
 from tests.jobs.site import step
 
 TUNING = SchedulerTuning()
@@ -85,31 +88,15 @@
         self.scheduler.jobs.open_due(0)
         self.scheduler.update_workers([entry(each) for each in WORKERS], self.now_s)
         tasks = [
-            TaskProgress(
-                occurrence=0,
-                step=0,
-                index=number,
-                phase=TaskPhase.PLACED,
-                run=RUN,
-                worker=WORKERS[number],
-                born_ms=BornMs(1),
-            )
-            for number in range(steps[0].task_count)
+            placed_task(WORKERS[index], index) for index in range(steps[0].task_count)
         ]
-        head = JobProgress(
-            job=JOB,
-            state=JobState.RUNNING,
-            is_started=True,
-            tasks=tuple(tasks),
-            ended_unix_ms=0,
-        )
         for each in tasks:
             self.running[each.worker][self.task(each.index)] = RUN
         takeover = LeaseTakeover(TakeoverGround.HOLDER_ENDED)
         leases = InheritedLeases(takeover, self.now_s, TUNING)
         self.scheduler.restore(
             _submission(JOB, *steps, team=team),
-            StoredProgress(head),
+            stored_progress(JOB, *tasks),
             is_cancelled,
             leases,
             self.now_s,
--- a/tests/jobs/test_inherited_leases.py
+++ b/tests/jobs/test_inherited_leases.py
@@ -37,14 +37,18 @@
     OrderOutcome,
     RenewalReply,
     RunningTask,
-    RunNumber,
     StoredProgress,
-    TaskPhase,
     TaskProgress,
     Term,
     WorkerId,
 )
-from tests.jobs.records import entry, listing_fields, submission
+from tests.jobs.records import (
+    entry,
+    listing_fields,
+    placed_task,
+    stored_progress,
+    submission,
+)
 from tests.jobs.site import step
 
 TUNING = SchedulerTuning(max_lease_ms=10_000)
@@ -56,16 +60,7 @@
 MAX_AWAY_S = 6.0
 #: Tolerance of remaining durations, which are stored in whole milliseconds, in seconds.
 ROUNDING_S = 0.002
-PLACED = TaskProgress(
-    occurrence=0,
-    step=0,
-    index=0,
-    phase=TaskPhase.PLACED,
-    run=RunNumber(1),
-    worker=WORKER,
-    born_ms=BornMs(1),
-    is_listed=True,
-)
+PLACED = placed_task(WORKER, is_listed=True)
 FIRST_ROW = LeaseRow(
     holder=EntryVmId("a"), address="a", term=Term(1), lists_late_orders=True
 )
@@ -113,12 +108,10 @@
         self._stored = stored
         self.scheduler = Scheduler(stored.row.term, build_configuration(), TUNING)
         self.scheduler.update_workers((entry(WORKER, born_ms=born),), now_s)
-        head = JobProgress(
-            job=JOB, state=JobState.RUNNING, is_started=True, tasks=(stored.task,)
-        )
         spec = step(1, run_ms=0, is_long_running=stored.is_long_running)
+        progress = stored_progress(JOB, stored.task)
         self.scheduler.restore(
-            submission(JOB, spec), StoredProgress(head), False, leases, now_s, 0.0
+            submission(JOB, spec), progress, False, leases, now_s, 0.0
         )
         self.book = WorkerLeaseBook(leases, TUNING)
         self.book.follow(self.scheduler.workers)
--- a/tests/jobs/test_takeover.py
+++ b/tests/jobs/test_takeover.py
@@ -15,18 +15,12 @@
 from currantstage.state.jobs import (
     BornMs,
     JobId,
-    JobProgress,
-    JobState,
     RenewalReply,
     RunningTask,
-    RunNumber,
-    StoredProgress,
-    TaskPhase,
-    TaskProgress,
     Term,
     WorkerId,
 )
-from tests.jobs.records import entry, submission
+from tests.jobs.records import entry, placed_task, stored_progress, submission
 from tests.jobs.site import step
 
 TUNING = SchedulerTuning(max_stop_ms=900)
@@ -39,22 +33,8 @@
     """Return a scheduler after a takeover, and the runs of a long-running step."""
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
     scheduler.update_workers((entry(WORKER),), now_s=0.0)
-    tasks = tuple(
-        TaskProgress(
-            occurrence=0,
-            step=0,
-            index=number,
-            phase=TaskPhase.PLACED,
-            run=RunNumber(1),
-            worker=WORKER,
-            born_ms=BornMs(1),
-        )
-        for number in range(LONG_RUNNING.task_count)
-    )
-    head = JobProgress(
-        job=JOB, state=JobState.RUNNING, is_started=True, tasks=tasks, ended_unix_ms=0
-    )
-    progress = StoredProgress(head)
+    tasks = [placed_task(WORKER, index) for index in range(LONG_RUNNING.task_count)]
+    progress = stored_progress(JOB, *tasks)
     takeover = LeaseTakeover(TakeoverGround.HOLDER_ENDED)
     leases = InheritedLeases(takeover, 0.0, TUNING)
     scheduler.restore(
--- a/tests/jobs/test_vm_evidence.py
+++ b/tests/jobs/test_vm_evidence.py
@@ -25,22 +25,22 @@
 from currantstage.state.jobs import (
     BornMs,
     JobId,
-    JobProgress,
-    JobState,
     OrderOutcome,
     RenewalReply,
     Resources,
     RunningTask,
-    RunNumber,
-    StoredProgress,
-    TaskPhase,
-    TaskProgress,
     Term,
     VmCondition,
     VmRecord,
     WorkerId,
 )
-from tests.jobs.records import entry, start_runs, submission
+from tests.jobs.records import (
+    entry,
+    placed_task,
+    start_runs,
+    stored_progress,
+    submission,
+)
 from tests.jobs.site import step
 
 TUNING = SchedulerTuning(min_vms_per_pool=0)
@@ -144,23 +144,11 @@
     """Return a site whose scheduler has adopted two runs of an earlier one."""
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
     scheduler.update_workers((entry(OLD),), 0.0)
-    tasks = tuple(
-        TaskProgress(
-            occurrence=0,
-            step=0,
-            index=number,
-            phase=TaskPhase.PLACED,
-            run=RunNumber(1),
-            worker=OLD,
-            born_ms=BornMs(1),
-        )
-        for number in range(LONG_RUNNING.task_count)
-    )
-    head = JobProgress(job=JOB, state=JobState.RUNNING, is_started=True, tasks=tasks)
+    tasks = [placed_task(OLD, index) for index in range(LONG_RUNNING.task_count)]
     takeover = LeaseTakeover(TakeoverGround.HOLDER_ENDED)
     scheduler.restore(
         submission(JOB, LONG_RUNNING),
-        StoredProgress(head),
+        stored_progress(JOB, *tasks),
         False,
         InheritedLeases(takeover, 0.0, TUNING),
         0.0,
--- a/tests/jobs/test_worker_restarts.py
+++ b/tests/jobs/test_worker_restarts.py
@@ -28,20 +28,21 @@
     EndKind,
     EndNumber,
     JobId,
-    JobProgress,
     JobState,
     OrderOutcome,
     RenewalOrder,
     RenewalReply,
     RunningTask,
-    RunNumber,
-    StoredProgress,
-    TaskPhase,
-    TaskProgress,
     Term,
     WorkerId,
 )
-from tests.jobs.records import entry, start_runs, submission
+from tests.jobs.records import (
+    entry,
+    placed_task,
+    start_runs,
+    stored_progress,
+    submission,
+)
 from tests.jobs.site import run_scenario, start_site, step
 
 TUNING = SchedulerTuning()
@@ -205,21 +206,10 @@
     scheduler = Scheduler(Term(2), build_configuration(), TUNING)
     born_ms = BornMs(2 if is_restart_known else 1)
     scheduler.update_workers((entry(WORKER, born_ms=born_ms),), now_s=0.0)
-    task = TaskProgress(
-        occurrence=0,
-        step=0,
-        index=0,
-        phase=TaskPhase.PLACED,
-        run=RunNumber(1),
-        worker=WORKER,
-        born_ms=BornMs(1),
-    )
-    head = JobProgress(job=JOB, state=JobState.RUNNING, is_started=True, tasks=(task,))
+    progress = stored_progress(JOB, placed_task(WORKER))
     takeover = LeaseTakeover(TakeoverGround.HOLDER_SILENT, holder_active_s=2.0)
     leases = InheritedLeases(takeover, 0.0, TUNING)
-    scheduler.restore(
-        submission(JOB, step(1)), StoredProgress(head), False, leases, 0.0, 0.0
-    )
+    scheduler.restore(submission(JOB, step(1)), progress, False, leases, 0.0, 0.0)
     record = scheduler.jobs.get(JOB)
     assert record is not None
     # What the holder gave to a relay may be sent for as long as its permit.
