--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -29,6 +29,30 @@
         await asyncio.sleep(interval_s)
 
 
+async def _partition_from_scheduler(site: SimulatedSite) -> set[str]:
+    """Cut the scheduler and a busy worker off from the other daemons; return those.
+
+    The scheduler still reaches the worker, but not the store, and it resets the
+    connections of its peers.
+    """
+    await site.submit((step(6, run_ms=8000),))
+    await asyncio.sleep(0.5)
+    name = site.scheduler_name()
+    assert name is not None
+    worker = next(w for w in site.workers.workers.values() if w.runs)
+    site.store.unreachable_for = {name}
+    site.resetting_daemons = {name}
+    others = set(site.daemons) - {name}
+    site.workers.unreachable_pairs = {(other, worker.entry.worker) for other in others}
+    return others
+
+
+def _end_partition(site: SimulatedSite) -> None:
+    site.store.unreachable_for = set()
+    site.resetting_daemons = set()
+    site.workers.unreachable_pairs = set()
+
+
 def test_every_job_completes_without_faults() -> None:
     async def scenario() -> None:
         site = await start_site(seed=1)
@@ -231,21 +255,9 @@
 
     async def scenario() -> None:
         site = await start_site(seed=13)
-        await site.submit((step(6, run_ms=8000),))
-        await asyncio.sleep(0.5)
-        old = site.scheduler_name()
-        assert old is not None
-        worker = next(w for w in site.workers.workers.values() if w.runs)
-        site.store.unreachable_for = {old}
-        site.resetting_daemons = {old}
-        others = set(site.daemons) - {old}
-        site.workers.unreachable_pairs = {
-            (name, worker.entry.worker) for name in others
-        }
+        await _partition_from_scheduler(site)
         await asyncio.sleep(7)
-        site.store.unreachable_for = set()
-        site.resetting_daemons = set()
-        site.workers.unreachable_pairs = set()
+        _end_partition(site)
         await asyncio.sleep(20)
         await site.check_final()
         assert site.oracle.violations == []
@@ -432,26 +444,14 @@
 
     async def scenario() -> None:
         site = await start_site(seed=19)
-        await site.submit((step(6, run_ms=8000),))
-        await asyncio.sleep(0.5)
-        old = site.scheduler_name()
-        assert old is not None
-        worker = next(w for w in site.workers.workers.values() if w.runs)
-        site.store.unreachable_for = {old}
-        site.resetting_daemons = {old}
-        others = set(site.daemons) - {old}
-        site.workers.unreachable_pairs = {
-            (name, worker.entry.worker) for name in others
-        }
+        others = await _partition_from_scheduler(site)
         await asyncio.sleep(1.6)
         (second,) = (n for n in others if site.daemons[n].ownership.session)
         await site.stop_daemon(second)
         await asyncio.sleep(8)
         (third,) = others - {second}
         assert site.daemons[third].ownership.session
-        site.store.unreachable_for = set()
-        site.resetting_daemons = set()
-        site.workers.unreachable_pairs = set()
+        _end_partition(site)
         await asyncio.sleep(20)
         await site.check_final()
         assert site.oracle.violations == []
