Group writer: each queued write has its outcome

What callers saw: a write during the shutdown got a 500, and writes of the same partition that were queued behind it waited for ever, or until another write came. Any error but StoreUnavailable and StoreRefused, and a cancelled writer, ended the partition's task with its callers' futures never set ("Task exception was never retrieved"). A writer cancelled before its first step even stayed registered, so that no later write of the partition was sent.

An unexpected error is now logged with its trace, the writes of the group fail in doubt, and the writer goes on with those queued behind. If the writer is cancelled, the writes under way fail in doubt, the queued ones as not sent, and the next write starts a new writer.

--- a/currantstage/application/jobs/_group_writer.py
+++ b/currantstage/application/jobs/_group_writer.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import defaultdict
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from currantstage.state.jobs import (
@@ -18,6 +19,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from currantstage.util import log_task_failure
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -67,21 +69,36 @@
         """Write a row unless it exists, and with it all of `others`.
 
         Raises `StoreUnavailable` on failure, `StoreRefused` if the rows are rejected.
+        An unexpected error of the store leaves the write in doubt.
         """
         done = asyncio.get_running_loop().create_future()
         rows = (RowWrite(name, value), *others)
         self._pending[name.partition].append(_PendingWrite(rows, done))
         if name.partition not in self._writer_tasks:
-            task = asyncio.create_task(self._write_partition(name.partition))
-            self._writer_tasks[name.partition] = task
+            self._start_writer(name.partition)
         await done
 
+    def _start_writer(self, partition: str) -> None:
+        task = asyncio.create_task(self._write_partition(partition))
+        task.add_done_callback(partial(self._on_writer_done, partition))
+        self._writer_tasks[partition] = task
+
     async def _write_partition(self, partition: str) -> None:
-        try:
-            while group := self._take_group(partition):
+        while group := self._take_group(partition):
+            try:
                 await self._write_group(group)
-        finally:
-            del self._writer_tasks[partition]
+            finally:
+                # Without effect unless this task is cancelled.
+                _fail_all(group, "write cancelled", is_in_doubt=True)
+        del self._writer_tasks[partition]
+
+    def _on_writer_done(self, partition: str, task: asyncio.Task[None]) -> None:
+        """Fail the queued writes of a writer that was cancelled."""
+        if not task.cancelled():
+            return
+        del self._writer_tasks[partition]
+        queued = self._pending.pop(partition, [])
+        _fail_all(queued, "write cancelled", is_in_doubt=False)
 
     def _take_group(self, partition: str) -> list[_PendingWrite]:
         pending = self._pending.pop(partition, [])
@@ -105,11 +122,11 @@
                 await self._write_refused(group, error)
                 return
             except StoreUnavailable as error:
-                for each in group:
-                    _fail(
-                        each,
-                        StoreUnavailable(str(error), is_in_doubt=error.is_in_doubt),
-                    )
+                _fail_all(group, str(error), is_in_doubt=error.is_in_doubt)
+                return
+            except Exception as error:
+                log_task_failure(f"write to partition {group[0].name.partition}", error)
+                _fail_all(group, repr(error), is_in_doubt=True)
                 return
             for each in group:
                 if each.name in existing and not each.done.done():
@@ -140,6 +157,13 @@
             _fail(each, StoreRefused(str(error)))
 
 
+def _fail_all(
+    group: Sequence[_PendingWrite], reason: str, *, is_in_doubt: bool
+) -> None:
+    for each in group:
+        _fail(each, StoreUnavailable(reason, is_in_doubt=is_in_doubt))
+
+
 def _fail(write: _PendingWrite, error: StoreUnavailable) -> None:
     if not write.done.done():
         write.done.set_exception(error)
--- a/currantstage/util/__init__.py
+++ b/currantstage/util/__init__.py
@@ -16,7 +16,7 @@
 from currantstage.util._periodic_task import PeriodicTask
 from currantstage.util._signals import catch_reload_signal, catch_stop_signals
 from currantstage.util._supervised_task import SupervisedTask
-from currantstage.util._task_set import TaskSet
+from currantstage.util._task_set import TaskSet, log_task_failure
 from currantstage.util._transfer import Transfer, record_arrival
 from currantstage.util._waiting import wait_for_event
 
@@ -39,6 +39,7 @@
     "decode_json",
     "decode_msgpack",
     "is_header_text",
+    "log_task_failure",
     "record_arrival",
     "wait_for_event",
 ]
--- a/currantstage/util/_task_set.py
+++ b/currantstage/util/_task_set.py
@@ -53,7 +53,7 @@
 
 
 def log_task_failure(name: str, error: BaseException) -> None:
-    """Log the exception that has ended a background task."""
+    """Log an unexpected exception of background work."""
     log_message(
         "currantstage:task-failed",
         task_name=name,
