HTTP clients: a call after the close fails as certainly not sent

What callers saw: a call admitted while the daemon stopped met the closed HTTP client, whose `lend` raised an AssertionError; the caller got a 500. A query to a peer after the close opened a new session that nothing closed.

RenewableSession raises SessionClosedError, an error of the transport layer. PlatformHttp maps it to CallFailure.REFUSED, the one failure that means that nothing was sent, so that the store's client raises StoreUnavailable that is not in doubt, and an order is UNSENT. JobPeerClient refuses queries after its close. A call under way at the close is still in doubt; a test says so.

The tests failed before: pytest tests/jobs/test_platform_clients.py -k "without_open or under_way" had 2 failed, 1 passed (AssertionError in lend); tests/transport/test_body_transfer.py had 1 failed, as the query after the close was sent and answered.

--- a/currantstage/platform/_http.py
+++ b/currantstage/platform/_http.py
@@ -12,7 +12,12 @@
 from eliot import log_message
 from msgspec import Struct
 
-from currantstage.transport import RenewableSession, read_body, upload_body
+from currantstage.transport import (
+    RenewableSession,
+    SessionClosedError,
+    read_body,
+    upload_body,
+)
 from currantstage.util import (
     LagTolerantTimeout,
     LoopLagMeter,
@@ -133,33 +138,50 @@
             encoded = msgspec.json.encode(body)
             sent_headers["Content-Type"] = "application/json"
             sent_headers["Content-Length"] = str(len(encoded))
-        sent_s = time.monotonic()
-        async with sessions.lend() as session:
-            try:
-                async with (
-                    LagTolerantTimeout(self._lag_meter, timeout_s) as silence,
-                    session.request(
-                        method,
-                        url,
-                        data=upload_body(encoded, silence.restart) or None,
-                        headers=sent_headers,
-                    ) as response,
-                ):
-                    waited_s = time.monotonic() - sent_s
-                    reply_body = await read_body(response, silence.restart)
-                    return HttpReply(response.status, reply_body, waited_s)
-            except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
-                return CallFailure.REFUSED
-            except TimeoutError:
-                if group in _RENEWED_GROUPS:
+        try:
+            async with sessions.lend() as session:
+                reply = await self._send(
+                    session, method, url, timeout_s, encoded, sent_headers
+                )
+                if reply is CallFailure.TIMEOUT and group in _RENEWED_GROUPS:
                     sessions.renew(session)
-                return CallFailure.TIMEOUT
-            except aiohttp.ClientError:
-                return CallFailure.BROKEN
-            except ValueError as error:
-                # The HTTP library can't send it, such as a header with a line feed.
-                log_message("currantstage:call-not-sendable", url=url, error=str(error))
-                return CallFailure.BROKEN
+                return reply
+        except SessionClosedError:
+            return CallFailure.REFUSED
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> HttpReply | CallFailure:
+        sent_s = time.monotonic()
+        try:
+            async with (
+                LagTolerantTimeout(self._lag_meter, timeout_s) as silence,
+                session.request(
+                    method,
+                    url,
+                    data=upload_body(body, silence.restart) or None,
+                    headers=headers,
+                ) as response,
+            ):
+                waited_s = time.monotonic() - sent_s
+                reply_body = await read_body(response, silence.restart)
+                return HttpReply(response.status, reply_body, waited_s)
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
+            return CallFailure.REFUSED
+        except TimeoutError:
+            return CallFailure.TIMEOUT
+        except aiohttp.ClientError:
+            return CallFailure.BROKEN
+        except ValueError as error:
+            # The HTTP library can't send it, such as a header with a line feed.
+            log_message("currantstage:call-not-sendable", url=url, error=str(error))
+            return CallFailure.BROKEN
 
 
 def _open_session() -> aiohttp.ClientSession:
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -15,6 +15,7 @@
     ListenError,
     OperatorCallError,
     OperatorRefusedError,
+    SessionClosedError,
     TransportError,
 )
 from currantstage.transport._http_server import (
@@ -93,6 +94,7 @@
     "SEND_BUFFER_FRAMES",
     "ServerConnections",
     "ServiceLevelSource",
+    "SessionClosedError",
     "TransportError",
     "add_caller_routes",
     "add_error_handlers",
--- a/currantstage/transport/_errors.py
+++ b/currantstage/transport/_errors.py
@@ -19,3 +19,7 @@
 
 class OperatorRefusedError(OperatorCallError):
     """An operators' call that can't succeed on a retry: a wrong key, no such note."""
+
+
+class SessionClosedError(TransportError):
+    """A client's connections are closed; nothing of the call has been sent."""
--- a/currantstage/transport/_job_peers.py
+++ b/currantstage/transport/_job_peers.py
@@ -41,7 +41,7 @@
 class PeerFailure(Enum):
     """Why a query has no reply."""
 
-    #: No connection could be established, so nothing was sent.
+    #: There is no connection, so nothing was sent.
     REFUSED = "refused"
     #: The peer may have handled the query.
     NO_REPLY = "silent"
@@ -56,12 +56,14 @@
 
     def __init__(self) -> None:
         self._sessions: dict[str, RenewableSession] = {}
+        self._is_closed = False
 
     async def start(self) -> None:
         """Do nothing; a peer's pool is opened by the first query to it."""
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; later queries are refused."""
+        self._is_closed = True
         for sessions in self._sessions.values():
             await sessions.close()
         self._sessions.clear()
@@ -73,6 +75,8 @@
 
         `timeout_s` is the time without any progress after which the query is given up.
         """
+        if self._is_closed:
+            return PeerFailure.REFUSED
         body = encode_peer_message(query)
         sessions = self._sessions_to(address)
         async with sessions.lend() as session:
--- a/currantstage/transport/_renewable_session.py
+++ b/currantstage/transport/_renewable_session.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from currantstage.transport._errors import SessionClosedError
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -44,9 +46,10 @@
 
     @asynccontextmanager
     async def lend(self) -> AsyncIterator[aiohttp.ClientSession]:
-        """Lend the session for one call."""
+        """Lend the session for one call; raises `SessionClosedError`."""
         session = self._current
-        assert session is not None
+        if session is None:
+            raise SessionClosedError("the client's connections are closed")
         self._calls[session] += 1
         try:
             yield session
--- a/tests/jobs/test_platform_clients.py
+++ b/tests/jobs/test_platform_clients.py
@@ -128,6 +128,47 @@
     asyncio.run(use())
 
 
+@pytest.mark.parametrize("is_opened", [True, False])
+def test_call_without_open_connections_is_certainly_not_sent(is_opened: bool) -> None:
+    """A write during the shutdown ended its task, and its caller got a 500."""
+
+    async def use() -> None:
+        http = PlatformHttp()
+        if is_opened:
+            await http.start()
+            await http.close()
+        with pytest.raises(StoreUnavailable) as caught:
+            await StoreClient(http, "127.0.0.1:1").transact((), ())
+        assert not caught.value.is_in_doubt
+        outcome = await WorkerClient(http).start(start_order("127.0.0.1:1"))
+        assert outcome is OrderOutcome.UNSENT
+
+    asyncio.run(use())
+
+
+def test_write_under_way_when_the_connections_are_closed_is_in_doubt() -> None:
+    is_sent = asyncio.Event()
+    is_over = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        is_sent.set()
+        await is_over.wait()
+        return web.json_response({"Ver": 7})
+
+    async def use(http: PlatformHttp, address: str) -> None:
+        write = asyncio.create_task(StoreClient(http, address).transact((), ()))
+        await is_sent.wait()
+        await http.close()
+        try:
+            with pytest.raises(StoreUnavailable) as caught:
+                await write
+            assert caught.value.is_in_doubt
+        finally:
+            is_over.set()
+
+    run_with_server(answer, use)
+
+
 def test_read_follows_pages_and_keeps_the_lowest_version() -> None:
     async def answer(request: web.Request) -> web.StreamResponse:
         first = request.query.get("From", "")
--- a/tests/transport/test_body_transfer.py
+++ b/tests/transport/test_body_transfer.py
@@ -31,7 +31,10 @@
 
 
 def _query_peer(
-    query: PeerQuery, answer: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    query: PeerQuery,
+    answer: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    *,
+    is_closed: bool = False,
 ) -> PeerReply | PeerFailure:
     async def run() -> PeerReply | PeerFailure:
         app = web.Application(client_max_size=2**24)
@@ -42,6 +45,8 @@
         host, port = runner.addresses[0][:2]
         client = JobPeerClient()
         await client.start()
+        if is_closed:
+            await client.close()
         try:
             return await client.send_query(f"{host}:{port}", query, TIMEOUT_S)
         finally:
@@ -51,6 +56,16 @@
     return asyncio.run(run())
 
 
+def test_query_after_the_close_is_not_sent() -> None:
+    """A query after the close opened connections that nothing closed."""
+    body = encode_peer_message(ConfigurationReply(b"x"))
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.Response(body=body)
+
+    assert _query_peer(QUERY, answer, is_closed=True) is PeerFailure.REFUSED
+
+
 def test_configuration_that_a_peer_sends_slowly_is_not_given_up() -> None:
     """A peer's copy was given up after 3 s, and begun anew with the next peer."""
     reply = ConfigurationReply(b"x" * 1200)
