Settings without a section for advice are valid, and call no address

What operators saw: a daemon whose settings leave out the section, as deploy/settings.ini does at a site without a service of advice, did not start: "[advice] address: a value is missing". A section that had a default was still checked as if it were there and empty. With the default, a queue with a policy would have had 127.0.0.1:1 called for each of its steps, for ever.

A section with a default may be left out as a whole; one that is there must still be complete. Without the section there is no source of advice: no call is made, the steps of queues with a policy wait, since their starts would be rejected without a ticket, other queues run, and each change in the set of these queues is logged as advice-not-configured. Once the configuration drops the policy, the steps run; a test says so.

--- a/currantstage/application/jobs/_advice_driver.py
+++ b/currantstage/application/jobs/_advice_driver.py
@@ -14,6 +14,8 @@
 
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.coordination.jobs import Scheduler
+    from currantstage.state import QueueId
+    from currantstage.state.jobs import AdviceSource
 
 #: Interval between checks for steps that wait for advice, in seconds.
 CHECK_INTERVAL_S = 0.1
@@ -22,7 +24,8 @@
 class AdviceDriver:
     """Requests advice for steps of queues that need it.
 
-    Sends one request at a time, as the service accepts them.
+    Sends one request at a time, as the service accepts them. Without a service, the
+    tasks of these queues wait, and the queues are logged.
 
     Parameters
     ----------
@@ -35,23 +38,40 @@
     def __init__(
         self, scheduler: Scheduler, ports: SchedulerPorts, on_advice: Callable[[], None]
     ) -> None:
+        self._scheduler = scheduler
         self._tracker = AdviceTracker(scheduler)
         self._ports = ports
         self._on_advice = on_advice
+        self._unserved: frozenset[QueueId] = frozenset()
 
     async def run(self) -> None:
         """Request advice until cancelled."""
+        source = self._ports.advice
         while True:
-            if not await self._request_once():
-                await asyncio.sleep(CHECK_INTERVAL_S)
+            if source is None:
+                self._log_unserved_queues()
+            elif await self._request_once(source):
+                continue
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def _request_once(self) -> bool:
+    def _log_unserved_queues(self) -> None:
+        """Log the queues that need advice, each time that these are others."""
+        queues = frozenset(
+            each.queue
+            for each in self._scheduler.configuration.queues
+            if each.advice is not None
+        )
+        if queues != self._unserved:
+            self._unserved = queues
+            log_message("currantstage:advice-not-configured", queues=sorted(queues))
+
+    async def _request_once(self, source: AdviceSource) -> bool:
         requested_s = self._ports.clock.now_s()
         step = self._tracker.next_step(requested_s)
         if step is None:
             return False
         workers = self._tracker.candidates(step, requested_s)
-        advice = await self._ports.advice.advise(step.key, workers)
+        advice = await source.advise(step.key, workers)
         self._tracker.record_advice(step, advice, requested_s)
         log_message(
             "currantstage:advice",
--- a/currantstage/application/jobs/_daemon.py
+++ b/currantstage/application/jobs/_daemon.py
@@ -80,7 +80,7 @@
             operators=OperatorRows(store),
             orders=WorkerClient(self._http),
             vms=MachineClient(self._http, settings.vms.address, own.entry_vm),
-            advice=AdviceClient(self._http, settings.advice.address),
+            advice=self._build_advice_client(settings),
             clock=clock,
             unix_clock=StepFilteredUnixClock(clock, UnixClock()),
             metrics=self._metrics,
@@ -155,6 +155,11 @@
         self._resources.push_async_callback(component.close)
         await component.start()
 
+    def _build_advice_client(self, settings: JobSettings) -> AdviceClient | None:
+        if settings.advice is None:
+            return None
+        return AdviceClient(self._http, settings.advice.address)
+
     def _build_servers(self) -> list[HttpServer]:
         addresses = self._settings.callers
         own = self._settings.entry_vm
--- a/currantstage/application/jobs/_ports.py
+++ b/currantstage/application/jobs/_ports.py
@@ -19,13 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulerPorts:
-    """Ports to workers, VMs and clocks, and the metrics of the daemon."""
+    """Ports to workers, VMs and clocks, and the metrics of the daemon.
+
+    The source of advice is None at a site without such a service.
+    """
 
     workers: WorkerSource
     operators: OperatorSource
     orders: WorkerOrders
     vms: VmOrders
-    advice: AdviceSource
+    advice: AdviceSource | None
     clock: Clock
     unix_clock: Clock
     metrics: JobMetrics
--- a/currantstage/config.py
+++ b/currantstage/config.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import configparser
-from typing import TYPE_CHECKING, Any
+from types import NoneType
+from typing import TYPE_CHECKING, Any, get_args
 
 import msgspec
 from msgspec import Struct, field
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from msgspec.structs import FieldInfo
+
 __all__ = [
     "AddressSettings",
     "CallerSettings",
@@ -109,7 +112,10 @@
 
 
 class AddressSettings(Struct, frozen=True, kw_only=True):
-    """Sections ``store``, ``vms`` and ``advice``: address of a platform service."""
+    """Sections ``store``, ``vms`` and ``advice``: address of a platform service.
+
+    A site without a service of advice has no section ``advice``.
+    """
 
     address: str
 
@@ -149,9 +155,7 @@
     callers: CallerSettings
     store: AddressSettings
     vms: AddressSettings
-    advice: AddressSettings = field(
-        default_factory=lambda: AddressSettings(address="127.0.0.1:1")
-    )
+    advice: AddressSettings | None = None
     peers: SeedSettings = field(default_factory=SeedSettings)
     configuration: ApplySettings = field(default_factory=ApplySettings)
     scheduler: SchedulerTuning = field(default_factory=SchedulerTuning)
@@ -193,8 +197,10 @@
     ]
     values: dict[str, dict[str, str]] = {}
     for name, info in sections.items():
+        if not info.required and not parser.has_section(name):
+            continue
         values[name] = dict(parser[name]) if parser.has_section(name) else {}
-        faults.extend(_check_section(name, info.type, values[name]))
+        faults.extend(_check_section(name, _section_type(info), values[name]))
     if faults:
         raise ConfigError(tuple(faults))
     settings: Settings | JobSettings = msgspec.convert(
@@ -203,6 +209,12 @@
     return settings
 
 
+def _section_type(info: FieldInfo) -> Any:
+    """Return the type of a section, also of one that may be None."""
+    types = [each for each in get_args(info.type) if each is not NoneType]
+    return types[0] if types else info.type
+
+
 def _check_section(name: str, section_type: Any, values: dict[str, str]) -> list[str]:
     fields = {info.name: info for info in msgspec.structs.fields(section_type)}
     faults = [f"[{name}] {key}: unknown key" for key in values if key not in fields]
--- a/currantstage/standin/jobs/_advice.py
+++ b/currantstage/standin/jobs/_advice.py
@@ -19,22 +19,17 @@
 
 
 class SimulatedAdvice:
-    """Implements `AdviceSource`.
+    """Implements `AdviceSource`."""
 
-    Parameters
-    ----------
-    allowed : set of WorkerId, optional
-        Workers that may run steps; by default all.
-    """
-
-    def __init__(self, allowed: set[WorkerId] | None) -> None:
-        self._allowed = allowed
+    def __init__(self) -> None:
+        #: Workers that may run steps; None allows all.
+        self.allowed: set[WorkerId] | None = None
 
     async def advise(self, step: StepKey, workers: Sequence[WorkerId]) -> Advice | None:
         """Return a ticket for each of `workers` that may run `step`."""
         await asyncio.sleep(ANSWER_DELAY_S)
         eligible = [
-            each for each in workers if self._allowed is None or each in self._allowed
+            each for each in workers if self.allowed is None or each in self.allowed
         ]
         return Advice(
             tuple(Ticket(each, f"{step.job}@{each}") for each in eligible),
--- a/currantstage/standin/jobs/_site.py
+++ b/currantstage/standin/jobs/_site.py
@@ -143,8 +143,8 @@
         self.peer_delays_s: dict[str, float] = {}
         #: Capacities of daemons that differ from the default.
         self.capacities: dict[str, SchedulerCapacity] = {}
-        #: Workers that the advice service allows; None allows all.
-        self.advised_workers: set[WorkerId] | None = None
+        #: The service of advice that the daemons ask; None at a site without one.
+        self.advice: SimulatedAdvice | None = SimulatedAdvice()
         self._names = [f"entry-{number}" for number in range(daemon_count)]
         self._jobs = 0
         for pool in (*POOLS, SPARE_POOL):
@@ -180,7 +180,7 @@
             operators=SimulatedOperators(store),
             orders=self.workers.for_caller(name),
             vms=self.vms,
-            advice=SimulatedAdvice(self.advised_workers),
+            advice=self.advice,
             clock=clock,
             unix_clock=clock,
             metrics=JobMetrics(),
--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -12,47 +11,11 @@
 from currantstage.application import StartError
 from currantstage.application.jobs import JobDaemon
 from currantstage.config import ConfigError, JobSettings, parse_settings
-from tests.ports import free_addresses
-
-TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.ini"
-VALUES = {
-    "Node": "entry-1",
-    "Zone": "dc-1",
-    "Ip:9464": "127.0.0.1:9464",
-    "Listen.Control": "127.0.0.1:18191",
-    "Listen.Front": "127.0.0.1:18192",
-    "Listen.Readiness": "127.0.0.1:18193",
-    "platform.Address": "127.0.0.1:1",
-    "CloudApi.Address": "127.0.0.1:1",
-    "Advice": "127.0.0.1:1",
-    "Bounds.StopMs": "900",
-    "Bounds.HoldMaxMs": "10000",
-    "Bounds.ConfigApplyMs": "3000",
-    "Limits.LinkMbps": "200.0",
-    "Limits.CpuShare": "0.717",
-    "Limits.Cores": "3",
-    "Seeds": "127.0.0.1:18191,127.0.0.1:18199",
-}
-LISTENING = ("Ip:9464", "Listen.Control", "Listen.Front", "Listen.Readiness")
-
-
-def _render_template(addresses: dict[str, str] | None = None) -> str:
-    """Render the deploy template as the platform does, with other `addresses`."""
-    text = TEMPLATE.read_text(encoding="utf-8")
-    limits = ("Limits.LinkMbps", "Limits.CpuShare", "Limits.Cores")
-    bounds = ("Bounds.StopMs", "Bounds.HoldMaxMs", "Bounds.ConfigApplyMs")
-    for section in ("Seeds.0", "Advice", *bounds, *limits):
-        text = text.replace("{{#" + section + "}}", "")
-        text = text.replace("{{/" + section + "}}", "")
-    text = text.replace("{{Ip}}:9464", "{{Ip:9464}}")
-    for name, value in (VALUES | (addresses or {})).items():
-        text = text.replace("{{" + name + "}}", value)
-    assert "{{" not in text
-    return text
-
-
-def _parse_template() -> JobSettings:
-    settings = parse_settings(_render_template())
+from tests.application.job_settings import free_listen_addresses, render_template
+
+
+def _parse_template(*, has_advice: bool = True) -> JobSettings:
+    settings = parse_settings(render_template(has_advice=has_advice))
     assert isinstance(settings, JobSettings)
     return settings
 
@@ -69,6 +32,11 @@
     assert settings.configuration.apply_ms == 3000
 
 
+def test_deploy_template_without_a_service_of_advice_holds_valid_settings() -> None:
+    """The daemon did not start where the template leaves out the section."""
+    assert _parse_template(has_advice=False).advice is None
+
+
 @pytest.mark.parametrize(
     ("right", "wrong", "fault"),
     [
@@ -79,19 +47,15 @@
 )
 def test_faulty_settings_are_reported(right: str, wrong: str, fault: str) -> None:
     with pytest.raises(ConfigError) as caught:
-        parse_settings(_render_template().replace(right, wrong, 1))
+        parse_settings(render_template().replace(right, wrong, 1))
     assert any(fault in each for each in caught.value.faults)
 
 
-def _free_addresses() -> dict[str, str]:
-    return dict(zip(LISTENING, free_addresses(len(LISTENING)), strict=True))
-
-
 def test_daemon_without_the_store_responds_and_is_not_ready() -> None:
     async def run() -> None:
-        addresses = _free_addresses()
+        addresses = free_listen_addresses()
         own, _, front_address, readiness_address = addresses.values()
-        text = _render_template(addresses).replace(
+        text = render_template(addresses).replace(
             "balancer_notice_ms = 2300", "balancer_notice_ms = 1"
         )
         settings = parse_settings(text)
@@ -116,10 +80,10 @@
 
 def test_address_in_use_prevents_the_start() -> None:
     async def run() -> None:
-        addresses = _free_addresses()
+        addresses = free_listen_addresses()
         host, _, port = addresses["Listen.Front"].partition(":")
         server = await asyncio.start_server(lambda *_: None, host, int(port))
-        settings = parse_settings(_render_template(addresses))
+        settings = parse_settings(render_template(addresses))
         assert isinstance(settings, JobSettings)
         try:
             with pytest.raises(StartError):
--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -12,11 +12,13 @@
 from currantstage.state.jobs import (
     AdvicePolicy,
     ConfigurationVersion,
+    JobQueue,
     JobState,
     MaintenanceWave,
     WorkerId,
 )
-from tests.jobs.site import run_scenario, start_site, step
+from tests.jobs.captured_log import captured_log
+from tests.jobs.site import SETTLE_S, run_scenario, start_site, step
 
 LARGE = SchedulerCapacity(link_mbps=200.0, cpu_cores=2.0)
 TWO_STEPS = (step(4), step(2, after=(0,)))
@@ -269,17 +271,10 @@
     async def scenario() -> None:
         site = SimulatedSite(seed=14)
         site.tuning = SchedulerTuning(min_vms_per_pool=3)
-        site.advised_workers = {WorkerId("i-parcels-1")}
+        assert site.advice is not None
+        site.advice.allowed = {WorkerId("i-parcels-1")}
         await site.start()
-        queues = tuple(
-            replace(
-                queue, advice=AdvicePolicy(decide_ms=1, per_worker_ms=1, valid_ms=900)
-            )
-            for queue in site.configuration.queues
-        )
-        site.configure(
-            replace(site.configuration, version=ConfigurationVersion(2), queues=queues)
-        )
+        _reconfigure(site, 2, _with_advice(site.configuration.queues))
         await asyncio.sleep(2)
         job = await site.submit((step(2), step(2, after=(0,))))
         seen = set()
@@ -293,6 +288,45 @@
     run_scenario(scenario())
 
 
+def test_queue_with_advice_waits_at_a_site_without_the_service() -> None:
+    async def scenario() -> None:
+        site = SimulatedSite(seed=14)
+        site.advice = None
+        await site.start()
+        queues = site.configuration.queues
+        needing, other = queues[:2]
+        _reconfigure(site, 2, (*_with_advice((needing,)), *queues[1:]))
+        with captured_log() as log:
+            await asyncio.sleep(SETTLE_S)
+            waiting = await site.submit((step(2),), needing.pool)
+            running = await site.submit((step(2),), other.pool)
+            await asyncio.sleep(3)
+            assert await site.show(waiting) is JobState.QUEUED
+            assert await site.show(running) is JobState.COMPLETED
+            _reconfigure(site, 3, queues)
+            await asyncio.sleep(3)
+            assert await site.show(waiting) is JobState.COMPLETED
+        reported = [line["queues"] for line in log.lines("advice-not-configured")]
+        assert reported == [[needing.queue], []]
+
+    run_scenario(scenario())
+
+
+def _with_advice(queues: tuple[JobQueue, ...]) -> tuple[JobQueue, ...]:
+    policy = AdvicePolicy(decide_ms=1, per_worker_ms=1, valid_ms=900)
+    return tuple(replace(each, advice=policy) for each in queues)
+
+
+def _reconfigure(
+    site: SimulatedSite, version: int, queues: tuple[JobQueue, ...]
+) -> None:
+    site.configure(
+        replace(
+            site.configuration, version=ConfigurationVersion(version), queues=queues
+        )
+    )
+
+
 def test_ended_jobs_are_removed_and_do_not_run_again() -> None:
     async def scenario() -> None:
         site = SimulatedSite(seed=15)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -26,6 +26,20 @@
 max_drain_ms = -5
 [extra]
 """
+JOB_DAEMON = """
+[entry-vm]
+id = a
+data_centre = x
+http_address = 127.0.0.1:9464
+peer_address = 127.0.0.1:9465
+[callers]
+front_address = 127.0.0.1:9466
+readiness_address = 127.0.0.1:9467
+[store]
+address = 127.0.0.1:9468
+[vms]
+address = 127.0.0.1:9469
+"""
 
 
 def test_the_example_is_read():
@@ -63,3 +77,16 @@
         "[entry-vm] cpu_share",
         "[entry-vm] cpu_speed",
     ]
+
+
+def test_sections_that_a_job_daemon_does_not_need_may_be_left_out():
+    """A daemon did not start without a service of advice."""
+    settings = parse_settings(JOB_DAEMON)
+    assert settings.advice is None
+    assert settings.serving.max_drain_ms == 60_000
+
+
+def test_section_of_a_job_daemon_without_its_address_is_a_fault():
+    with pytest.raises(ConfigError) as caught:
+        parse_settings(JOB_DAEMON + "[advice]")
+    assert caught.value.faults == ("[advice] address: a value is missing",)
