Graceful stop: no call that was read ends without a complete answer

What callers saw: while the daemon stopped under load, calls that came on connections that clients kept got a 500 or no answer at all. wait_idle counted the handlers of one of four servers, returned once none ran for a moment, and the servers were then "closed" without their connections: sanic's application has no `connections`, so that the loop over them did nothing, and `wait_closed` waits for none. Calls were read after it, and met closed clients.

HttpServer drains now. From the SIGTERM on, each response closes its connection, so that active callers move to other daemons during the load balancer's notice. After the notice, all servers stop listening, close the connections without a call, and wait up to max_drain_ms until those with one have had their response and are closed.

The counter of calls under way is not needed any more.

--- a/currantstage/application/jobs/_daemon.py
+++ b/currantstage/application/jobs/_daemon.py
@@ -28,7 +28,6 @@
 from currantstage.protocol.jobs import MemberRow
 from currantstage.transport import (
     HttpServer,
-    InFlightCounter,
     JobPeerClient,
     TransportError,
     add_health_routes,
@@ -61,7 +60,7 @@
         self._settings = settings
         self._resources = AsyncExitStack()
         self._is_stopping = False
-        self._in_flight = InFlightCounter()
+        self._servers: list[HttpServer] = []
         self._metrics = JobMetrics()
         clock = MonotonicClock()
         own = MemberRow(
@@ -112,18 +111,18 @@
         log_message("currantstage:started", entry_vm=self._settings.entry_vm.id)
 
     async def close(self) -> None:
-        """Shut down gracefully: release the lease and drain the calls in progress."""
+        """Shut down gracefully: release the lease and drain the calls in progress.
+
+        Callers on open connections leave during the load balancer's notice, as each of
+        these is closed after a response.
+        """
         log_message("currantstage:stopping", entry_vm=self._settings.entry_vm.id)
         self._is_stopping = True
-        await self._core.ownership.close()
-        await asyncio.sleep(self._settings.serving.balancer_notice_ms / 1000)
-        is_idle = await self._in_flight.wait_idle(
-            self._settings.serving.max_drain_ms / 1000
-        )
-        if not is_idle:
-            log_message(
-                "currantstage:calls-aborted", reason="still running after max_drain_ms"
-            )
+        for server in self._servers:
+            server.close_after_responses()
+        notice_s = self._settings.serving.balancer_notice_ms / 1000
+        await asyncio.gather(self._core.ownership.close(), asyncio.sleep(notice_s))
+        await self._drain_calls()
         await self._resources.aclose()
         log_message("currantstage:stopped", entry_vm=self._settings.entry_vm.id)
 
@@ -146,10 +145,21 @@
         await self._start_component(self._peer_client)
         await self._start_component(self._core.follower)
         await self._start_component(self._core.directory)
-        for server in self._build_servers():
+        self._servers = self._build_servers()
+        for server in self._servers:
             await self._start_component(server)
         await self._start_component(self._core.ownership)
 
+    async def _drain_calls(self) -> None:
+        max_drain_s = self._settings.serving.max_drain_ms / 1000
+        drained = await asyncio.gather(
+            *(server.drain(max_drain_s) for server in self._servers)
+        )
+        if not all(drained):
+            log_message(
+                "currantstage:calls-aborted", reason="still running after max_drain_ms"
+            )
+
     async def _start_component(self, component: Component) -> None:
         """Start `component`, and close it in reverse order later."""
         self._resources.push_async_callback(component.close)
@@ -169,7 +179,7 @@
         add_health_routes(health.app, self)
         add_job_routes(health.app, self._core.calls)
         front = HttpServer("front", addresses.front_address, MAX_BODY_BYTES)
-        add_front_routes(front.app, self._core.calls, self._in_flight)
+        add_front_routes(front.app, self._core.calls)
         readiness = HttpServer("readiness", addresses.readiness_address, MAX_BODY_BYTES)
         add_readiness_route(readiness.app, self.is_ready)
         return [peers, health, front, readiness]
--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -24,7 +24,6 @@
     from sanic import Request, Sanic
 
     from currantstage.protocol.jobs import AdmittedCall, JobService
-    from currantstage.transport import InFlightCounter
 
 KEY_HEADER = "X-Currantstage-Credential"
 DEADLINE_HEADER = "X-Currantstage-Deadline-Ms"
@@ -41,14 +40,11 @@
     waiting: int
 
 
-def add_front_routes(
-    app: Sanic[Any, Any], calls: JobService, in_flight: InFlightCounter
-) -> None:
-    """Add routes that serve callers through `calls`, counted by `in_flight`."""
+def add_front_routes(app: Sanic[Any, Any], calls: JobService) -> None:
+    """Add routes that serve callers through `calls`."""
 
     async def handle(request: Request, path: str = "") -> HTTPResponse:
-        with in_flight:
-            response = await _handle(request, calls)
+        response = await _handle(request, calls)
         if response.status == _UNAVAILABLE:
             response.headers["retry-after"] = str(calls.retry_after_s())
         return response
--- a/currantstage/transport/__init__.py
+++ b/currantstage/transport/__init__.py
@@ -23,7 +23,6 @@
     RESPONSE_TIMEOUT_S,
     HttpServer,
 )
-from currantstage.transport._in_flight import InFlightCounter
 from currantstage.transport._job_client import JobCallError, JobClient
 from currantstage.transport._job_peers import (
     JobPeerClient,
@@ -71,7 +70,6 @@
     "FleetStatusService",
     "HealthService",
     "HttpServer",
-    "InFlightCounter",
     "JobCallError",
     "JobClient",
     "JobPeerClient",
