Start relays: a term that ends leaves no daemon marked as being read

A daemon was marked when its clock was to be read, and the mark was removed by the task that reads it. A term that ended before that task's first step left the mark for good, as a cancelled task that has not begun runs none of its code: in later terms the daemon was never used as a relay again.

The mark is set and removed by the read itself. The test, with the method's earlier name, failed before: assert [] == ['relay'] (pytest tests/jobs/test_start_relays.py -k ended_term).

--- a/currantstage/application/jobs/_relay_client.py
+++ b/currantstage/application/jobs/_relay_client.py
@@ -42,7 +42,7 @@
         self._directory = directory
         self._clock = clock
         self._table = RelayTable()
-        # Daemons whose clocks are to be read, until the reply comes.
+        # Daemons whose clocks are being read, until the reply comes.
         self._being_read: set[str] = set()
 
     def ready_relays(self) -> list[str]:
@@ -51,19 +51,23 @@
         candidates = self._candidates(now_s)
         return [each for each in candidates if self._table.is_ready(each, now_s)]
 
-    def take_unread_relays(self) -> list[str]:
-        """Return the daemons whose clocks are to be read by `read_clock`, each once."""
+    def unread_relays(self) -> list[str]:
+        """Return the daemons whose clocks are to be read by `read_clock`."""
         now_s = self._clock.now_s()
-        unread = [
+        return [
             each
             for each in self._candidates(now_s)
             if each not in self._being_read and not self._table.is_ready(each, now_s)
         ]
-        self._being_read.update(unread)
-        return unread
 
     async def read_clock(self, relay: str) -> None:
-        """Read the clock of a daemon, so that it can be given a permit."""
+        """Read the clock of a daemon, so that it can be given a permit.
+
+        Has no effect while another call reads it.
+        """
+        if relay in self._being_read:
+            return
+        self._being_read.add(relay)
         try:
             await self._send(relay, RelayStarts())
         finally:
--- a/currantstage/application/jobs/_start_sender.py
+++ b/currantstage/application/jobs/_start_sender.py
@@ -102,7 +102,7 @@
         relays: list[str] = []
         if len(runs) > max_direct:
             relays = self._relays.ready_relays()
-            for relay in self._relays.take_unread_relays():
+            for relay in self._relays.unread_relays():
                 self._tasks.spawn(self._relays.read_clock(relay))
         min_relayed = self._tuning.min_relayed_starts
         division = divide_starts(runs, max_direct, min_relayed, relays)
--- a/tests/jobs/test_start_relays.py
+++ b/tests/jobs/test_start_relays.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from currantstage.application.jobs._relay_client import RelayClient
 from currantstage.application.jobs._start_relay import StartRelay
 from currantstage.coordination.jobs import (
     RELAY_PERMIT_S,
@@ -17,10 +18,11 @@
 )
 from currantstage.protocol.jobs import (
     RelayStarts,
+    StartsRelayed,
     decode_peer_query,
     encode_peer_message,
 )
-from currantstage.standin.jobs import SimulatedSite, build_configuration
+from currantstage.standin.jobs import LoopClock, SimulatedSite, build_configuration
 from currantstage.state.jobs import (
     BornMs,
     Fence,
@@ -37,6 +39,7 @@
     Term,
     WorkerId,
 )
+from currantstage.util import TaskSet
 from tests.jobs.random_scenario import RandomScenario
 from tests.jobs.records import entry, open_step, running, submission
 from tests.jobs.site import SETTLE_S, run_scenario, step
@@ -328,3 +331,33 @@
         Scheduler(Term(1), build_configuration(), TUNING), RELAY_PERMIT_S
     )
     assert relayed_s == pytest.approx(direct_s + RELAY_PERMIT_S)
+
+
+class _Directory:
+    """Directory that knows one other daemon, which answers each query."""
+
+    def largest_peers(self) -> list[str]:
+        """Return the address of that daemon."""
+        return ["relay"]
+
+    async def send_query(self, *_: object) -> StartsRelayed:
+        """Return a reading of the clock, after a while."""
+        await asyncio.sleep(0.01)
+        return StartsRelayed(outcomes=(), incarnation=1, clock_ms=1)
+
+
+def test_relay_of_an_ended_term_is_used_in_the_next_one() -> None:
+    """A daemon whose clock was about to be read was never used as a relay again."""
+
+    async def scenario() -> None:
+        client = RelayClient(_Directory(), LoopClock())
+        ended, later = TaskSet(), TaskSet()
+        for tasks in (ended, later):
+            for relay in client.unread_relays():
+                tasks.spawn(client.read_clock(relay))
+            if tasks is ended:
+                await tasks.close()
+        await asyncio.sleep(0.1)
+        assert client.ready_relays() == ["relay"]
+
+    run_scenario(scenario())
