Wave rows: one that can't be decoded doesn't end each scheduler's term

A malformed row of a wave raised UndecodableError in the planning of VMs, which ends the term; so it did for each daemon that took over, and nothing was scheduled. The row is logged and left out, like rows of other tables.

--- a/currantstage/application/jobs/_job_table_rows.py
+++ b/currantstage/application/jobs/_job_table_rows.py
@@ -13,6 +13,7 @@
 from currantstage.state.jobs import JobId, RowName, Submission
 
 if TYPE_CHECKING:
+    from currantstage.errors import CurrantstageError
     from currantstage.state.jobs import StoredRow
 
 JOBS_TABLE = "jobs"
@@ -111,7 +112,7 @@
             self.submissions[job] = join_parts([parts[each] for each in sorted(parts)])
 
 
-def log_malformed(row: StoredRow, error: ProtocolError) -> None:
+def log_malformed(row: StoredRow, error: CurrantstageError) -> None:
     """Log a row that can't be decoded."""
     log_message(
         "currantstage:row-malformed",
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -52,7 +52,7 @@
     StoreUnavailable,
     TaskPage,
 )
-from currantstage.util import decode_json
+from currantstage.util import UndecodableError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -274,7 +274,7 @@
         for row in page.rows:
             number, _, _ = row.name.key.partition(".")
             if number == str(wave) and row.value is not None:
-                done.update(decode_json(row.value, list[str]))
+                done.update(_decode_vms(row))
         return tuple(sorted(done))
 
     async def join(self, member: MemberRow) -> None:
@@ -304,6 +304,14 @@
     return JobChanges(submissions, tuple(rows.cancelled), version)
 
 
+def _decode_vms(row: StoredRow) -> list[str]:
+    try:
+        return decode_json(row.value or b"", list[str])
+    except UndecodableError as error:
+        log_malformed(row, error)
+        return []
+
+
 def _maintained_row(wave: int, vm: str) -> RowName:
     """Return the row for a VM of a wave; the VM's name may fill a key by itself."""
     digest = blake2b(vm.encode(), digest_size=VM_DIGEST_BYTES).hexdigest()
--- a/tests/jobs/test_wave_rows.py
+++ b/tests/jobs/test_wave_rows.py
@@ -19,6 +19,7 @@
     RowWrite,
     StoreUnavailable,
 )
+from tests.jobs.captured_log import captured_log
 from tests.jobs.site import SETTLE_S, run_scenario, start_site, step
 
 STATUS = RowName("status", "", "wave/1")
@@ -39,6 +40,23 @@
     run_scenario(scenario())
 
 
+def test_row_of_a_wave_that_can_not_be_decoded_does_not_hide_the_others() -> None:
+    """Each scheduler's term ended when it read the wave."""
+
+    async def scenario() -> None:
+        store = SimulatedStore(random.Random(1))
+        repository = JobRepository(store.for_caller("a"))
+        await repository.record_maintained(1, ["m-1"])
+        malformed = RowName("waves", "", "1.malformed")
+        store.apply((), (RowWrite(malformed, b"{"),))
+        with captured_log() as log:
+            assert await repository.read_wave(1) == ("m-1",)
+        (line,) = log.lines("row-malformed")
+        assert line["key"] == malformed.key
+
+    run_scenario(scenario())
+
+
 # Review case 9: a late write of one VM replaced the record of two.
 def test_late_write_of_a_wave_removes_nothing_that_was_stored_after_it() -> None:
     async def scenario() -> None:
