Callers' interface: an unexpected error leaves the call in doubt, and is logged

The caller got a 500, which the interface doesn't define and after which no call is repeated, and the error was only on the standard error stream. It gets a 504 now, as the write may have been sent, and the log has the trace.

The test failed before for GET, POST and DELETE: assert 500 == 504 (pytest tests/jobs/test_front.py).

--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -17,6 +17,7 @@
     access_of_method,
 )
 from currantstage.state.jobs import JobId, is_job_id
+from currantstage.util import log_task_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,7 +45,11 @@
     """Add routes that serve callers through `calls`."""
 
     async def handle(request: Request, path: str = "") -> HTTPResponse:
-        response = await _handle(request, calls)
+        try:
+            response = await _handle(request, calls)
+        except Exception as error:
+            log_task_failure("front-call", error)
+            response = _refusal_response(CallRefusal.IN_DOUBT)
         if response.status == _UNAVAILABLE:
             response.headers["retry-after"] = str(calls.retry_after_s())
         return response
