Peer sockets: a frame that can't be handled doesn't end the receipt

An unexpected error in the handling of a frame ended the task that receives, unlogged until the close: the daemon heard nothing of its peers any more. It is logged, and the next frame is received.

--- a/currantstage/transport/_peers.py
+++ b/currantstage/transport/_peers.py
@@ -9,6 +9,7 @@
 
 from currantstage.protocol import MAX_FRAME_BYTES
 from currantstage.transport._errors import ListenError
+from currantstage.util import log_task_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -101,6 +102,12 @@
     async def _receive(self, listener: pynng.Pull0) -> None:
         while self._listener is not None:
             try:
-                self._on_frame(await listener.arecv())
+                frame = await listener.arecv()
             except pynng.NNGException:
                 self.dropped_frames += 1
+                continue
+            try:
+                self._on_frame(frame)
+            except Exception as error:
+                # A frame that can't be handled must not end the receipt of others.
+                log_task_failure("peer-frame", error)
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -9,12 +9,49 @@
 from currantstage.standin import find_free_ports
 from currantstage.state import EntryVmId
 from currantstage.transport import PeerSockets
+from tests.jobs.captured_log import captured_log
 
 TIMEOUT_S = 60
 ROUNDS = 30
 FRAMES_PER_ROUND = 50
 
 
+def test_frame_that_can_not_be_handled_does_not_end_the_receipt():
+    """A daemon heard nothing of its peers any more."""
+
+    async def receive_two():
+        sender_port, receiver_port = find_free_ports(2)
+        receiver_id = EntryVmId("receiver")
+        received = []
+        is_complete = asyncio.Event()
+
+        def handle(frame: bytes) -> None:
+            received.append(frame)
+            if len(received) == 1:
+                raise ValueError("wrong")
+            is_complete.set()
+
+        sender = PeerSockets(f"127.0.0.1:{sender_port}", lambda frame: None)
+        receiver = PeerSockets(f"127.0.0.1:{receiver_port}", handle)
+        await sender.start()
+        await receiver.start()
+        sender.connect(receiver_id, f"127.0.0.1:{receiver_port}")
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                while not is_complete.is_set():
+                    sender.send(receiver_id, b"frame")
+                    await asyncio.sleep(0.01)
+        finally:
+            await sender.close()
+            await receiver.close()
+
+    with captured_log() as log:
+        uvloop.run(receive_two())
+    assert [line["reason"] for line in log.lines("task-failed")] == [
+        "ValueError('wrong')"
+    ]
+
+
 def test_close_returns_while_frames_arrive():
     """Guards against a `close` that never returns.
 
