Periodic tasks: an unexpected error doesn't end the task

Only errors of the package were logged and survived; any other ended heartbeats, probes or duties for good, unlogged. All are logged now, and the task goes on.

The test failed before: assert 1 > 1, one call in five intervals (pytest tests/util/test_periodic_task.py).

--- a/currantstage/util/_periodic_task.py
+++ b/currantstage/util/_periodic_task.py
@@ -7,7 +7,6 @@
 
 from eliot import start_action, write_traceback
 
-from currantstage.errors import CurrantstageError
 from currantstage.util._waiting import wait_for_event
 
 if TYPE_CHECKING:
@@ -22,8 +21,8 @@
     name : str
         Name of the task in logs.
     function : callable
-        The function to call. A `CurrantstageError` that it raises is logged and does
-        not end the task.
+        The function to call. An exception that it raises is logged and does not end
+        the task.
     interval_s : float
         Interval between the end of a run and the start of the next one, in seconds.
     """
@@ -58,6 +57,6 @@
             try:
                 with start_action(action_type=f"currantstage:duty:{self._name}"):
                     await self._function()
-            except CurrantstageError:
+            except Exception:
                 write_traceback()
             await wait_for_event(self._wake_requested, self._interval_s)
