Request path: a claim that fails releases the slot

An unexpected error or a cancellation while a request took its claim left the assignment unfinished: the slot stayed held, and requests that waited for it passed their deadlines.

The test failed before: the next request was refused as deadline-passed (pytest tests/application/test_request_path.py: 1 failed).

--- a/currantstage/application/_caller_service.py
+++ b/currantstage/application/_caller_service.py
@@ -178,7 +178,12 @@
         if self._claims is None:
             self._driver.finish(assignment, True)
             return Refusal(RefusalReason.CLAIM_UNAVAILABLE)
-        taken = await self._claims.take(call, assignment.request.team, key_text)
+        try:
+            taken = await self._claims.take(call, assignment.request.team, key_text)
+        except BaseException:
+            # Nothing has been sent to the backend server.
+            self._driver.finish(assignment, True)
+            raise
         if isinstance(taken, Failure):
             self._driver.finish(assignment, True)
             earlier: RequestEnd = taken.failure()
--- a/tests/application/test_request_path.py
+++ b/tests/application/test_request_path.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import pytest
 import uvloop
 
 from currantstage.application import DaemonMetrics, RequestPath
@@ -242,3 +243,23 @@
         assert fixture.runs() == [b"first"]
 
     run_with_fixture(check, workers=1, slots=1)
+
+
+class _FaultyClaims:
+    """Claims with a fault."""
+
+    async def take(self, *_: object) -> None:
+        raise ValueError("wrong")
+
+
+def test_failed_claim_releases_the_slot():
+    """The slot stayed held, and those who waited for it were never served."""
+
+    async def check(fixture):
+        fixture.path.queues.set_claims(_FaultyClaims())
+        with pytest.raises(ValueError, match="wrong"):
+            await fixture.serve(b"first", CallerOptions(idempotency_key="1-key"))
+        answer = await fixture.serve(b"second", CallerOptions(timeout_ms=500))
+        assert answer.outcome is Outcome.COMPLETED
+
+    run_with_fixture(check, workers=1, slots=1)
