Group writer: a conflict that names no row of the group ends the attempt

The writer sent the same transaction again, without a pause, as long as the store rejected it without naming one of its rows as there: the callers and the partition's queue waited for ever. And a row that the answer lists as removed counted as stored, so that a job could have been acknowledged that is nowhere.

Only rows with a value count as stored; without one, the group's writes fail as not sent, and their callers retry as after any failure.

Both tests failed before, with TimeoutError after 5 s and with None as the outcome (pytest tests/jobs/test_group_writer.py).

--- a/currantstage/application/jobs/_group_writer.py
+++ b/currantstage/application/jobs/_group_writer.py
@@ -141,9 +141,13 @@
             [RowCondition(name, 0) for name in rows],
             [row for each in rows.values() for row in each],
         )
-        if isinstance(outcome, Conflicted):
-            return {row.name for row in outcome.rows if row.version}
-        return set(rows)
+        if not isinstance(outcome, Conflicted):
+            return set(rows)
+        existing = {row.name for row in outcome.rows if row.value is not None}
+        if existing.isdisjoint(rows):
+            # Another attempt would meet the same conflict.
+            raise StoreUnavailable("conflict without a row", is_in_doubt=False)
+        return existing
 
     async def _write_refused(
         self, group: list[_PendingWrite], error: StoreRefused
--- a/tests/jobs/test_group_writer.py
+++ b/tests/jobs/test_group_writer.py
@@ -10,7 +10,12 @@
 
 from currantstage.application.jobs._group_writer import GroupWriter
 from currantstage.standin.jobs import MAX_ROW_BYTES, SimulatedStore
-from currantstage.state.jobs import RowName, StoreUnavailable
+from currantstage.state.jobs import (
+    Conflicted,
+    RowName,
+    StoredRow,
+    StoreUnavailable,
+)
 from tests.jobs.captured_log import captured_log
 from tests.jobs.site import run_scenario
 
@@ -19,7 +24,6 @@
 
     from currantstage.state.jobs import (
         Committed,
-        Conflicted,
         RowCondition,
         RowWrite,
     )
@@ -184,3 +188,37 @@
         assert later is None
 
     run_scenario(scenario())
+
+
+class _ConflictingStore:
+    """Store that rejects each transaction with the same rows."""
+
+    def __init__(self, *rows: StoredRow) -> None:
+        self._rows = rows
+
+    async def transact(
+        self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> Conflicted:
+        """Apply nothing."""
+        await asyncio.sleep(0.01)
+        return Conflicted(self._rows)
+
+
+def test_conflict_with_rows_of_others_does_not_repeat_the_write_for_ever() -> None:
+    async def scenario() -> None:
+        writer = GroupWriter(_ConflictingStore())
+        (outcome,) = await _outcomes(await _start_writes(writer, ["first"]))
+        assert isinstance(outcome, StoreUnavailable)
+        assert not outcome.is_in_doubt
+
+    run_scenario(scenario())
+
+
+def test_removed_row_in_a_conflict_does_not_count_as_stored() -> None:
+    async def scenario() -> None:
+        removed = StoredRow(_name("first"), None, 7)
+        writer = GroupWriter(_ConflictingStore(removed))
+        (outcome,) = await _outcomes(await _start_writes(writer, ["first"]))
+        assert isinstance(outcome, StoreUnavailable)
+
+    run_scenario(scenario())
