Advice: a lost answer costs the time in which it is due, not 5 s

One request is under way at a time, as the service serves one per caller. Each answer that was lost kept all queues with a policy waiting for 5 s, while their tickets ran out: longer than a task whose turn has come may wait. The timeout now comes from what the queue's policy states of the service: twice the time for the workers asked about, and 1 s, with 5 s as its bound.

The test fails with a minimum of 5 s, as it was: the job is still queued 3 s after its submission (pytest tests/jobs/test_site_scenarios.py -k advice: 1 failed, 2 passed).

--- a/currantstage/application/jobs/_advice_driver.py
+++ b/currantstage/application/jobs/_advice_driver.py
@@ -71,7 +71,8 @@
         if step is None:
             return False
         workers = self._tracker.candidates(step, requested_s)
-        advice = await source.advise(step.key, workers)
+        timeout_s = self._tracker.timeout_s(step, len(workers))
+        advice = await source.advise(step.key, workers, timeout_s)
         self._tracker.record_advice(step, advice, requested_s)
         log_message(
             "currantstage:advice",
--- a/currantstage/coordination/jobs/_advice_tracker.py
+++ b/currantstage/coordination/jobs/_advice_tracker.py
@@ -15,6 +15,11 @@
 TICKET_MARGIN_S = 0.1
 #: Time until advice is requested again for a step that no worker may run, in seconds.
 NO_WORKER_PAUSE_S = 1.0
+#: Bounds of the time without an answer after which a request is given up, in seconds.
+MIN_TIMEOUT_S = 1.0
+MAX_TIMEOUT_S = 5.0
+#: Ratio of the time that the service takes for an answer to what it states.
+TIMEOUT_RATIO = 2.0
 
 
 class AdviceTracker:
@@ -45,6 +50,15 @@
             if worker_state.accepts_starts(now_s)
         ]
 
+    def timeout_s(self, step: StepRecord, worker_count: int) -> float:
+        """Return how long to wait for advice about `worker_count` workers."""
+        queue = self._scheduler.configuration.queue(step.job.submission.queue)
+        if queue is None or queue.advice is None:
+            return MIN_TIMEOUT_S
+        policy = queue.advice
+        stated_ms = policy.decide_ms + worker_count * policy.per_worker_ms
+        return min(MAX_TIMEOUT_S, MIN_TIMEOUT_S + TIMEOUT_RATIO * stated_ms / 1000)
+
     def record_advice(
         self, step: StepRecord, advice: Advice | None, requested_s: float
     ) -> None:
--- a/currantstage/platform/_advice.py
+++ b/currantstage/platform/_advice.py
@@ -17,8 +17,6 @@
 
     from currantstage.state.jobs import StepKey
 
-#: Timeout of a call to the service, in seconds.
-ADVICE_TIMEOUT_S = 5.0
 #: Maximum number of workers in one call.
 MAX_WORKERS = 100
 
@@ -47,12 +45,14 @@
         self._http = http
         self._url = f"http://{address}/currantstage/advise"
 
-    async def advise(self, step: StepKey, workers: Sequence[WorkerId]) -> Advice | None:
+    async def advise(
+        self, step: StepKey, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Advice | None:
         """Return the workers that may run `step`; None without a valid response."""
         request = _AdviceRequest(
             f"{step.job}.{step.occurrence}.{step.step}", list(workers[:MAX_WORKERS])
         )
-        reply = await self._http.call("POST", self._url, ADVICE_TIMEOUT_S, body=request)
+        reply = await self._http.call("POST", self._url, timeout_s, body=request)
         if isinstance(reply, CallFailure) or reply.status != 200:
             log_message(
                 "currantstage:advice-unavailable", job=step.job, reason=str(reply)
--- a/currantstage/standin/jobs/_advice.py
+++ b/currantstage/standin/jobs/_advice.py
@@ -24,9 +24,17 @@
     def __init__(self) -> None:
         #: Workers that may run steps; None allows all.
         self.allowed: set[WorkerId] | None = None
+        #: Number of requests whose answers are lost next.
+        self.lost_answers = 0
 
-    async def advise(self, step: StepKey, workers: Sequence[WorkerId]) -> Advice | None:
+    async def advise(
+        self, step: StepKey, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Advice | None:
         """Return a ticket for each of `workers` that may run `step`."""
+        if self.lost_answers:
+            self.lost_answers -= 1
+            await asyncio.sleep(timeout_s)
+            return None
         await asyncio.sleep(ANSWER_DELAY_S)
         eligible = [
             each for each in workers if self.allowed is None or each in self.allowed
--- a/currantstage/state/jobs/_ports.py
+++ b/currantstage/state/jobs/_ports.py
@@ -133,8 +133,10 @@
 class AdviceSource(Protocol):
     """The service that decides which workers may run a step."""
 
-    async def advise(self, step: StepKey, workers: Sequence[WorkerId]) -> Advice | None:
-        """Return the workers that may run `step`, or None if unknown."""
+    async def advise(
+        self, step: StepKey, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Advice | None:
+        """Return the workers that may run `step`, or None if unknown in time."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -268,7 +268,7 @@
         with pytest.raises(StoreUnavailable):
             await MachineClient(http, address, EntryVmId("own")).list()
         step = StepKey(JobId("a" * 16), 0, 0)
-        assert await AdviceClient(http, address).advise(step, []) is None
+        assert await AdviceClient(http, address).advise(step, [], 1.0) is None
 
     run_with_server(answer, use)
 
--- a/tests/jobs/test_site_scenarios.py
+++ b/tests/jobs/test_site_scenarios.py
@@ -312,6 +312,23 @@
     run_scenario(scenario())
 
 
+def test_lost_advice_costs_no_more_than_the_time_in_which_it_is_due() -> None:
+    """All queues with advice stood for 5 s after each lost answer."""
+
+    async def scenario() -> None:
+        site = SimulatedSite(seed=14)
+        await site.start()
+        _reconfigure(site, 2, _with_advice(site.configuration.queues))
+        await asyncio.sleep(SETTLE_S)
+        assert site.advice is not None
+        site.advice.lost_answers = 1
+        job = await site.submit((step(2),))
+        await asyncio.sleep(3)
+        assert await site.show(job) is JobState.COMPLETED
+
+    run_scenario(scenario())
+
+
 def _with_advice(queues: tuple[JobQueue, ...]) -> tuple[JobQueue, ...]:
     policy = AdvicePolicy(decide_ms=1, per_worker_ms=1, valid_ms=900)
     return tuple(replace(each, advice=policy) for each in queues)
