Failed reads for callers and of the members are logged

A caller's read that failed was answered with a 503, and the list of daemons stayed as it was, without a line that says why: the store's client logs only when all of the store becomes unavailable, not one partition or one overloaded moment. The removal of a daemon that stops was silent as well.

--- a/currantstage/application/jobs/_calls.py
+++ b/currantstage/application/jobs/_calls.py
@@ -187,7 +187,8 @@
             return reply.state
         try:
             stored = await self._repository.read_job(job)
-        except StoreUnavailable:
+        except StoreUnavailable as error:
+            log_message("currantstage:job-read-failed", job=job, reason=str(error))
             return CallRefusal.UNAVAILABLE
         if stored.submission is None:
             return CallRefusal.NO_SUCH_JOB
--- a/currantstage/application/jobs/_directory.py
+++ b/currantstage/application/jobs/_directory.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING, Protocol
 
+from eliot import log_message
+
 from currantstage.protocol.jobs import (
     LeaseHolderQuery,
     LeaseLookup,
@@ -87,9 +89,9 @@
         await self._task.close()
         try:
             await self._repository.leave(self.own.entry_vm)
-        except StoreUnavailable:
+        except StoreUnavailable as error:
             # Peers notice when this daemon no longer answers.
-            return
+            log_message("currantstage:leave-failed", reason=str(error))
 
     async def query_scheduler(
         self, query: PeerQuery, timeout_s: float = PEER_TIMEOUT_S
@@ -190,7 +192,8 @@
                     await self._repository.join(self.own)
                     has_joined = True
                 self._members = await self._repository.read_members()
-            except StoreUnavailable:
+            except StoreUnavailable as error:
+                log_message("currantstage:members-read-failed", reason=str(error))
                 await asyncio.sleep(PEER_TIMEOUT_S)
                 continue
             await asyncio.sleep(MEMBERS_INTERVAL_S)
