Send the starts that are stored, though their write is confirmed too late

What callers saw: after an outage of the store that outlasted the scheduler's lease (6 s), several jobs of one pool had no run with most of the room free, and went on only if their worker was moved or the scheduler changed.

Cause: a write of placements that got no answer may have been stored. When the store is back, the lease row shows it (`commit-seen`), and the lease counts from the sending of that write, which is over 6 s ago: it isn't valid until the next write is confirmed, 12 ms later. The runs of that batch were handed to the start sender, which dropped them without a word. They stayed placed and unsent, with their room and their tasks, for the rest of the term: only what is sent is lost with an expired lease.

Fix: such a run is withdrawn, as one is whose worker can't be granted a lease, and its task is placed anew under the next run number. It was never sent, so no worker can carry it out.

--- a/currantstage/application/jobs/_start_sender.py
+++ b/currantstage/application/jobs/_start_sender.py
@@ -136,6 +136,8 @@
     def _order(self, run: Run, stored_s: float, relay: str = "") -> _SentStart | None:
         now_s = self._now_s()
         if not self._held_lease.is_valid(now_s):
+            # The write of its placement was confirmed too late.
+            self._scheduler.withdraw_start(run)
             return None
         clock_age_s = self._scheduler.clock_age_s(run.worker, now_s)
         max_delay_s = RELAY_PERMIT_S if relay else 0.0
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -250,8 +250,7 @@
         if worker_state.is_responsive:
             until_ms = worker_state.grant_until_ms(now_s, self._tuning, max_delay_s)
         if until_ms is None:
-            self._lifecycle.release(run)
-            self._lifecycle.retry(run.task)
+            self.withdraw_start(run)
             return None
         run.phase = RunPhase.SENT
         run.fence = worker_state.fence
@@ -266,6 +265,12 @@
             ticket=run.task.step.ticket(run.worker, now_s) or "",
         )
 
+    def withdraw_start(self, run: Run) -> None:
+        """Requeue the task of a stored run whose start may not be sent now."""
+        if run.task.run is run and run.phase is RunPhase.UNSENT:
+            self._lifecycle.release(run)
+            self._lifecycle.retry(run.task)
+
     def on_start_outcome(self, run: Run, outcome: OrderOutcome, now_s: float) -> None:
         """Apply the outcome of a start order."""
         worker_state = self.workers.get(run.worker)
