Hand over the lease of a scheduler that can't load the stored state

What callers saw: a daemon that had just taken the scheduler's lease could not read the store for 4.7 s (`scheduler-load-failed`, `refused`), kept the lease, and nothing started meanwhile.

Cause: a lease was offered, and handed over on request, only if its renewals failed. A holder whose writes are taken while its reads are refused renews the lease and never gets to schedule; its peers see the lease change and ask for nothing. And an offer was sent once in a term, whoever heard it: after one that came while no peer could read, or reached none, nothing followed.

Fix: a load that has failed for `hand_over_ms` needs a successor as well. Offers are repeated each second. A peer accepts one only if it can read all that a scheduler loads, so that the lease isn't passed around while nobody can. The daemon that has given a lease up leaves it to its peers for a second. If no peer hears the offer of a lease that is still renewed, it is released.

No wait is shortened that rests on what the holder may have sent: the peer takes over on the same ground as before, after the holder has closed its session, and inherits the leases of workers from the stored row.

`scheduler-load-failed` says the term, for how long and how often.

--- a/currantstage/application/jobs/_lease_writer.py
+++ b/currantstage/application/jobs/_lease_writer.py
@@ -74,8 +74,8 @@
     health : StoreHealth
     ended : asyncio.Event
         Set when the lease has been lost or released; ends the writes.
-    offer : callable
-        Offers the lease to the other daemons when it can't be renewed.
+    on_failed : callable
+        Called after a write that was not confirmed.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         tuning: SchedulerTuning,
         health: StoreHealth,
         ended: asyncio.Event,
-        offer: Callable[[], None],
+        on_failed: Callable[[], None],
     ) -> None:
         #: The lease as this daemon last wrote it.
         self.lease = lease
@@ -104,13 +104,12 @@
         self._tuning = tuning
         self._health = health
         self._ended = ended
-        self._offer = offer
+        self._on_failed = on_failed
         self._source: ProgressSource | None = None
         self._wake = asyncio.Event()
         self._renewed = Notifier()
         self._is_releasing = False
         self._outcomes_until_s = float("inf")
-        self._is_offered = False
         #: A batch that the store has refused; the next write is of the lease alone.
         self._refused: ProgressBatch | None = None
         self._progress_to_remove: list[PageKey] = []
@@ -260,9 +259,7 @@
             self._attempts.discard(attempt)
             await self._probe.read_once()
         self.held_lease.record_failure(attempt.sent_s)
-        if self.needs_successor() and not self._is_offered:
-            self._is_offered = True
-            self._offer()
+        self._on_failed()
         self._observe_commit("failed", attempt.sent_s)
         log_message(
             "currantstage:commit-failed",
@@ -295,7 +292,6 @@
         self.held_lease.confirm(attempt.sent_s)
         self.worker_leases.on_stored(attempt.lease)
         self._renewed.notify_all()
-        self._is_offered = False
         del self._progress_to_remove[: len(attempt.removed)]
         self._observe_commit("stored", attempt.sent_s)
         self._on_batch_stored(attempt.batch)
--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -11,6 +11,7 @@
 from currantstage.application.jobs._repository import StoredLease
 from currantstage.application.jobs._session import SchedulerSession
 from currantstage.coordination.jobs import (
+    NO_HOLDER,
     HolderAnswer,
     InheritedLeases,
     LeaseRow,
@@ -41,11 +42,18 @@
         SchedulerTuning,
         StoreHealth,
     )
+    from currantstage.protocol.jobs import PeerReply
 
 #: Interval between reads of the lease, in seconds.
 LEASE_READ_INTERVAL_S = 0.4
 #: Timeout of a query to the holder, in seconds; it delays the next read of the lease.
 HOLDER_TIMEOUT_S = 0.2
+#: Maximum time in which a daemon that is offered the lease checks whether it can read
+#: the stored state, in seconds.
+STATE_CHECK_TIMEOUT_S = 0.5
+#: Time that a daemon leaves a lease that it has given up to its peers, in seconds;
+#: longer than the pauses before a takeover.
+HANDED_OVER_S = 1.0
 #: Maximum random delay before a takeover, in seconds, so that daemons don't all try at
 #: the same time.
 MAX_JITTER_S = 0.1
@@ -79,6 +87,7 @@
         self._wake = asyncio.Event()
         self._is_closing = False
         self._offered_term = NO_TERM
+        self._handed_over_s = float("-inf")
         self._task = SupervisedTask("lease", self._run)
         self.session: SchedulerSession | None = None
         follower.add_listener(self._configure)
@@ -112,7 +121,7 @@
         return self.session is not None and self.session.lease.term >= term
 
     async def hand_over(self, term: Term) -> None:
-        """End the session of `term` if the store does not confirm its renewals.
+        """End the session of `term` if it needs a successor.
 
         After this has returned, no more orders are sent in that term.
         """
@@ -123,6 +132,7 @@
             if not session.needs_successor():
                 return
             log_message("currantstage:lease-lost", term=term, by="hand-over")
+            self._handed_over_s = self._ports.clock.now_s()
         await session.close()
         if self.session is session:
             self.session = None
@@ -148,7 +158,7 @@
         takeover = self._watch.takeover(
             stored.row, self._directory.own.entry_vm, answer
         )
-        if takeover is None:
+        if takeover is None or self._leaves_to_peers(stored.row):
             return
         await asyncio.sleep(self._takeover_delay_s())
         await self._take_lease(stored, takeover)
@@ -163,7 +173,7 @@
     async def _query_holder(self, row: LeaseRow | None) -> HolderAnswer:
         if row is None or not row.address:
             return HolderAnswer.UNKNOWN
-        if not self._watch.is_suspect() and row.term != self._offered_term:
+        if not self._watch.is_suspect() and not await self._accepts_offer(row.term):
             return HolderAnswer.UNKNOWN
         reply = await self._directory.send_query(
             row.address, LeaseRequest(row.term), HOLDER_TIMEOUT_S
@@ -177,6 +187,28 @@
             return HolderAnswer.HOLDS
         return HolderAnswer.UNKNOWN
 
+    async def _accepts_offer(self, term: Term) -> bool:
+        """Return whether the lease of `term` is offered and this daemon can use it.
+
+        An offer is repeated, so that one that comes too early may be forgotten.
+        """
+        if term != self._offered_term:
+            return False
+        try:
+            async with asyncio.timeout(STATE_CHECK_TIMEOUT_S):
+                await self._repository.check_readable()
+        except (StoreUnavailable, TimeoutError) as error:
+            log_message("currantstage:lease-offer-declined", reason=repr(error))
+            self._offered_term = NO_TERM
+            return False
+        return True
+
+    def _leaves_to_peers(self, row: LeaseRow | None) -> bool:
+        """Return whether this daemon has just given up the lease in `row`."""
+        if row is None or row.holder not in (NO_HOLDER, self._directory.own.entry_vm):
+            return False
+        return self._ports.clock.now_s() - self._handed_over_s < HANDED_OVER_S
+
     async def _take_lease(self, stored: StoredLease, takeover: LeaseTakeover) -> None:
         own = self._directory.own
         sent_s = self._ports.clock.now_s()
@@ -234,11 +266,20 @@
                 self.session = None
 
     async def _offer(self, term: Term) -> None:
-        await self._notify_peers(LeaseOffer(term))
+        """Offer the lease; if no peer hears of it, release one that can't be used."""
+        replies = await self._notify_peers(LeaseOffer(term))
+        is_heard = any(isinstance(each, Acknowledged) for each in replies)
+        session = self.session
+        if is_heard or not replies or session is None or not session.is_only_renewed():
+            return
+        self._handed_over_s = self._ports.clock.now_s()
+        session.request_release()
 
-    async def _notify_peers(self, message: LeaseOffer | LeaseReleased) -> None:
+    async def _notify_peers(
+        self, message: LeaseOffer | LeaseReleased
+    ) -> list[PeerReply | PeerFailure]:
         addresses = self._directory.peer_addresses()
-        await asyncio.gather(
+        return await asyncio.gather(
             *(self._directory.send_query(each, message) for each in addresses)
         )
 
--- a/currantstage/application/jobs/_repository.py
+++ b/currantstage/application/jobs/_repository.py
@@ -71,6 +71,8 @@
 _PROGRESS_TABLE = "progress"
 _MEMBERS_TABLE = "members"
 _WAVES_TABLE = "waves"
+#: Beginning of a key that no row has.
+_UNUSED_PREFIX = "~"
 #: Number of partitions that are read at once; they share the daemon's network link.
 CONCURRENT_READS = 4
 #: Maximum number of rows of a wave in one write.
@@ -180,6 +182,14 @@
         page = await self._store.read(_PROGRESS_TABLE, _SCHEDULER_PARTITION)
         return StoredProgress.by_job(_decode_progress_rows(page.rows))
 
+    async def check_readable(self) -> None:
+        """Check that what a scheduler loads can be read, without reading any of it."""
+        parts = [("", _MEMBERS_TABLE), (_SCHEDULER_PARTITION, _PROGRESS_TABLE)]
+        parts += [(each, JOBS_TABLE) for each in JOB_PARTITIONS]
+        await asyncio.gather(
+            *(self._store.read(table, part, _UNUSED_PREFIX) for part, table in parts)
+        )
+
     async def job_changes(self, after: int, wait_ms: int) -> JobChanges | None:
         """Return the changes since `after`; None if that history is unavailable."""
         page = await self._store.changes(JOBS_TABLE, after, wait_ms)
--- a/currantstage/application/jobs/_session.py
+++ b/currantstage/application/jobs/_session.py
@@ -12,6 +12,7 @@
 from currantstage.application.jobs._change_feed import ChangeFeed
 from currantstage.application.jobs._fleet_driver import FleetDriver
 from currantstage.application.jobs._lease_writer import LeaseWriter
+from currantstage.application.jobs._load_attempts import LoadAttempts
 from currantstage.application.jobs._progress_source import ProgressSource
 from currantstage.application.jobs._scheduler_loader import (
     TASKS_PER_TURN,
@@ -42,6 +43,8 @@
 RELEASE_TIMEOUT_S = 1.0
 #: Pause after a failed attempt to load the stored state, in seconds.
 LOAD_RETRY_S = 0.05
+#: Interval between offers of a lease that needs another holder, in seconds.
+OFFER_INTERVAL_S = 1.0
 #: Pause between reads of changes, in seconds; batches several into one response.
 CHANGES_PAUSE_S = 0.1
 #: Interval between removals of jobs whose retention period is over, in seconds.
@@ -70,7 +73,7 @@
     health : StoreHealth
     relays : RelayClient
     offer : callable
-        Notifies the other daemons that the lease of a term can't be renewed.
+        Offers the lease of a term to the other daemons.
     """
 
     def __init__(
@@ -100,6 +103,8 @@
         self._tasks = TaskSet(self._ended.set)
         self._driver: WorkerDriver | None = None
         self._offer = offer
+        self._offer_due_s = float("-inf")
+        self._load_attempts = LoadAttempts(tuning)
         self._lease_writer = LeaseWriter(
             lease,
             version,
@@ -110,7 +115,7 @@
             tuning,
             health,
             self._ended,
-            self._offer_lease,
+            self._offer_if_needed,
         )
         self.scheduler: Scheduler | None = None
 
@@ -129,8 +134,15 @@
         return self._lease_writer.is_certainly_held()
 
     def needs_successor(self) -> bool:
-        """Return whether the store has not confirmed the latest writes."""
-        return self._lease_writer.needs_successor()
+        """Return whether the lease can't be renewed, or the stored state not loaded."""
+        return (
+            self._lease_writer.needs_successor()
+            or self._load_attempts.needs_successor(self._now_s())
+        )
+
+    def is_only_renewed(self) -> bool:
+        """Return whether the lease is renewed, but the stored state not loaded."""
+        return self.scheduler is None and not self._lease_writer.needs_successor()
 
     async def start(self) -> None:
         """Start renewing the lease, and schedule once the stored state is loaded."""
@@ -150,10 +162,14 @@
 
     async def release(self) -> None:
         """Store unsaved progress and release the lease; a peer can take it at once."""
-        self._lease_writer.request_release()
+        self.request_release()
         if not await wait_for_event(self._ended, RELEASE_TIMEOUT_S):
             log_message("currantstage:lease-not-released", term=self.lease.term)
 
+    def request_release(self) -> None:
+        """Release the lease as soon as the store takes the write."""
+        self._lease_writer.request_release()
+
     def accept(self, submission: Submission) -> None:
         """Schedule a job that has been stored."""
         if self.scheduler is None:
@@ -179,11 +195,25 @@
 
     async def _start_scheduler(self) -> None:
         while self.scheduler is None:
+            begun_s = self._now_s()
             try:
                 await self._load()
             except StoreUnavailable as error:
-                log_message("currantstage:scheduler-load-failed", reason=str(error))
+                self._on_load_failed(begun_s, error)
                 await asyncio.sleep(LOAD_RETRY_S)
+        self._load_attempts.record_success()
+
+    def _on_load_failed(self, begun_s: float, error: StoreUnavailable) -> None:
+        attempts = self._load_attempts
+        attempts.record_failure(begun_s)
+        log_message(
+            "currantstage:scheduler-load-failed",
+            term=self.lease.term,
+            reason=str(error),
+            failing_s=round(attempts.failing_s(self._now_s()), 3),
+            attempts=attempts.failed_count,
+        )
+        self._offer_if_needed()
 
     async def _load(self) -> None:
         configuration = self._follower.current
@@ -331,7 +361,12 @@
             self._send_orders()
             self._lease_writer.wake()
 
-    def _offer_lease(self) -> None:
+    def _offer_if_needed(self) -> None:
+        """Offer the lease while it needs another holder; an offer may reach nobody."""
+        now_s = self._now_s()
+        if now_s < self._offer_due_s or not self.needs_successor():
+            return
+        self._offer_due_s = now_s + OFFER_INTERVAL_S
         self._tasks.spawn(self._offer(self.lease.term))
 
     def _send_orders(self) -> None:
--- a/currantstage/protocol/jobs/_peers.py
+++ b/currantstage/protocol/jobs/_peers.py
@@ -101,7 +101,7 @@
 
 
 class LeaseRequest(Struct, frozen=True, tag="lease-request"):
-    """Requests that the holder hands over the scheduler's lease if it can't renew it.
+    """Requests that the holder hands over the scheduler's lease if it can't use it.
 
     Sent only by a daemon that can reach the store.
     """
@@ -110,7 +110,10 @@
 
 
 class LeaseOffer(Struct, frozen=True, tag="lease-offer"):
-    """Offers the scheduler's lease, which its holder currently can't renew."""
+    """Offers the scheduler's lease, which its holder currently can't use.
+
+    The holder can't renew it, or can't load the stored state.
+    """
 
     term: Term
 
--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -64,6 +64,8 @@
         self.loses_polls_of: set[str] = set()
         #: Callers whose calls are refused at once.
         self.refused_for: set[str] = set()
+        #: Callers whose reads are refused at once; ``*`` stands for all callers.
+        self.refuses_reads_of: set[str] = set()
         #: Whether the writes of all callers are refused, as by a store under overload.
         self.refuses_writes = False
         #: Partitions on which reads and writes are refused.
@@ -212,6 +214,9 @@
         if self._caller in self._store.refused_for:
             await asyncio.sleep(ONE_WAY_LATENCY_S)
             raise StoreUnavailable("refused", is_in_doubt=False)
+        if not is_write and self._store.refuses_reads_of & {self._caller, "*"}:
+            await asyncio.sleep(ONE_WAY_LATENCY_S)
+            raise StoreUnavailable("refused", is_in_doubt=False)
         if self._store.is_unreachable_for(self._caller):
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise StoreUnavailable("timeout", is_in_doubt=is_write)
