Say how long a lost run was in doubt under earlier schedulers

What the log said: `in_doubt_s` of an adopted run in `task-lost` counts from the start of the scheduler that releases it. A run lost at 31.54 s and released at 37.24 s had 1.585 there.

The beginning of the doubt isn't stored, but the lease row lists a worker that isn't renewed with what remains of its lease, and that tells when it was last renewed at the latest. `task-lost` gives that part as `unrenewed_before_s`; null if the worker may have been renewed until the takeover.

Evidence: tests/jobs/test_takeover_log.py, test_loss_of_an_adopted_run_tells_how_long_earlier_schedulers_were_in_doubt: without the field a KeyError; with it both parts together are the time since the crash, to within a renewal.

--- a/currantstage/application/jobs/_worker_driver.py
+++ b/currantstage/application/jobs/_worker_driver.py
@@ -270,6 +270,7 @@
                 is_adopted=lost.run.is_adopted,
                 placed_ago_s=_placed_ago_s(lost.run, now_s),
                 in_doubt_s=loggable_age_s(lost.run.in_doubt_s(now_s)),
+                unrenewed_before_s=loggable_age_s(lost.run.unrenewed_before_s),
                 listed_ago_s=loggable_age_s(now_s - lost.run.listed_s),
                 clock_age_s=loggable_age_s(
                     self._scheduler.clock_age_s(lost.run.worker, now_s)
--- a/currantstage/coordination/jobs/_inherited_leases.py
+++ b/currantstage/coordination/jobs/_inherited_leases.py
@@ -146,6 +146,7 @@
     ) -> None:
         #: When the lease row that was taken over had been written, at the latest.
         self._written_s = taken_s - takeover.unchanged_s
+        self._granted_lease_s = longest_lease_s(tuning.worker_lease_ms)
         #: Until when earlier schedulers may send orders, without those of their relays.
         self.holders_active_until_s = taken_s + takeover.holder_active_s
         self._rows = {each.worker: each for each in takeover.worker_leases}
@@ -180,6 +181,16 @@
             return self._stored_end_s
         return row.remaining.ends(self._written_s).listed_s
 
+    def unrenewed_since_s(self, worker: WorkerId) -> float | None:
+        """Return when the lease of `worker` was last renewed, at the latest.
+
+        None if an earlier scheduler may still have renewed it when it was replaced.
+        """
+        row = self._rows.get(worker)
+        if row is None or row.is_renewed:
+            return None
+        return row.remaining.ends(self._written_s).listed_s - self._granted_lease_s
+
     def late_orders_end_s(self, worker: WorkerId) -> float:
         """Return when the last order was sent that `ends` doesn't allow to be late."""
         row = self._rows.get(worker)
--- a/currantstage/coordination/jobs/_run.py
+++ b/currantstage/coordination/jobs/_run.py
@@ -54,6 +54,9 @@
         listed it, so that no other one can run it.
     in_doubt_since_s : float
         When its phase was last set to `RunPhase.IN_DOUBT`.
+    unrenewed_before_s : float, optional
+        For how long at least its worker's lease had not been renewed when this
+        scheduler adopted it; None if it may have been renewed until then.
     settled_clock_ms : int
         Time on the worker's clock at which stops that earlier schedulers have ordered
         have certainly ended the run.
@@ -86,6 +89,7 @@
     is_adopted: bool = False
     was_listed: bool = False
     in_doubt_since_s: float = float("-inf")
+    unrenewed_before_s: float | None = None
     settled_clock_ms: int = 0
     listed_clock_ms: int = 0
     percent: int = 0
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -464,6 +464,9 @@
 
     def _adopt(self, task: TaskRecord, leases: InheritedLeases, now_s: float) -> None:
         run = Run.adopted(task, now_s)
+        unrenewed_since_s = leases.unrenewed_since_s(task.worker)
+        if unrenewed_since_s is not None:
+            run.unrenewed_before_s = max(0.0, now_s - unrenewed_since_s)
         self.workers.adopt(run, leases)
         task.assign(run)
         self.teams.add(run.team, run.step.resources)
--- a/tests/jobs/test_takeover_log.py
+++ b/tests/jobs/test_takeover_log.py
@@ -18,6 +18,12 @@
 #: them, in seconds.
 STARTED_S = 0.5
 LISTED_S = 1.5
+#: Time for which the first of two schedulers is in doubt, in seconds.
+FIRST_DOUBT_S = 2.5
+#: Longest time between two renewals of a worker's lease, in seconds.
+RENEWAL_S = 1.0
+#: Interval between looks at the log, in seconds.
+LOOK_S = 0.01
 
 
 async def _replace_scheduler(site: SimulatedSite) -> None:
@@ -54,6 +60,32 @@
     assert settled["listed"] == settled["process_ended"] == 0
 
 
+def test_loss_of_an_adopted_run_tells_how_long_earlier_schedulers_were_in_doubt() -> (
+    None
+):
+    ages_s = []
+
+    async def scenario() -> None:
+        site = await start_site(seed=1)
+        await site.submit((step(1, run_ms=60_000),))
+        await asyncio.sleep(LISTED_S)
+        worker = next(each for each in site.workers.workers.values() if each.runs)
+        site.workers.crash(worker.entry.worker, is_silent=True)
+        crashed_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(FIRST_DOUBT_S)
+        await _replace_scheduler(site)
+        while not log.lines("task-lost"):
+            await asyncio.sleep(LOOK_S)
+        ages_s.append(asyncio.get_running_loop().time() - crashed_s)
+
+    with captured_log() as log:
+        run_scenario(scenario())
+    (lost,) = log.lines("task-lost")
+    assert lost["unrenewed_before_s"] >= FIRST_DOUBT_S - RENEWAL_S
+    whole_s = lost["in_doubt_s"] + lost["unrenewed_before_s"]
+    assert whole_s == pytest.approx(ages_s[0], abs=RENEWAL_S)
+
+
 def test_loss_of_an_own_run_is_logged_with_the_times_of_its_worker() -> None:
     async def scenario() -> None:
         site = await start_site(seed=1)
@@ -68,6 +100,7 @@
     (lost,) = log.lines("task-lost")
     assert not lost["is_adopted"]
     assert lost["in_doubt_s"] is None
+    assert lost["unrenewed_before_s"] is None
     assert 0 < lost["listed_ago_s"] < lost["placed_ago_s"] < LONGEST_DOUBT_S
     assert 0 < lost["clock_age_s"] < lost["placed_ago_s"]
     assert log.lines("adopted-runs-settled") == []
