Pauses of workers have a ground, which logs and metrics name

What operators saw: `paused` in `blocked_workers` and in `task-waiting`, for a stall, a quarantine, and refusals as unhealthy or for lack of capacity alike. A pool all of whose workers were paused looked like one of busy workers.

A worker now has at most one pause on each ground (`WorkerPauses`), and the blockers are `paused-stall`, `paused-quarantine`, `paused-unhealthy` and `paused-no-capacity`. `scheduler-activity` names the pools that start nothing (`closed_pools`); the metric `currantstage_workers` counts the workers by pool and blocker.

One decision changes with it: a refusal overwrote the end of a longer pause on another ground, so that a worker that refused a start for lack of capacity left quarantine after 0.3 s. Pauses on different grounds no longer touch each other.

Tests: three places in the tests read or set `blocked_until_s`, which is gone; they read or begin a pause instead and check the same.

--- a/currantstage/application/jobs/_activity_log.py
+++ b/currantstage/application/jobs/_activity_log.py
@@ -9,15 +9,20 @@
 from eliot import log_message
 
 from currantstage.application.jobs._start_stages import StageTimes
-from currantstage.coordination.jobs import WaitReporter, count_blockers
+from currantstage.coordination.jobs import (
+    ACCEPTING,
+    WaitReporter,
+    count_blockers,
+    count_by_pool,
+)
 from currantstage.state.jobs import EndKind, JobState, OrderOutcome, format_key
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from currantstage.application.jobs._start_stages import StartStages
-    from currantstage.coordination.jobs import JobRecord, Scheduler
-    from currantstage.state import Clock, QueueId
+    from currantstage.coordination.jobs import JobRecord, Scheduler, WorkerState
+    from currantstage.state import Clock, PoolId, QueueId
 
 #: Interval between log lines on the scheduler's activity, in seconds.
 REPORT_INTERVAL_S = 1.0
@@ -116,6 +121,7 @@
             workers=sum(not each.is_retired for each in workers),
             accepting_workers=sum(each.accepts_starts(now_s) for each in workers),
             blocked_workers=count_blockers(workers, now_s),
+            closed_pools=_closed_pools(workers, now_s),
             max_loop_lag_s=round(self._max_lag_s, 3),
             max_commit_s=round(self._max_commit_s, 3),
             beyond_share=self._scheduler.team_rates.take_beyond(),
@@ -141,3 +147,9 @@
                 held_workers=wait.held_workers,
                 memory_mb=wait.memory_mb,
             )
+
+
+def _closed_pools(workers: Iterable[WorkerState], now_s: float) -> list[PoolId]:
+    """Return the pools none of whose workers accepts starts."""
+    counts = count_by_pool(workers, now_s)
+    return sorted(pool for pool, each in counts.items() if ACCEPTING not in each)
--- a/currantstage/application/jobs/_core.py
+++ b/currantstage/application/jobs/_core.py
@@ -17,16 +17,17 @@
 from currantstage.application.jobs._relay_client import RelayClient
 from currantstage.application.jobs._repository import JobRepository
 from currantstage.application.jobs._start_relay import StartRelay
-from currantstage.coordination.jobs import StoreHealth
+from currantstage.coordination.jobs import StoreHealth, count_by_pool
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from currantstage.application.jobs._directory import PeerQueries
     from currantstage.application.jobs._ports import SchedulerPorts
     from currantstage.coordination.jobs import SchedulerTuning
     from currantstage.protocol.jobs import MemberRow
+    from currantstage.state import PoolId
     from currantstage.state.jobs import PartitionedStore
 
 
@@ -58,6 +59,7 @@
         random: random.Random,
         apply_s: float,
     ) -> None:
+        self._clock = ports.clock
         health = StoreHealth()
         repository = JobRepository(MonitoredStore(store, health, ports.clock))
         self.directory = PeerDirectory(
@@ -99,6 +101,7 @@
             ports.unix_clock,
             ports.metrics,
         )
+        ports.metrics.observe_workers(self.count_workers)
         self.query_handler = PeerQueryHandler(
             self.follower,
             admission,
@@ -112,6 +115,14 @@
         """Return whether this daemon holds the scheduler's lease."""
         return self.ownership.session is not None
 
+    def count_workers(self) -> Mapping[PoolId, Mapping[str, int]]:
+        """Count the workers by pool and by what blocks starts, at the scheduler."""
+        session = self.ownership.session
+        if session is None or session.scheduler is None:
+            return {}
+        workers = session.scheduler.workers.states()
+        return count_by_pool(workers, self._clock.now_s())
+
     def is_isolated(self) -> bool:
         """Return whether this daemon can reach neither the store nor the scheduler."""
         return self._writer.is_isolated() and not self.is_scheduler()
--- a/currantstage/application/jobs/_metrics.py
+++ b/currantstage/application/jobs/_metrics.py
@@ -12,11 +12,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from opentelemetry.metrics import CallbackOptions
 
     from currantstage.application.jobs._configuration import ConfigurationFollower
+    from currantstage.state import PoolId
     from currantstage.state.jobs import EndKind, JobState, OrderOutcome
 
 #: Boundaries of the sizes of pages of progress, in bytes.
@@ -73,6 +74,22 @@
             description="One at the daemon that holds the scheduler's lease.",
         )
 
+    def observe_workers(
+        self, count_workers: Callable[[], Mapping[PoolId, Mapping[str, int]]]
+    ) -> None:
+        """Export the workers of each pool by what blocks starts, at each scrape."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for pool, counts in count_workers().items():
+                for blocker, count in counts.items():
+                    yield Observation(count, {"pool": pool, "blocker": blocker})
+
+        self._registry.meter.create_observable_gauge(
+            "currantstage_workers",
+            [observe],
+            description="Workers by pool and by what blocks starts on them.",
+        )
+
     def observe_configuration(self, follower: ConfigurationFollower) -> None:
         """Export the version and the age of the configuration, at each scrape."""
 
--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -79,11 +79,14 @@
     VmWork,
 )
 from currantstage.coordination.jobs._wait_report import (
+    ACCEPTING,
     WaitingTask,
     WaitReporter,
     count_blockers,
+    count_by_pool,
 )
 from currantstage.coordination.jobs._worker_lease_book import WorkerLeaseBook
+from currantstage.coordination.jobs._worker_pause import PauseGround
 from currantstage.coordination.jobs._worker_room import CandidateWorkers
 from currantstage.coordination.jobs._worker_state import (
     StartBlocker,
@@ -93,6 +96,7 @@
 from currantstage.coordination.jobs._worker_table import WorkerTable
 
 __all__ = [
+    "ACCEPTING",
     "MAX_PAGES_PER_WRITE",
     "MAX_WRITE_BYTES",
     "PageWrite",
@@ -118,6 +122,7 @@
     "LossCause",
     "NO_HOLDER",
     "PaceController",
+    "PauseGround",
     "PoolDemand",
     "PoolPlan",
     "PoolSize",
@@ -167,6 +172,7 @@
     "RunChanges",
     "WorkerTable",
     "count_blockers",
+    "count_by_pool",
     "first_fence",
     "may_interrupt",
     "takeover_deference_s",
--- a/currantstage/coordination/jobs/_refusal.py
+++ b/currantstage/coordination/jobs/_refusal.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from currantstage.coordination.jobs._worker_state import UNHEALTHY_PAUSE_S
+from currantstage.coordination.jobs._worker_pause import PauseGround
 from currantstage.state.jobs import OrderOutcome
 
 if TYPE_CHECKING:
     from currantstage.coordination.jobs._run import Run
     from currantstage.coordination.jobs._worker_state import WorkerState
 
+#: How long no task is placed on a worker that refused one as unhealthy, in seconds.
+UNHEALTHY_PAUSE_S = 1.0
 #: How long no task is placed on a worker that refused one for lack of capacity, in
 #: seconds.
 NO_CAPACITY_PAUSE_S = 0.3
@@ -32,9 +34,9 @@
     now_s : float
     """
     if outcome is OrderOutcome.UNHEALTHY:
-        worker_state.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
+        worker_state.pauses.begin(PauseGround.UNHEALTHY, now_s, UNHEALTHY_PAUSE_S)
     elif outcome is OrderOutcome.NO_CAPACITY:
-        worker_state.blocked_until_s = now_s + NO_CAPACITY_PAUSE_S
+        worker_state.pauses.begin(PauseGround.NO_CAPACITY, now_s, NO_CAPACITY_PAUSE_S)
     elif outcome is OrderOutcome.MALFORMED:
         run.task.not_before_s = now_s + MALFORMED_PAUSE_S
     elif outcome is OrderOutcome.TOO_LATE:
--- a/currantstage/coordination/jobs/_room_holds.py
+++ b/currantstage/coordination/jobs/_room_holds.py
@@ -42,7 +42,14 @@
 #: Maximum number of searches within `SEARCH_INTERVAL_S`.
 MAX_SEARCHES = 4
 #: Reasons to place no task on a worker that pass by themselves.
-_MOMENTARY = (StartBlocker.ORPHANS, StartBlocker.PAUSED, StartBlocker.START_IN_DOUBT)
+_MOMENTARY = (
+    StartBlocker.ORPHANS,
+    StartBlocker.STALLED,
+    StartBlocker.QUARANTINED,
+    StartBlocker.UNHEALTHY,
+    StartBlocker.NO_CAPACITY,
+    StartBlocker.START_IN_DOUBT,
+)
 
 
 class RoomHolds:
--- a/currantstage/coordination/jobs/_run_supervisor.py
+++ b/currantstage/coordination/jobs/_run_supervisor.py
@@ -6,6 +6,7 @@
 
 from currantstage.coordination.jobs._pacing import PaceController
 from currantstage.coordination.jobs._run import Run, RunPhase
+from currantstage.coordination.jobs._worker_pause import PauseGround
 from currantstage.state.jobs import PaceOrder, StopOrder
 
 if TYPE_CHECKING:
@@ -97,8 +98,6 @@
         task.failed_on |= {run.worker}
         if not task.stall_count:
             # A task that stalls again is itself the more likely reason.
-            worker_state.blocked_until_s = max(
-                worker_state.blocked_until_s, now_s + STALLED_PAUSE_S
-            )
+            worker_state.pauses.begin(PauseGround.STALL, now_s, STALLED_PAUSE_S)
         task.stall_count += 1
         self._lifecycle.stop(run)
--- a/currantstage/coordination/jobs/_wait_report.py
+++ b/currantstage/coordination/jobs/_wait_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -26,6 +26,8 @@
 MAX_REPORTED_TASKS = 8
 #: Key of `WaitingTask.workers` for workers that could take the task.
 SUITABLE = "suitable"
+#: Key of `count_by_pool` for workers that accept starts.
+ACCEPTING = "none"
 #: Key of `WaitingTask.memory_mb` for memory that no task takes.
 FREE = "free"
 
@@ -135,6 +137,21 @@
     return dict(Counter(blocker.value for blocker in blockers if blocker is not None))
 
 
+def count_by_pool(
+    workers: Iterable[WorkerState], now_s: float
+) -> dict[PoolId, dict[str, int]]:
+    """Count the workers of each pool by what blocks starts, or under `ACCEPTING`.
+
+    Workers that planned work has ended are left out.
+    """
+    counts: defaultdict[PoolId, Counter[str]] = defaultdict(Counter)
+    for each in workers:
+        if not each.is_retired:
+            blocker = each.start_blocker(now_s)
+            counts[each.entry.pool][blocker.value if blocker else ACCEPTING] += 1
+    return {pool: dict(each) for pool, each in counts.items()}
+
+
 def _count_reasons(
     step: StepRecord, workers: Iterable[WorkerState], now_s: float
 ) -> dict[str, int]:
--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -11,6 +11,7 @@
 from currantstage.coordination.jobs._run import Run, RunPhase
 from currantstage.coordination.jobs._worker_clock import WorkerClock
 from currantstage.coordination.jobs._worker_lease import WorkerLease
+from currantstage.coordination.jobs._worker_pause import PauseGround, WorkerPauses
 from currantstage.state.jobs import (
     NO_RESOURCES,
     EndNumber,
@@ -21,15 +22,13 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from currantstage.coordination.jobs._tuning import SchedulerTuning
     from currantstage.state.jobs import EndedTask, JobId, TaskKey, WorkerEntry
 
 #: Fences reserved for a term; a term that used more would overlap the next one.
 FENCES_PER_TERM = 1_000_000
-#: How long no task is placed on an unhealthy worker, in seconds.
-UNHEALTHY_PAUSE_S = 1.0
 #: How long no task is placed on a quarantined worker, in seconds.
 QUARANTINE_S = 4.0
 #: Consecutive failures after which a worker is quarantined.
@@ -62,10 +61,21 @@
     SILENT = "silent"
     ORPHANS = "orphans"
     TRIAL = "trial"
-    PAUSED = "paused"
+    STALLED = "paused-stall"
+    QUARANTINED = "paused-quarantine"
+    UNHEALTHY = "paused-unhealthy"
+    NO_CAPACITY = "paused-no-capacity"
     START_IN_DOUBT = "start-in-doubt"
 
 
+_PAUSE_BLOCKERS = {
+    PauseGround.STALL: StartBlocker.STALLED,
+    PauseGround.QUARANTINE: StartBlocker.QUARANTINED,
+    PauseGround.UNHEALTHY: StartBlocker.UNHEALTHY,
+    PauseGround.NO_CAPACITY: StartBlocker.NO_CAPACITY,
+}
+
+
 class RoomObserver(Protocol):
     """Follows the free resources of workers."""
 
@@ -111,8 +121,8 @@
         The worker is being drained for planned work, or that work has ended it.
     has_orphans : bool
         It runs tasks that are being stopped and are not counted in `used`.
-    blocked_until_s : float
-        No task is placed on the worker before this time.
+    pauses : WorkerPauses
+        Pauses during which no task is placed on the worker.
     expired_runs : list of Run
         Runs that were released when their lease had expired, while nothing shows
         whether its process had ended or was only cut off.
@@ -140,7 +150,7 @@
     is_cordoned: bool = False
     is_retired: bool = False
     has_orphans: bool = False
-    blocked_until_s: float = 0.0
+    pauses: WorkerPauses = field(default_factory=WorkerPauses)
     failures: list[JobId] = field(default_factory=list)
     used: Resources = NO_RESOURCES
     runs: dict[TaskKey, Run] = field(default_factory=dict)
@@ -228,7 +238,9 @@
         """Return whether tasks may be placed on the worker."""
         return self.start_blocker(now_s) is None
 
-    def start_blocker(self, now_s: float) -> StartBlocker | None:
+    def start_blocker(
+        self, now_s: float, ignored_pauses: Collection[PauseGround] = ()
+    ) -> StartBlocker | None:
         """Return why no task may be placed on the worker; None if tasks may be.
 
         `CORDONED` is returned only if nothing else prevents starts.
@@ -245,8 +257,10 @@
             return StartBlocker.ORPHANS
         if self.trial_runs:
             return StartBlocker.TRIAL
-        if now_s < self.blocked_until_s:
-            return StartBlocker.PAUSED
+        if now_s < self.pauses.over_s:
+            pause = self.pauses.current(now_s, ignored_pauses)
+            if pause is not None:
+                return _PAUSE_BLOCKERS[pause.ground]
         if self.has_start_in_doubt():
             return StartBlocker.START_IN_DOUBT
         return StartBlocker.CORDONED if self.is_cordoned else None
@@ -350,7 +364,7 @@
         self.failures.append(job)
         has_too_many = len(self.failures) >= MAX_CONSECUTIVE_FAILURES
         if has_too_many and len(set(self.failures)) >= MIN_FAILED_JOBS:
-            self.blocked_until_s = max(self.blocked_until_s, now_s + QUARANTINE_S)
+            self.pauses.begin(PauseGround.QUARANTINE, now_s, QUARANTINE_S)
             self.failures.clear()
 
     def record_success(self) -> None:
--- a/tests/jobs/reference_placer.py
+++ b/tests/jobs/reference_placer.py
@@ -124,7 +124,7 @@
         )
         is_cordoned = state.is_cordoned and not (
             state.has_orphans
-            or now_s < state.blocked_until_s
+            or state.pauses.current(now_s) is not None
             or state.has_start_in_doubt()
         )
         return (
--- a/tests/jobs/test_placement_equivalence.py
+++ b/tests/jobs/test_placement_equivalence.py
@@ -12,6 +12,7 @@
     AdviceTracker,
     InheritedLeases,
     LeaseTakeover,
+    PauseGround,
     RunPhase,
     Scheduler,
     SchedulerTuning,
@@ -311,7 +312,7 @@
 
     def _block_worker(self) -> None:
         state = self._draw_worker()
-        state.blocked_until_s = self._now_s + 0.3
+        state.pauses.begin(PauseGround.NO_CAPACITY, self._now_s, 0.3)
         state.is_cordoned = self._random.random() < 0.3
 
     def _move_worker(self) -> None:
--- a/tests/jobs/test_worker_orders.py
+++ b/tests/jobs/test_worker_orders.py
@@ -257,7 +257,7 @@
     assert _is_stopped_after(scheduler, run, 3001, listed_s=10.0)
     worker_state = scheduler.workers.get(WORKER)
     assert worker_state is not None
-    assert worker_state.blocked_until_s < 10.0
+    assert worker_state.pauses.current(10.0) is None
 
 
 def _miss_renewal(scheduler: Scheduler, now_s: float) -> None:
