Stand-in: workers without progress, workers that fail all, and standing jobs

`StandstillWatch` records the rule's own condition: a job with a task to start and none running for 3 s, while two workers have room for it and under half of the pool's CPU is in use. It shares the room of a task with `AbsenceWatch` (`_free_room.py`).

--- a/currantstage/standin/jobs/__init__.py
+++ b/currantstage/standin/jobs/__init__.py
@@ -10,6 +10,7 @@
     SimulatedSite,
     build_configuration,
 )
+from currantstage.standin.jobs._standstill_watch import StandstillWatch
 from currantstage.standin.jobs._store import (
     CALL_TIMEOUT_S,
     MAX_ROW_BYTES,
@@ -37,6 +38,7 @@
     "SimulatedStore",
     "SimulatedVms",
     "SimulatedWorkers",
+    "StandstillWatch",
     "DeadlockError",
     "VirtualTimeLoop",
     "build_configuration",
--- a/currantstage/standin/jobs/_absence_watch.py
+++ b/currantstage/standin/jobs/_absence_watch.py
@@ -5,20 +5,18 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantstage.standin.jobs._free_room import has_room
 from currantstage.state.jobs import TaskKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from currantstage.standin.jobs._oracle import Oracle
-    from currantstage.standin.jobs._simulated_worker import SimulatedWorker
     from currantstage.standin.jobs._workers import SimulatedWorkers
     from currantstage.state.jobs import Step
 
 #: Longest time that a long-running task may be away, in seconds.
 MAX_AWAY_S = 6.0
-#: Number of other workers that must have room for a task that is away.
-MIN_WORKERS_WITH_ROOM = 2
 #: Interval between checks, in seconds.
 CHECK_INTERVAL_S = 0.05
 
@@ -77,26 +75,4 @@
 
     def _has_room(self, task: TaskKey, step: Step) -> bool:
         pool = self._oracle.submitted[task.job].pool
-        workers_with_room = sum(
-            worker.entry.pool == pool
-            and self._workers.is_reachable(worker.entry.worker)
-            and _fits(worker, task, step)
-            for worker in self._workers.workers.values()
-        )
-        return workers_with_room >= MIN_WORKERS_WITH_ROOM
-
-
-def _fits(worker: SimulatedWorker, task: TaskKey, step: Step) -> bool:
-    """Return whether a worker has room for a task, beside those that it runs."""
-    if step.needed_label and step.needed_label not in worker.entry.labels:
-        return False
-    same_step = sum(
-        (each.job, each.step) == (task.job, task.step) for each in worker.runs
-    )
-    if step.max_per_worker and same_step >= step.max_per_worker:
-        return False
-    return (
-        worker.used_resources()
-        .plus(step.reserved_resources)
-        .fits(worker.entry.capacity)
-    )
+        return has_room(self._workers, pool, task, step)
--- a/currantstage/standin/jobs/_oracle.py
+++ b/currantstage/standin/jobs/_oracle.py
@@ -100,6 +100,11 @@
         if is_failed:
             self.acknowledged_failures[task] += 1
 
+    def is_out_of_attempts(self, task: TaskKey) -> bool:
+        """Return whether as many runs of a task as allowed have failed."""
+        attempts = self._max_attempts(self.submitted[task.job])
+        return self.acknowledged_failures[task] >= attempts
+
     def check_final(self, states: dict[JobId, JobState | None]) -> None:
         """Check the job states that callers see at the end of a simulation."""
         for job, submission in self.submitted.items():
--- a/currantstage/standin/jobs/_simulated_worker.py
+++ b/currantstage/standin/jobs/_simulated_worker.py
@@ -109,7 +109,7 @@
         newest_ended = self._ended_runs.get(order.task, 0)
         if known is not None or order.run <= newest_ended:
             return OrderOutcome.OUTDATED
-        run_duration_s = self._fleet.run_duration_s(order.task)
+        run_duration_s = self._fleet.run_duration_s(self.entry.worker, order.task)
         run = SimulatedRun(order.task, order.run, self, virtual_now_s(), run_duration_s)
         self.runs[order.task] = run
         self._fleet.oracle.on_start(self, run, virtual_now_s(), is_late=is_late)
@@ -150,7 +150,7 @@
         return RenewalReply(
             clock_ms=self.clock_ms(),
             born_ms=self.entry.born_ms,
-            running=tuple(map(_to_running_task, self.runs.values())),
+            running=tuple(map(self._to_running_task, self.runs.values())),
             ended=tuple(self.ended[:MAX_LISTED_ENDS]),
             has_more_ends=len(self.ended) >= MAX_LISTED_ENDS,
         )
@@ -194,7 +194,7 @@
         return True
 
     def _finish(self, run: SimulatedRun) -> None:
-        self._end(run, self._fleet.end_kind(run.task))
+        self._end(run, self._fleet.end_kind(self.entry.worker, run.task))
 
     def _expire_lease(self) -> None:
         if virtual_now_s() >= self.lease_end_s and self.is_up:
@@ -212,6 +212,12 @@
         )
         self._changed.notify_all()
 
+    def _to_running_task(self, run: SimulatedRun) -> RunningTask:
+        percent = 0
+        if self.name not in self._fleet.without_progress:
+            percent = _percent(run)
+        return RunningTask(run.task, run.number, "", percent, 0.0)
+
     def _remove_run(self, run: SimulatedRun, *, is_done: bool = False) -> None:
         del self.runs[run.task]
         if run.timer is not None:
@@ -219,12 +225,11 @@
         self._fleet.oracle.on_end(run, is_done=is_done)
 
 
-def _to_running_task(run: SimulatedRun) -> RunningTask:
-    elapsed_s = virtual_now_s() - run.started_s
-    percent = (
-        100 if run.run_duration_s is None else int(100 * elapsed_s / run.run_duration_s)
-    )
-    return RunningTask(run.task, run.number, "", percent, 0.0)
+def _percent(run: SimulatedRun) -> int:
+    """Return the progress of a run, in whole percent."""
+    if run.run_duration_s is None:
+        return 100
+    return int(100 * (virtual_now_s() - run.started_s) / run.run_duration_s)
 
 
 def virtual_now_s() -> float:
--- a/currantstage/standin/jobs/_workers.py
+++ b/currantstage/standin/jobs/_workers.py
@@ -50,6 +50,8 @@
 ENTRY_EXPIRY_S = 4.5
 #: Time from the crash of a worker to its return by default, in seconds.
 CRASH_RETURN_S = 3.0
+#: Time after which a run fails on a worker on which all runs do, in seconds.
+GREY_RUN_S = 0.2
 #: Payload of a job whose first task of each step crashes every worker that starts it.
 DEADLY_SPEC = "deadly"
 #: Bounds of the delay after which a late order is carried out, in seconds.
@@ -90,6 +92,10 @@
         self.starts_by_caller: Counter[str] = Counter()
         #: When each daemon last sent an order of any kind, in seconds.
         self.last_order_s: dict[str, float] = {}
+        #: Workers whose runs show no progress.
+        self.without_progress: set[WorkerId] = set()
+        #: Workers on which all runs fail, at once.
+        self.grey: set[WorkerId] = set()
         self.late_fraction = 0.0
         self.late_hold_fraction = 0.0
         self.failing_fraction = 0.0
@@ -162,14 +168,17 @@
             msgspec.structs.replace(worker.entry, worker=new_id, born_ms=BornMs(now_ms))
         )
 
-    def run_duration_s(self, task: TaskKey) -> float | None:
+    def run_duration_s(self, worker: WorkerId, task: TaskKey) -> float | None:
         """Return the run time of a task; None if it runs until it is stopped."""
+        if worker in self.grey:
+            return GREY_RUN_S
         step = self.oracle.submitted[task.job].steps[task.step]
         return None if step.is_long_running else step.estimated_run_ms / 1000
 
-    def end_kind(self, task: TaskKey) -> EndKind:
+    def end_kind(self, worker: WorkerId, task: TaskKey) -> EndKind:
         """Return how a run of a task ends if it is not stopped."""
-        if self.oracle.submitted[task.job].spec == "hopeless":
+        is_hopeless = self.oracle.submitted[task.job].spec == "hopeless"
+        if is_hopeless or worker in self.grey:
             return EndKind.FAILED
         is_failing = self.random.random() < self.failing_fraction
         return EndKind.FAILED if is_failing else EndKind.DONE
