Stalls leave half of a pool's workers open

Each stalled run paused its whole worker for 4 s, so that all workers were paused at once.

`PauseLimits` ends pauses on suspicion, the oldest first, until half of the workers that could otherwise take tasks do so; a single worker always does. If so many look bad at once, a common cause is likelier than all of them. Since the rule asks for a pool less than half in use, the open half then has room.

What counts as known to be at fault, and is not opened: a refusal as unhealthy (1 s) or for lack of capacity (0.3 s), which a worker says of itself and would repeat, silence, and a quarantine.

--- a/currantstage/coordination/jobs/__init__.py
+++ b/currantstage/coordination/jobs/__init__.py
@@ -34,6 +34,7 @@
     takeover_deference_s,
 )
 from currantstage.coordination.jobs._pacing import PaceController
+from currantstage.coordination.jobs._pause_limits import PauseLimits
 from currantstage.coordination.jobs._placement import SpreadPlacement, TaskPlacement
 from currantstage.coordination.jobs._pool_demand import PoolDemand, WorkDemand
 from currantstage.coordination.jobs._pool_plan import PoolPlan, PoolSize, VmPresence
@@ -123,6 +124,7 @@
     "NO_HOLDER",
     "PaceController",
     "PauseGround",
+    "PauseLimits",
     "PoolDemand",
     "PoolPlan",
     "PoolSize",
--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -10,6 +10,7 @@
 from currantstage.coordination.jobs._early_cancellations import EarlyCancellations
 from currantstage.coordination.jobs._job_table import JobTable
 from currantstage.coordination.jobs._ordering import LeastWorkFirst, timeliness_at_end
+from currantstage.coordination.jobs._pause_limits import PauseLimits
 from currantstage.coordination.jobs._placement import SpreadPlacement
 from currantstage.coordination.jobs._progress_batch import ProgressBatcher
 from currantstage.coordination.jobs._records import DEFAULT_MAX_ATTEMPTS
@@ -110,6 +111,7 @@
             self.jobs, self.workers, self.teams, self.max_attempts, self.adopted_runs
         )
         self._supervisor = RunSupervisor(self._lifecycle, tuning)
+        self._pause_limits = PauseLimits()
         self._preempted: list[PreemptedRun] = []
         #: Whether a worker has seen the fence of a later term.
         self.is_superseded = False
@@ -193,6 +195,7 @@
     def place(self, now_s: float, unix_ms: float) -> None:
         """Place ready tasks that fit; their starts wait for the next write."""
         self.jobs.open_due(unix_ms)
+        self._pause_limits.apply(self.workers.states(), now_s)
         placed = self._task_placer.place(self._configuration, now_s)
         self._batcher.add_starts(placed)
         for each in self._task_placer.holds.take_preempted():
