--- a/tests/jobs/test_progress_pages.py
+++ b/tests/jobs/test_progress_pages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from string import ascii_lowercase
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -44,6 +45,8 @@
 from tests.jobs.site import run_scenario, start_site, step
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantstage.coordination.jobs import ProgressBatch, Run
     from currantstage.standin.jobs import SimulatedSite
     from currantstage.state.jobs import Step, Submission
@@ -142,17 +145,24 @@
 
 
 class _Owner:
-    """A scheduler with one worker, and what it has stored."""
-
-    def __init__(self, job: Submission, stored: StoredProgress | None = None) -> None:
+    """A scheduler with its workers, and what it has stored."""
+
+    def __init__(
+        self,
+        job: Submission,
+        stored: StoredProgress | None = None,
+        workers: Sequence[WorkerId] = (WORKER,),
+    ) -> None:
         self.scheduler = Scheduler(Term(1), build_configuration(), TUNING)
         room = Resources(10**9, 10**9, 0)
-        self.scheduler.update_workers((entry(WORKER, capacity=room),), now_s=0.0)
+        entries = [entry(worker, capacity=room) for worker in workers]
+        self.scheduler.update_workers(entries, now_s=0.0)
         self.stored = stored or StoredProgress()
         self.sizes_bytes: list[int] = []
         self._ends = 0
         self._now_s = 0.0
-        self.renew()
+        for worker in workers:
+            self.renew(worker=worker)
         if stored is None:
             self.scheduler.submit(job, now_s=0.0)
         else:
@@ -160,10 +170,10 @@
             leases = InheritedLeases(takeover, 0.0, TUNING)
             self.scheduler.restore(job, stored, False, leases, 0.0, unix_ms=0.0)
 
-    def renew(self, *ended: EndedTask) -> None:
+    def renew(self, *ended: EndedTask, worker: WorkerId = WORKER) -> None:
         """Answer a renewal."""
         self._now_s += 0.1
-        state = self.scheduler.workers.get(WORKER)
+        state = self.scheduler.workers.get(worker)
         assert state is not None
         order = state.next_renewal(self._now_s, TUNING)
         clock_ms = int(self._now_s * 1000) + 1
@@ -180,6 +190,11 @@
                 return runs
             runs.extend(stored)
 
+    def place_unstored(self) -> None:
+        """Place all tasks before any of them is stored."""
+        while any(each.waiting_count for each in self.scheduler.jobs.ready_steps()):
+            self.scheduler.place(self._now_s, unix_ms=1e6)
+
     def store(self) -> list[Run]:
         """Store all that has changed; return the runs that may be started."""
         runs: list[Run] = []
@@ -365,9 +380,11 @@
 
 def test_many_jobs_that_each_fit_a_row_are_written_in_parts() -> None:
     # LOST: 90 jobs that each fitted their row made a call that the store refuses.
-    owner = _Owner(submission(JOB, _large(160)))
+    workers = [WorkerId(letter) for letter in ascii_lowercase]
+    owner = _Owner(submission(JOB, _large(160)), workers=workers)
     for number in range(90):
         job = JobId(f"{number:016x}")
         owner.scheduler.submit(submission(job, _large(160)), now_s=0.0)
-    owner.place()
+    owner.place_unstored()
+    owner.store()
     assert max(owner.sizes_bytes) <= 2 * MAX_WRITE_BYTES
