Simulated store: a poll of changes reads only what is new

It went through the whole history, at every wake-up of each poll. 200 polls without news of a history of 20,000 rows: 0.150 s of CPU before, 0.009 s after.

--- a/currantstage/standin/jobs/_store.py
+++ b/currantstage/standin/jobs/_store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from currantstage.state.jobs import (
@@ -51,6 +53,7 @@
         self.random = random
         self.version = 1
         self.rows: dict[RowName, StoredRow] = {}
+        #: All changes since the history was compacted, by ascending version.
         self.history: list[StoredRow] = []
         self.compacted_version = 0
         self.changed = Notifier()
@@ -104,6 +107,11 @@
         self.changed.notify_all()
         return Committed(self.version)
 
+    def changes_after(self, version: int, table: str) -> list[StoredRow]:
+        """Return the changes of `table` after `version`, in their order."""
+        first = bisect_right(self.history, version, key=attrgetter("version"))
+        return [row for row in self.history[first:] if row.name.table == table]
+
     def compact_history(self) -> None:
         """Drop all changes, including those that watchers have not read yet."""
         self.history.clear()
@@ -180,11 +188,7 @@
         while True:
             if after < store.compacted_version:
                 return None
-            rows = [
-                row
-                for row in store.history
-                if row.version > after and row.name.table == table
-            ]
+            rows = store.changes_after(after, table)
             left_s = until_s - loop.time()
             if rows or left_s <= 0:
                 break
