Job daemon: a start that fails leaves no server registered

A daemon whose address was in use closed only the servers that it had begun to start, and none that did not listen yet: in the same process, the next one ended with "Sanic app name "front" already in use", as the tests of the stop did when they ran after the test of a failed start.

All servers are closed after a failed start, and the close of one that never listened removes its application. The test starts a daemon after the failed one; it failed before (pytest tests/application/test_job_daemon.py: 1 failed, 6 passed).

--- a/currantstage/application/jobs/_daemon.py
+++ b/currantstage/application/jobs/_daemon.py
@@ -147,7 +147,9 @@
         await self._start_component(self._core.directory)
         self._servers = self._build_servers()
         for server in self._servers:
-            await self._start_component(server)
+            self._resources.push_async_callback(server.close)
+        for server in self._servers:
+            await server.start()
         await self._start_component(self._core.ownership)
 
     async def _drain_calls(self) -> None:
--- a/currantstage/transport/_http_server.py
+++ b/currantstage/transport/_http_server.py
@@ -102,6 +102,7 @@
         No call is being handled after that. An aborted one gets a response that leaves
         its outcome in doubt.
         """
+        Sanic.unregister_app(self.app)
         server, self._server = self._server, None
         if server is None:
             return
@@ -116,7 +117,6 @@
             for connection in tuple(connections):
                 connection.abort()
         await server.after_stop()
-        Sanic.unregister_app(self.app)
 
 
 async def _wait_disconnected(
--- a/tests/application/test_job_daemon.py
+++ b/tests/application/test_job_daemon.py
@@ -81,9 +81,12 @@
 def test_address_in_use_prevents_the_start() -> None:
     async def run() -> None:
         addresses = free_listen_addresses()
+        text = render_template(addresses).replace(
+            "balancer_notice_ms = 2300", "balancer_notice_ms = 1"
+        )
         host, _, port = addresses["Listen.Front"].partition(":")
         server = await asyncio.start_server(lambda *_: None, host, int(port))
-        settings = parse_settings(render_template(addresses))
+        settings = parse_settings(text)
         assert isinstance(settings, JobSettings)
         try:
             with pytest.raises(StartError):
@@ -91,6 +94,10 @@
         finally:
             server.close()
             await server.wait_closed()
+        # Nothing of the failed start is left in the process.
+        daemon = JobDaemon.from_config(settings, seed=1)
+        await daemon.start()
+        await daemon.close()
 
     asyncio.run(run())
 
