--- a/currantstage/transport/_http_server.py
+++ b/currantstage/transport/_http_server.py
@@ -80,7 +80,7 @@
         if self._server is None:
             return
         for connection in self._server.connections:
-            # That of a call under way has been decided on before.
+            # A call under way has read the setting before.
             if connection.http is not None:
                 connection.http.keep_alive = False
 
