--- a/currantstage/platform/_decoding.py
+++ b/currantstage/platform/_decoding.py
@@ -59,13 +59,13 @@
         return Resources(self.cpu, self.mem_mb, self.gpu)
 
 
-class _Advice(Struct, rename="pascal"):
+class WireAdvice(Struct, rename="pascal"):
     decide_ms: Amount = 0
     interval_ms: Amount = 0
     valid_ms: Amount = 3000
 
 
-class _Route(Struct, rename="pascal"):
+class WireRoute(Struct, rename="pascal"):
     """Queue; `target_latency_ms` is the slack of its objective, not a latency."""
 
     name: str
@@ -78,42 +78,42 @@
     stretch: float = 1.0
     target_latency_ms: Amount = 0
     public: bool = False
-    advice: _Advice | None = None
+    advice: WireAdvice | None = None
 
 
-class _Service(Struct, rename="pascal"):
+class WireService(Struct, rename="pascal"):
     name: str
     admission_check: bool = False
     spare: bool = False
 
 
-class _Tenant(Struct, rename="pascal"):
+class WireTenant(Struct, rename="pascal"):
     name: str
     api_keys: list[str] = field(default_factory=list)
     weight: float = 0.0
     cap: WireResources = field(default_factory=WireResources)
 
 
-class _Limits(Struct, rename="pascal"):
+class WireLimits(Struct, rename="pascal"):
     max_body_bytes: Amount = 262_144
 
 
-class _Configuration(Struct, rename="pascal"):
+class WireConfiguration(Struct, rename="pascal"):
     version: Number
-    routes: list[_Route] = field(default_factory=list)
-    services: list[_Service] = field(default_factory=list)
-    tenants: list[_Tenant] = field(default_factory=list)
-    limits: _Limits = field(default_factory=_Limits)
+    routes: list[WireRoute] = field(default_factory=list)
+    services: list[WireService] = field(default_factory=list)
+    tenants: list[WireTenant] = field(default_factory=list)
+    limits: WireLimits = field(default_factory=WireLimits)
 
 
-class _Wave(Struct, rename="pascal"):
+class WireWave(Struct, rename="pascal"):
     wave: Amount
     machines: list[str]
     complete_by_s: float = 60.0
     cap: Amount = 1
 
 
-class _WorkerEntry(Struct, rename="pascal"):
+class WireWorkerEntry(Struct, rename="pascal"):
     service: str
     address: str
     state: str
@@ -124,7 +124,7 @@
     born: Number = field(name="born", default=0)
 
 
-class _Step(Struct, rename="pascal"):
+class WireStep(Struct, rename="pascal"):
     """Step; `needs` is a single label, `anti_affinity` the maximum tasks per worker."""
 
     count: int = 1
@@ -168,9 +168,9 @@
         )
 
 
-class _Job(Struct, rename="pascal"):
+class WireJob(Struct, rename="pascal"):
     spec: str = ""
-    steps: list[_Step] = field(default_factory=list)
+    steps: list[WireStep] = field(default_factory=list)
     repeat_count: int = 0
     start_at_ms: int = 0
     period_ms: int = 0
@@ -178,7 +178,7 @@
 
 def decode_configuration(value: bytes) -> FleetConfiguration:
     """Decode the operators' configuration; raises `DecodingError`."""
-    wire = _decode(value, _Configuration)
+    wire = _decode(value, WireConfiguration)
     return FleetConfiguration(
         version=ConfigurationVersion(wire.version),
         queues=tuple(map(_decode_queue, wire.routes)),
@@ -203,7 +203,7 @@
     )
 
 
-def _decode_queue(route: _Route) -> JobQueue:
+def _decode_queue(route: WireRoute) -> JobQueue:
     advice = route.advice
     return JobQueue(
         queue=QueueId(route.name),
@@ -228,7 +228,7 @@
 
 def decode_wave(value: bytes) -> MaintenanceWave:
     """Decode a maintenance wave; raises `DecodingError`."""
-    wire = _decode(value, _Wave)
+    wire = _decode(value, WireWave)
     return MaintenanceWave(
         number=wire.wave,
         vms=tuple(wire.machines),
@@ -241,7 +241,7 @@
     """Decode a worker's entry; raises `DecodingError` if it names no usable worker."""
     if not is_header_text(key):
         raise DecodingError(f"worker id can't be sent in a header: {key!r}")
-    wire = _decode(value, _WorkerEntry)
+    wire = _decode(value, WireWorkerEntry)
     if wire.state not in ("ready", "draining"):
         raise DecodingError(f"unknown worker state {wire.state!r}")
     if not wire.labels:
@@ -274,7 +274,7 @@
 
 def decode_job(body: bytes) -> JobBody:
     """Decode the body of a submission; raises `DecodingError`."""
-    wire = _decode(body, _Job)
+    wire = _decode(body, WireJob)
     schedule = None
     if wire.repeat_count > 0:
         schedule = Schedule(
--- a/currantstage/platform/_front.py
+++ b/currantstage/platform/_front.py
@@ -33,7 +33,7 @@
 _UNAVAILABLE = 503
 
 
-class _State(Struct, rename="pascal"):
+class WireState(Struct, rename="pascal"):
     state: str
 
 
@@ -101,7 +101,7 @@
     state = await calls.show(call, job)
     if isinstance(state, CallRefusal):
         return _refusal_response(state)
-    return _json_response(_State(state.value))
+    return _json_response(WireState(state.value))
 
 
 async def _count_waiting(call: AdmittedCall, calls: JobService) -> HTTPResponse:
--- a/currantstage/platform/_machines.py
+++ b/currantstage/platform/_machines.py
@@ -31,15 +31,17 @@
 
 #: Timeout of a call to the service, in seconds.
 CALL_TIMEOUT_S = 1.5
+#: Header with the fencing token of an order.
+TERM_HEADER = "X-Currantstage-Fencing-Token"
 
-_REASONS = {
+ORDER_REASONS = {
     "fence": VmOrderOutcome.FENCED,
     "busy": VmOrderOutcome.BUSY,
     "wave": VmOrderOutcome.NOT_IN_WAVE,
 }
 
 
-class _Machine(Struct, rename="pascal"):
+class WireMachine(Struct, rename="pascal"):
     """VM; `id` is the id of the worker on it, empty if there is none."""
 
     machine: str
@@ -63,17 +65,17 @@
         )
 
 
-class _Machines(Struct, rename="pascal"):
+class WireMachines(Struct, rename="pascal"):
     machines: list[Raw]
     next_token: str | None = None
 
 
-class _Move(Struct, rename="pascal"):
+class WireMove(Struct, rename="pascal"):
     machine: str
     pool: str
 
 
-class _Upkeep(Struct, rename="pascal"):
+class WireUpkeep(Struct, rename="pascal"):
     machine: str
     wave: int
 
@@ -107,7 +109,7 @@
             if isinstance(reply, CallFailure) or reply.status != 200:
                 raise StoreUnavailable(f"list of VMs: {reply}", is_in_doubt=False)
             try:
-                page = decode_json(reply.body, _Machines)
+                page = decode_json(reply.body, WireMachines)
             except UndecodableError as error:
                 raise StoreUnavailable(str(error), is_in_doubt=False) from error
             for row in page.machines:
@@ -118,14 +120,14 @@
 
     async def move(self, vm: VmId, pool: PoolId, term: Term) -> VmOrderOutcome:
         """Move a VM to another pool; all runs on it end."""
-        return await self._order("machine-move", _Move(vm, pool), term)
+        return await self._order("machine-move", WireMove(vm, pool), term)
 
     async def maintain(self, vm: VmId, wave: int, term: Term) -> VmOrderOutcome:
         """Take a VM down for maintenance; all runs on it end."""
-        return await self._order("machine-upkeep", _Upkeep(vm, wave), term)
+        return await self._order("machine-upkeep", WireUpkeep(vm, wave), term)
 
     async def _order(
-        self, call: str, body: _Move | _Upkeep, term: Term
+        self, call: str, body: WireMove | WireUpkeep, term: Term
     ) -> VmOrderOutcome:
         reply = await self._http.call(
             "POST",
@@ -134,7 +136,7 @@
             body=body,
             headers={
                 "X-Currantstage-Lease-Holder": self._holder,
-                "X-Currantstage-Fencing-Token": str(term),
+                TERM_HEADER: str(term),
             },
         )
         return _outcome(reply)
@@ -143,7 +145,7 @@
 def _decode_row(row: Raw) -> list[VmRecord]:
     """Decode the entry of one VM; return nothing if it is malformed."""
     try:
-        return [decode_json(bytes(row), _Machine).decoded()]
+        return [decode_json(bytes(row), WireMachine).decoded()]
     except (UndecodableError, ValueError) as error:
         log_message("currantstage:vm-entry-malformed", reason=str(error))
         return []
@@ -157,5 +159,5 @@
     if reply.status == 400:
         return VmOrderOutcome.MALFORMED
     if reply.status == 409:
-        return _REASONS.get(read_reason(reply), VmOrderOutcome.UNAVAILABLE)
+        return ORDER_REASONS.get(read_reason(reply), VmOrderOutcome.UNAVAILABLE)
     return VmOrderOutcome.UNAVAILABLE
--- a/currantstage/platform/_store.py
+++ b/currantstage/platform/_store.py
@@ -51,7 +51,7 @@
 _REFUSALS = (400, 403, 413)
 
 
-class _Row(Struct):
+class WireRow(Struct):
     """Row on the wire; `Value` is base64."""
 
     table: str = field(name="Table")
@@ -62,34 +62,34 @@
     is_removed: bool = field(name="Deleted", default=False)
 
 
-class _Rows(Struct):
+class WireRows(Struct):
     version: Number = field(name="Ver")
-    rows: list[_Row] = field(name="rows", default_factory=list)
+    rows: list[WireRow] = field(name="rows", default_factory=list)
     has_more: bool = field(name="MorePages", default=False)
 
 
-class _TransactionResult(Struct):
+class WireCommit(Struct):
     version: Number = field(name="Ver")
 
 
-class _Name(Struct):
+class WireName(Struct):
     table: str = field(name="Table")
     partition: str = field(name="part")
     key: str = field(name="Key")
 
 
-class _Condition(_Name):
+class WireCondition(WireName):
     version: int = field(name="Ver")
 
 
-class _Put(_Name):
+class WirePut(WireName):
     value: str = field(name="Value")
 
 
-class _Transaction(Struct):
-    conditions: list[_Condition] = field(name="ExpectRev")
-    puts: list[_Put] = field(name="Put")
-    removals: list[_Name] = field(name="Remove")
+class WireTransaction(Struct):
+    conditions: list[WireCondition] = field(name="ExpectRev")
+    puts: list[WirePut] = field(name="Put")
+    removals: list[WireName] = field(name="Remove")
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,11 +126,11 @@
             body=_encode_transaction(conditions, writes),
         )
         if isinstance(reply, HttpReply) and reply.status == 412:
-            return Conflicted(_decode(reply, _Rows)[0])
+            return Conflicted(_decode(reply, WireRows)[0])
         _raise_for_failure(reply, is_write=True)
         assert isinstance(reply, HttpReply)
         try:
-            return Committed(decode_json(reply.body, _TransactionResult).version)
+            return Committed(decode_json(reply.body, WireCommit).version)
         except UndecodableError as error:
             raise StoreUnavailable(str(error), is_in_doubt=True) from error
 
@@ -150,7 +150,7 @@
             )
             _raise_for_failure(reply, is_write=False)
             assert isinstance(reply, HttpReply)
-            page, page_version, has_more = _decode(reply, _Rows)
+            page, page_version, has_more = _decode(reply, WireRows)
             # Later pages may have a newer version; changes are then read from the
             # version of the first page, so that none is missed.
             version = page_version if version is None else version
@@ -168,7 +168,7 @@
         )
         _raise_for_failure(reply, is_write=False)
         assert isinstance(reply, HttpReply)
-        rows, _, _ = _decode(reply, _Rows)
+        rows, _, _ = _decode(reply, WireRows)
         return next((each for each in rows if each.name == name), None)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage | None:
@@ -199,7 +199,7 @@
             return None
         _raise_for_failure(reply, is_write=False)
         assert isinstance(reply, HttpReply)
-        rows, version, has_more = _decode(reply, _Rows)
+        rows, version, has_more = _decode(reply, WireRows)
         is_full = len(rows) >= MAX_ANSWER_ROWS or len(reply.body) >= MAX_ANSWER_BYTES
         may_be_cut = bool(rows) and (has_more or is_full)
         return _FeedAnswer(RowPage(rows, version), may_be_cut)
@@ -209,7 +209,7 @@
         method: str,
         path: str,
         adaptive_timeout: AdaptiveTimeout,
-        body: _Transaction | None = None,
+        body: WireTransaction | None = None,
         wait_s: float = 0.0,
         group: ConnectionGroup = ConnectionGroup.STORE,
     ) -> HttpReply | CallFailure:
@@ -250,10 +250,10 @@
 
 def _encode_transaction(
     conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
-) -> _Transaction:
-    transaction = _Transaction(
+) -> WireTransaction:
+    transaction = WireTransaction(
         [
-            _Condition(
+            WireCondition(
                 each.name.table, each.name.partition, each.name.key, each.version
             )
             for each in conditions
@@ -264,10 +264,10 @@
     for write in writes:
         name = write.name
         if write.value is None:
-            transaction.removals.append(_Name(name.table, name.partition, name.key))
+            transaction.removals.append(WireName(name.table, name.partition, name.key))
         else:
             text = base64.b64encode(write.value).decode()
-            transaction.puts.append(_Put(name.table, name.partition, name.key, text))
+            transaction.puts.append(WirePut(name.table, name.partition, name.key, text))
     return transaction
 
 
@@ -286,7 +286,7 @@
 
 
 def _decode(
-    reply: HttpReply, page_type: type[_Rows]
+    reply: HttpReply, page_type: type[WireRows]
 ) -> tuple[tuple[StoredRow, ...], int, bool]:
     try:
         page = decode_json(reply.body, page_type)
@@ -295,7 +295,7 @@
     return tuple(map(_decode_row, page.rows)), page.version, page.has_more
 
 
-def _decode_row(row: _Row) -> StoredRow:
+def _decode_row(row: WireRow) -> StoredRow:
     name = RowName(row.table, row.partition, row.key)
     if row.is_removed:
         return StoredRow(name, None, row.version)
--- a/currantstage/platform/_workers.py
+++ b/currantstage/platform/_workers.py
@@ -36,9 +36,9 @@
 #: Maximum number of ends in one reply.
 MAX_LISTED_ENDS = 500
 
-_INSTANCE_HEADER = "X-Currantstage-Expect-Instance"
+INSTANCE_HEADER = "X-Currantstage-Expect-Instance"
 
-_REASONS = {
+REFUSAL_REASONS = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.OUTDATED,
     "late": OrderOutcome.TOO_LATE,
@@ -46,7 +46,7 @@
     "ticket": OrderOutcome.NO_TICKET,
 }
 
-_END_KINDS = {
+END_KINDS = {
     "done": EndKind.DONE,
     "failed": EndKind.FAILED,
     "stopped": EndKind.STOPPED,
@@ -56,7 +56,7 @@
 }
 
 
-class _Start(Struct, rename="pascal", omit_defaults=True):
+class WireStart(Struct, rename="pascal", omit_defaults=True):
     task: str
     run: int
     spec: str
@@ -66,27 +66,27 @@
     ticket: str = ""
 
 
-class _Stop(Struct, rename="pascal"):
+class WireStop(Struct, rename="pascal"):
     task: str
     run: int
     fence: int
 
 
-class _Pace(Struct, rename="pascal"):
+class WirePace(Struct, rename="pascal"):
     task: str
     run: int
     percent: int
     fence: int
 
 
-class _Hold(Struct, rename="pascal", omit_defaults=True):
+class WireHold(Struct, rename="pascal", omit_defaults=True):
     fence: int
     seen_upto: int
     until_ms: int | None = None
     wait_ms: int = 0
 
 
-class _Running(Struct, array_like=True):
+class WireRunning(Struct, array_like=True):
     """Row of a running task; the gauge is left out where there is none."""
 
     task: str
@@ -96,7 +96,7 @@
     gauge: float = 0.0
 
 
-class _Ended(Struct, array_like=True):
+class WireEnded(Struct, array_like=True):
     number: Number
     task: str
     run: Number
@@ -104,10 +104,10 @@
     checkpoint: str
 
 
-class _HoldResponse(Struct, rename="pascal"):
+class WireHoldResponse(Struct, rename="pascal"):
     clock_ms: Number
-    running: list[_Running] = field(default_factory=list)
-    ended: list[_Ended] = field(default_factory=list)
+    running: list[WireRunning] = field(default_factory=list)
+    ended: list[WireEnded] = field(default_factory=list)
     born: Number = field(name="born", default=0)
 
 
@@ -119,7 +119,7 @@
 
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Start a run."""
-        body = _Start(
+        body = WireStart(
             task=format_key(order.task),
             run=order.run,
             spec=order.spec,
@@ -132,12 +132,12 @@
 
     async def stop(self, order: StopOrder) -> OrderOutcome:
         """Stop a run."""
-        body = _Stop(task=format_key(order.task), run=order.run, fence=order.fence)
+        body = WireStop(task=format_key(order.task), run=order.run, fence=order.fence)
         return _outcome(await self._post(order, "run-stop", body))
 
     async def pace(self, order: PaceOrder) -> OrderOutcome:
         """Limit the speed of a run to a percentage."""
-        body = _Pace(
+        body = WirePace(
             task=format_key(order.task),
             run=order.run,
             percent=order.percent,
@@ -147,7 +147,7 @@
 
     async def hold(self, order: RenewalOrder) -> RenewalReply | OrderOutcome:
         """Renew a worker's lease; return its running and ended runs, or the failure."""
-        body = _Hold(
+        body = WireHold(
             fence=order.fence,
             seen_upto=order.seen_upto,
             until_ms=order.until_ms,
@@ -180,7 +180,7 @@
             f"http://{order.worker.address}/currantstage/{call}",
             timeout_s,
             body=body,
-            headers={_INSTANCE_HEADER: order.worker.worker},
+            headers={INSTANCE_HEADER: order.worker.worker},
         )
 
 
@@ -206,14 +206,14 @@
     if reply.status in (429, 503):
         return OrderOutcome.UNHEALTHY
     if reply.status == 409:
-        return _REASONS.get(read_reason(reply), OrderOutcome.OUTDATED)
+        return REFUSAL_REASONS.get(read_reason(reply), OrderOutcome.OUTDATED)
     if reply.status == 400:
         return OrderOutcome.MALFORMED
     return OrderOutcome.UNKNOWN
 
 
 def _decode_hold_response(body: bytes) -> RenewalReply:
-    response = decode_json(body, _HoldResponse)
+    response = decode_json(body, WireHoldResponse)
     return RenewalReply(
         clock_ms=response.clock_ms,
         born_ms=BornMs(response.born),
@@ -223,7 +223,7 @@
     )
 
 
-def _decode_running(row: _Running) -> RunningTask:
+def _decode_running(row: WireRunning) -> RunningTask:
     return RunningTask(
         parse_task(row.task),
         RunNumber(row.run),
@@ -233,11 +233,11 @@
     )
 
 
-def _decode_ended(row: _Ended) -> EndedTask:
+def _decode_ended(row: WireEnded) -> EndedTask:
     return EndedTask(
         EndNumber(row.number),
         parse_task(row.task),
         RunNumber(row.run),
-        _END_KINDS[row.kind],
+        END_KINDS[row.kind],
         row.checkpoint,
     )
