--- a/currantstage/standin/jobs/__init__.py
+++ b/currantstage/standin/jobs/__init__.py
@@ -4,6 +4,7 @@
 
 from currantstage.standin.jobs._absence_watch import AbsenceWatch
 from currantstage.standin.jobs._oracle import Oracle
+from currantstage.standin.jobs._simulated_worker import SimulatedWorker
 from currantstage.standin.jobs._site import (
     POOLS,
     SPARE_POOL,
@@ -15,6 +16,7 @@
     CALL_TIMEOUT_S,
     MAX_ROW_BYTES,
     SimulatedStore,
+    StoreConnection,
 )
 from currantstage.standin.jobs._virtual_loop import (
     CURRENT_PROCESS,
@@ -37,8 +39,10 @@
     "SimulatedSite",
     "SimulatedStore",
     "SimulatedVms",
+    "SimulatedWorker",
     "SimulatedWorkers",
     "StandstillWatch",
+    "StoreConnection",
     "DeadlockError",
     "VirtualTimeLoop",
     "build_configuration",
--- a/currantstage/standin/jobs/_simulated_worker.py
+++ b/currantstage/standin/jobs/_simulated_worker.py
@@ -50,6 +50,13 @@
     started_s: float
     run_duration_s: float | None
     timer: asyncio.TimerHandle | None = None
+    #: Since when the task makes no progress; None while it does.
+    stalled_since_s: float | None = None
+
+    def worked_s(self) -> float:
+        """Return for how long the task has made progress, in seconds."""
+        until_s = self.stalled_since_s
+        return (virtual_now_s() if until_s is None else until_s) - self.started_s
 
 
 class SimulatedWorker:
@@ -77,6 +84,7 @@
         self._ended_runs: dict[TaskKey, RunNumber] = {}
         self._ends = 0
         self._changed = Notifier()
+        self._is_stalled = False
 
     @property
     def name(self) -> str:
@@ -117,12 +125,28 @@
             asyncio.get_running_loop().call_later(
                 CRASH_DELAY_S, self._fleet.crash_and_return, self
             )
-        if run_duration_s is not None:
-            run.timer = asyncio.get_running_loop().call_later(
-                run_duration_s, self._finish, run
-            )
+        if self._is_stalled:
+            run.stalled_since_s = run.started_s
+        else:
+            self._set_timer(run)
         return OrderOutcome.ACCEPTED
 
+    def set_stalled(self, is_stalled: bool) -> None:
+        """Let all tasks stand still, or go on where they stood."""
+        if is_stalled == self._is_stalled:
+            return
+        self._is_stalled = is_stalled
+        now_s = virtual_now_s()
+        for run in self.runs.values():
+            if is_stalled:
+                run.stalled_since_s = now_s
+                if run.timer is not None:
+                    run.timer.cancel()
+            elif run.stalled_since_s is not None:
+                run.started_s += now_s - run.stalled_since_s
+                run.stalled_since_s = None
+                self._set_timer(run)
+
     def stop(self, order: StopOrder) -> OrderOutcome:
         """Carry out an order to stop a run."""
         if not self._accept_fence(order.fence):
@@ -193,6 +217,14 @@
         self.fence = fence
         return True
 
+    def _set_timer(self, run: SimulatedRun) -> None:
+        if run.run_duration_s is None:
+            return
+        left_s = run.run_duration_s - run.worked_s()
+        run.timer = asyncio.get_running_loop().call_later(
+            max(0.0, left_s), self._finish, run
+        )
+
     def _finish(self, run: SimulatedRun) -> None:
         self._end(run, self._fleet.end_kind(self.entry.worker, run.task))
 
@@ -229,7 +261,7 @@
     """Return the progress of a run, in whole percent."""
     if run.run_duration_s is None:
         return 100
-    return int(100 * (virtual_now_s() - run.started_s) / run.run_duration_s)
+    return int(100 * run.worked_s() / run.run_duration_s)
 
 
 def virtual_now_s() -> float:
--- a/currantstage/standin/jobs/_vms.py
+++ b/currantstage/standin/jobs/_vms.py
@@ -54,6 +54,8 @@
         #: When a scheduler of each term last sent an order, in seconds.
         self.last_order_s: dict[Term, float] = {}
         self._restarts = 0
+        #: Number of moves and maintenances that have begun.
+        self.planned_downtimes = 0
         #: How late the next maintenance orders are carried out, in seconds; each of
         #: them gets no answer.
         self.late_upkeeps_s: list[float] = []
@@ -183,6 +185,7 @@
         if record.worker:
             self._workers.crash(record.worker)
         is_planned = condition is not VmCondition.DOWN
+        self.planned_downtimes += is_planned
         keeps_worker = is_planned and self.lists_former_worker
         self._records[record.vm] = msgspec.structs.replace(
             record,
--- /dev/null
+++ b/tests/served/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the served platform, and of real daemons against it."""
