--- a/currantstage/standin/served/_fleet.py
+++ b/currantstage/standin/served/_fleet.py
@@ -7,7 +7,11 @@
 
 from currantstage.standin.served._daemons import DaemonProcess
 from currantstage.standin.served._faults import Fault, FaultKind, Service
-from currantstage.standin.served._log_check import find_log_faults
+from currantstage.standin.served._log_check import (
+    Activity,
+    find_log_faults,
+    find_most_blocked,
+)
 from currantstage.standin.served._scenarios import DaemonAction
 
 if TYPE_CHECKING:
@@ -112,6 +116,10 @@
             for fault in find_log_faults(daemon.log_path)
         ]
 
+    def find_most_blocked(self) -> Activity:
+        """Return the second in which the most workers took no tasks."""
+        return find_most_blocked(daemon.log_path for daemon in self.daemons)
+
     async def _kill_all(self) -> None:
         self.is_out = True
         await asyncio.gather(*(daemon.kill() for daemon in self.daemons))
--- a/currantstage/standin/served/_load.py
+++ b/currantstage/standin/served/_load.py
@@ -14,8 +14,7 @@
 
     from currantstage.state import PoolId
 
-#: Bounds of the number of tasks of a step, and of their run time in milliseconds.
-TASK_COUNTS = (2, 14)
+#: Bounds of the run time of a step's tasks, in milliseconds.
 RUN_TIMES_MS = (400, 3200)
 #: Processor use of a task in millicores, and its memory in megabytes.
 TASK_SIZES = ((250, 256), (500, 512), (1000, 1024))
@@ -35,11 +34,14 @@
         have the same load at all times.
     hot_share : float
         Share of the jobs that the pool gets whose turn it is.
+    max_tasks : int
+        Maximum number of tasks of a step.
     """
 
     jobs_per_s: float = 4.0
     turn_s: float = 0.0
     hot_share: float = 0.9
+    max_tasks: int = 14
 
     def share_of_first(self, now_s: float) -> float:
         """Return the share of the jobs that go to the first pool.
@@ -83,7 +85,7 @@
     def _next_step(self, after: tuple[int, ...]) -> Step:
         cpu_millicores, memory_mb = self._random.choice(TASK_SIZES)
         return Step(
-            task_count=self._random.randint(*TASK_COUNTS),
+            task_count=self._random.randint(1, self._load.max_tasks),
             resources=Resources(cpu_millicores, memory_mb, 0),
             estimated_run_ms=self._random.randint(*RUN_TIMES_MS),
             after=after,
