Runs are stopped later while most of a pool's workers stall

The backoff is one of each task: every task of the pool loses 1.5 s of work and then 3 s, before the third run is given enough time.

`StallWatch` notes on which workers runs have stalled lately. Once these are three or more and over half of the pool's busy workers, the tasks or what lists them are the likelier cause: a run is stopped only after four times the usual time (6 s), and its worker isn't paused.

The price: if most workers of a pool really hang, their runs are stopped after 6 s rather than 1.5 s; a worker that is frozen as a whole is silent, and its runs are released by its lease as before.

--- a/currantstage/coordination/jobs/_scheduler.py
+++ b/currantstage/coordination/jobs/_scheduler.py
@@ -208,9 +208,7 @@
             self._lifecycle.on_expired(run, now_s)
         for run in self.workers.take_late_ends():
             self._lifecycle.on_late_end(run)
-        for worker_state in self.workers.states():
-            for run in list(worker_state.runs.values()):
-                self._supervisor.check(worker_state, run, now_s)
+        self._supervisor.check(self.workers.states(), now_s)
 
     def take_batch(self) -> ProgressBatch | None:
         """Return the next batch to store; None if nothing has changed."""
--- a/tests/jobs/test_stalled_pools.py
+++ b/tests/jobs/test_stalled_pools.py
@@ -61,3 +61,45 @@
     assert log.lines("task-stop")
     activity = log.lines("scheduler-activity")
     assert not any(POOL in each["closed_pools"] for each in activity)
+
+
+#: Most stops for the jobs of one play: the first ones, until most workers have stalled.
+MAX_STOPS = 40
+#: Fewest stops if only three of the eight workers stall.
+MIN_STOPS = 12
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tasks_are_not_stopped_by_turns_if_none_of_a_pool_shows_progress(
+    seed: int,
+) -> None:
+    """Each task was stopped twice, and the work of these runs was thrown away."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed)
+        site.workers.without_progress.update(_workers_of(site, POOL))
+        await _submit_jobs(site, 120)
+        await asyncio.sleep(20)
+        await site.check_final()
+        assert site.oracle.violations == []
+
+    with captured_log() as log:
+        run_scenario(scenario())
+    assert 0 < len(log.lines("task-stop")) <= MAX_STOPS
+
+
+def test_stalls_of_less_than_half_of_the_workers_are_stopped_as_ever() -> None:
+    """Guards the stops on workers that are really at fault."""
+
+    async def scenario() -> None:
+        site = await _start_site(seed=1)
+        bad = _workers_of(site, POOL)[:3]
+        site.workers.without_progress.update(bad)
+        await _submit_jobs(site, 60)
+        await asyncio.sleep(20)
+        await site.check_final()
+        assert site.oracle.violations == []
+
+    with captured_log() as log:
+        run_scenario(scenario())
+    assert len(log.lines("task-stop")) >= MIN_STOPS
