The pause after a stall is shorter than a job may stand still

What callers could see: a job that only some workers can take, by a label or the size of its tasks, stood for 4 s when these had stalled runs, however many others were open. The rule allows 3 s, with room.

--- a/currantstage/coordination/jobs/_run_supervisor.py
+++ b/currantstage/coordination/jobs/_run_supervisor.py
@@ -18,7 +18,7 @@
     from currantstage.coordination.jobs._worker_state import WorkerState
 
 #: How long no task is placed on a worker whose run has stalled, in seconds.
-STALLED_PAUSE_S = 4.0
+STALLED_PAUSE_S = 2.0
 #: Multiple of the estimated time for one percent that a run may take for it.
 ESTIMATE_MARGIN = 3.0
 #: Factor by which the time that a task may be without progress grows with each run that
