Job table: restoring a task without crashes costs no call

The split of the table of crashes added a call for each stored task, beyond the budget of test_no_stored_job_keeps_the_next_scheduler_from_its_lease[tasks], which failed on and passes now.

--- a/currantstage/coordination/jobs/_job_table.py
+++ b/currantstage/coordination/jobs/_job_table.py
@@ -101,7 +101,8 @@
         task.move_to(entry.phase)
         task.run_number = entry.run
         task.failed_runs = frozenset(entry.failed_runs)
-        self.crashes.restore(task, entry.crashes)
+        if entry.crashes:
+            self.crashes.restore(task, entry.crashes)
         task.checkpoint = entry.checkpoint
         if entry.phase is TaskPhase.PLACED:
             task.worker = entry.worker
