Failing list of VMs: no VM is kept for a trial, and no room for a task that is to leave

What callers saw: while the list of VMs isn't answered, one VM stays cordoned, and the room held for the long-running tasks of VMs that were to be drained takes no task, for as long as that lasts.

Cause: orders are sent only after a list, so the trial that the open breaker chooses while the list fails is never sent and never ends. Held room is renewed or given up by EvacuationPlan.update only, which ran only in a plan, and a plan needs a list.

--- a/currantstage/coordination/jobs/_fleet_manager.py
+++ b/currantstage/coordination/jobs/_fleet_manager.py
@@ -149,10 +149,12 @@
         ]
 
     def on_list_failed(self, now_s: float) -> None:
-        """Give up planned work that waits for a service which doesn't answer."""
+        """Give up planned work, and room held for it, if the service doesn't answer."""
         self.breaker.record_list(now_s, is_answered=False)
         self.breaker.release_vms(now_s)
         self._cordon()
+        self._evacuation.update(now_s)
+        self._cordon()
 
     def on_order_outcome(
         self, order: VmOrder, outcome: VmOrderOutcome, now_s: float
--- a/currantstage/coordination/jobs/_vm_order_breaker.py
+++ b/currantstage/coordination/jobs/_vm_order_breaker.py
@@ -24,7 +24,8 @@
 
     A VM is cordoned from the time its work is planned until its order is carried out.
     While the service fails, the breaker is open: one VM at a time is cordoned, for a
-    trial order, and the others run tasks. The first answer closes the breaker.
+    trial order, and the others run tasks. The first answer closes the breaker. No trial
+    is made while the list of VMs fails, as no order is sent without it.
 
     Parameters
     ----------
@@ -42,9 +43,8 @@
 
     def is_open(self, now_s: float) -> bool:
         """Return whether the service has been failing for some time."""
-        starts_s = (self._orders_failing_since_s, self._list_failing_since_s)
-        return any(
-            each_s is not None and now_s - each_s >= OPEN_AFTER_S for each_s in starts_s
+        return self._is_list_failing(now_s) or _opens_breaker(
+            self._orders_failing_since_s, now_s
         )
 
     def record_list(self, now_s: float, *, is_answered: bool) -> None:
@@ -101,14 +101,20 @@
 
     def _update_trial(self, waiting: list[VmState], now_s: float) -> None:
         trial = self._vms.get(self._trial_vm) if self._trial_vm is not None else None
-        if self._trial_vm is not None and (trial is None or trial.goal is None):
+        is_over = trial is None or trial.goal is None or self._is_list_failing(now_s)
+        if self._trial_vm is not None and is_over:
             self._end_trial(now_s)
         if waiting and self._is_trial_due(now_s):
             first = min(waiting, key=lambda vm: (vm.sent_s is None, vm.goal_set_s))
             self._trial_vm = first.record.vm
 
+    def _is_list_failing(self, now_s: float) -> bool:
+        return _opens_breaker(self._list_failing_since_s, now_s)
+
     def _is_trial_due(self, now_s: float) -> bool:
-        return self._trial_vm is None and now_s >= self._next_trial_s
+        if self._trial_vm is not None or self._is_list_failing(now_s):
+            return False
+        return now_s >= self._next_trial_s
 
     def _end_trial(self, now_s: float) -> None:
         self._trial_vm = None
@@ -129,3 +135,8 @@
         if vm.sent_s is None or vm.goal is None or vm.goal.work is VmWork.MOVE:
             return True
         return now_s - vm.answered_s >= self._max_order_delay_s
+
+
+def _opens_breaker(failing_since_s: float | None, now_s: float) -> bool:
+    """Return whether failures since `failing_since_s` open the breaker."""
+    return failing_since_s is not None and now_s - failing_since_s >= OPEN_AFTER_S
--- a/tests/jobs/test_evacuation_plan.py
+++ b/tests/jobs/test_evacuation_plan.py
@@ -394,6 +394,22 @@
     assert not fleet.worker("w-1").runs
 
 
+def test_room_is_not_held_for_planned_work_while_the_list_of_vms_fails() -> None:
+    """Guards against jobs that wait beside room held until the list is answered."""
+    fleet = _Fleet(2, _lasting(1, cpu=5000))
+    fleet.run(0, "w-0")
+    other = fleet.run_other("w-1", run_ms=2000)
+    fleet.maintain("w-0")
+    fleet.plan_until(NOW_S + 1)
+    fleet.worker("w-1").remove(other)
+    fleet.manager.on_list_failed(NOW_S + 1.2)
+    fleet.manager.on_list_failed(NOW_S + 2.4)
+    fleet.scheduler.submit(submission("1" * 16, step(16, cpu=1000)), NOW_S + 2.5)
+    fleet.scheduler.place(NOW_S + 2.6, 0.0)
+    assert fleet.worker("w-1").runs
+    assert fleet.cordoned() == []
+
+
 def test_task_that_gets_no_room_holds_up_maintenance_for_the_drain_timeout() -> None:
     fleet = _Fleet(2, _lasting(1, cpu=5000))
     fleet.run(0, "w-0")
