Breaker for orders about VMs closes if no trial order is sent for 15 s

What callers saw: nothing yet; found by review. After some failed orders all moves and maintenance waited for one trial order. A VM is not drained while its worker has not answered this scheduler, or runs what it doesn't know, so a trial for it is never sent. It is even the likeliest choice: it has the oldest goal, or no load. Waves and moves then stood still, though the service worked, for as long as that worker was listed.

Evidence, pytest tests/jobs/test_vm_order_breaker.py: both new tests failed before. The breaker still allowed no work 15 s after the only failure, and two failures 19 s apart counted as a series that had lasted 19 s.

Fix: a failure says nothing of the service any more 15 s later. If it does fail, the next orders open the breaker again within a second.

--- a/currantstage/coordination/jobs/_vm_order_breaker.py
+++ b/currantstage/coordination/jobs/_vm_order_breaker.py
@@ -17,6 +17,9 @@
 OPEN_AFTER_S = 1.0
 #: Pause between two trial orders while the breaker is open, in seconds.
 TRIAL_INTERVAL_S = 1.0
+#: Time since the latest failure after which it says nothing of the service any more, in
+#: seconds; longer than a VM is drained, or an order carried out late.
+FAILURE_EXPIRY_S = 15.0
 
 
 class VmOrderBreaker:
@@ -24,8 +27,9 @@
 
     A VM is cordoned from the time its work is planned until its order is carried out.
     While the service fails, the breaker is open: one VM at a time is cordoned, for a
-    trial order, and the others run tasks. The first answer closes the breaker. No trial
-    is made while the list of VMs fails, as no order is sent without it.
+    trial order, and the others run tasks. The first answer closes the breaker, or
+    `FAILURE_EXPIRY_S` without a failed order, as a trial's VM may never be drained. No
+    trial is made while the list of VMs fails, as no order is sent without it.
 
     Parameters
     ----------
@@ -37,15 +41,14 @@
         self._vms = vms
         self._max_order_delay_s = tuning.max_order_delay_ms / 1000
         self._orders_failing_since_s: float | None = None
+        self._order_failed_s = float("-inf")
         self._list_failing_since_s: float | None = None
         self._trial_vm: VmId | None = None
         self._next_trial_s = float("-inf")
 
     def is_open(self, now_s: float) -> bool:
         """Return whether the service has been failing for some time."""
-        return self._is_list_failing(now_s) or _opens_breaker(
-            self._orders_failing_since_s, now_s
-        )
+        return self._is_list_failing(now_s) or self._are_orders_failing(now_s)
 
     def record_list(self, now_s: float, *, is_answered: bool) -> None:
         """Record whether a request for the list of VMs was answered."""
@@ -62,8 +65,10 @@
             return
         if outcome is not VmOrderOutcome.UNAVAILABLE:
             self._orders_failing_since_s = None
-        elif self._orders_failing_since_s is None:
-            self._orders_failing_since_s = now_s
+        else:
+            if self._is_failure_expired(now_s) or self._orders_failing_since_s is None:
+                self._orders_failing_since_s = now_s
+            self._order_failed_s = now_s
         if order.vm == self._trial_vm:
             self._end_trial(now_s)
 
@@ -108,6 +113,14 @@
             first = min(waiting, key=lambda vm: (vm.sent_s is None, vm.goal_set_s))
             self._trial_vm = first.record.vm
 
+    def _are_orders_failing(self, now_s: float) -> bool:
+        if self._is_failure_expired(now_s):
+            return False
+        return _opens_breaker(self._orders_failing_since_s, now_s)
+
+    def _is_failure_expired(self, now_s: float) -> bool:
+        return now_s - self._order_failed_s >= FAILURE_EXPIRY_S
+
     def _is_list_failing(self, now_s: float) -> bool:
         return _opens_breaker(self._list_failing_since_s, now_s)
 
--- a/tests/jobs/test_vm_order_breaker.py
+++ b/tests/jobs/test_vm_order_breaker.py
@@ -91,6 +91,25 @@
     assert breaker.allows_work(3.3)
 
 
+def test_trial_that_is_never_sent_keeps_no_other_vm_from_its_work() -> None:
+    """Guards against one VM that can't be drained holding up the work on all."""
+    table = _table(2, MOVE)
+    breaker = VmOrderBreaker(table, TUNING)
+    _send(table, breaker, UNAVAILABLE, 1.0)
+    breaker.release_vms(2.1)
+    assert not breaker.allows_work(12.0)
+    assert breaker.allows_work(16.1)
+
+
+def test_failures_after_a_pause_count_as_a_new_series() -> None:
+    table = _table(2, MOVE)
+    breaker = VmOrderBreaker(table, TUNING)
+    _send(table, breaker, UNAVAILABLE, 1.0)
+    _send(table, breaker, UNAVAILABLE, 20.0)
+    assert not breaker.is_open(20.5)
+    assert breaker.is_open(21.1)
+
+
 @pytest.mark.parametrize("outcome", [VmOrderOutcome.DONE, VmOrderOutcome.BUSY])
 def test_answer_to_an_order_closes_the_breaker(outcome: VmOrderOutcome) -> None:
     table = _table(1, MOVE)
