Orders for VMs: an unexpected error leaves the order without an answer

An error that VmOrders doesn't name ended the task of the order, and nothing else. The order counted as under way for the rest of the term: its VM stayed cordoned, which neither a plan nor the breaker ended, and counted as down for its wave, which went no further.

Evidence, pytest: test_unexpected_error_of_an_order_does_not_keep_its_vm_cordoned failed before: the wave of one VM had not begun 6 s later.

Fix: such an error is logged, and the order counts as unanswered, so that it is retried, or given up by the breaker, and counts for its wave as long as it may be carried out.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -9,7 +9,7 @@
 
 from currantstage.coordination.jobs import FleetManager
 from currantstage.state.jobs import StoreUnavailable, VmOrderOutcome
-from currantstage.util import TaskSet
+from currantstage.util import TaskSet, log_task_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -202,7 +202,12 @@
     async def _execute_order(self, order: VmOrder) -> None:
         goal = order.goal
         await self._list_in_lease(order)
-        outcome = await self._send(order)
+        try:
+            outcome = await self._send(order)
+        except Exception as error:
+            # The order may have been sent, as one without an answer.
+            log_task_failure(f"order for VM {order.vm}", error)
+            outcome = VmOrderOutcome.UNAVAILABLE
         log_message(
             "currantstage:vm-order",
             vm=order.vm,
--- a/tests/jobs/test_failing_vm_service.py
+++ b/tests/jobs/test_failing_vm_service.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import pytest
 
-from currantstage.standin.jobs import SPARE_POOL
-from currantstage.state import PoolId
-from currantstage.state.jobs import Resources, Step
+from currantstage.standin.jobs import POOLS, SPARE_POOL
+from currantstage.state import PoolId, VmId
+from currantstage.state.jobs import (
+    MaintenanceWave,
+    Resources,
+    Step,
+    Term,
+    VmOrderOutcome,
+)
+from tests.jobs.captured_log import captured_log
 from tests.jobs.loaded_fleet import Arrival, LoadedFleet
+from tests.jobs.site import run_scenario, start_site
 from tests.jobs.standing_jobs import StandingJobs
 
 LEFT, RIGHT = PoolId("left"), PoolId("right")
@@ -62,3 +71,33 @@
     assert standing.stood_too_long == 0
     assert all(took_s is not None for _, took_s in fleet.outcomes())
     assert fleet.moves > moves_before
+
+
+def test_unexpected_error_of_an_order_does_not_keep_its_vm_cordoned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The order counted as under way, and the VM as cordoned, for the whole term."""
+
+    async def scenario() -> None:
+        site = await start_site(3)
+        maintain = site.vms.maintain
+        is_first = True
+
+        async def fail_once(vm: VmId, wave: int, term: Term) -> VmOrderOutcome:
+            nonlocal is_first
+            if is_first:
+                is_first = False
+                raise RuntimeError("broken")
+            return await maintain(vm, wave, term)
+
+        monkeypatch.setattr(site.vms, "maintain", fail_once)
+        vm = f"m-{POOLS[0]}-0"
+        with captured_log() as log:
+            site.announce_wave(
+                MaintenanceWave(number=1, vms=(vm,), complete_by_s=20, max_down=1)
+            )
+            await asyncio.sleep(6.0)
+        assert len(log.lines("task-failed")) == 1
+        assert site.vms.maintained == {(1, VmId(vm))}
+
+    run_scenario(scenario())
