Limits of pauses are checked five times a second, not in each pass

What callers saw: nothing yet; found by review. While one worker of a pool of 1,100 had a pause for a stall, each pass of the scheduler looked at all workers of the pool twice. A pass comes every 12 ms under load, and a pause lasts 4 s.

Fix: the limits are checked each 0.2 s, which is short against the 3 s of the rule.

--- a/currantstage/coordination/jobs/_pause_limits.py
+++ b/currantstage/coordination/jobs/_pause_limits.py
@@ -16,6 +16,8 @@
 SUSPICIONS = frozenset({PauseGround.STALL})
 #: Share of the workers of a pool that suspicions leave open.
 MIN_OPEN_SHARE = 0.5
+#: Minimum interval between two looks at all workers, in seconds.
+CHECK_INTERVAL_S = 0.2
 
 
 class PauseLimits:
@@ -26,8 +28,17 @@
     jobs is known to be at fault: it counts neither as open nor as a suspect.
     """
 
+    def __init__(self) -> None:
+        self._checked_s = float("-inf")
+
     def apply(self, workers: Iterable[WorkerState], now_s: float) -> None:
-        """End the pauses that go beyond the limit of their pool, the oldest first."""
+        """End the pauses that go beyond the limit of their pool, the oldest first.
+
+        Has no effect within `CHECK_INTERVAL_S` of the last time.
+        """
+        if now_s - self._checked_s < CHECK_INTERVAL_S:
+            return
+        self._checked_s = now_s
         everyone = list(workers)
         pools = {
             each.entry.pool
--- a/tests/jobs/test_pause_limits.py
+++ b/tests/jobs/test_pause_limits.py
@@ -85,3 +85,15 @@
     _pause(workers, ground, 1.0)
     _pause(workers, PauseGround.STALL, 1.0)
     assert _open(workers, 1.5) == []
+
+
+def test_workers_are_not_all_looked_at_in_each_pass() -> None:
+    """Guards against long passes while one worker of a large pool is paused."""
+    workers = _workers(2)
+    limits = PauseLimits()
+    limits.apply(workers, 1.0)
+    _pause(workers, PauseGround.STALL, 1.0)
+    limits.apply(workers, 1.1)
+    assert not any(each.accepts_starts(1.1) for each in workers)
+    limits.apply(workers, 1.25)
+    assert sum(each.accepts_starts(1.25) for each in workers) == 1
