Reports of waves hold up no order for a VM

What callers saw: nothing yet; found by review. The pass that plans and orders the work on VMs waited for the report of each wave. While the rows of reports have no answer, which takes up to 2.5 s each, the next pass came that much later for each wave, and VMs that were cordoned, or whose order had failed, waited for it and ran nothing.

Evidence, pytest: test_report_of_a_wave_without_an_answer_holds_up_no_order, two waves whose reports time out after 2.5 s, failed before: no VM was maintained 4 s after the announcement, though the drained tasks ran for 1 s.

Fix: the reports are written beside the passes, by one task at a time.

--- a/currantstage/application/jobs/_fleet_driver.py
+++ b/currantstage/application/jobs/_fleet_driver.py
@@ -88,6 +88,7 @@
         self._ports = ports
         self._listed_s = float("-inf")
         self._is_service_failing = False
+        self._is_reporting = False
         self._logged_sizes: dict[PoolId, tuple[int, int]] = {}
         self._tasks = TaskSet()
 
@@ -119,7 +120,9 @@
         self._log_sizes()
         self._send_orders()
         self._record_waves()
-        await self._report_waves()
+        if not self._is_reporting:
+            self._is_reporting = True
+            self._tasks.spawn(self._report_waves())
 
     def _log_breaker(self, now_s: float) -> None:
         """Log when the service for VMs begins to fail, and when it works again."""
@@ -254,6 +257,13 @@
             wave.is_recording = False
 
     async def _report_waves(self) -> None:
+        """Report the waves that have begun or are completed; orders don't wait."""
+        try:
+            await self._report_open_waves()
+        finally:
+            self._is_reporting = False
+
+    async def _report_open_waves(self) -> None:
         for wave in self._manager.maintenance.open_waves():
             is_done = self._manager.is_wave_done(wave) and not wave.unrecorded
             if wave.is_announced and not is_done:
--- a/tests/jobs/test_wave_rows.py
+++ b/tests/jobs/test_wave_rows.py
@@ -11,6 +11,7 @@
 from currantstage.coordination.jobs import SchedulerTuning
 from currantstage.platform import OperatorRows
 from currantstage.standin.jobs import POOLS, SPARE_POOL, SimulatedSite, SimulatedStore
+from currantstage.standin.jobs._site_ports import SimulatedOperators
 from currantstage.standin.jobs._store import LATE_MAX_S
 from currantstage.state.jobs import (
     JobState,
@@ -160,3 +161,29 @@
         assert {site.vms.pool_of(vm) for vm in spare} == {POOLS[0]}
 
     run_scenario(scenario())
+
+
+def test_report_of_a_wave_without_an_answer_holds_up_no_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """VMs were cordoned, and ran nothing, until the reports had failed."""
+
+    async def time_out(*args: object, is_completed: bool) -> None:
+        await asyncio.sleep(2.5)
+        raise StoreUnavailable("timeout", is_in_doubt=True)
+
+    async def scenario() -> None:
+        site = await start_site(3)
+        monkeypatch.setattr(SimulatedOperators, "write_wave_state", time_out)
+        for pool in POOLS[:2]:
+            await site.submit((step(24, run_ms=1000),), pool)
+        await asyncio.sleep(0.3)
+        for number, pool in enumerate(POOLS[:2], start=1):
+            vms = (f"m-{pool}-0",)
+            site.announce_wave(
+                MaintenanceWave(number=number, vms=vms, complete_by_s=20, max_down=1)
+            )
+        await asyncio.sleep(4.0)
+        assert len(site.vms.maintained) == 2
+
+    run_scenario(scenario())
