A scheduler's lease is offered after two failed loads, not after one

What callers saw: nothing yet; found by review. One read of a load that timed out (0.9 s) was over hand_over_ms by itself, so the lease was offered at once, and the next attempt, which would most likely have worked, was cut off by a peer that began anew.

Where reads are silent while writes are taken, a hand-over takes one timeout longer.

--- a/currantstage/application/jobs/_load_attempts.py
+++ b/currantstage/application/jobs/_load_attempts.py
@@ -7,6 +7,9 @@
 if TYPE_CHECKING:
     from currantstage.coordination.jobs import SchedulerTuning
 
+#: Failed attempts after which a peer may do better; one may be due to a lost answer.
+MIN_FAILED_ATTEMPTS = 2
+
 
 class LoadAttempts:
     """Tells for how long the stored state could not be loaded.
@@ -31,6 +34,7 @@
     def record_success(self) -> None:
         """Record that the state is loaded."""
         self._failing_since_s = None
+        self.failed_count = 0
 
     def failing_s(self, now_s: float) -> float:
         """Return the time since the first of the failed attempts was begun."""
@@ -38,6 +42,6 @@
 
     def needs_successor(self, now_s: float) -> bool:
         """Return whether a daemon that can read the state should take over."""
-        if self._failing_since_s is None:
+        if self.failed_count < MIN_FAILED_ATTEMPTS:
             return False
         return self.failing_s(now_s) >= self._tuning.hand_over_ms / 1000
--- a/tests/jobs/test_hand_over.py
+++ b/tests/jobs/test_hand_over.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from currantstage.application.jobs._load_attempts import LoadAttempts
+from currantstage.coordination.jobs import SchedulerTuning
 from tests.jobs.captured_log import captured_log
 from tests.jobs.site import run_scenario, start_site, step
 
@@ -187,3 +189,12 @@
     assert failures[-1]["reason"] == "partition refused"
     assert failures[-1]["failing_s"] == pytest.approx(UNREADABLE_S, abs=0.2)
     assert failures[-1]["attempts"] == len(failures)
+
+
+def test_single_lost_answer_does_not_pass_the_lease_on() -> None:
+    """Guards against a lease that goes around while a few reads have no answer."""
+    attempts = LoadAttempts(SchedulerTuning(hand_over_ms=300))
+    attempts.record_failure(begun_s=1.0)
+    assert not attempts.needs_successor(2.0)
+    attempts.record_failure(begun_s=2.0)
+    assert attempts.needs_successor(3.0)
