A run that succeeds on a worker in quarantine ends it

What callers could see: jobs that fail on every worker, one of three tasks each 0.6 s, had all workers of their pool quarantined for 4 s again and again. Sound jobs stood with over half of the pool free, though their runs went on to succeed on these very workers.

A quarantine means that all fails on a worker, and a success says otherwise. A failure of several jobs in a row quarantines it anew.

The quarantine is as strong as it was where it is needed, which the same file guards: 3, 6 or 8 of 8 workers fail all runs for 6 s.

--- a/currantstage/coordination/jobs/_worker_state.py
+++ b/currantstage/coordination/jobs/_worker_state.py
@@ -368,8 +368,9 @@
             self.failures.clear()
 
     def record_success(self) -> None:
-        """Count a run that succeeded."""
+        """Count a run that succeeded; it shows that not all runs fail here."""
         self.failures.clear()
+        self.pauses.end(PauseGround.QUARANTINE)
 
     def _report_room(self) -> None:
         if self.room_observer is not None:
--- a/tests/jobs/test_grey_workers.py
+++ b/tests/jobs/test_grey_workers.py
@@ -81,11 +81,12 @@
     assert ends.count("failed") <= max_failed_runs
 
 
-def test_jobs_that_fail_everywhere_do_not_close_their_pool() -> None:
-    """They have workers quarantined, and other jobs stand with room free."""
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_that_fail_everywhere_do_not_close_their_pool(seed: int) -> None:
+    """They had all workers quarantined, and other jobs stood with room free."""
 
     async def scenario() -> None:
-        site = await _start_site(seed=0)
+        site = await _start_site(seed)
         watch = StandstillWatch(site.workers, site.oracle)
         watching = asyncio.create_task(watch.run(MIXED_S + 10))
         hopeless, sound = step(3, run_ms=300), step(2, run_ms=1500)
--- a/tests/jobs/test_quarantine.py
+++ b/tests/jobs/test_quarantine.py
@@ -34,3 +34,12 @@
     state.record_success()
     state.record_failure(JobId("c"), now_s=1.0)
     assert state.accepts_starts(1.0)
+
+
+def test_success_in_quarantine_ends_it() -> None:
+    """Jobs that fail on any worker closed workers on which others succeeded."""
+    state = _worker_state()
+    for job in ("a", "b", "c"):
+        state.record_failure(JobId(job), now_s=1.0)
+    state.record_success()
+    assert state.accepts_starts(1.1)
