Breaker for orders about VMs: orders without an answer count from their call

What callers saw: nothing yet; found by review. Orders that get no answer fail after a timeout of 1.5 s. The breaker counted from the first failure on, and gave up no VM whose next attempt was not due yet, so that all were ordered once more first: they ran nothing for longer than the 3 s in which a job with room has to run.

Evidence: test_moves_are_given_up_as_soon_as_two_orders_have_timed_out failed before (0 of 3 given up).

Fix: a second failure shows that the first was none by chance; the series then counts from the call that failed first. A VM may be released while its next attempt is not due.

--- a/currantstage/coordination/jobs/_vm_order_breaker.py
+++ b/currantstage/coordination/jobs/_vm_order_breaker.py
@@ -41,6 +41,7 @@
         self._vms = vms
         self._max_order_delay_s = tuning.max_order_delay_ms / 1000
         self._orders_failing_since_s: float | None = None
+        self._first_called_s = float("-inf")
         self._order_failed_s = float("-inf")
         self._list_failing_since_s: float | None = None
         self._trial_vm: VmId | None = None
@@ -66,12 +67,20 @@
         if outcome is not VmOrderOutcome.UNAVAILABLE:
             self._orders_failing_since_s = None
         else:
-            if self._is_failure_expired(now_s) or self._orders_failing_since_s is None:
-                self._orders_failing_since_s = now_s
-            self._order_failed_s = now_s
+            self._record_failed_order(order, now_s)
         if order.vm == self._trial_vm:
             self._end_trial(now_s)
 
+    def _record_failed_order(self, order: VmOrder, now_s: float) -> None:
+        """Record a failure; a second one shows that the first was none by chance."""
+        if self._is_failure_expired(now_s) or self._orders_failing_since_s is None:
+            vm = self._vms.get(order.vm)
+            self._first_called_s = now_s if vm is None else vm.called_s
+            self._orders_failing_since_s = now_s
+        else:
+            self._orders_failing_since_s = self._first_called_s
+        self._order_failed_s = now_s
+
     def allows_work(self, now_s: float) -> bool:
         """Return whether work on one more VM may be planned."""
         return not self.is_open(now_s) or self._is_trial_due(now_s)
@@ -93,7 +102,7 @@
         if not self.is_open(now_s):
             self._trial_vm = None
             return []
-        waiting = [vm for vm in self._vms.states() if self._is_waiting(vm, now_s)]
+        waiting = [vm for vm in self._vms.states() if self._is_waiting(vm)]
         self._update_trial(waiting, now_s)
         released = [
             vm
@@ -133,11 +142,11 @@
         self._trial_vm = None
         self._next_trial_s = now_s + TRIAL_INTERVAL_S
 
-    def _is_waiting(self, vm: VmState, now_s: float) -> bool:
+    def _is_waiting(self, vm: VmState) -> bool:
         """Return whether a VM is up and waits for its order, not for an answer."""
         if vm.goal is None or vm.done_s is not None or not vm.is_listed_up:
             return False
-        return not vm.is_awaiting_answer and now_s >= vm.retry_s
+        return not vm.is_awaiting_answer
 
     def _may_release(self, vm: VmState, now_s: float) -> bool:
         """Return whether a VM may run tasks in place of its planned work.
--- a/currantstage/coordination/jobs/_vm_table.py
+++ b/currantstage/coordination/jobs/_vm_table.py
@@ -69,8 +69,9 @@
         When the goal was set.
     sent_s, done_s : float, optional
         When the order was first sent and when it was confirmed.
-    answered_s : float
-        When the latest call of the order ended, with or without an answer.
+    called_s, answered_s : float
+        When the latest call of the order began, and when the latest one ended, with or
+        without an answer.
     retry_s : float
         No order is sent before this time.
     emptied_s : float, optional
@@ -88,6 +89,7 @@
     goal_set_s: float = 0.0
     sent_s: float | None = None
     done_s: float | None = None
+    called_s: float = float("-inf")
     answered_s: float = float("-inf")
     retry_s: float = 0.0
     emptied_s: float | None = None
@@ -184,6 +186,7 @@
         if state.sent_s is None:
             state.sent_s = now_s
             state.ended_worker = state.record.worker
+        state.called_s = now_s
         state.is_awaiting_answer = True
 
     def on_order_outcome(
--- a/tests/jobs/test_vm_order_breaker.py
+++ b/tests/jobs/test_vm_order_breaker.py
@@ -110,6 +110,19 @@
     assert breaker.is_open(21.1)
 
 
+def test_moves_are_given_up_as_soon_as_two_orders_have_timed_out() -> None:
+    """Guards against VMs that run nothing for over 3 s while orders have no answer."""
+    table = _table(4, MOVE)
+    breaker = VmOrderBreaker(table, TUNING)
+    for vm in table.states():
+        table.record_sent(vm, 0.0)
+    for vm in table.states():
+        order = VmOrder(vm.record.vm, MOVE)
+        breaker.record_order(order, UNAVAILABLE, 1.5)
+        table.on_order_outcome(order, UNAVAILABLE, 1.5)
+    assert len(breaker.release_vms(1.6)) == 3
+
+
 @pytest.mark.parametrize("outcome", [VmOrderOutcome.DONE, VmOrderOutcome.BUSY])
 def test_answer_to_an_order_closes_the_breaker(outcome: VmOrderOutcome) -> None:
     table = _table(1, MOVE)
