An offer that nobody hears releases the lease of its own term only

Found by review, read only: the offer waits for its replies; a session that had begun meanwhile and was loading could be released in place of the one that was offered. tests/jobs/test_hand_over.py passes as before.

--- a/currantstage/application/jobs/_ownership.py
+++ b/currantstage/application/jobs/_ownership.py
@@ -270,7 +270,9 @@
         replies = await self._notify_peers(LeaseOffer(term))
         is_heard = any(isinstance(each, Acknowledged) for each in replies)
         session = self.session
-        if is_heard or not replies or session is None or not session.is_only_renewed():
+        if is_heard or not replies or session is None or session.lease.term != term:
+            return
+        if not session.is_only_renewed():
             return
         self._handed_over_s = self._ports.clock.now_s()
         session.request_release()
