Tests: processes that run at the same time begin at other ports

Two test processes on one machine took the same first free ports, and met each other's servers: address already in use, or calls of the other's clients in the log (42 decisions for 7 calls).

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import os
 import socket
 
 #: Ports below those that outgoing connections are given.
 FIRST_PORT = 18191
 LAST_PORT = 28191
+#: Distance of the first ports that two processes in a row try.
+PROCESS_STRIDE = 97
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return the first free loopback addresses, as other programs may use some."""
+    """Return free loopback addresses; other processes begin at other ports."""
+    ports = range(FIRST_PORT, LAST_PORT)
+    first = os.getpid() * PROCESS_STRIDE % len(ports)
     addresses: list[str] = []
-    for port in range(FIRST_PORT, LAST_PORT):
+    for port in (*ports[first:], *ports[:first]):
         if len(addresses) == count:
             break
         if _is_free(port):
