--- a/currantstage/standin/served/_daemons.py
+++ b/currantstage/standin/served/_daemons.py
@@ -87,6 +87,8 @@
         self.log_path = folder / f"{name}.log"
         #: Ends that nobody asked for, as exit statuses.
         self.unasked_ends: list[int] = []
+        #: Ends after SIGTERM with a status that isn't zero.
+        self.failed_stops: list[int] = []
         self._settings_path = folder / f"{name}.ini"
         self._process: asyncio.subprocess.Process | None = None
         self._is_ending = False
@@ -151,7 +153,9 @@
 
     async def stop(self) -> None:
         """Ask the process to stop, and kill it if it takes too long."""
-        await self._end(signal.SIGTERM)
+        status = await self._end(signal.SIGTERM)
+        if status > 0:
+            self.failed_stops.append(status)
 
     async def holds_scheduler_lease(self, http: aiohttp.ClientSession) -> bool:
         """Return whether the daemon says that it is the scheduler."""
@@ -161,11 +165,12 @@
             for line in lines
         )
 
-    async def _end(self, end_signal: signal.Signals) -> None:
+    async def _end(self, end_signal: signal.Signals) -> int:
+        """Send a signal, wait for the end, and return the exit status."""
         self.check_running()
         process = self._process
         if process is None:
-            return
+            return 0
         self._is_ending = True
         process.send_signal(end_signal)
         try:
@@ -175,6 +180,7 @@
             process.kill()
             await process.wait()
         self._process = None
+        return process.returncode or 0
 
     async def _is_ready(self, http: aiohttp.ClientSession) -> bool:
         return bool(
--- a/currantstage/standin/served/_fleet.py
+++ b/currantstage/standin/served/_fleet.py
@@ -101,12 +101,18 @@
                 )
 
     def find_unasked_ends(self) -> list[str]:
-        """Return a line for each daemon that has ended by itself."""
-        return [
+        """Return a line for each daemon that has ended by itself or with an error."""
+        unasked = [
             f"{daemon.name} ended by itself with status {status}"
             for daemon in self.daemons
             for status in daemon.unasked_ends
         ]
+        failed = [
+            f"{daemon.name} ended with status {status} when told to stop"
+            for daemon in self.daemons
+            for status in daemon.failed_stops
+        ]
+        return unasked + failed
 
     def find_log_faults(self) -> list[str]:
         """Return the lines of all daemons' logs that show a fault."""
--- a/currantstage/standin/served/_standstill.py
+++ b/currantstage/standin/served/_standstill.py
@@ -81,7 +81,7 @@
     --------
     >>> check = StandstillCheck()
     >>> job = StandingJob("5c0e", "p", (Resources(1000),))
-    >>> room = WorkerRoom("p", Resources(8000), NO_RESOURCES)
+    >>> room = WorkerRoom("p", Resources(8000, 16000), NO_RESOURCES)
     >>> for now_s in (0.0, 2.0, 4.0):
     ...     check.observe(now_s, [job], [room], is_excused=False)
     >>> check.observe(5.0, [], [room], is_excused=False)
