--- a/tests/jobs/standing_watch.py
+++ b/tests/jobs/standing_watch.py
@@ -5,14 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantstage.standin.jobs._free_room import has_room
 from currantstage.state.jobs import TaskKey
 
 if TYPE_CHECKING:
     from currantstage.standin.jobs import SimulatedSite
     from currantstage.state.jobs import JobId
 
-#: Number of workers that must have room for a task of a job that stands.
-MIN_WORKERS_WITH_ROOM = 2
 #: Interval between checks, in seconds.
 CHECK_INTERVAL_S = 0.02
 
@@ -59,16 +58,5 @@
             return False
         if any(oracle.running.get(task) for task in tasks):
             return False
-        return self._workers_with_room(job) >= MIN_WORKERS_WITH_ROOM
-
-    def _workers_with_room(self, job: JobId) -> int:
-        submission = self._site.oracle.submitted[job]
-        workers = self._site.workers
-        return sum(
-            worker.entry.pool == submission.pool
-            and workers.is_reachable(worker.entry.worker)
-            and worker.used_resources()
-            .plus(submission.steps[0].reserved_resources)
-            .fits(worker.entry.capacity)
-            for worker in workers.workers.values()
-        )
+        pool = oracle.submitted[job].pool
+        return has_room(self._site.workers, pool, tasks[0], step)
