--- a/currantstage/standin/jobs/_absence_watch.py
+++ b/currantstage/standin/jobs/_absence_watch.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from currantstage.standin.jobs._free_room import has_room
+from currantstage.standin.jobs._periodic_check import check_at_intervals
 from currantstage.state.jobs import TaskKey
 
 if TYPE_CHECKING:
@@ -17,8 +17,6 @@
 
 #: Longest time that a long-running task may be away, in seconds.
 MAX_AWAY_S = 6.0
-#: Interval between checks, in seconds.
-CHECK_INTERVAL_S = 0.05
 
 
 class AbsenceWatch:
@@ -43,11 +41,7 @@
 
     async def run(self, duration_s: float) -> None:
         """Check at intervals, for `duration_s`."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + duration_s
-        while loop.time() < end_s:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self._check(loop.time())
+        await check_at_intervals(self._check, duration_s)
 
     def _check(self, now_s: float) -> None:
         for task, step in self._long_running_tasks():
--- a/currantstage/standin/jobs/_standstill_watch.py
+++ b/currantstage/standin/jobs/_standstill_watch.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from currantstage.standin.jobs._free_room import has_room, used_cpu_share
+from currantstage.standin.jobs._periodic_check import check_at_intervals
 from currantstage.state.jobs import TaskKey
 
 if TYPE_CHECKING:
@@ -19,8 +19,6 @@
 MAX_STANDSTILL_S = 3.0
 #: Share of a pool's CPU in use from which on its jobs may wait.
 MAX_USED_SHARE = 0.5
-#: Interval between checks, in seconds.
-CHECK_INTERVAL_S = 0.05
 
 
 class StandstillWatch:
@@ -44,11 +42,7 @@
 
     async def run(self, duration_s: float) -> None:
         """Check at intervals, for `duration_s`."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + duration_s
-        while loop.time() < end_s:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self._check(loop.time())
+        await check_at_intervals(self._check, duration_s)
 
     def _check(self, now_s: float) -> None:
         for job in self._oracle.accepted_s:
